Run one request and one gang through separate processes

Cause: nothing existed; a whole path has to stand before its parts grow. Change: entry, agent, store client, peer links and stand-ins of the store, executors and workers, on the design of docs/design.md. The store stand-in exits at once on SIGTERM: its pool waited up to 30 s for a watch, which made each fleet stop take 10 s. Conclusion: the path is served end to end; policies are placeholders.

--- /dev/null
+++ b/src/chicorycrank/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for multi-accelerator jobs and short requests of several teams."""
--- /dev/null
+++ b/src/chicorycrank/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports."""
--- /dev/null
+++ b/src/chicorycrank/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process that runs beside each target."""
--- /dev/null
+++ b/src/chicorycrank/agent/main.py
@@ -0,0 +1,60 @@
+"""``chicorycrank-agent``: the command line of the agent."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import uuid
+from pathlib import Path
+
+from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.adapters.http_targets import HttpExecutor, HttpWorker
+from chicorycrank.adapters.logs import set_up_logs
+from chicorycrank.agent.executor import ExecutorSide
+from chicorycrank.agent.process import Agent
+from chicorycrank.agent.worker import WorkerSide
+from chicorycrank.model.ids import Incarnation
+from chicorycrank.settings.agent import AgentSettings
+from chicorycrank.settings.reader import SettingsError, read_settings
+
+EXIT_SETTINGS = 2
+
+
+def main() -> None:
+    """Parse the command line and run the agent until a signal arrives."""
+    parser = argparse.ArgumentParser(prog="chicorycrank-agent", description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True)
+    try:
+        settings = read_settings(parser.parse_args().settings, AgentSettings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    set_up_logs(settings.log_level)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: AgentSettings) -> None:
+    agent = build(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, agent.stop)
+    await agent.run()
+
+
+def build(settings: AgentSettings) -> Agent:
+    """Return an agent on the system clock and the target's HTTP interface."""
+    clock = SystemClock()
+    incarnation = Incarnation(uuid.uuid4().hex)
+    executor = None
+    worker = None
+    if settings.executor is not None:
+        target = HttpExecutor(settings.target_url, slots=settings.executor.slots)
+        executor = ExecutorSide(settings.executor, target, clock, incarnation)
+    if settings.worker is not None:
+        http_worker = HttpWorker(settings.target_url)
+        worker = WorkerSide(settings.target, settings.worker, http_worker, clock)
+    return Agent(settings, clock, incarnation, executor=executor, worker=worker)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/chicorycrank/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions, routing and node cost."""
--- /dev/null
+++ b/src/chicorycrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/src/chicorycrank/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: HTTP interface, request path, scheduler role and membership."""
--- /dev/null
+++ b/src/chicorycrank/entry/main.py
@@ -0,0 +1,48 @@
+"""``chicorycrank-entry``: the command line of the entry."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import uuid
+from pathlib import Path
+
+from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.adapters.http_store import HttpStore
+from chicorycrank.adapters.logs import set_up_logs
+from chicorycrank.entry.http_api import start_http, stop_http
+from chicorycrank.entry.process import Entry
+from chicorycrank.model.ids import Incarnation
+from chicorycrank.settings.entry import EntrySettings
+from chicorycrank.settings.reader import SettingsError, read_settings
+
+EXIT_SETTINGS = 2
+
+
+def main() -> None:
+    """Parse the command line and run the entry until a signal arrives."""
+    parser = argparse.ArgumentParser(prog="chicorycrank-entry", description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True)
+    try:
+        settings = read_settings(parser.parse_args().settings, EntrySettings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    set_up_logs(settings.log_level)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: EntrySettings) -> None:
+    store = HttpStore(settings.store_url)
+    entry = Entry(settings, store, SystemClock(), Incarnation(uuid.uuid4().hex))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, entry.stop)
+    start_http(entry, loop)
+    await entry.run()
+    await asyncio.to_thread(stop_http)
+    store.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/chicorycrank/entry/process.py
@@ -0,0 +1,312 @@
+"""The entry process: puts its parts together and serves peers."""
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Coroutine
+from datetime import timedelta
+from typing import Any
+
+from chicorycrank.adapters.codec import decode
+from chicorycrank.adapters.peers import PeerLink, dial, listen
+from chicorycrank.entry.claims import ClaimLog
+from chicorycrank.entry.config import ConfigHolder
+from chicorycrank.entry.directory import Directory, Peer
+from chicorycrank.entry.election import Election, Leader
+from chicorycrank.entry.job_records import JobRecords
+from chicorycrank.entry.jobs import JobFront
+from chicorycrank.entry.membership import PREFIX, Membership
+from chicorycrank.entry.requests import RequestFront
+from chicorycrank.entry.scheduler import Scheduler
+from chicorycrank.model.config import Config
+from chicorycrank.model.ids import CellId, EntryId, Incarnation, TargetId
+from chicorycrank.model.messages import (
+    PROTOCOL_VERSION,
+    AnyMessage,
+    ConfigInForce,
+    ConfigOffer,
+    ConfigRequest,
+    Digest,
+    ExecutorReport,
+    GangEnded,
+    GangStarted,
+    Goodbye,
+    Hello,
+    QueryState,
+    Role,
+    Text,
+    Welcome,
+    WorkerReport,
+)
+from chicorycrank.model.targets import EntryInfo, TargetKind
+from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.links import Link, LinkError
+from chicorycrank.ports.store import Entry as StoreEntry
+from chicorycrank.ports.store import Store
+from chicorycrank.settings.entry import EntrySettings
+
+PEER_HEARTBEAT = timedelta(seconds=2)
+DIGEST_INTERVAL = timedelta(seconds=1)
+RECONNECT_MIN = timedelta(milliseconds=300)
+
+logger = logging.getLogger("absl")
+
+
+class Entry:
+    """One entry: request front, job front, scheduler role and peers."""
+
+    def __init__(
+        self, settings: EntrySettings, store: Store, clock: Clock, incarnation: Incarnation
+    ) -> None:
+        self.settings = settings
+        self._store = store
+        self._clock = clock
+        self._incarnation = incarnation
+        self.info = EntryInfo(
+            entry_id=settings.entry,
+            region=settings.region,
+            zone=settings.zone,
+            peer_address=f"{settings.listen_host}:{settings.peer_port}",
+            http_address=f"{settings.listen_host}:{settings.http_port}",
+        )
+        self.directory = Directory()
+        self.config = ConfigHolder(self._on_config)
+        self.requests = RequestFront(self.directory, ClaimLog(store, clock), clock)
+        self.scheduler = Scheduler(
+            cell=settings.cell,
+            region=settings.region,
+            entry=settings.entry,
+            directory=self.directory,
+            records=JobRecords(store, clock, settings.cell),
+            clock=clock,
+        )
+        self.jobs = JobFront(settings.cell, self.directory, self.scheduler)
+        self._election = Election(
+            store,
+            clock,
+            cell=settings.cell,
+            entry=settings.entry,
+            on_elected=self.scheduler.take_role,
+            on_lost=self.scheduler.drop_role,
+        )
+        self._membership = Membership(store, clock, self.info, self._on_shared)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._dialler_by_entry: dict[EntryId, asyncio.Task[None]] = {}
+        self._stopping = asyncio.Event()
+        self.is_draining = False
+
+    async def run(self) -> None:
+        """Serve until :meth:`stop`, then hand roles over and finish what runs."""
+        server = await listen(
+            self.settings.listen_host,
+            self.settings.peer_port,
+            accept=self._accept,
+            on_link=self._on_link,
+            handler=self._handle,
+            clock=self._clock,
+            heartbeat=self._heartbeat_for,
+        )
+        for work in (
+            self._membership.announce_forever(),
+            self._membership.watch_forever(),
+            self._election.run(),
+            self._digest_forever(),
+        ):
+            self._spawn(work)
+        logger.info("event=entry_started entry=%s", self.settings.entry)
+        await self._stopping.wait()
+        self.is_draining = True
+        await self._election.resign()
+        await self._membership.withdraw()
+        await self._clock.sleep(timedelta(seconds=self.settings.drain_s))
+        server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stopping.set()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Shared keys.
+
+    def _on_shared(self, entry: StoreEntry) -> None:
+        name = entry.key.removeprefix(PREFIX)
+        if name == "config" and entry.version:
+            self.config.take(entry.value)
+        elif name.startswith("leaders/") and entry.version:
+            cell = CellId(name.removeprefix("leaders/"))
+            self.jobs.leader_by_cell[cell] = decode(entry.value, Leader).holder
+        elif name.startswith("entries/") and entry.version:
+            self._add_peer(decode(entry.value, EntryInfo))
+
+    def _on_config(self, config: Config) -> None:
+        self.scheduler.put_config(config)
+        for target in self.directory.targets_by_id.values():
+            self._spawn(self._offer_config(target.link))
+        for peer in self.directory.peers_by_id.values():
+            if peer.link is not None:
+                self._spawn(self._offer_config(peer.link))
+
+    async def _offer_config(self, link: Link) -> None:
+        try:
+            await link.send(self.config.offer)
+        except LinkError as error:
+            logger.info("event=config_offer_lost peer=%s error=%s", link.peer.peer_id, error)
+
+    # Peers.
+
+    def _hello(self) -> Hello:
+        return Hello(
+            version=PROTOCOL_VERSION,
+            role=Role.ENTRY,
+            peer_id=self.settings.entry,
+            incarnation=self._incarnation,
+            region=self.settings.region,
+            zone=self.settings.zone,
+            address=self.info.peer_address,
+            config_generation=self.config.config.generation,
+        )
+
+    def _add_peer(self, info: EntryInfo) -> None:
+        """Note another entry; the entry with the smaller id dials the other."""
+        if info.entry_id == self.settings.entry:
+            return
+        peer = self.directory.peers_by_id.setdefault(info.entry_id, Peer(info=info))
+        peer.info = info
+        if self.settings.entry < info.entry_id:
+            task = self._dialler_by_entry.get(info.entry_id)
+            if task is None or task.done():
+                self._dialler_by_entry[info.entry_id] = self._spawn(self._dial_forever(peer))
+
+    async def _dial_forever(self, peer: Peer) -> None:
+        while True:
+            try:
+                link, _ = await dial(
+                    peer.info.peer_address,
+                    hello=self._hello(),
+                    handler=self._handle,
+                    clock=self._clock,
+                    heartbeat=PEER_HEARTBEAT,
+                )
+            except LinkError as error:
+                logger.info("event=dial_failed entry=%s error=%s", peer.info.entry_id, error)
+                await self._clock.sleep(RECONNECT_MIN * random.uniform(1.0, 5.0))
+                continue
+            peer.link = link
+            self._spawn(self._offer_config(link))
+            await link.run()
+            if peer.link is link:
+                peer.link = None
+
+    def _heartbeat_for(self, hello: Hello) -> timedelta:
+        if hello.role is Role.ENTRY:
+            return PEER_HEARTBEAT
+        return timedelta(seconds=self.settings.agent_heartbeat_s)
+
+    async def _accept(self, hello: Hello) -> Welcome | Goodbye:
+        if self.is_draining:
+            return Goodbye("draining")
+        if hello.role is Role.AGENT and hello.region != self.settings.region:
+            return Goodbye(f"region {hello.region} is not {self.settings.region}")
+        entries = [peer.info for peer in self.directory.peers_by_id.values()]
+        return Welcome(self.info, self._incarnation, (self.info, *entries))
+
+    async def _on_link(self, link: PeerLink) -> None:
+        if link.peer.role is Role.ENTRY:
+            peer = self.directory.peers_by_id.get(EntryId(link.peer.peer_id))
+            if peer is not None:
+                peer.link = link
+        else:
+            self._spawn(self._serve_target(link))
+        self._spawn(self._offer_config(link))
+
+    async def _serve_target(self, link: PeerLink) -> None:
+        target = self.directory.add_target(link)
+        logger.info("event=target_connected target=%s", target.target_id)
+        if target.hello.target_kind is TargetKind.WORKER:
+            await self.scheduler.add_worker(target)
+        await link.wait_closed()
+        if self.directory.remove_target(link):
+            logger.info("event=target_lost target=%s", target.target_id)
+            self.scheduler.remove_worker(target)
+
+    # Messages.
+
+    async def _handle(self, link: Link, message: AnyMessage) -> AnyMessage | None:
+        if link.peer.role is Role.AGENT:
+            return await self._handle_agent(link, message)
+        return await self._handle_entry(link, message)
+
+    async def _handle_agent(self, link: Link, message: AnyMessage) -> AnyMessage | None:
+        target = self.directory.targets_by_id.get(TargetId(link.peer.peer_id))
+        if target is None or target.link is not link:
+            return None
+        match message:
+            case ExecutorReport():
+                target.executor_load = message.load
+                target.has_reported = True
+            case WorkerReport():
+                target.worker_load = message.load
+                target.worker_epoch = message.epoch
+                target.has_reported = True
+                self.scheduler.take_report(target)
+            case GangStarted() | GangEnded():
+                return self.scheduler.take_gang_event(message)
+            case ConfigOffer():
+                self.config.take(message.document)
+            case ConfigInForce():
+                return None
+        return None
+
+    async def _handle_entry(self, link: Link, message: AnyMessage) -> AnyMessage | None:
+        match message:
+            case Digest():
+                await self._take_digest(link, message)
+                return None
+            case ConfigOffer():
+                self.config.take(message.document)
+                return None
+            case ConfigRequest():
+                return self.config.offer
+            case QueryState():
+                return Text(json.dumps(self.dump()))
+        return await self.jobs.serve(message)
+
+    async def _take_digest(self, link: Link, digest: Digest) -> None:
+        peer = self.directory.peers_by_id.get(EntryId(link.peer.peer_id))
+        if peer is not None:
+            peer.digest = digest
+        if digest.config_generation > self.config.config.generation:
+            await link.send(ConfigRequest(self.config.config.generation))
+        elif digest.config_generation < self.config.config.generation:
+            await self._offer_config(link)
+
+    async def _digest_forever(self) -> None:
+        while True:
+            await self._clock.sleep(DIGEST_INTERVAL)
+            digest = Digest(self.config.config.generation, (), (), self.is_draining)
+            for peer in list(self.directory.peers_by_id.values()):
+                if peer.link is not None and peer.link.is_open:
+                    try:
+                        await peer.link.send(digest)
+                    except LinkError as error:
+                        logger.debug("event=digest_lost error=%s", error)
+
+    def dump(self) -> dict[str, object]:
+        """Return this process's state for people."""
+        return {
+            "entry": self.settings.entry,
+            "incarnation": self._incarnation,
+            "config_generation": self.config.config.generation,
+            "is_leader": self.scheduler.is_leader,
+            "targets": sorted(self.directory.targets_by_id),
+            "peers": sorted(self.directory.peers_by_id),
+            "draining": self.is_draining,
+        }
--- /dev/null
+++ b/src/chicorycrank/model/__init__.py
@@ -0,0 +1,1 @@
+"""Types shared by every part: ids, states, records and messages."""
--- /dev/null
+++ b/src/chicorycrank/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision functions: packing, placement, guarantees, fairness and routing."""
--- /dev/null
+++ b/src/chicorycrank/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the outside: clock, store, targets and peer links."""
--- /dev/null
+++ b/src/chicorycrank/ports/links.py
@@ -0,0 +1,44 @@
+"""Interface of a connection to a peer."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Protocol
+
+from chicorycrank.model.messages import AnyMessage, Hello
+
+
+class LinkError(Exception):
+    """A request got no reply; the peer may have handled it."""
+
+
+class LinkNotSentError(LinkError):
+    """The connection was closed before the request was sent; the peer has not seen it."""
+
+
+class Link(Protocol):
+    """A live connection to a peer."""
+
+    peer: Hello
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is usable."""
+
+    async def send(self, message: AnyMessage) -> None:
+        """Send a message that needs no reply.
+
+        :raises LinkError: the connection is closed
+        """
+
+    async def request(self, message: AnyMessage, *, timeout: timedelta) -> AnyMessage:
+        """Send a message and wait for its reply.
+
+        :raises LinkNotSentError: nothing was sent
+        :raises LinkError: no reply in time or the connection closed
+        """
+
+    async def close(self, reason: str) -> None:
+        """Close the connection after a :class:`Goodbye`."""
+
+
+Handler = Callable[[Link, AnyMessage], Awaitable[AnyMessage | None]]
--- /dev/null
+++ b/src/chicorycrank/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: JSON with comments, checked with line and column."""
--- /dev/null
+++ b/src/chicorycrank_standin/main.py
@@ -0,0 +1,58 @@
+"""``chicorycrank-standin``: runs one stand-in."""
+
+import argparse
+import os
+import signal
+import threading
+from collections.abc import Callable
+from types import FrameType
+
+from chicorycrank_standin.executor import ExecutorStandIn
+from chicorycrank_standin.http import Route, serve_routes
+from chicorycrank_standin.store import StoreStandIn
+from chicorycrank_standin.worker import WorkerStandIn
+
+
+def main() -> None:
+    """Parse the command line and serve until a signal arrives."""
+    arguments = _parse()
+    server = serve_routes(arguments.host, arguments.port, _routes(arguments))
+
+    def stop(_signal: int, _frame: FrameType | None) -> None:
+        os._exit(0)  # a stand-in does not wait for calls that hang on purpose
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    server.start()
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="chicorycrank-standin", description=__doc__)
+    parser.add_argument("kind", choices=["store", "executor", "worker"])
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--id", default="target")
+    parser.add_argument("--service-time-s", type=float, default=0.05)
+    parser.add_argument("--accelerators", type=int, default=8)
+    parser.add_argument("--speed", type=float, default=1.0, help="work per second at full speed")
+    return parser.parse_args()
+
+
+def _routes(arguments: argparse.Namespace) -> dict[str, Route]:
+    if arguments.kind == "store":
+        store = StoreStandIn()
+        _run_in_background(store.sweep_forever)
+        return store.routes()
+    if arguments.kind == "executor":
+        return ExecutorStandIn(arguments.id, service_time_s=arguments.service_time_s).routes()
+    worker = WorkerStandIn(arguments.id, accelerators=arguments.accelerators, speed=arguments.speed)
+    _run_in_background(worker.run_forever)
+    return worker.routes()
+
+
+def _run_in_background(work: Callable[[], None]) -> None:
+    threading.Thread(target=work, daemon=True).start()
+
+
+if __name__ == "__main__":
+    main()
