--- /dev/null
+++ b/src/chicorycrank_standin/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: a whole deployment at work on this machine."""
--- a/src/chicorycrank_standin/fleet.py
+++ b/src/chicorycrank_standin/fleet.py
@@ -47,6 +47,7 @@
     workers={"north": 4, "central": 3, "south": 3},
     cores=64,
     memory_gb=250,
+    entries_per_region=2,
 )
 CLOCHAN = Deployment(
     name="clochan",
@@ -55,6 +56,7 @@
     workers={"shannon": 4, "barrow": 3, "corrib": 3},
     cores=130,
     memory_gb=500,
+    entries_per_region=2,
 )
 DEPLOYMENTS_BY_NAME = {d.name: d for d in (BUREAU, CLOCHAN)}
 
