Make every step of a gang's start and stop idempotent and confirmed

Cause: a lost reply to ReleaseTask ended the gang, a lost StartGang reply left a gang that the leader had given up, cores and memory were not accounted, a refused worker call raised TargetRefusedError in the handler, accelerators counted as free although the worker had not confirmed the stop, and no beat was sent until the leader acknowledged GangStarted.

A restarted agent reads the worker's tasks before it takes work and leads its gangs again.

--- a/src/chicorycrank/adapters/http_targets.py
+++ b/src/chicorycrank/adapters/http_targets.py
@@ -13,11 +13,13 @@
 
 from chicorycrank.model.requests import Answer, Outcome, Request
 from chicorycrank.ports.targets import (
+    TargetRefusedError,
     TargetTimeoutError,
     TargetUnreachableError,
     TaskLaunch,
     WorkerTask,
     WorkerTaskState,
+    task_id_of,
 )
 
 CONNECT_TIMEOUT_S = 2.0
@@ -27,10 +29,6 @@
 MAX_ANSWER_BYTES = 1_000_000
 
 
-class TargetRefusedError(Exception):
-    """The target answered with an error status."""
-
-
 class HttpTarget:
     """HTTP calls to one target in a small thread pool.
 
@@ -128,7 +126,7 @@
 
     async def start(self, launch: TaskLaunch) -> str:
         """Start a task throttled to zero and return its id."""
-        task_id = f"{launch.job_id}.{launch.attempt}.{launch.member}"
+        task_id = task_id_of(launch)
         document = {
             "task_id": task_id,
             "accelerators": launch.accelerators,
@@ -161,8 +159,13 @@
 
     async def tasks(self) -> tuple[WorkerTask, ...]:
         """Return the tasks that the worker holds."""
-        _, _, body = await self._target.call("GET", "/tasks", timeout_s=WORKER_CALL_TIMEOUT_S)
-        return tuple(_decode_task(document) for document in json.loads(body))
+        status, _, body = await self._target.call("GET", "/tasks", timeout_s=WORKER_CALL_TIMEOUT_S)
+        if status != HTTP_OK:
+            raise TargetRefusedError(f"/tasks: status {status}")
+        try:
+            return tuple(_decode_task(document) for document in json.loads(body))
+        except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
+            raise TargetRefusedError(f"/tasks: malformed answer: {error}") from error
 
     async def forget(self, task_id: str) -> None:
         """Drop an ended task from the worker's list."""
@@ -182,7 +185,10 @@
         )
         if status != HTTP_OK:
             raise TargetRefusedError(f"{path}: status {status}")
-        return json.loads(body)
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise TargetTimeoutError(f"{path}: malformed answer") from error
 
 
 async def _probe(target: HttpTarget) -> bool:
--- a/src/chicorycrank/agent/process.py
+++ b/src/chicorycrank/agent/process.py
@@ -12,9 +12,9 @@
 
 from chicorycrank.adapters.peers import PeerLink, dial, listen
 from chicorycrank.agent.executor import ExecutorSide
-from chicorycrank.agent.gang_head import GangHead
+from chicorycrank.agent.gangs import MEMBER_HEARTBEAT, GangLeading
 from chicorycrank.agent.worker import WorkerSide
-from chicorycrank.model.ids import EntryId, Epoch, Generation, Incarnation, JobId
+from chicorycrank.model.ids import EntryId, Epoch, Generation, Incarnation
 from chicorycrank.model.messages import (
     PROTOCOL_VERSION,
     AnyMessage,
@@ -24,9 +24,6 @@
     ConfigRequest,
     ExecutorReport,
     GangBeat,
-    GangEnded,
-    GangMember,
-    GangStarted,
     Goodbye,
     Hello,
     LeaderAnnounce,
@@ -55,10 +52,8 @@
 from chicorycrank.settings.agent import AgentSettings
 
 REPORT_INTERVAL = timedelta(seconds=1)
-REPORT_TIMEOUT = timedelta(seconds=2)
 RECONNECT_MIN = timedelta(milliseconds=200)
 RECONNECT_MAX = timedelta(seconds=3)
-MEMBER_HEARTBEAT = timedelta(seconds=3)
 
 logger = logging.getLogger("absl")
 
@@ -86,12 +81,22 @@
         self._worker = worker
         self._link_by_entry: dict[EntryId, PeerLink] = {}
         self._dialler_by_address: dict[str, asyncio.Task[None]] = {}
-        self._link_by_agent_address: dict[str, PeerLink] = {}
-        self._head_by_gang: dict[tuple[JobId, int], GangHead] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._leader: EntryId | None = None
         self._config = ConfigOffer(Generation(0), b"")
         self._stopping = asyncio.Event()
+        self._gangs = None if worker is None else self._make_gangs(worker)
+
+    def _make_gangs(self, worker: WorkerSide) -> GangLeading:
+        return GangLeading(
+            self._settings.target,
+            worker,
+            self._clock,
+            hello=self._hello,
+            handle_own=self._handle_worker,
+            handle=self._handle,
+            entry_link=self._link_by_entry.get,
+            spawn=self._spawn,
+        )
 
     @property
     def address(self) -> str:
@@ -110,8 +115,8 @@
             heartbeat=lambda _: MEMBER_HEARTBEAT,
         )
         self._keep_entry(self._settings.balancer)
-        if self._worker is not None:
-            self._spawn(self._worker.run())
+        if self._worker is not None and self._gangs is not None:
+            self._spawn(self._run_worker(self._worker, self._gangs))
         self._spawn(self._report_forever())
         logger.info("event=agent_started target=%s", self._settings.target)
         await self._stopping.wait()
@@ -122,6 +127,11 @@
         for task in self._tasks:
             task.cancel()
 
+    @staticmethod
+    async def _run_worker(worker: WorkerSide, gangs: GangLeading) -> None:
+        await gangs.adopt()
+        await worker.run()
+
     def stop(self) -> None:
         """Begin a planned stop."""
         self._stopping.set()
@@ -258,7 +268,7 @@
         if self._executor is not None:
             return await self._handle_executor(self._executor, message)
         if self._worker is not None:
-            return await self._handle_worker(self._worker, message)
+            return await self._handle_worker(message)
         return Refused("unexpected_message")
 
     async def _handle_executor(self, side: ExecutorSide, message: AnyMessage) -> AnyMessage:
@@ -270,25 +280,27 @@
             return side.query_key(message)
         return Refused("unexpected_message", type(message).__name__)
 
-    async def _handle_worker(self, side: WorkerSide, message: AnyMessage) -> AnyMessage:
+    async def _handle_worker(self, message: AnyMessage) -> AnyMessage:
+        side, gangs = self._worker, self._gangs
+        if side is None or gangs is None:
+            return Refused("unexpected_message")
         match message:
             case LeaderAnnounce():
-                return self._take_leader(side, message)
+                return gangs.take_leader(message)
             case Reserve():
                 return side.reserve(message)
             case CancelReservation():
-                return side.cancel(message)
+                return await gangs.cancel(message)
             case StartGang():
-                return self._start_gang(side, message)
+                return gangs.start(message)
             case StopGang():
-                return self._stop_gang(side, message)
+                return gangs.stop(message)
             case PrepareTask():
                 return await side.prepare(message)
             case ReleaseTask():
                 return await side.release((message.job_id, message.attempt))
             case GangBeat():
-                side.touch((message.job_id, message.attempt))
-                return side.status((message.job_id, message.attempt))
+                return side.beat((message.job_id, message.attempt))
             case StopTask():
                 return await side.stop(message)
         return Refused("unexpected_message", type(message).__name__)
@@ -306,77 +318,6 @@
         await self._report()
         return Ok()
 
-    def _take_leader(self, side: WorkerSide, message: LeaderAnnounce) -> AnyMessage:
-        refusal = side.check_epoch(message.epoch)
-        if refusal is not None:
-            return refusal
-        self._leader = message.leader
-        return Ok()
-
-    # Gangs that this agent leads.
-
-    def _start_gang(self, side: WorkerSide, message: StartGang) -> AnyMessage:
-        refusal = side.check_epoch(message.epoch)
-        if refusal is not None:
-            return refusal
-        gang = (message.job_id, message.attempt)
-        if gang not in self._head_by_gang:
-            side.mark_head(gang)
-            head = GangHead(message, self._call_member, self._report_gang, self._clock)
-            self._head_by_gang[gang] = head
-            self._spawn(self._run_head(gang, head))
-        return Ok()
-
-    async def _run_head(self, gang: tuple[JobId, int], head: GangHead) -> None:
-        try:
-            await head.run()
-        finally:
-            self._head_by_gang.pop(gang, None)
-
-    def _stop_gang(self, side: WorkerSide, message: StopGang) -> AnyMessage:
-        refusal = side.check_epoch(message.epoch)
-        if refusal is not None:
-            return refusal
-        head = self._head_by_gang.get((message.job_id, message.attempt))
-        if head is None:
-            return Refused("no_such_gang")
-        head.stop(grace_s=message.grace_s, reason=message.reason)
-        return Ok()
-
-    async def _call_member(
-        self, member: GangMember, message: AnyMessage, timeout: timedelta
-    ) -> AnyMessage:
-        if member.placement.worker == self._settings.target and self._worker is not None:
-            return await self._handle_worker(self._worker, message)
-        link = await self._link_to_agent(member.address)
-        return await link.request(message, timeout=timeout)
-
-    async def _link_to_agent(self, address: str) -> PeerLink:
-        link = self._link_by_agent_address.get(address)
-        if link is None or not link.is_open:
-            link, _ = await dial(
-                address,
-                hello=self._hello(),
-                handler=self._handle,
-                clock=self._clock,
-                heartbeat=MEMBER_HEARTBEAT,
-            )
-            self._link_by_agent_address[address] = link
-            self._spawn(link.run())
-        return link
-
-    async def _report_gang(self, message: GangStarted | GangEnded) -> None:
-        """Hand a message to the leader until it is acknowledged."""
-        while True:
-            link = self._link_by_entry.get(self._leader) if self._leader else None
-            if link is not None:
-                try:
-                    if isinstance(await link.request(message, timeout=REPORT_TIMEOUT), Ok):
-                        return
-                except LinkError as error:
-                    logger.info("event=gang_report_lost error=%s", error)
-            await self._clock.sleep(REPORT_INTERVAL)
-
     def _dump(self) -> object:
         side = self._executor or self._worker
         return {
@@ -384,10 +325,10 @@
             "incarnation": self._incarnation,
             "config_generation": self._config.generation,
             "entries": sorted(self._link_by_entry),
-            "leader": self._leader,
+            "leader": self._gangs.leader if self._gangs is not None else None,
             "epoch": self._worker.epoch if self._worker is not None else Epoch(0),
             "load": msgspec.to_builtins(side.load) if side is not None else None,
-            "gangs_led": [list(gang) for gang in self._head_by_gang],
+            "gangs_led": [list(g) for g in self._gangs.gangs] if self._gangs is not None else [],
         }
 
 
--- a/src/chicorycrank/ports/targets.py
+++ b/src/chicorycrank/ports/targets.py
@@ -11,14 +11,22 @@
 from chicorycrank.model.requests import Answer, Request
 
 
-class TargetUnreachableError(Exception):
+class TargetError(Exception):
+    """A call to the target did not succeed."""
+
+
+class TargetUnreachableError(TargetError):
     """The target refused the connection; it has not seen the call."""
 
 
-class TargetTimeoutError(Exception):
+class TargetTimeoutError(TargetError):
     """The target gave no complete answer; it may have acted on the call."""
 
 
+class TargetRefusedError(TargetError):
+    """The target answered with an error status; it has not acted on the call."""
+
+
 class Executor(Protocol):
     """An executor that runs short requests."""
 
@@ -76,14 +84,24 @@
     detail: str = ""
 
 
+def task_id_of(launch: TaskLaunch) -> str:
+    """Return the id of a task, known before its launch so that a lost reply can be followed up."""
+    return f"{launch.job_id}.{launch.attempt}.{launch.member}"
+
+
 class Worker(Protocol):
-    """A worker that runs tasks under leases."""
+    """A worker that runs tasks under leases.
+
+    :raises TargetError: from every method
+    """
 
     async def start(self, launch: TaskLaunch) -> str:
         """Start a task throttled to zero and return its id; a repeated start returns the same id.
 
+        :returns: the id that :func:`task_id_of` gives
         :raises TargetUnreachableError: the call did not reach the worker
         :raises TargetTimeoutError: the task may have started
+        :raises TargetRefusedError: the worker has no room or cannot run the task
         """
 
     async def throttle(self, task_id: str, share: float) -> None:
