--- a/src/chicorycrank/adapters/peers.py
+++ b/src/chicorycrank/adapters/peers.py
@@ -109,6 +109,11 @@
                 logger.debug("peer=%s goodbye not sent", self.peer.peer_id)
         await self._shut(reason)
 
+    async def wait_replied(self, limit: timedelta) -> None:
+        """Wait until every request received so far is answered, at most ``limit``."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=limit.total_seconds())
+
     async def wait_closed(self) -> None:
         """Wait until the connection is closed."""
         await self._closed.wait()
--- a/src/chicorycrank/agent/gang_head.py
+++ b/src/chicorycrank/agent/gang_head.py
@@ -79,9 +79,9 @@
         self._report = report
         self._clock = clock
         self._is_resumed = is_resumed
-        self._members = _one_per_worker(start.members)
+        self.members = _one_per_worker(start.members)
         now = clock.monotonic()
-        self._seen_at_by_worker = {member.placement.worker: now for member in self._members}
+        self._seen_at_by_worker = {member.placement.worker: now for member in self.members}
         self._sent_at_by_worker = dict(self._seen_at_by_worker)
         self._stop_reason: str | None = None
         self._grace_s = 0.0
@@ -137,7 +137,7 @@
     async def _release(self) -> GangEnded | None:
         """Release all members; after the first release sent, the gang counts as committed."""
         message = ReleaseTask(self._start.job_id, self._start.attempt)
-        calls: list[tuple[GangMember, AnyMessage]] = [(m, message) for m in self._members]
+        calls: list[tuple[GangMember, AnyMessage]] = [(m, message) for m in self.members]
         while True:
             replies = await self._call_all(calls)
             problem = _find_problem(calls, replies)
@@ -158,20 +158,20 @@
     async def _watch(self) -> GangEnded:
         """Beat until all members completed, one failed or was lost, or a stop is asked."""
         message = GangBeat(self._start.job_id, self._start.attempt)
-        calls: list[tuple[GangMember, AnyMessage]] = [(m, message) for m in self._members]
-        self._note_seen(self._members)
+        calls: list[tuple[GangMember, AnyMessage]] = [(m, message) for m in self.members]
+        self._note_seen(self.members)
         while self._stop_reason is None:
             replies = await self._call_all(calls)
             statuses = {
                 member.placement.worker: reply
-                for member, reply in zip(self._members, replies, strict=True)
+                for member, reply in zip(self.members, replies, strict=True)
                 if isinstance(reply, TaskStatus)
             }
-            self._note_seen(m for m in self._members if m.placement.worker in statuses)
+            self._note_seen(m for m in self.members if m.placement.worker in statuses)
             ended = self._judge(statuses)
             if ended is not None:
                 return ended
-            await self._pause(beat_interval(len(self._members)))
+            await self._pause(beat_interval(len(self.members)))
         return self._ended(GangOutcome.STOPPED, self._stop_reason)
 
     def _judge(self, statuses: dict[TargetId, TaskStatus]) -> GangEnded | None:
@@ -183,7 +183,7 @@
             for worker, status in statuses.items():
                 if status.phase is phase:
                     return self._ended(outcome, status.detail, worker)
-        if len(statuses) == len(self._members) and all(
+        if len(statuses) == len(self.members) and all(
             status.phase is TaskPhase.COMPLETED for status in statuses.values()
         ):
             return self._ended(GangOutcome.COMPLETED, "")
@@ -199,7 +199,7 @@
         no longer than that.
         """
         saved = self._start.progress_s
-        pending = list(self._members)
+        pending = list(self.members)
         confirmed: list[float] = []
         grace_s = self._grace_s if ended.outcome is GangOutcome.STOPPED else 0.0
         message = StopTask(self._start.job_id, self._start.attempt, grace_s)
@@ -216,7 +216,7 @@
             if not pending:
                 break
             await self._clock.sleep(RETRY_PAUSE)
-        if len(confirmed) == len(self._members):
+        if len(confirmed) == len(self.members):
             saved = max(saved, min(confirmed))
         else:
             logger.warning("event=gang_stop_unconfirmed job=%s", self._start.job_id)
--- a/src/chicorycrank/agent/gangs.py
+++ b/src/chicorycrank/agent/gangs.py
@@ -1,47 +1,38 @@
-"""Gangs that this agent leads: their heads, links to members and reports to the leader."""
+"""Gangs that this agent leads."""
 
-import asyncio
 import logging
-from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any
 
-from chicorycrank.adapters.peers import PeerLink, dial
-from chicorycrank.agent.gang_head import GangHead
+from chicorycrank.agent.background import Background
+from chicorycrank.agent.gang_head import CallMember, GangHead, Report
 from chicorycrank.agent.reservations import GangId
 from chicorycrank.agent.worker import WorkerSide
 from chicorycrank.model.ids import EntryId, TargetId
 from chicorycrank.model.messages import (
     AnyMessage,
     CancelReservation,
-    GangEnded,
+    GangBeat,
     GangMember,
-    GangStarted,
-    Hello,
     LeaderAnnounce,
     Ok,
+    PrepareTask,
     Refused,
+    ReleaseTask,
+    Reserve,
     StartGang,
     StopGang,
+    StopTask,
 )
 from chicorycrank.ports.clock import Clock
-from chicorycrank.ports.links import Handler, Link, LinkError, LinkNotSentError
-
-REPORT_TIMEOUT = timedelta(seconds=2)
-REPORT_RETRY = timedelta(seconds=1)
-MEMBER_HEARTBEAT = timedelta(seconds=3)
 
 logger = logging.getLogger("absl")
 
-Spawn = Callable[[Coroutine[Any, Any, None]], object]
-
 
 class GangLeading:
-    """Leads gangs whose first member is on this agent's worker.
+    """Serves the messages to a worker's agent and leads gangs whose first member is here.
 
-    :param hello: makes the greeting to a member's agent
-    :param handle: handles messages, those to this agent's own member included
-    :param entry_link: returns the open link to an entry
+    :param call_member: sends a message to another agent
+    :param report: hands a message to the cell's leader until it is acknowledged
     """
 
     def __init__(
@@ -49,24 +40,18 @@
         target: TargetId,
         side: WorkerSide,
         clock: Clock,
+        background: Background,
         *,
-        hello: Callable[[], Hello],
-        handle_own: Callable[[AnyMessage], Coroutine[Any, Any, AnyMessage]],
-        handle: Handler,
-        entry_link: Callable[[EntryId], Link | None],
-        spawn: Spawn,
+        call_member: CallMember,
+        report: Report,
     ) -> None:
         self._target = target
         self._side = side
         self._clock = clock
-        self._hello = hello
-        self._handle_own = handle_own
-        self._handle = handle
-        self._entry_link = entry_link
-        self._spawn = spawn
+        self._background = background
+        self._call_other = call_member
+        self._report = report
         self._head_by_gang: dict[GangId, GangHead] = {}
-        self._link_by_address: dict[str, PeerLink] = {}
-        self._lock_by_address: dict[str, asyncio.Lock] = {}
         self.leader: EntryId | None = None
 
     @property
@@ -74,20 +59,48 @@
         """Gangs that this agent leads."""
         return list(self._head_by_gang)
 
-    async def adopt(self) -> None:
-        """Take over the worker's tasks and lead the gangs of an earlier incarnation again."""
+    def addresses(self) -> set[str]:
+        """Return the addresses of all members of the gangs led here."""
+        return {member.address for head in self._head_by_gang.values() for member in head.members}
+
+    async def run(self) -> None:
+        """Take over the worker's tasks, lead their gangs again, and keep the tasks alive."""
         for start in await self._side.adopt():
             self._lead(start, is_resumed=True)
-
-    def take_leader(self, message: LeaderAnnounce) -> AnyMessage:
-        """Note who leads the cell."""
+        await self._side.run()
+
+    async def handle(self, message: AnyMessage) -> AnyMessage:
+        """Answer a message to the worker's agent."""
+        side = self._side
+        match message:
+            case LeaderAnnounce():
+                return self._take_leader(message)
+            case Reserve():
+                return side.reserve(message)
+            case CancelReservation():
+                return await self._cancel(message)
+            case StartGang():
+                return self._start(message)
+            case StopGang():
+                return self._stop(message)
+            case PrepareTask():
+                return await side.prepare(message)
+            case ReleaseTask():
+                return await side.release((message.job_id, message.attempt))
+            case GangBeat():
+                return side.beat((message.job_id, message.attempt))
+            case StopTask():
+                return await side.stop(message)
+        return Refused("unexpected_message", type(message).__name__)
+
+    def _take_leader(self, message: LeaderAnnounce) -> AnyMessage:
         refusal = self._side.check_epoch(message.epoch)
         if refusal is not None:
             return refusal
         self.leader = message.leader
         return Ok()
 
-    def start(self, message: StartGang) -> AnyMessage:
+    def _start(self, message: StartGang) -> AnyMessage:
         """Lead a reserved gang; a repeated message changes nothing."""
         refusal = self._side.check_epoch(message.epoch)
         if refusal is not None:
@@ -100,8 +113,7 @@
         self._lead(message, is_resumed=False)
         return Ok()
 
-    def stop(self, message: StopGang) -> AnyMessage:
-        """End a gang that this agent leads."""
+    def _stop(self, message: StopGang) -> AnyMessage:
         refusal = self._side.check_epoch(message.epoch)
         if refusal is not None:
             return refusal
@@ -111,8 +123,8 @@
         head.stop(grace_s=message.grace_s, reason=message.reason)
         return Ok()
 
-    async def cancel(self, message: CancelReservation) -> AnyMessage:
-        """End an attempt that the leader gave up."""
+    async def _cancel(self, message: CancelReservation) -> AnyMessage:
+        """End an attempt that the leader gave up; its head stops the other members."""
         reply = await self._side.cancel(message)
         head = self._head_by_gang.get((message.job_id, message.attempt))
         if head is not None and isinstance(reply, Ok):
@@ -121,9 +133,9 @@
 
     def _lead(self, start: StartGang, *, is_resumed: bool) -> None:
         gang = (start.job_id, start.attempt)
-        head = GangHead(start, self._call_member, self._report, self._clock, is_resumed=is_resumed)
+        head = GangHead(start, self._call, self._report, self._clock, is_resumed=is_resumed)
         self._head_by_gang[gang] = head
-        self._spawn(self._run_head(gang, head))
+        self._background.start(self._run_head(gang, head))
 
     async def _run_head(self, gang: GangId, head: GangHead) -> None:
         try:
@@ -131,47 +143,7 @@
         finally:
             self._head_by_gang.pop(gang, None)
 
-    async def _call_member(
-        self, member: GangMember, message: AnyMessage, timeout: timedelta
-    ) -> AnyMessage:
+    async def _call(self, member: GangMember, message: AnyMessage, limit: timedelta) -> AnyMessage:
         if member.placement.worker == self._target:
-            return await self._handle_own(message)
-        link = await self._link_to(member.address)
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                return await link.request(message, timeout=timeout)
-        except LinkNotSentError:
-            raise
-        except (LinkError, TimeoutError):
-            # An open connection may be silent for good; the next call uses a new one.
-            if self._link_by_address.get(member.address) is link:
-                del self._link_by_address[member.address]
-            self._spawn(link.close("no reply"))
-            raise
-
-    async def _link_to(self, address: str) -> PeerLink:
-        async with self._lock_by_address.setdefault(address, asyncio.Lock()):
-            link = self._link_by_address.get(address)
-            if link is None or not link.is_open:
-                link, _ = await dial(
-                    address,
-                    hello=self._hello(),
-                    handler=self._handle,
-                    clock=self._clock,
-                    heartbeat=MEMBER_HEARTBEAT,
-                )
-                self._link_by_address[address] = link
-                self._spawn(link.run())
-            return link
-
-    async def _report(self, message: GangStarted | GangEnded) -> None:
-        """Hand a message to the leader until it is acknowledged."""
-        while True:
-            link = self._entry_link(self.leader) if self.leader else None
-            if link is not None:
-                try:
-                    if isinstance(await link.request(message, timeout=REPORT_TIMEOUT), Ok):
-                        return
-                except LinkError as error:
-                    logger.info("event=gang_report_lost error=%s", error)
-            await self._clock.sleep(REPORT_RETRY)
+            return await self.handle(message)
+        return await self._call_other(member, message, limit)
--- a/src/chicorycrank/agent/process.py
+++ b/src/chicorycrank/agent/process.py
@@ -1,47 +1,41 @@
-"""The agent process: links to entries and to other agents, and the target's side."""
+"""The agent process: the target's side, links to entries, and message routing."""
 
 import asyncio
 import json
 import logging
-import random
-from collections.abc import Coroutine
 from datetime import timedelta
-from typing import Any
 
 import msgspec
 
-from chicorycrank.adapters.peers import PeerLink, dial, listen
+from chicorycrank.adapters.peers import PeerLink, listen
+from chicorycrank.agent.background import Background
+from chicorycrank.agent.entry_links import EntryLinks
 from chicorycrank.agent.executor import ExecutorSide
-from chicorycrank.agent.gangs import MEMBER_HEARTBEAT, GangLeading
+from chicorycrank.agent.gangs import GangLeading
+from chicorycrank.agent.member_links import MEMBER_HEARTBEAT, MemberLinks
 from chicorycrank.agent.worker import WorkerSide
 from chicorycrank.model.ids import EntryId, Epoch, Generation, Incarnation
 from chicorycrank.model.messages import (
     PROTOCOL_VERSION,
     AnyMessage,
-    CancelReservation,
     ConfigInForce,
     ConfigOffer,
     ConfigRequest,
     ExecutorReport,
-    GangBeat,
+    GangEnded,
+    GangMember,
+    GangStarted,
     Goodbye,
     Hello,
-    LeaderAnnounce,
     Ok,
     PeerList,
-    PrepareTask,
     QueryAttempt,
     QueryKey,
     QueryState,
     Refused,
-    ReleaseTask,
-    Reserve,
     Role,
     RunRequest,
     SetDraining,
-    StartGang,
-    StopGang,
-    StopTask,
     Text,
     Welcome,
     WorkerReport,
@@ -52,8 +46,9 @@
 from chicorycrank.settings.agent import AgentSettings
 
 REPORT_INTERVAL = timedelta(seconds=1)
-RECONNECT_MIN = timedelta(milliseconds=200)
-RECONNECT_MAX = timedelta(seconds=3)
+REPORT_TIMEOUT = timedelta(seconds=2)
+DRAIN_POLL = timedelta(milliseconds=50)
+REPLY_LIMIT = timedelta(seconds=2)
 
 logger = logging.getLogger("absl")
 
@@ -79,11 +74,22 @@
         self._incarnation = incarnation
         self._executor = executor
         self._worker = worker
-        self._link_by_entry: dict[EntryId, PeerLink] = {}
-        self._dialler_by_address: dict[str, asyncio.Task[None]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background()
         self._config = ConfigOffer(Generation(0), b"")
         self._stopping = asyncio.Event()
+        self._accepted: set[PeerLink] = set()
+        self._entries = EntryLinks(
+            settings.region,
+            clock,
+            self._background,
+            timedelta(seconds=settings.heartbeat_s),
+            hello=self._hello,
+            handler=self._handle,
+            on_link=self._greet_entry,
+        )
+        self._members = MemberLinks(
+            clock, self._background, hello=self._hello, handler=self._handle
+        )
         self._gangs = None if worker is None else self._make_gangs(worker)
 
     def _make_gangs(self, worker: WorkerSide) -> GangLeading:
@@ -91,11 +97,9 @@
             self._settings.target,
             worker,
             self._clock,
-            hello=self._hello,
-            handle_own=self._handle_worker,
-            handle=self._handle,
-            entry_link=self._link_by_entry.get,
-            spawn=self._spawn,
+            self._background,
+            call_member=self._call_member,
+            report=self._report_gang,
         )
 
     @property
@@ -108,50 +112,45 @@
         server = await listen(
             self._settings.listen_host,
             self._settings.listen_port,
-            accept=self._accept_agent,
-            on_link=_ignore_link,
+            accept=self._accept,
+            on_link=self._on_link,
             handler=self._handle,
             clock=self._clock,
             heartbeat=lambda _: MEMBER_HEARTBEAT,
         )
-        self._keep_entry(self._settings.balancer)
-        if self._worker is not None and self._gangs is not None:
-            self._spawn(self._run_worker(self._worker, self._gangs))
-        self._spawn(self._report_forever())
+        self._entries.keep(self._settings.balancer)
+        if self._gangs is not None:
+            self._background.start(self._gangs.run())
+        if self._executor is not None:
+            self._background.start(self._executor.probe_forever())
+        self._background.start(self._report_forever())
         logger.info("event=agent_started target=%s", self._settings.target)
         await self._stopping.wait()
         await self._drain()
-        for link in list(self._link_by_entry.values()):
-            await link.close("agent stops")
+        await self._entries.close("agent stops")
         server.close()
-        for task in self._tasks:
-            task.cancel()
-
-    @staticmethod
-    async def _run_worker(worker: WorkerSide, gangs: GangLeading) -> None:
-        await gangs.adopt()
-        await worker.run()
+        self._background.cancel_all()
 
     def stop(self) -> None:
         """Begin a planned stop."""
         self._stopping.set()
 
     async def _drain(self) -> None:
-        """Refuse new work, tell the entries, and wait for what runs."""
+        """Refuse new work, tell the entries, and wait for what runs and for its replies."""
         side = self._executor or self._worker
         if side is not None:
             side.draining = True
         await self._report()
+        deadline = self._clock.monotonic() + self._settings.drain_limit_s
         while self._executor is not None and not self._executor.is_idle:
-            await self._clock.sleep(timedelta(milliseconds=50))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+            if self._clock.monotonic() > deadline:
+                logger.warning("event=drain_limit used_slots=%d", self._executor.load.used_slots)
+                return
+            await self._clock.sleep(DRAIN_POLL)
+        links = [*self._entries.link_by_entry.values(), *self._accepted]
+        await asyncio.gather(*(link.wait_replied(REPLY_LIMIT) for link in links))
 
-    # Links to entries.
+    # Links.
 
     def _hello(self) -> Hello:
         settings = self._settings
@@ -169,140 +168,122 @@
             worker=settings.worker,
         )
 
-    def _keep_entry(self, address: str) -> None:
-        task = self._dialler_by_address.get(address)
-        if task is None or task.done():
-            self._dialler_by_address[address] = self._spawn(self._dial_forever(address))
+    async def _accept(self, hello: Hello) -> Welcome | Goodbye:
+        settings = self._settings
+        executor = settings.executor
+        if executor is not None and self._count_connections() >= executor.connections:
+            return Goodbye("too many connections")
+        info = EntryInfo(
+            entry_id=EntryId(settings.target),
+            region=settings.region,
+            zone=settings.zone,
+            peer_address=self.address,
+            http_address="",
+        )
+        return Welcome(info, self._incarnation, ())
+
+    async def _on_link(self, link: PeerLink) -> None:
+        self._accepted.add(link)
+        self._note_connections()
+        self._background.start(self._forget_link(link))
 
-    async def _dial_forever(self, address: str) -> None:
-        """Keep one connection to an entry; stop when a direct connection to it exists."""
-        delay = RECONNECT_MIN
-        while not self._stopping.is_set():
-            try:
-                link, welcome = await dial(
-                    address,
-                    hello=self._hello(),
-                    handler=self._handle,
-                    clock=self._clock,
-                    heartbeat=timedelta(seconds=self._settings.heartbeat_s),
-                )
-            except LinkError as error:
-                logger.info("event=dial_failed address=%s error=%s", address, error)
-                await self._clock.sleep(delay * random.uniform(0.5, 1.0))
-                delay = min(delay * 2, RECONNECT_MAX)
-                continue
-            delay = RECONNECT_MIN
-            await self._run_entry_link(link, welcome)
-            await self._clock.sleep(RECONNECT_MIN * random.uniform(0.5, 1.0))
-
-    async def _run_entry_link(self, link: PeerLink, welcome: Welcome) -> None:
-        entry_id = welcome.entry.entry_id
-        current = self._link_by_entry.get(entry_id)
-        if current is not None and current.is_open:
-            await link.close("duplicate connection")
-            await self._clock.sleep(RECONNECT_MAX)
-            return
-        self._link_by_entry[entry_id] = link
-        logger.info("event=entry_connected entry=%s", entry_id)
-        for entry in welcome.entries:
-            if entry.region == self._settings.region:
-                self._keep_entry(entry.peer_address)
-        self._spawn(self._report())
-        try:
-            await link.run()
-        finally:
-            if self._link_by_entry.get(entry_id) is link:
-                del self._link_by_entry[entry_id]
-            logger.info("event=entry_lost entry=%s", entry_id)
+    async def _forget_link(self, link: PeerLink) -> None:
+        await link.wait_closed()
+        self._accepted.discard(link)
+        self._note_connections()
+
+    def _count_connections(self) -> int:
+        return len(self._accepted) + len(self._entries.link_by_entry)
+
+    def _note_connections(self) -> None:
+        if self._executor is not None:
+            self._executor.connections = self._count_connections()
+
+    async def _call_member(
+        self, member: GangMember, message: AnyMessage, timeout: timedelta
+    ) -> AnyMessage:
+        return await self._members.call(member.address, message, timeout)
+
+    # Reports.
+
+    async def _greet_entry(self, link: PeerLink) -> None:
+        self._note_connections()
+        report = self._make_report()
+        if report is not None:
+            await link.send(report)
+
+    def _make_report(self) -> AnyMessage | None:
+        if self._worker is not None:
+            if not self._worker.adopted:
+                return None  # An empty report would say that nothing runs here.
+            return WorkerReport(self._worker.load, self._worker.epoch)
+        if self._executor is not None:
+            return ExecutorReport(self._executor.load)
+        return None
 
     async def _report_forever(self) -> None:
-        while True:
+        side = self._executor or self._worker
+        while side is not None:
             try:
                 async with asyncio.timeout(REPORT_INTERVAL.total_seconds()):
-                    if self._worker is None:
-                        await asyncio.Event().wait()
-                    else:
-                        await self._worker.changed.wait()
+                    await side.changed.wait()
             except TimeoutError:
                 pass
+            side.changed.clear()
             await self._report()
+            if self._gangs is not None:
+                self._members.close_unused(self._gangs.addresses())
 
     async def _report(self) -> None:
-        if self._worker is not None:
-            self._worker.changed.clear()
-            message: AnyMessage = WorkerReport(self._worker.load, self._worker.epoch)
-        elif self._executor is not None:
-            message = ExecutorReport(self._executor.load)
-        for link in list(self._link_by_entry.values()):
-            try:
-                await link.send(message)
-            except LinkError as error:
-                logger.debug("event=report_lost error=%s", error)
+        self._note_connections()
+        report = self._make_report()
+        if report is not None:
+            await self._entries.send(report)
 
-    # Messages.
+    async def _report_gang(self, message: GangStarted | GangEnded) -> None:
+        """Hand a message to the leader until it is acknowledged."""
+        while True:
+            leader = self._gangs.leader if self._gangs is not None else None
+            link = self._entries.link_by_entry.get(leader) if leader else None
+            if link is not None:
+                try:
+                    if isinstance(await link.request(message, timeout=REPORT_TIMEOUT), Ok):
+                        return
+                except LinkError as error:
+                    logger.info("event=gang_report_lost error=%s", error)
+            await self._clock.sleep(REPORT_INTERVAL)
 
-    async def _accept_agent(self, hello: Hello) -> Welcome | Goodbye:
-        settings = self._settings
-        info = EntryInfo(
-            entry_id=EntryId(settings.target),
-            region=settings.region,
-            zone=settings.zone,
-            peer_address=self.address,
-            http_address="",
-        )
-        return Welcome(info, self._incarnation, ())
+    # Messages.
 
     async def _handle(self, link: Link, message: AnyMessage) -> AnyMessage | None:
-        if isinstance(message, PeerList):
-            for entry in message.entries:
-                self._keep_entry(entry.peer_address)
-            return None
-        if isinstance(message, ConfigOffer):
-            return self._take_config(message)
-        if isinstance(message, ConfigRequest):
-            return self._config
-        if isinstance(message, SetDraining):
-            return await self._set_draining(message)
-        if isinstance(message, QueryState):
-            return Text(json.dumps(self._dump()))
+        match message:
+            case PeerList():
+                for entry in message.entries:
+                    self._entries.keep(entry.peer_address)
+                return None
+            case ConfigOffer():
+                return self._take_config(message)
+            case ConfigRequest():
+                return self._config
+            case SetDraining():
+                return await self._set_draining(message)
+            case QueryState():
+                return Text(json.dumps(self.dump()))
         if self._executor is not None:
             return await self._handle_executor(self._executor, message)
-        if self._worker is not None:
-            return await self._handle_worker(message)
+        if self._gangs is not None:
+            return await self._gangs.handle(message)
         return Refused("unexpected_message")
 
-    async def _handle_executor(self, side: ExecutorSide, message: AnyMessage) -> AnyMessage:
-        if isinstance(message, RunRequest):
-            return await side.run(message)
-        if isinstance(message, QueryAttempt):
-            return side.query_attempt(message)
-        if isinstance(message, QueryKey):
-            return side.query_key(message)
-        return Refused("unexpected_message", type(message).__name__)
-
-    async def _handle_worker(self, message: AnyMessage) -> AnyMessage:
-        side, gangs = self._worker, self._gangs
-        if side is None or gangs is None:
-            return Refused("unexpected_message")
+    @staticmethod
+    async def _handle_executor(side: ExecutorSide, message: AnyMessage) -> AnyMessage:
         match message:
-            case LeaderAnnounce():
-                return gangs.take_leader(message)
-            case Reserve():
-                return side.reserve(message)
-            case CancelReservation():
-                return await gangs.cancel(message)
-            case StartGang():
-                return gangs.start(message)
-            case StopGang():
-                return gangs.stop(message)
-            case PrepareTask():
-                return await side.prepare(message)
-            case ReleaseTask():
-                return await side.release((message.job_id, message.attempt))
-            case GangBeat():
-                return side.beat((message.job_id, message.attempt))
-            case StopTask():
-                return await side.stop(message)
+            case RunRequest():
+                return await side.run(message)
+            case QueryAttempt():
+                return side.query_attempt(message)
+            case QueryKey():
+                return side.query_key(message)
         return Refused("unexpected_message", type(message).__name__)
 
     def _take_config(self, offer: ConfigOffer) -> AnyMessage:
@@ -318,19 +299,19 @@
         await self._report()
         return Ok()
 
-    def _dump(self) -> object:
+    def dump(self) -> dict[str, object]:
+        """Return this process's state for people."""
         side = self._executor or self._worker
+        links = [*self._entries.link_by_entry.values(), *self._accepted, *self._members.links]
         return {
             "target": self._settings.target,
             "incarnation": self._incarnation,
             "config_generation": self._config.generation,
-            "entries": sorted(self._link_by_entry),
+            "entries": sorted(self._entries.link_by_entry),
             "leader": self._gangs.leader if self._gangs is not None else None,
             "epoch": self._worker.epoch if self._worker is not None else Epoch(0),
             "load": msgspec.to_builtins(side.load) if side is not None else None,
-            "gangs_led": [list(g) for g in self._gangs.gangs] if self._gangs is not None else [],
+            "gangs_led": [list(gang) for gang in self._gangs.gangs] if self._gangs else [],
+            "bytes_sent": sum(link.bytes_sent for link in links),
+            "bytes_received": sum(link.bytes_received for link in links),
         }
-
-
-async def _ignore_link(_: PeerLink) -> None:
-    return None
--- a/src/chicorycrank/model/targets.py
+++ b/src/chicorycrank/model/targets.py
@@ -43,6 +43,7 @@
     latency_s: float = 0.0
     failure_share: float = 0.0
     draining: bool = False
+    reachable: bool = True
 
 
 class TaskRef(Struct, frozen=True, kw_only=True):
--- a/src/chicorycrank/settings/agent.py
+++ b/src/chicorycrank/settings/agent.py
@@ -13,6 +13,7 @@
     :param listen_host: address at which other agents reach this one
     :param target_url: base address of the target's HTTP interface
     :param heartbeat_s: longest silence towards an entry in seconds
+    :param drain_limit_s: longest time for running requests at a planned stop in seconds
     """
 
     target: TargetId
@@ -27,3 +28,4 @@
     worker: WorkerInfo | None = None
     heartbeat_s: float = 1.5
     log_level: str = "info"
+    drain_limit_s: float = 60.0
