Complete the path of short requests

Cause: a request took the least loaded target or was refused; a lost reply became unknown without a question to the agent, a second attempt at a claimed key was never run, and a lost store reply could drop claims that another entry had written meanwhile.

Change: dispatch asks for the outcome after a loss (QueryAttempt, QueryKey). Repeatable requests are retried within a budget. Bounded fair queue, circuit breaker, choice by load and forwarding between regions. Bodies are checked against the configuration with all findings at once. A planned stop waits for running requests.

claims.py: a lost reply is resolved by reading and merging again, so claims of other entries are kept; a cancelled caller or a malformed shard no longer ends the writer; a full shard still takes outcomes; an unknown outcome gives way to a known one of the same nonce, a release is final.

--- a/src/chicorycrank/entry/claims.py
+++ b/src/chicorycrank/entry/claims.py
@@ -5,14 +5,17 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from chicorycrank.adapters.codec import decode, encode
+from chicorycrank.adapters.codec import CodecError, decode, encode
 from chicorycrank.model.ids import Nonce, RequestKey, Version
-from chicorycrank.model.requests import Claim, ClaimState
+from chicorycrank.model.requests import Claim, ClaimState, Outcome
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import Store, StoreError, VersionConflictError
 
 SHARDS = 256
+# New claims are refused above this size; the rest up to the store's limit is for outcomes.
 MAX_SHARD_BYTES = 900_000
+MAX_VALUE_BYTES = 1_000_000
+MAX_LOST_REPLIES = 2
 RETENTION = timedelta(days=7)
 
 
@@ -29,7 +32,7 @@
 
     claim: Claim
     expected: Nonce | None
-    done: "asyncio.Future[Claim]"
+    done: "asyncio.Future[Claim | None]"
 
 
 @dataclass(kw_only=True)
@@ -50,16 +53,17 @@
         self._clock = clock
         self._shard_by_number = {number: Shard() for number in range(SHARDS)}
 
-    async def put(self, claim: Claim, *, expected: Nonce | None) -> Claim:
+    async def put(self, claim: Claim, *, expected: Nonce | None) -> Claim | None:
         """Write a claim if the key's current claim has nonce ``expected``.
 
-        :returns: the claim that is in the store afterwards; ours if the nonce and state match
+        :returns: the claim that is in the store afterwards; ours if the nonce and state match;
+            absent if the claim that was to be replaced is gone
         :raises StoreError: the store did not answer; the claim may have been written
         :raises ClaimShardFullError: there is no room; nothing was written
         """
         number = zlib.crc32(claim.key.encode()) % SHARDS
         shard = self._shard_by_number[number]
-        done: asyncio.Future[Claim] = asyncio.get_running_loop().create_future()
+        done: asyncio.Future[Claim | None] = asyncio.get_running_loop().create_future()
         shard.pending.append(Pending(claim=claim, expected=expected, done=done))
         if shard.writer is None or shard.writer.done():
             shard.writer = asyncio.create_task(self._write(number, shard))
@@ -87,29 +91,47 @@
                         pending.done.set_exception(error)
 
     async def _write_batch(self, number: int, shard: Shard, batch: list[Pending]) -> None:
-        """Write a batch in one compare-and-swap; a lost reply is resolved by reading again."""
-        while True:
+        """Write a batch in one compare-and-swap.
+
+        A lost reply is resolved by reading again and merging again: a change that took effect
+        merges to no change, and claims that other entries wrote meanwhile are kept.
+        """
+        lost_replies = 0
+        is_fresh = False
+        while batch:
             if shard.version is None:
                 await self._read(number, shard)
+                is_fresh = True
             claims = self._merge(shard, batch)
+            if claims == shard.claims_by_key:
+                if is_fresh:
+                    _resolve(batch, claims)
+                    return
+                shard.version = None
+                continue
             data = encode(list(claims.values()))
             if len(data) > MAX_SHARD_BYTES:
-                raise ClaimShardFullError(f"claim shard {number} is full")
+                error = ClaimShardFullError(f"claim shard {number} is full")
+                remaining = _refuse_new(shard, batch, error)
+                if len(remaining) < len(batch):
+                    batch = remaining
+                    continue
+                if len(data) > MAX_VALUE_BYTES:
+                    raise error
             assert shard.version is not None
             try:
-                version = await self._store.put(_name(number), data, if_version=shard.version)
+                shard.version = await self._store.put(_name(number), data, if_version=shard.version)
             except VersionConflictError:
                 shard.version = None
                 continue
             except StoreError:
-                await self._read(number, shard)
-                if not all(_is_written(shard, pending) for pending in batch):
+                lost_replies += 1
+                if lost_replies > MAX_LOST_REPLIES:
                     raise
-                version = shard.version
-            shard.version = version
+                shard.version = None
+                continue
             shard.claims_by_key = claims
-            for pending in batch:
-                pending.done.set_result(claims[pending.claim.key])
+            _resolve(batch, claims)
             return
 
     def _merge(self, shard: Shard, batch: list[Pending]) -> dict[RequestKey, Claim]:
@@ -117,15 +139,16 @@
         claims = {k: c for k, c in shard.claims_by_key.items() if c.claimed_at > oldest}
         for pending in batch:
             current = claims.get(pending.claim.key)
-            nonce = current.nonce if current is not None else None
-            is_done = current is not None and current.state is ClaimState.DONE
-            if nonce == pending.expected and not is_done:
+            if _may_replace(current, pending):
                 claims[pending.claim.key] = pending.claim
         return claims
 
     async def _read(self, number: int, shard: Shard) -> None:
         entry = await self._store.get(_name(number))
-        claims = decode(entry.value, list[Claim]) if entry.value else []
+        try:
+            claims = decode(entry.value, list[Claim]) if entry.value else []
+        except CodecError as error:
+            raise StoreError(f"claim shard {number} is malformed: {error}") from error
         shard.version = entry.version
         shard.claims_by_key = {claim.key: claim for claim in claims}
 
@@ -134,5 +157,38 @@
     return f"claims/{number}"
 
 
-def _is_written(shard: Shard, pending: Pending) -> bool:
-    return shard.claims_by_key.get(pending.claim.key) == pending.claim
+def _may_replace(current: Claim | None, pending: Pending) -> bool:
+    """Whether a change applies; a final outcome gives way only from unknown to known."""
+    if (current.nonce if current is not None else None) != pending.expected:
+        return False
+    new = pending.claim
+    if current is None or current.state is ClaimState.CLAIMED:
+        return True
+    if current.state is ClaimState.RELEASED:
+        return new.nonce != current.nonce
+    return (
+        _outcome(current) is Outcome.UNKNOWN
+        and new.nonce == current.nonce
+        and _outcome(new) in (Outcome.COMPLETED, Outcome.FAILED)
+    )
+
+
+def _outcome(claim: Claim) -> Outcome | None:
+    return claim.answer.outcome if claim.answer is not None else None
+
+
+def _resolve(batch: list[Pending], claims: dict[RequestKey, Claim]) -> None:
+    for pending in batch:
+        if not pending.done.done():  # its caller may have been cancelled
+            pending.done.set_result(claims.get(pending.claim.key))
+
+
+def _refuse_new(shard: Shard, batch: list[Pending], error: ClaimShardFullError) -> list[Pending]:
+    """Refuse claims on new keys and return the remaining changes."""
+    remaining = []
+    for pending in batch:
+        if pending.claim.key in shard.claims_by_key:
+            remaining.append(pending)
+        elif not pending.done.done():
+            pending.done.set_exception(error)
+    return remaining
--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -14,6 +14,8 @@
 from chicorycrank.model.requests import Outcome
 
 MAX_BODY_BYTES = 4_000_000
+MAX_HEADER_BYTES = 16_384
+RESERVED_THREADS = 8
 
 
 class HttpApi:
@@ -22,7 +24,8 @@
     def __init__(self, entry: Entry, loop: asyncio.AbstractEventLoop) -> None:
         bridge = LoopBridge(loop)
         self._entry = entry
-        self._requests = RequestResource(entry.requests, bridge)
+        max_running = max(1, entry.settings.http_threads - RESERVED_THREADS)
+        self._requests = RequestResource(entry.requests, bridge, max_running=max_running)
         self._jobs = JobResource(entry.jobs, bridge, entry.settings.cell)
         self._operations = OperationsResource(entry, bridge)
 
@@ -40,6 +43,8 @@
         match (cherrypy.request.method, resource):
             case ("POST", "requests"):
                 return self._requests.post()
+            case ("GET", "requests") if identity:
+                return self._requests.get(identity)
             case ("POST", "jobs"):
                 return self._jobs.post()
             case ("GET", "jobs"):
@@ -59,6 +64,7 @@
             "server.socket_port": settings.http_port,
             "server.thread_pool": settings.http_threads,
             "server.max_request_body_size": MAX_BODY_BYTES,
+            "server.max_request_header_size": MAX_HEADER_BYTES,
             "log.screen": False,
         }
     )
--- a/src/chicorycrank/entry/http_requests.py
+++ b/src/chicorycrank/entry/http_requests.py
@@ -1,11 +1,12 @@
 """HTTP resource ``/v1/requests``."""
 
 import json
-import uuid
+import math
+import threading
+from dataclasses import asdict
 from http import HTTPStatus
 
 import cherrypy
-import msgspec
 
 from chicorycrank.entry.http_common import (
     STATUS_BY_OUTCOME,
@@ -13,60 +14,92 @@
     send_json,
     send_problem,
 )
+from chicorycrank.entry.once import KEY_REUSED
+from chicorycrank.entry.request_check import Rejection, check_request
 from chicorycrank.entry.requests import RequestFront
-from chicorycrank.model.ids import RequestKey, ServiceId, TeamId
-from chicorycrank.model.requests import Answer, Outcome, Request, RequestClass
+from chicorycrank.model.ids import RequestKey
+from chicorycrank.model.requests import Answer, Outcome
+from chicorycrank.ports.store import StoreError
 
-
-class RequestBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Body of ``POST /v1/requests``."""
-
-    team: TeamId
-    service: ServiceId
-    repeatable: bool = True
-    request_class: RequestClass = RequestClass.PATIENT
-    deadline_s: float = 30.0
-    body: msgspec.Raw = msgspec.Raw(b"null")
+BUSY_RETRY_AFTER_S = "1"
 
 
 class RequestResource:
-    """Serves requests of callers."""
+    """Serves requests of callers.
+
+    :param max_running: calls that may wait for an answer at the same time; the server's other
+        threads stay free for health checks, status calls and refusals
+    """
 
-    def __init__(self, front: RequestFront, bridge: LoopBridge) -> None:
+    def __init__(self, front: RequestFront, bridge: LoopBridge, *, max_running: int) -> None:
         self._front = front
         self._bridge = bridge
+        self._slots = threading.BoundedSemaphore(max_running)
 
     def post(self) -> bytes:
         """Run a request and return its outcome."""
+        if not self._slots.acquire(blocking=False):
+            cherrypy.response.headers["Retry-After"] = BUSY_RETRY_AFTER_S
+            detail = "the entry serves its largest number of calls"
+            return send_problem(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, detail)
         try:
-            body = msgspec.json.decode(cherrypy.request.body.read(), type=RequestBody)
-        except msgspec.DecodeError as error:
-            return send_problem(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, str(error))
-        key = cherrypy.request.headers.get("Idempotency-Key") or uuid.uuid4().hex
-        request = Request(
-            key=RequestKey(key),
-            team=body.team,
-            service=body.service,
-            request_class=body.request_class,
-            repeatable=body.repeatable,
-            deadline_s=body.deadline_s,
-            body=bytes(body.body),
-        )
-        answer = self._bridge.call(self._front.answer(request), timeout_s=body.deadline_s)
-        return _send_answer(answer, key)
+            return self._run()
+        finally:
+            self._slots.release()
+
+    def get(self, key: str) -> bytes:
+        """Return the stored outcome of a key."""
+        try:
+            answer = self._bridge.call(self._front.status(RequestKey(key)))
+        except StoreError as error:
+            return send_problem(
+                HTTPStatus.SERVICE_UNAVAILABLE, Outcome.UNKNOWN, f"no status: {error}", key=key
+            )
+        if answer is None:
+            detail = "no non-repeatable request with this key is recorded"
+            return send_problem(HTTPStatus.NOT_FOUND, Outcome.UNKNOWN, detail, key=key)
+        return send_json(_describe(answer, key))
+
+    def _run(self) -> bytes:
+        headers = cherrypy.request.headers
+        config = self._front.config
+        # One byte over the limit is enough to see that a body without a length is too large.
+        data = cherrypy.request.body.read(config.limits.max_body_bytes + 1)
+        checked = check_request(data, headers.get("Idempotency-Key"), config)
+        if checked.is_error():
+            return _send_rejection(checked.error)
+        request = checked.ok
+        try:
+            answer = self._bridge.call(self._front.answer(request), timeout_s=request.deadline_s)
+        except TimeoutError:
+            answer = Answer(outcome=Outcome.UNKNOWN, detail="no outcome before the deadline")
+        return _send_answer(answer, request.key)
+
+
+def _send_rejection(rejection: Rejection) -> bytes:
+    detail = "; ".join(f"{f.pointer or 'body'}: {f.detail}" for f in rejection.findings)
+    findings = [asdict(finding) for finding in rejection.findings]
+    return send_problem(rejection.status, Outcome.NOT_RUN, detail, findings=findings)
 
 
 def _send_answer(answer: Answer, key: str) -> bytes:
     cherrypy.response.headers["Idempotency-Key"] = key
     status = STATUS_BY_OUTCOME[answer.outcome]
-    if answer.outcome is not Outcome.COMPLETED:
-        if answer.retry_after_s is not None:
-            cherrypy.response.headers["Retry-After"] = str(int(answer.retry_after_s) or 1)
-        return send_problem(status, answer.outcome, answer.detail, key=key)
-    document = {
+    if answer.outcome is Outcome.COMPLETED:
+        return send_json(_describe(answer, key), status)
+    if answer.detail == KEY_REUSED:
+        status = HTTPStatus.UNPROCESSABLE_ENTITY
+    elif answer.retry_after_s is not None:
+        cherrypy.response.headers["Retry-After"] = str(max(1, math.ceil(answer.retry_after_s)))
+    return send_problem(status, answer.outcome, answer.detail, key=key)
+
+
+def _describe(answer: Answer, key: str) -> dict[str, object]:
+    document: dict[str, object] = {
         "outcome": answer.outcome.value,
         "key": key,
         "target": answer.target,
-        "answer": json.loads(answer.body or b"null"),
     }
-    return send_json(document, status)
+    if answer.outcome is Outcome.COMPLETED:
+        return document | {"answer": json.loads(answer.body or b"null")}
+    return document | {"detail": answer.detail}
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -48,6 +48,8 @@
 
 PEER_HEARTBEAT = timedelta(seconds=2)
 DIGEST_INTERVAL = timedelta(seconds=1)
+# Longest wait for running requests at a planned stop.
+FINISH_LIMIT = timedelta(seconds=30)
 RECONNECT_MIN = timedelta(milliseconds=300)
 
 logger = logging.getLogger("absl")
@@ -72,7 +74,13 @@
         )
         self.directory = Directory()
         self.config = ConfigHolder(self._on_config)
-        self.requests = RequestFront(self.directory, ClaimLog(store, clock), clock)
+        self.requests = RequestFront(
+            self.directory,
+            ClaimLog(store, clock),
+            clock,
+            region=settings.region,
+            config=lambda: self.config.config,
+        )
         self.scheduler = Scheduler(
             cell=settings.cell,
             region=settings.region,
@@ -120,6 +128,8 @@
         await self._election.resign()
         await self._membership.withdraw()
         await self._clock.sleep(timedelta(seconds=self.settings.drain_s))
+        if not await self.requests.stop(FINISH_LIMIT):
+            logger.warning("event=requests_cut_off")
         server.close()
         for task in self._tasks:
             task.cancel()
@@ -277,7 +287,8 @@
                 return self.config.offer
             case QueryState():
                 return Text(json.dumps(self.dump()))
-        return await self.jobs.serve(message)
+        reply = await self.requests.serve(message)
+        return reply if reply is not None else await self.jobs.serve(message)
 
     async def _take_digest(self, link: Link, digest: Digest) -> None:
         peer = self.directory.peers_by_id.get(EntryId(link.peer.peer_id))
@@ -291,7 +302,8 @@
     async def _digest_forever(self) -> None:
         while True:
             await self._clock.sleep(DIGEST_INTERVAL)
-            digest = Digest(self.config.config.generation, (), (), self.is_draining)
+            generation = self.config.config.generation
+            digest = Digest(generation, self.requests.loads(), (), self.is_draining)
             for peer in list(self.directory.peers_by_id.values()):
                 if peer.link is not None and peer.link.is_open:
                     try:
--- a/src/chicorycrank/entry/requests.py
+++ b/src/chicorycrank/entry/requests.py
@@ -1,129 +1,218 @@
 """The path of a short request from the caller to its answer."""
 
-import logging
+import asyncio
+import random
 import uuid
+from collections import Counter
+from collections.abc import Callable
 from datetime import timedelta
 
-from chicorycrank.entry.claims import ClaimLog, ClaimShardFullError
+from chicorycrank.entry.admission import Gate
+from chicorycrank.entry.claims import ClaimLog
 from chicorycrank.entry.directory import Directory, Target
-from chicorycrank.model.ids import AttemptId, Nonce
+from chicorycrank.entry.dispatch import NO_FREE_SLOT, Attempt, Dispatcher
+from chicorycrank.entry.forwarding import Forwarder
+from chicorycrank.entry.once import OnceRunner
+from chicorycrank.model.config import Config
+from chicorycrank.model.ids import Nonce, RegionId, RequestKey, TargetId, TeamId
 from chicorycrank.model.messages import (
-    KeyState,
-    KeyStatus,
-    QueryKey,
+    AnyMessage,
+    ForwardRequest,
+    QueryAttempt,
+    QueryKeyAt,
     Refused,
-    RunRequest,
-    RunResult,
+    ServiceLoad,
 )
-from chicorycrank.model.requests import Answer, Claim, ClaimState, Outcome, Request
+from chicorycrank.model.requests import Answer, Outcome, Request
 from chicorycrank.ports.clock import Clock
-from chicorycrank.ports.links import LinkError, LinkNotSentError
-from chicorycrank.ports.store import StoreError
 
-QUERY_TIMEOUT = timedelta(seconds=2)
-RETRY_AFTER_S = 1.0
-ANSWER_MARGIN_S = 0.5
+# Each request earns a team this share of a retry, so that retries add at most 10% load.
+RETRY_SHARE = 0.1
+MAX_RETRY_TOKENS = 10.0
+BACKOFF_MIN_S = 0.02
+BACKOFF_MAX_S = 1.0
+IDLE_POLL = timedelta(milliseconds=50)
 
-logger = logging.getLogger("absl")
+
+class RetryBudget:
+    """Tokens for retries by team."""
+
+    def __init__(self) -> None:
+        self._tokens_by_team: dict[TeamId, float] = {}
+
+    def earn(self, team: TeamId) -> None:
+        """Credit a request."""
+        tokens = self._tokens_by_team.get(team, MAX_RETRY_TOKENS)
+        self._tokens_by_team[team] = min(MAX_RETRY_TOKENS, tokens + RETRY_SHARE)
+
+    def spend(self, team: TeamId) -> bool:
+        """Take a token; false if there is none."""
+        tokens = self._tokens_by_team.get(team, MAX_RETRY_TOKENS)
+        if tokens < 1.0:
+            return False
+        self._tokens_by_team[team] = tokens - 1.0
+        return True
 
 
 class RequestFront:
-    """Chooses executors for requests and returns truthful outcomes."""
+    """Chooses executors for requests and returns truthful outcomes.
 
-    def __init__(self, directory: Directory, claims: ClaimLog, clock: Clock) -> None:
-        self._directory = directory
-        self._claims = claims
-        self._clock = clock
+    :param config: the configuration in force
+    :param jitter: random number between 0 and 1 for backoff
+    """
 
-    async def answer(self, request: Request) -> Answer:
-        """Run a request and return its outcome."""
-        target = self._choose()
-        if target is None:
-            return _not_run("no executor has a free slot")
-        if request.repeatable:
-            return await self._dispatch(request, target, Nonce(uuid.uuid4().hex))
-        return await self._answer_once(request, target)
-
-    async def _answer_once(self, request: Request, target: Target) -> Answer:
-        """Claim the key in the store before the request is dispatched."""
-        claim = Claim(
-            key=request.key,
-            nonce=Nonce(uuid.uuid4().hex),
-            target=target.target_id,
-            incarnation=target.incarnation,
-            state=ClaimState.CLAIMED,
-            claimed_at=self._clock.now().timestamp(),
+    def __init__(
+        self,
+        directory: Directory,
+        claims: ClaimLog,
+        clock: Clock,
+        *,
+        region: RegionId,
+        config: Callable[[], Config],
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self._clock = clock
+        self._config = config
+        self._jitter = jitter
+        self._budget = RetryBudget()
+        self._gate = Gate(directory, clock, config)
+        self._dispatcher = Dispatcher(directory, clock)
+        self._once = OnceRunner(
+            region=region,
+            claims=claims,
+            gate=self._gate,
+            dispatcher=self._dispatcher,
+            directory=directory,
+            clock=clock,
         )
+        self._forwarder = Forwarder(directory, clock, region=region, config=config)
+        self._running = 0
+        self._is_accepting = True
+        self.outcomes: Counter[Outcome] = Counter()
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force."""
+        return self._config()
+
+    @property
+    def dropped_by_reason(self) -> Counter[str]:
+        """Answers that were dropped, by reason."""
+        return self._dispatcher.dropped_by_reason
+
+    async def answer(self, request: Request, *, is_forwarded: bool = False) -> Answer:
+        """Run a request and return its outcome.
+
+        :param is_forwarded: it comes from an entry of another region and stays here
+        """
+        if not self._is_accepting:
+            return self._gate.not_run("the entry is stopping")
+        deadline = self._clock.monotonic() + request.deadline_s
+        self._running += 1
         try:
-            current = await self._claims.put(claim, expected=None)
-        except (StoreError, ClaimShardFullError) as error:
-            return _not_run(f"the request could not be claimed: {error}")
-        if current.nonce != claim.nonce:
-            return await self._resolve(current)
-        answer = await self._dispatch(request, target, claim.nonce)
-        await self._finish(claim, answer)
+            forwarded = None
+            if not is_forwarded:
+                local_s = self._gate.local_time_s(request)
+                forwarded = await self._forwarder.try_forward(request, local_s, deadline)
+            answer = await self._answer_here(request, forwarded, deadline)
+        finally:
+            self._running -= 1
+        self.outcomes[answer.outcome] += 1
         return answer
 
-    async def _resolve(self, claim: Claim) -> Answer:
-        """Return the outcome of a key that was claimed before."""
-        if claim.answer is not None:
-            return claim.answer
-        target = self._directory.targets_by_id.get(claim.target)
-        if target is None:
-            return Answer(outcome=Outcome.UNKNOWN, detail=f"{claim.target} is not reachable")
-        query = QueryKey(claim.key, claim.nonce, claim.incarnation)
-        try:
-            reply = await target.link.request(query, timeout=QUERY_TIMEOUT)
-        except LinkError as error:
-            return Answer(outcome=Outcome.UNKNOWN, detail=str(error))
-        if isinstance(reply, KeyState) and reply.status is KeyStatus.DONE and reply.answer:
-            return reply.answer
-        return Answer(outcome=Outcome.UNKNOWN, detail="an earlier attempt has no outcome yet")
-
-    async def _finish(self, claim: Claim, answer: Answer) -> None:
-        done = Claim(
-            key=claim.key,
-            nonce=claim.nonce,
-            target=claim.target,
-            incarnation=claim.incarnation,
-            state=ClaimState.DONE,
-            claimed_at=claim.claimed_at,
-            answer=answer,
-        )
-        try:
-            await self._claims.put(done, expected=claim.nonce)
-        except (StoreError, ClaimShardFullError) as error:
-            logger.warning("event=outcome_not_stored key=%s error=%s", claim.key, error)
-
-    async def _dispatch(self, request: Request, target: Target, nonce: Nonce) -> Answer:
-        attempt_id = AttemptId(uuid.uuid4().hex)
-        message = RunRequest(attempt_id, nonce, target.incarnation, request)
-        timeout = timedelta(seconds=request.deadline_s + ANSWER_MARGIN_S)
-        target.in_flight += 1
+    async def status(self, key: RequestKey) -> Answer | None:
+        """Return the stored outcome of a non-repeatable request; absent if it is unknown.
+
+        :raises StoreError: the store did not answer
+        """
+        return await self._once.status(key)
+
+    async def serve(self, message: AnyMessage) -> AnyMessage | None:
+        """Answer a message of another entry; absent if it does not concern requests."""
+        if isinstance(message, ForwardRequest):
+            return await self._forwarder.serve(
+                message, lambda: self.answer(message.request, is_forwarded=True)
+            )
+        if isinstance(message, QueryAttempt):
+            return self._forwarder.query(message)
+        if isinstance(message, QueryKeyAt):
+            return await self._once.query_at(message) or Refused("no_such_target")
+        return None
+
+    def loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the load by service for digests."""
+        return self._gate.loads()
+
+    async def stop(self, limit: timedelta) -> bool:
+        """Refuse new requests and wait for the running ones; false if some still run."""
+        self._is_accepting = False
+        deadline = self._clock.monotonic() + limit.total_seconds()
+        while self._running and self._clock.monotonic() < deadline:
+            await self._clock.sleep(IDLE_POLL)
+        return not self._running
+
+    async def _answer_here(
+        self, request: Request, forwarded: Answer | None, deadline: float
+    ) -> Answer:
+        """Run a request in this region, unless another region gave its outcome.
+
+        :param forwarded: outcome of another region; absent if it touched no executor
+        """
+        if forwarded is not None and forwarded.outcome is Outcome.COMPLETED:
+            return forwarded
+        if request.repeatable:
+            return await self._repeat(request, deadline, forwarded)
+        if forwarded is None:
+            return await self._once.run(request, deadline)
+        if forwarded.outcome is Outcome.FAILED:
+            return forwarded
+        answer = await self._once.run(request, deadline)
+        # The forwarded request may still run, so the refusal here does not make it not_run.
+        return forwarded if answer.outcome is Outcome.NOT_RUN else answer
+
+    async def _repeat(self, request: Request, deadline: float, touched: Answer | None) -> Answer:
+        """Run a repeatable request; retry on other executors within deadline and budget.
+
+        :param touched: outcome of an attempt in another region
+        """
+        self._budget.earn(request.team)
+        if touched is not None and not self._budget.spend(request.team):
+            return touched
+        tried: frozenset[TargetId] = frozenset()
+        backoff_s = BACKOFF_MIN_S
+        while True:
+            target = await self._gate.acquire(request, deadline, tried)
+            if isinstance(target, Answer):
+                return touched or target
+            attempt = await self._attempt(request, target, deadline)
+            answer = attempt.answer
+            if answer.outcome is Outcome.COMPLETED:
+                return answer
+            if answer.outcome is not Outcome.NOT_RUN:
+                touched = answer
+                if not self._budget.spend(request.team):
+                    return answer
+            tried |= {target.target_id}
+            delay_s = backoff_s * (0.5 + 0.5 * self._jitter())
+            backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
+            if self._clock.monotonic() + delay_s >= deadline:
+                return touched or self._gate.not_run(answer.detail, request.request_class)
+            await self._clock.sleep(timedelta(seconds=delay_s))
+
+    async def _attempt(self, request: Request, target: Target, deadline: float) -> Attempt:
+        started = self._clock.monotonic()
         try:
-            reply = await target.link.request(message, timeout=timeout)
-        except LinkNotSentError as error:
-            return _not_run(str(error))
-        except LinkError as error:
-            return Answer(outcome=Outcome.UNKNOWN, detail=str(error))
-        finally:
-            target.in_flight -= 1
-        if isinstance(reply, RunResult) and reply.attempt_id == attempt_id:
-            return reply.answer
-        if isinstance(reply, Refused):
-            return _not_run(f"{target.target_id} refused: {reply.code}")
-        return Answer(outcome=Outcome.UNKNOWN, detail="unexpected reply")
-
-    def _choose(self) -> Target | None:
-        free = [
-            target
-            for target in self._directory.executors()
-            if not target.executor_load.draining
-            and target.hello.executor is not None
-            and target.in_flight < target.hello.executor.slots
-        ]
-        return min(free, key=lambda target: target.in_flight, default=None)
-
-
-def _not_run(detail: str) -> Answer:
-    return Answer(outcome=Outcome.NOT_RUN, detail=detail, retry_after_s=RETRY_AFTER_S)
+            nonce = Nonce(uuid.uuid4().hex)
+            attempt = await self._dispatcher.run(request, target, nonce, deadline)
+        except asyncio.CancelledError:
+            self._gate.release(target)
+            raise
+        if attempt.refusal:
+            if attempt.refusal == NO_FREE_SLOT:
+                self._gate.note_full(target)
+            self._gate.release(target)
+        else:
+            elapsed = self._clock.monotonic() - started
+            failed = attempt.answer.outcome is not Outcome.COMPLETED
+            self._gate.release(target, failed=failed, latency_s=elapsed)
+        return attempt
--- a/src/chicorycrank/model/messages.py
+++ b/src/chicorycrank/model/messages.py
@@ -153,6 +153,15 @@
     incarnation: Incarnation
 
 
+class QueryKeyAt(Message, frozen=True):
+    """Entry to entry: put a :class:`QueryKey` to an agent of the receiver's region."""
+
+    target: TargetId
+    key: RequestKey
+    nonce: Nonce
+    incarnation: Incarnation
+
+
 class KeyStatus(Enum):
     """What an agent knows of a key or an attempt."""
 
@@ -452,6 +461,7 @@
     | RunResult
     | QueryAttempt
     | QueryKey
+    | QueryKeyAt
     | KeyState
     | ForwardRequest
     | SetDraining
--- a/src/chicorycrank/model/requests.py
+++ b/src/chicorycrank/model/requests.py
@@ -4,7 +4,15 @@
 
 from msgspec import Struct
 
-from chicorycrank.model.ids import Incarnation, Nonce, RequestKey, ServiceId, TargetId, TeamId
+from chicorycrank.model.ids import (
+    Incarnation,
+    Nonce,
+    RegionId,
+    RequestKey,
+    ServiceId,
+    TargetId,
+    TeamId,
+)
 
 
 class Outcome(Enum):
@@ -57,9 +65,13 @@
 
 
 class ClaimState(Enum):
-    """State of a claim on a request key."""
+    """State of a claim on a request key.
+
+    A released claim was never run and never will be; the key may be claimed again.
+    """
 
     CLAIMED = "claimed"
+    RELEASED = "released"
     DONE = "done"
 
 
@@ -67,6 +79,8 @@
     """Durable mark that one agent may run a non-repeatable request.
 
     :param claimed_at: seconds since the epoch
+    :param region: region of the agent
+    :param digest: digest of team, service and body; empty in records of older versions
     """
 
     key: RequestKey
@@ -76,3 +90,5 @@
     state: ClaimState
     claimed_at: float
     answer: Answer | None = None
+    region: RegionId = RegionId("")
+    digest: str = ""
