--- a/src/chicorycrank/entry/requests.py
+++ b/src/chicorycrank/entry/requests.py
@@ -29,6 +29,8 @@
 # Each request earns a team this share of a retry, so that retries add at most 10% load.
 RETRY_SHARE = 0.1
 MAX_RETRY_TOKENS = 10.0
+# A request that fails on this many executors is likely at fault itself.
+MAX_RUNS = 3
 BACKOFF_MIN_S = 0.02
 BACKOFF_MAX_S = 1.0
 IDLE_POLL = timedelta(milliseconds=50)
@@ -179,6 +181,7 @@
         if touched is not None and not self._budget.spend(request.team):
             return touched
         tried: frozenset[TargetId] = frozenset()
+        runs = 0
         backoff_s = BACKOFF_MIN_S
         while True:
             target = await self._gate.acquire(request, deadline, tried)
@@ -190,7 +193,8 @@
                 return answer
             if answer.outcome is not Outcome.NOT_RUN:
                 touched = answer
-                if not self._budget.spend(request.team):
+                runs += 1
+                if runs >= MAX_RUNS or not self._budget.spend(request.team):
                     return answer
             tried |= {target.target_id}
             delay_s = backoff_s * (0.5 + 0.5 * self._jitter())
