Make the election survive lost replies, outages, pauses and failed loads

Cause: an entry whose load failed after its election kept the lock and renewed it without acting, so the cell had no leader. A lost reply to the lock write left the lock stuck for its TTL. A load longer than 5 s let the lease lapse. A paused holder answered job queries until its next renewal. After a planned stop the others found the free lock at their next poll.

Change: a term renews its lease while the records load, gives the lock back when a step fails, and ends on a lapsed lease, a higher epoch in the leader record or a stale_epoch from an agent. Job messages are served only after Election.confirm: a lease that was not asked for within its TTL is asked for first. A holder that resigns writes a vacant leader record, which the other entries receive by the watch that they already have.

--- a/src/chicorycrank/entry/election.py
+++ b/src/chicorycrank/entry/election.py
@@ -1,38 +1,60 @@
 """Election of a cell's leader through the store."""
 
+import asyncio
 import logging
+import random
 import uuid
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from msgspec import Struct
 
-from chicorycrank.adapters.codec import decode, encode
+from chicorycrank.adapters.codec import CodecError, decode, encode
+from chicorycrank.entry.waiting import wait_at_most
 from chicorycrank.model.ids import CellId, EntryId, Epoch, Nonce, Version
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import LeaseId, Store, StoreError, VersionConflictError
 
 LEASE_TTL = timedelta(seconds=5)
 RENEW_INTERVAL = timedelta(seconds=1.5)
+# A vacancy reaches all entries at once; the spread keeps them from campaigning together.
+VACANCY_SPREAD = timedelta(milliseconds=200)
+VACANT = EntryId("")
 
 logger = logging.getLogger("absl")
 
 
 class Leader(Struct, frozen=True, kw_only=True):
-    """The leader record of a cell."""
+    """The leader record of a cell; a holder that resigned leaves :data:`VACANT`."""
 
     epoch: Epoch
     holder: EntryId
     nonce: Nonce
 
 
+@dataclass(kw_only=True)
+class Term:
+    """One holding of the role.
+
+    :param asked_at: monotonic time of the last renewal that the store answered, or of the
+        last attempt if it did not
+    """
+
+    lease: LeaseId
+    epoch: Epoch
+    asked_at: float
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 class Election:
     """Holds the scheduler role of a cell whenever this entry can get it.
 
     The lease only chooses who should act; the epoch makes a holder that was paused harmless.
 
-    :param on_elected: called with the epoch of each term
-    :param on_lost: called when the term has ended
+    :param on_elected: called with the epoch of each term; the role is given back if it raises
+    :param on_lost: called when a term has ended, also after an ``on_elected`` that raised
+    :param jitter: returns a number from 0 to 1
     """
 
     def __init__(
@@ -44,61 +66,160 @@
         entry: EntryId,
         on_elected: Callable[[Epoch], Awaitable[None]],
         on_lost: Callable[[], Awaitable[None]],
+        jitter: Callable[[], float] = random.random,
     ) -> None:
         self._store = store
         self._clock = clock
-        self._cell = cell
         self._entry = entry
+        self._cell = cell
+        self._lock_key = f"locks/{cell}"
+        self._leader_key = f"shared/leaders/{cell}"
         self._on_elected = on_elected
         self._on_lost = on_lost
-        self._lease: LeaseId | None = None
+        self._jitter = jitter
+        self._term: Term | None = None
+        self._vacancy = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._resigned = False
 
     async def run(self) -> None:
-        """Try to be elected and renew the term until cancelled."""
-        while True:
+        """Campaign and serve terms until cancelled or resigned."""
+        while not self._resigned:
+            self._idle.clear()
             try:
-                if self._lease is None:
-                    await self._campaign()
-                elif not await self._store.renew_lease(self._lease):
-                    self._lease = None
-                    await self._on_lost()
-                    continue
-            except (StoreError, VersionConflictError) as error:
+                term = await self._campaign()
+                if term is not None:
+                    await self._serve(term)
+            except (StoreError, VersionConflictError, CodecError) as error:
                 logger.info("event=election_delayed cell=%s error=%s", self._cell, error)
-            await self._clock.sleep(RENEW_INTERVAL)
+            finally:
+                self._idle.set()
+            await self._wait_for_vacancy()
 
     async def resign(self) -> None:
-        """Give the role up so that another entry can take it at once."""
-        lease, self._lease = self._lease, None
-        if lease is None:
-            return
-        await self._on_lost()
-        try:
-            await self._store.revoke_lease(lease)
-        except StoreError as error:
-            logger.warning("event=resign_failed cell=%s error=%s", self._cell, error)
-
-    async def _campaign(self) -> None:
-        lock = await self._store.get(f"locks/{self._cell}")
-        if lock.version:
-            return
+        """Give the role up for good so that another entry can take it at once."""
+        self._resigned = True
+        self._vacancy.set()
+        if self._term is not None:
+            self._term.ended.set()
+        await self._idle.wait()
+
+    def step_down(self, reason: str) -> None:
+        """End the current term, if there is one, and campaign again later."""
+        if self._term is not None:
+            logger.warning("event=step_down cell=%s reason=%s", self._cell, reason)
+            self._term.ended.set()
+
+    def note_leader(self, leader: Leader) -> None:
+        """Take notice of the cell's leader record, as the watch delivers it."""
+        if self._term is not None and leader.epoch > self._term.epoch:
+            self.step_down(f"epoch {leader.epoch} is held by {leader.holder}")
+        if leader.holder == VACANT:
+            self._vacancy.set()
+
+    async def confirm(self) -> bool:
+        """Return whether this entry may answer as the leader.
+
+        A process that was paused has not asked the store for longer than the lease lasts and
+        asks again first. A store that does not answer leaves the role with its holder.
+        """
+        term = self._term
+        if term is None or term.ended.is_set():
+            return False
+        if self._clock.monotonic() - term.asked_at >= LEASE_TTL.total_seconds():
+            await self._renew(term)
+        return not term.ended.is_set()
+
+    async def _wait_for_vacancy(self) -> None:
+        delay = RENEW_INTERVAL * (0.5 + self._jitter() / 2)
+        if await wait_at_most(self._clock, self._vacancy.wait(), delay) and not self._resigned:
+            self._vacancy.clear()
+            await self._clock.sleep(VACANCY_SPREAD * self._jitter())
+
+    async def _campaign(self) -> Term | None:
+        """Take the lock and raise the epoch; give the lock back if that fails."""
+        lock = await self._store.get(self._lock_key)
+        if lock.version or self._resigned:
+            return None
+        asked_at = self._clock.monotonic()
         lease = await self._store.grant_lease(LEASE_TTL)
-        holder = self._entry.encode()
-        await self._store.put(f"locks/{self._cell}", holder, if_version=Version(0), lease=lease)
-        epoch = await self._raise_epoch()
-        self._lease = lease
+        holder = f"{self._entry} {uuid.uuid4().hex}".encode()
+        try:
+            await self._put(self._lock_key, holder, Version(0), lease)
+            epoch = await self._raise_epoch()
+        except (StoreError, VersionConflictError, CodecError):
+            await self._revoke(lease)
+            raise
         logger.info("event=elected cell=%s epoch=%d", self._cell, epoch)
-        await self._on_elected(epoch)
+        return Term(lease=lease, epoch=epoch, asked_at=asked_at)
 
     async def _raise_epoch(self) -> Epoch:
-        key = f"shared/leaders/{self._cell}"
-        entry = await self._store.get(key)
+        entry = await self._store.get(self._leader_key)
         last = decode(entry.value, Leader).epoch if entry.value else Epoch(0)
         leader = Leader(epoch=Epoch(last + 1), holder=self._entry, nonce=Nonce(uuid.uuid4().hex))
+        await self._put(self._leader_key, encode(leader), entry.version)
+        return leader.epoch
+
+    async def _put(
+        self, key: str, value: bytes, version: Version, lease: LeaseId | None = None
+    ) -> None:
+        """Write a value that no other writer writes; a lost reply is resolved by reading again."""
         try:
-            await self._store.put(key, encode(leader), if_version=entry.version)
+            await self._store.put(key, value, if_version=version, lease=lease)
         except StoreError:
             written = await self._store.get(key)
-            if written.value != encode(leader):
+            if written.value != value:
                 raise
-        return leader.epoch
+
+    async def _serve(self, term: Term) -> None:
+        """Serve a term to its end; the lease is renewed while ``on_elected`` still runs."""
+        self._term = term
+        if self._resigned:
+            term.ended.set()
+        begin = asyncio.ensure_future(self._begin(term))
+        try:
+            while not term.ended.is_set():
+                if not await wait_at_most(self._clock, term.ended.wait(), RENEW_INTERVAL):
+                    await self._renew(term)
+        finally:
+            self._term = None
+            begin.cancel()
+            await asyncio.gather(begin, return_exceptions=True)
+            await self._on_lost()
+        await self._revoke(term.lease)
+        if self._resigned:
+            await self._leave_vacant(term)
+
+    async def _begin(self, term: Term) -> None:
+        try:
+            await self._on_elected(term.epoch)
+        except Exception as error:  # any failure gives the role back; the next term tries again
+            logger.warning("event=term_not_begun cell=%s error=%r", self._cell, error)
+            term.ended.set()
+
+    async def _renew(self, term: Term) -> None:
+        asked_at = self._clock.monotonic()
+        try:
+            if not await self._store.renew_lease(term.lease):
+                logger.warning("event=lease_lapsed cell=%s epoch=%d", self._cell, term.epoch)
+                term.ended.set()
+        except StoreError as error:
+            logger.info("event=renewal_delayed cell=%s error=%s", self._cell, error)
+        term.asked_at = asked_at
+
+    async def _revoke(self, lease: LeaseId) -> None:
+        try:
+            await self._store.revoke_lease(lease)
+        except StoreError as error:
+            logger.info("event=revoke_failed cell=%s error=%s", self._cell, error)
+
+    async def _leave_vacant(self, term: Term) -> None:
+        """Tell the other entries by their watch, which is quicker than their next campaign."""
+        try:
+            entry = await self._store.get(self._leader_key)
+            if entry.value and decode(entry.value, Leader).epoch == term.epoch:
+                vacant = Leader(epoch=term.epoch, holder=VACANT, nonce=Nonce(uuid.uuid4().hex))
+                await self._store.put(self._leader_key, encode(vacant), if_version=entry.version)
+        except (StoreError, VersionConflictError, CodecError) as error:
+            logger.info("event=vacancy_not_written cell=%s error=%s", self._cell, error)
--- a/src/chicorycrank/entry/jobs.py
+++ b/src/chicorycrank/entry/jobs.py
@@ -1,6 +1,7 @@
 """The front door of jobs: finds the leader of a cell and asks it."""
 
 import hashlib
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from chicorycrank.entry.directory import Directory
@@ -34,12 +35,22 @@
 
 
 class JobFront:
-    """Hands job messages to the leader of the job's cell."""
+    """Hands job messages to the leader of the job's cell.
 
-    def __init__(self, cell: CellId, directory: Directory, scheduler: Scheduler) -> None:
+    :param confirm: returns whether this entry's term as leader goes on
+    """
+
+    def __init__(
+        self,
+        cell: CellId,
+        directory: Directory,
+        scheduler: Scheduler,
+        confirm: Callable[[], Awaitable[bool]],
+    ) -> None:
         self._cell = cell
         self._directory = directory
         self._scheduler = scheduler
+        self._confirm = confirm
         self.leader_by_cell: dict[CellId, EntryId] = {}
 
     async def ask(self, cell: CellId, message: AnyMessage) -> AnyMessage:
@@ -59,7 +70,7 @@
 
     async def serve(self, message: AnyMessage) -> AnyMessage:
         """Serve a job message as the leader."""
-        if not self._scheduler.is_leader:
+        if not self._scheduler.is_leader or not await self._confirm():
             return Refused("not_leader")
         if isinstance(message, SubmitJob):
             reply = await self._scheduler.submit(message.job_id, message.spec)
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -81,7 +81,6 @@
             records=JobRecords(store, clock, settings.cell),
             clock=clock,
         )
-        self.jobs = JobFront(settings.cell, self.directory, self.scheduler)
         self._election = Election(
             store,
             clock,
@@ -90,6 +89,8 @@
             on_elected=self.scheduler.take_role,
             on_lost=self.scheduler.drop_role,
         )
+        self.scheduler.on_superseded = self._election.step_down
+        self.jobs = JobFront(settings.cell, self.directory, self.scheduler, self._election.confirm)
         self._membership = Membership(store, clock, self.info, self._on_shared)
         self._tasks: set[asyncio.Task[None]] = set()
         self._dialler_by_entry: dict[EntryId, asyncio.Task[None]] = {}
@@ -142,7 +143,10 @@
             self.config.take(entry.value)
         elif name.startswith("leaders/") and entry.version:
             cell = CellId(name.removeprefix("leaders/"))
-            self.jobs.leader_by_cell[cell] = decode(entry.value, Leader).holder
+            leader = decode(entry.value, Leader)
+            self.jobs.leader_by_cell[cell] = leader.holder
+            if cell == self.settings.cell:
+                self._election.note_leader(leader)
         elif name.startswith("entries/") and entry.version:
             self._add_peer(decode(entry.value, EntryInfo))
 
@@ -258,7 +262,7 @@
                 target.has_reported = True
                 self.scheduler.take_report(target)
             case GangStarted() | GangEnded():
-                return self.scheduler.take_gang_event(message)
+                return await self.scheduler.take_gang_event(message)
             case ConfigOffer():
                 self.config.take(message.document)
             case ConfigInForce():
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -66,6 +66,7 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_leader = False
+        self.on_superseded: Callable[[str], None] = lambda _: None
 
     # The role.
 
@@ -162,7 +163,7 @@
         if target.target_id in self._cell.workers_by_id:
             self._cell.set_available(target.target_id, False)
 
-    def take_gang_event(self, message: GangStarted | GangEnded) -> AnyMessage:
+    async def take_gang_event(self, message: GangStarted | GangEnded) -> AnyMessage:
         """Record that a gang started or ended."""
         if not self.is_leader:
             return Refused("not_leader")
@@ -320,6 +321,8 @@
             return False
         if isinstance(reply, Refused):
             logger.info("event=agent_refused target=%s code=%s", target.target_id, reply.code)
+            if reply.code == "stale_epoch":
+                self.on_superseded(f"{target.target_id}: {reply.detail}")
         return isinstance(reply, Ok)
 
     async def _flush_forever(self) -> None:
@@ -331,8 +334,7 @@
                 logger.warning("event=flush_delayed cell=%s error=%s", self._cell_id, error)
                 await self._clock.sleep(TICK)
             except DeposedError as error:
-                logger.warning("event=deposed cell=%s error=%s", self._cell_id, error)
-                self.is_leader = False
+                self.on_superseded(str(error))
                 return
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- /dev/null
+++ b/tests/scheduler_fakes.py
@@ -0,0 +1,154 @@
+"""In-memory fakes of the outside with a manual clock."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+
+from chicorycrank.model.ids import Version
+from chicorycrank.ports.store import (
+    Entry,
+    LeaseId,
+    StoreError,
+    VersionConflictError,
+    WatchResult,
+)
+
+TURNS = 50
+
+
+class ManualClock:
+    """Time that moves only when a test moves it."""
+
+    def __init__(self) -> None:
+        self.seconds = 1000.0
+        self._sleepers: list[tuple[float, asyncio.Future[None]]] = []
+
+    def now(self) -> datetime:
+        """Return the manual time as a date."""
+        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=self.seconds)
+
+    def monotonic(self) -> float:
+        """Return the manual time in seconds."""
+        return self.seconds
+
+    async def sleep(self, delay: timedelta) -> None:
+        """Wait until the manual time has moved on."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._sleepers.append((self.seconds + delay.total_seconds(), future))
+        await future
+
+    async def advance(self, seconds: float) -> None:
+        """Move time on, waking the sleepers in the order of their deadlines."""
+        end = self.seconds + seconds
+        await settle()
+        while due := sorted((s for s in self._sleepers if s[0] <= end), key=lambda s: s[0]):
+            self._sleepers.remove(due[0])
+            self.seconds = max(self.seconds, due[0][0])
+            if not due[0][1].done():
+                due[0][1].set_result(None)
+            await settle()
+        self.seconds = end
+
+    def jump(self, seconds: float) -> None:
+        """Move time on without running anything, as for a process that was paused."""
+        self.seconds += seconds
+
+
+async def settle() -> None:
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+
+
+class FakeStore:
+    """Versioned keys with leases on a manual clock.
+
+    :ivar down: every call fails and has no effect
+    :ivar lose: says for a key whether the write takes effect but its reply is lost
+    :ivar fail: says for an operation and a key whether the call fails without effect
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.value_by_key: dict[str, tuple[bytes, int]] = {}
+        self.lease_by_id: dict[str, tuple[float, float, set[str]]] = {}
+        self.down = False
+        self.lose: Callable[[str], bool] = lambda _: False
+        self.fail: Callable[[str, str], bool] = lambda *_: False
+        self.writes: list[str] = []
+        self.on_write: Callable[[str, bytes], None] = lambda *_: None
+        self._lease_numbers = itertools.count()
+        self._revision = 0
+
+    def _enter(self, operation: str, key: str = "") -> None:
+        for lease, (_, expires_at, _keys) in list(self.lease_by_id.items()):
+            if expires_at < self.clock.seconds:
+                self._end(lease)
+        if self.down or self.fail(operation, key):
+            raise StoreError(f"{operation} {key}: no answer")
+
+    def _end(self, lease: str) -> None:
+        for key in self.lease_by_id.pop(lease, (0.0, 0.0, set()))[2]:
+            self.value_by_key.pop(key, None)
+
+    async def get(self, key: str) -> Entry:
+        """Return the value of a key."""
+        self._enter("get", key)
+        value, version = self.value_by_key.get(key, (b"", 0))
+        return Entry(key=key, value=value, version=Version(version))
+
+    async def list(self, prefix: str) -> WatchResult:
+        """Return all keys under a prefix."""
+        self._enter("list", prefix)
+        keys = [key for key in sorted(self.value_by_key) if key.startswith(prefix)]
+        return WatchResult(
+            entries=tuple([await self.get(key) for key in keys]), revision=self._revision
+        )
+
+    async def put(
+        self, key: str, value: bytes, *, if_version: Version, lease: LeaseId | None = None
+    ) -> Version:
+        """Write a key if its version matches."""
+        self._enter("put", key)
+        version = self.value_by_key.get(key, (b"", 0))[1]
+        if version != if_version or (lease is not None and lease not in self.lease_by_id):
+            raise VersionConflictError(key, Version(version))
+        self._revision += 1
+        self.value_by_key[key] = (value, self._revision)
+        self.writes.append(key)
+        self.on_write(key, value)
+        if lease is not None:
+            self.lease_by_id[lease][2].add(key)
+        if self.lose(key):
+            raise StoreError(f"put {key}: reply lost")
+        return Version(self._revision)
+
+    async def delete(self, key: str, *, if_version: Version) -> None:
+        """Not used by the scheduler role."""
+        raise NotImplementedError
+
+    async def watch(self, prefix: str, *, after: int, timeout: timedelta) -> WatchResult:
+        """Not used by the scheduler role."""
+        raise NotImplementedError
+
+    async def grant_lease(self, ttl: timedelta) -> LeaseId:
+        """Create a lease."""
+        self._enter("grant")
+        lease = LeaseId(f"lease-{next(self._lease_numbers)}")
+        seconds = ttl.total_seconds()
+        self.lease_by_id[lease] = (seconds, self.clock.seconds + seconds, set())
+        return lease
+
+    async def renew_lease(self, lease: LeaseId) -> bool:
+        """Renew a lease; false if it has ended."""
+        self._enter("renew")
+        if lease not in self.lease_by_id:
+            return False
+        ttl, _, keys = self.lease_by_id[lease]
+        self.lease_by_id[lease] = (ttl, self.clock.seconds + ttl, keys)
+        return True
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete its keys."""
+        self._enter("revoke")
+        self._end(lease)
