Answer submissions truthfully when the store fails, and keep the leader

Cause: after a write whose reply was lost and whose check failed, the next write met a version conflict and the leader took itself for deposed. A submission waited for the store without limit. A second submission of the same key during the write was answered before the record was stored. The end of a gang was acknowledged before it was stored, so a change of leader could run a finished job again. A leader that had not noticed its end could still create an unused shard. The keys of a cell "north/a" matched the prefix of the cell "north".

Change: a conflict is resolved by the epoch in the shard. A new leader rewrites all 64 shards, unused ones included: 64 writes per change of leader, 8 at a time. It is refused with store_unavailable, and its record removed, if no write carried it, and answered write_unconfirmed (outcome unknown) otherwise. A known outage, a shard over 900 KB and a key used for another job are refused at once. Jobs start only after their record was stored. Ends of gangs are acknowledged once stored. A leader that drops its role writes what is left, fenced by the versions.

The start only after storing and the last write of a leader have no scenario yet.

--- a/src/chicorycrank/entry/http_jobs.py
+++ b/src/chicorycrank/entry/http_jobs.py
@@ -1,5 +1,6 @@
 """HTTP resource ``/v1/jobs``."""
 
+import math
 import uuid
 from http import HTTPStatus
 
@@ -18,6 +19,12 @@
 from chicorycrank.model.messages import AnyMessage, JobReply, QueryJob, Refused, SubmitJob
 from chicorycrank.model.requests import Outcome
 
+UNKNOWN_CODES = frozenset({"no_reply", "write_unconfirmed"})
+STATUS_BY_CODE = {
+    "no_such_job": HTTPStatus.NOT_FOUND,
+    "key_conflict": HTTPStatus.CONFLICT,
+}
+
 
 class JobResource:
     """Serves jobs of operators.
@@ -53,9 +60,9 @@
     if isinstance(reply, JobReply):
         return send_json(msgspec.to_builtins(reply.record, str_keys=True))
     if isinstance(reply, Refused):
-        if reply.code == "no_such_job":
-            return send_problem(HTTPStatus.NOT_FOUND, Outcome.NOT_RUN, reply.detail or reply.code)
-        outcome = Outcome.UNKNOWN if reply.code == "no_reply" else Outcome.NOT_RUN
-        status = STATUS_BY_OUTCOME[outcome]
+        outcome = Outcome.UNKNOWN if reply.code in UNKNOWN_CODES else Outcome.NOT_RUN
+        status = STATUS_BY_CODE.get(reply.code, STATUS_BY_OUTCOME[outcome])
+        if reply.retry_after_s:
+            cherrypy.response.headers["Retry-After"] = str(math.ceil(reply.retry_after_s))
         return send_problem(status, outcome, reply.detail or reply.code, code=reply.code)
     return send_problem(HTTPStatus.INTERNAL_SERVER_ERROR, Outcome.UNKNOWN, "unexpected reply")
--- a/src/chicorycrank/entry/job_records.py
+++ b/src/chicorycrank/entry/job_records.py
@@ -3,19 +3,27 @@
 import asyncio
 import logging
 import zlib
+from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import islice
 
 from msgspec import Struct
 
 from chicorycrank.adapters.codec import decode, encode
+from chicorycrank.entry.waiting import wait_at_most
 from chicorycrank.model.ids import CellId, Epoch, JobId, Version
-from chicorycrank.model.jobs import JobRecord
+from chicorycrank.model.jobs import FINAL_STATES, JobRecord
 from chicorycrank.ports.clock import Clock
-from chicorycrank.ports.store import Store, StoreError, VersionConflictError
+from chicorycrank.ports.store import Entry, Store, StoreError, VersionConflictError
 
 SHARDS = 64
-FLUSH_INTERVAL = timedelta(milliseconds=50)
-RETRY_INTERVAL = timedelta(seconds=1)
+# The store holds values up to 1 MB; the rest is left for the growth of records already accepted.
+MAX_SHARD_BYTES = 900_000
+RETENTION = timedelta(days=1)
+PRUNE_LIMIT = 200
+# Equal to the size of the store client's thread pool.
+CONCURRENT_WRITES = 8
+NO_VERSION = Version(0)
 
 logger = logging.getLogger("absl")
 
@@ -32,85 +40,210 @@
     records: list[JobRecord]
 
 
+@dataclass(kw_only=True)
+class Shard:
+    """A shard in memory.
+
+    :param version: version in the store as far as known; a lost reply leaves it outdated
+    :param size: encoded size in bytes at the last write plus records added since
+    :param changes: number of changes so far
+    :param written: number of changes that are in the store
+    """
+
+    version: Version = NO_VERSION
+    sequence: int = 0
+    size: int = 0
+    changes: int = 0
+    written: int = 0
+    records_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
+
+
 class JobRecords:
     """Records in memory and their grouped writes."""
 
     def __init__(self, store: Store, clock: Clock, cell: CellId) -> None:
         self._store = store
         self._clock = clock
-        self._cell = cell
+        self._prefix = f"jobs/{cell}/"
         self._epoch = Epoch(0)
-        self._version_by_shard: dict[int, Version] = {}
-        self._sequence_by_shard: dict[int, int] = {}
-        self._dirty: set[int] = set()
+        self._shards = [Shard() for _ in range(SHARDS)]
+        self._unsent: set[JobId] = set()
+        self._unaccepted: set[JobId] = set()
         self._written = asyncio.Condition()
         self.records_by_id: dict[JobId, JobRecord] = {}
+        self.is_available = True
 
     async def load(self, epoch: Epoch) -> None:
-        """Read all shards and rewrite the used ones with the new epoch.
+        """Read all shards and rewrite every one with the new epoch.
+
+        Unused shards are written too: an older leader that has not noticed its end could
+        otherwise accept a job in one of them that this leader would not see.
 
         :raises StoreError: the store did not answer
-        :raises VersionConflictError: another leader writes at the same time
+        :raises DeposedError: a leader with a higher epoch writes at the same time
         """
         self._epoch = epoch
-        self._dirty.clear()
+        self._shards = [Shard() for _ in range(SHARDS)]
+        self._unsent.clear()
+        self._unaccepted.clear()
         self.records_by_id.clear()
-        prefix = f"jobs/{self._cell}/"
-        result = await self._store.list(prefix)
-        for number in range(SHARDS):
-            self._version_by_shard[number] = Version(0)
-            self._sequence_by_shard[number] = 0
+        result = await self._store.list(self._prefix)
         for entry in result.entries:
-            number = int(entry.key.removeprefix(prefix))
-            document = decode(entry.value, ShardDocument)
-            self._version_by_shard[number] = entry.version
-            self._sequence_by_shard[number] = document.sequence
-            self.records_by_id.update({record.job_id: record for record in document.records})
-            await self._write(number)
+            number = entry.key.removeprefix(self._prefix)
+            # A cell whose name extends this one's by a slash has keys under the same prefix.
+            if number.isdecimal() and int(number) < SHARDS:
+                self._take_over(self._shards[int(number)], entry)
+        await self._write_all(range(SHARDS))
+        self.is_available = True
+
+    def add(self, record: JobRecord) -> bool:
+        """Add a new record; false if its shard has no room."""
+        shard = self._shard_of(record.job_id)
+        size = len(encode(record))
+        if shard.size + size > MAX_SHARD_BYTES:
+            return False
+        shard.size += size
+        shard.records_by_id[record.job_id] = record
+        self.records_by_id[record.job_id] = record
+        self._unsent.add(record.job_id)
+        self._unaccepted.add(record.job_id)
+        self.mark(record.job_id)
+        return True
+
+    def withdraw(self, job_id: JobId) -> bool:
+        """Remove a new record; false if a write may already have carried it to the store."""
+        if job_id not in self._unsent:
+            return False
+        self._remove(job_id)
+        return True
+
+    def is_accepted(self, job_id: JobId) -> bool:
+        """Return whether the job's record is in the store."""
+        return job_id in self.records_by_id and job_id not in self._unaccepted
 
     def mark(self, job_id: JobId) -> None:
         """Note that a record changed."""
-        self._dirty.add(_shard_of(job_id))
+        self._shard_of(job_id).changes += 1
 
     async def flush(self) -> None:
-        """Write all dirty shards.
+        """Write all changed shards.
 
-        :raises StoreError: the store did not answer; the shards stay dirty
+        :raises StoreError: the store did not answer; the shards stay to be written
         :raises DeposedError: another leader wrote a shard
         """
-        for number in sorted(self._dirty):
-            self._dirty.discard(number)
+        numbers = [n for n, shard in enumerate(self._shards) if shard.changes > shard.written]
+        if not numbers:
+            return
+        try:
+            await self._write_all(numbers)
+            self.is_available = True
+        except StoreError:
+            self.is_available = False
+            raise
+
+    async def wait_written(self, job_id: JobId, limit: timedelta) -> bool:
+        """Wait until all changes that the record has now are in the store.
+
+        :returns: whether that happened within ``limit``
+        """
+        shard = self._shard_of(job_id)
+        wanted = shard.changes
+
+        async def wait() -> None:
+            async with self._written:
+                await self._written.wait_for(lambda: shard.written >= wanted)
+
+        return shard.written >= wanted or await wait_at_most(self._clock, wait(), limit)
+
+    def prune(self) -> int:
+        """Remove records that ended longer ago than the retention, a bounded number per call.
+
+        :returns: the number of removed records
+        """
+        oldest = self._clock.now() - RETENTION
+        ended = (
+            record.job_id
+            for record in self.records_by_id.values()
+            if record.state in FINAL_STATES
+            and record.ended_at is not None
+            and record.ended_at < oldest
+        )
+        job_ids = list(islice(ended, PRUNE_LIMIT))
+        for job_id in job_ids:
+            self._remove(job_id)
+        return len(job_ids)
+
+    def _remove(self, job_id: JobId) -> None:
+        del self.records_by_id[job_id]
+        del self._shard_of(job_id).records_by_id[job_id]
+        self._unsent.discard(job_id)
+        self._unaccepted.discard(job_id)
+        self.mark(job_id)
+
+    def _shard_of(self, job_id: JobId) -> Shard:
+        return self._shards[shard_number(job_id)]
+
+    async def _write_all(self, numbers: "range | list[int]") -> None:
+        """Write shards concurrently; a failure of one does not keep the others from being tried."""
+        places = asyncio.Semaphore(CONCURRENT_WRITES)
+
+        async def write(number: int) -> None:
+            async with places:
+                await self._write(number, self._shards[number])
+
+        results = await asyncio.gather(*map(write, numbers), return_exceptions=True)
+        errors = [result for result in results if isinstance(result, BaseException)]
+        for error in sorted(errors, key=lambda error: not isinstance(error, DeposedError)):
+            raise error
+
+    async def _write(self, number: int, shard: Shard) -> None:
+        key = f"{self._prefix}{number}"
+        while True:
+            changes, job_ids = shard.changes, list(shard.records_by_id)
+            document = ShardDocument(
+                self._epoch, shard.sequence + 1, list(shard.records_by_id.values())
+            )
+            data = encode(document)
+            self._unsent.difference_update(job_ids)
             try:
-                await self._write(number)
-            except VersionConflictError as error:
-                raise DeposedError(str(error)) from error
+                version = await self._store.put(key, data, if_version=shard.version)
+            except VersionConflictError:
+                # An earlier write of this leader whose reply was lost conflicts as well.
+                entry = await self._store.get(key)
+                if entry.value != data:
+                    self._take_over(shard, entry)
+                    continue
+                version = entry.version
             except StoreError:
-                self._dirty.add(number)
-                raise
+                entry = await self._store.get(key)
+                if entry.value != data:
+                    raise
+                version = entry.version
+            break
+        shard.version, shard.sequence = version, document.sequence
+        shard.size, shard.written = len(data), changes
+        self._unaccepted.difference_update(job_ids)
         async with self._written:
             self._written.notify_all()
 
-    async def wait_written(self, job_id: JobId) -> None:
-        """Wait until the record's shard is not dirty."""
-        number = _shard_of(job_id)
-        async with self._written:
-            await self._written.wait_for(lambda: number not in self._dirty)
-
-    async def _write(self, number: int) -> None:
-        sequence = self._sequence_by_shard[number] + 1
-        records = [r for r in self.records_by_id.values() if _shard_of(r.job_id) == number]
-        data = encode(ShardDocument(self._epoch, sequence, records))
-        key = f"jobs/{self._cell}/{number}"
-        try:
-            version = await self._store.put(key, data, if_version=self._version_by_shard[number])
-        except StoreError:
-            entry = await self._store.get(key)
-            if entry.value != data:
-                raise
-            version = entry.version
-        self._version_by_shard[number] = version
-        self._sequence_by_shard[number] = sequence
+    def _take_over(self, shard: Shard, entry: Entry) -> None:
+        """Continue from a shard as it is in the store.
 
-
-def _shard_of(job_id: JobId) -> int:
+        :raises DeposedError: a leader with a higher epoch wrote it
+        """
+        shard.version = entry.version
+        if not entry.value:
+            return
+        document = decode(entry.value, ShardDocument)
+        if document.epoch > self._epoch:
+            raise DeposedError(f"{entry.key} has epoch {document.epoch}, not {self._epoch}")
+        shard.sequence = max(shard.sequence, document.sequence)
+        if document.epoch < self._epoch:
+            for record in document.records:
+                shard.records_by_id[record.job_id] = record
+                self.records_by_id[record.job_id] = record
+
+
+def shard_number(job_id: JobId) -> int:
+    """Return the number of the shard that holds a job's record."""
     return zlib.crc32(job_id.encode()) % SHARDS
--- a/src/chicorycrank/entry/jobs.py
+++ b/src/chicorycrank/entry/jobs.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Awaitable, Callable
+from copy import copy
 from datetime import timedelta
 
 from chicorycrank.entry.directory import Directory
@@ -74,10 +75,10 @@
             return Refused("not_leader")
         if isinstance(message, SubmitJob):
             reply = await self._scheduler.submit(message.job_id, message.spec)
-            return JobReply(reply) if isinstance(reply, JobRecord) else reply
+            return JobReply(copy(reply)) if isinstance(reply, JobRecord) else reply
         if isinstance(message, QueryJob):
             record = self._scheduler.find(message.job_id)
-            return JobReply(record) if record else Refused("no_such_job")
+            return JobReply(copy(record)) if record else Refused("no_such_job")
         if isinstance(message, ListJobs):
             return JobList(tuple(self._scheduler.list(message.team)))
         if isinstance(message, CancelJob):
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -8,6 +8,8 @@
 
 from chicorycrank.entry.directory import Directory, Target
 from chicorycrank.entry.job_records import DeposedError, JobRecords
+from chicorycrank.entry.submissions import submit
+from chicorycrank.entry.waiting import wait_at_most
 from chicorycrank.model.config import Config
 from chicorycrank.model.ids import CellId, EntryId, Epoch, Generation, JobId, RegionId
 from chicorycrank.model.jobs import FINAL_STATES, JobRecord, JobSpec, JobState
@@ -36,7 +38,12 @@
 EVICTION_GRACE_S = 5.0
 TICK = timedelta(seconds=1)
 FLUSH_INTERVAL = timedelta(milliseconds=50)
+FINAL_FLUSH_LIMIT = timedelta(milliseconds=500)
+# Below the agents' limit for the reply, so that a refusal still reaches them.
+END_RECORD_LIMIT = timedelta(seconds=1.5)
+PRUNE_INTERVAL_S = 60.0
 MAX_FAILURES = 3
+MAX_REASON_LENGTH = 400
 
 logger = logging.getLogger("absl")
 
@@ -83,10 +90,19 @@
             self._spawn(work)
 
     async def drop_role(self) -> None:
-        """Stop deciding; gangs go on under their heads."""
+        """Stop deciding and write what is not in the store yet; gangs go on under their heads.
+
+        The shards' versions keep this last write from replacing a newer leader's.
+        """
         self.is_leader = False
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        try:
+            await wait_at_most(self._clock, self._records.flush(), FINAL_FLUSH_LIMIT)
+        except (StoreError, DeposedError) as error:
+            logger.info("event=final_flush_failed cell=%s error=%s", self._cell_id, error)
 
     def put_config(self, config: Config) -> None:
         """Put teams and guarantees in force."""
@@ -105,21 +121,9 @@
         """Accept a job; it is accepted once its record is in the store."""
         if not self.is_leader:
             return Refused("not_leader")
-        record = self._records.records_by_id.get(job_id)
-        if record is None:
-            record = JobRecord(
-                job_id=job_id,
-                spec=spec,
-                state=JobState.QUEUED,
-                generation=Generation(1),
-                epoch=self._epoch,
-                submitted_at=self._clock.now(),
-            )
-            self._records.records_by_id[job_id] = record
-            self._records.mark(job_id)
-        await self._records.wait_written(job_id)
+        reply = await submit(self._records, self._clock, self._epoch, job_id, spec)
         self._wake.set()
-        return record
+        return reply
 
     def find(self, job_id: JobId) -> JobRecord | None:
         """Return the record of a job."""
@@ -168,14 +172,19 @@
         if not self.is_leader:
             return Refused("not_leader")
         record = self._records.records_by_id.get(message.job_id)
-        if record is None or record.attempt != message.attempt or record.state in FINAL_STATES:
-            return Ok()
-        if isinstance(message, GangStarted):
-            self._change(record, state=JobState.RUNNING, started_at=self._clock.now())
+        if record is None:
             return Ok()
-        self._cell.finish(record.job_id)
-        self._end_attempt(record, message)
-        self._wake.set()
+        if record.attempt == message.attempt and record.state not in FINAL_STATES:
+            if isinstance(message, GangStarted):
+                self._change(record, state=JobState.RUNNING, started_at=self._clock.now())
+                return Ok()
+            self._cell.finish(record.job_id)
+            self._end_attempt(record, message)
+            self._wake.set()
+        # The head keeps the end of its gang until a leader has recorded it. A leader that
+        # acknowledged it earlier and lost the role would leave a finished job to be run again.
+        if not await self._records.wait_written(message.job_id, END_RECORD_LIMIT):
+            return Refused("not_recorded")
         return Ok()
 
     def _end_attempt(self, record: JobRecord, message: GangEnded) -> None:
@@ -202,6 +211,7 @@
         )
 
     def _change(self, record: JobRecord, **fields: object) -> None:
+        fields["reason"] = str(fields.get("reason", record.reason))[:MAX_REASON_LENGTH]
         for name, value in fields.items():
             setattr(record, name, value)
         record.generation = Generation(record.generation + 1)
@@ -212,20 +222,19 @@
 
     async def _decide_forever(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(TICK.total_seconds()):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
+            await wait_at_most(self._clock, self._wake.wait(), TICK)
             self._wake.clear()
-            self._decide()
+            try:
+                self._decide()
+            except Exception:  # one failed decision must not end the loop
+                logger.exception("event=decision_failed cell=%s", self._cell_id)
 
     def _decide(self) -> None:
         now = self._clock.monotonic()
         queue = [
             _queued(record)
             for record in self._records.records_by_id.values()
-            if record.state is JobState.QUEUED
+            if record.state is JobState.QUEUED and self._records.is_accepted(record.job_id)
         ]
         for decision in decide(self._cell, queue, now):
             if isinstance(decision, Start):
@@ -326,8 +335,12 @@
         return isinstance(reply, Ok)
 
     async def _flush_forever(self) -> None:
+        pruned_at = self._clock.monotonic()
         while True:
             await self._clock.sleep(FLUSH_INTERVAL)
+            if self._clock.monotonic() - pruned_at >= PRUNE_INTERVAL_S:
+                pruned_at = self._clock.monotonic()
+                self._records.prune()
             try:
                 await self._records.flush()
             except StoreError as error:
--- a/src/chicorycrank/model/messages.py
+++ b/src/chicorycrank/model/messages.py
@@ -191,10 +191,12 @@
     """Negative reply; nothing was changed.
 
     :param code: stable word for programs, such as ``stale_epoch``
+    :param retry_after_s: time after which a retry makes sense in seconds; 0 if unknown
     """
 
     code: str
     detail: str = ""
+    retry_after_s: float = 0.0
 
 
 class LeaderAnnounce(Message, frozen=True):
--- a/tests/scheduler_fakes.py
+++ b/tests/scheduler_fakes.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from datetime import UTC, datetime, timedelta
+from typing import Any, TypeVar
 
-from chicorycrank.model.ids import Version
+from chicorycrank.entry.directory import Directory
+from chicorycrank.entry.job_records import JobRecords
+from chicorycrank.entry.scheduler import Scheduler
+from chicorycrank.model.ids import CellId, EntryId, RegionId, TeamId, Version
+from chicorycrank.model.jobs import GangShape, JobSpec
 from chicorycrank.ports.store import (
     Entry,
     LeaseId,
@@ -14,6 +19,8 @@
     WatchResult,
 )
 
+T = TypeVar("T")
+
 TURNS = 50
 
 
@@ -65,6 +72,7 @@
 
     :ivar down: every call fails and has no effect
     :ivar lose: says for a key whether the write takes effect but its reply is lost
+    :ivar hold: says for a key whether its writes wait until the call is cancelled
     :ivar fail: says for an operation and a key whether the call fails without effect
     """
 
@@ -75,6 +83,7 @@
         self.down = False
         self.lose: Callable[[str], bool] = lambda _: False
         self.fail: Callable[[str, str], bool] = lambda *_: False
+        self.hold: Callable[[str], bool] = lambda _: False
         self.writes: list[str] = []
         self.on_write: Callable[[str, bytes], None] = lambda *_: None
         self._lease_numbers = itertools.count()
@@ -110,6 +119,8 @@
     ) -> Version:
         """Write a key if its version matches."""
         self._enter("put", key)
+        if self.hold(key):
+            await asyncio.get_running_loop().create_future()
         version = self.value_by_key.get(key, (b"", 0))[1]
         if version != if_version or (lease is not None and lease not in self.lease_by_id):
             raise VersionConflictError(key, Version(version))
@@ -152,3 +163,58 @@
         """End a lease and delete its keys."""
         self._enter("revoke")
         self._end(lease)
+
+
+class LeaderRun:
+    """A scheduler role on a fake store, driven by the steps of a scenario."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.store = FakeStore(self.clock)
+        self.directory = Directory()
+        self.superseded: list[str] = []
+        self.records = JobRecords(self.store, self.clock, CellId("north"))
+        self.scheduler = self.make_scheduler(self.records)
+        self.tasks: list[asyncio.Task[Any]] = []
+
+    def make_scheduler(self, records: JobRecords) -> Scheduler:
+        """Return a further scheduler role of the same cell."""
+        scheduler = Scheduler(
+            cell=CellId("north"),
+            region=RegionId("north"),
+            entry=EntryId("a"),
+            directory=self.directory,
+            records=records,
+            clock=self.clock,
+        )
+        scheduler.on_superseded = self.superseded.append
+        return scheduler
+
+    def do(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run work that needs no time to pass."""
+        return self.loop.run_until_complete(work)
+
+    def begin(self, work: Coroutine[Any, Any, T]) -> "asyncio.Task[T]":
+        """Begin work that ends as time passes."""
+        task = self.loop.create_task(work)
+        self.tasks.append(task)
+        self.advance(0)
+        return task
+
+    def advance(self, seconds: float) -> None:
+        """Move time on."""
+        self.do(self.clock.advance(seconds))
+
+    def close(self) -> None:
+        """Cancel what runs."""
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.do(settle())
+        self.loop.close()
+
+
+def make_spec(**fields: Any) -> JobSpec:
+    """Return a small job's specification."""
+    shape = GangShape(members=fields.pop("members", 1), accelerators=8)
+    return JobSpec(team=TeamId("claims"), name="train", shape=shape, run_time_s=60.0, **fields)
