Apply release notes and serve operators over HTTP

Cause: the configuration could only be written to the store by hand, and operators had no interface but the state dump.

Change: release notes are read with all findings, each with file, line, column and remedy; parts that can be read are checked for contradictions even if others can't. A release is written with compare-and-swap; a write without a reply is repeated with the same version and nonce until the history shows the result. Entries count refused documents, compare nonces in digests, fetch a newer document on request and learn the agents' generations. Membership announces again when the record is gone and drops an entry whose record vanished once its connection is closed. New HTTP resources: releases, config, targets, teams, state and metrics.

A digest from an entry that was ahead sent ConfigRequest as a one-way message, so it was never answered; it is a request now.

The distribution and membership rules and the HTTP resources have no scenario yet.

--- a/src/chicorycrank/entry/directory.py
+++ b/src/chicorycrank/entry/directory.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass, field
 
 from chicorycrank.adapters.peers import PeerLink
-from chicorycrank.model.ids import EntryId, Epoch, Incarnation, TargetId
+from chicorycrank.model.ids import EntryId, Epoch, Generation, Incarnation, TargetId
 from chicorycrank.model.messages import Digest, Hello
 from chicorycrank.model.targets import EntryInfo, ExecutorLoad, TargetKind, WorkerLoad
 
 NO_EPOCH = Epoch(0)
+NO_GENERATION = Generation(0)
 
 
 @dataclass(kw_only=True)
@@ -16,6 +17,7 @@
     """A connected target.
 
     :param in_flight: requests sent from this entry and not answered yet
+    :param config_generation: configuration that its agent has confirmed
     """
 
     target_id: TargetId
@@ -26,6 +28,7 @@
     worker_epoch: Epoch = NO_EPOCH
     has_reported: bool = False
     in_flight: int = 0
+    config_generation: Generation = NO_GENERATION
 
     @property
     def incarnation(self) -> Incarnation:
@@ -35,9 +38,14 @@
 
 @dataclass(kw_only=True)
 class Peer:
-    """Another entry."""
+    """Another entry.
+
+    :param is_listed: its record is in the store; an entry whose record vanished is kept while
+        its connection lives, because a store outage ends records of entries that still serve
+    """
 
     info: EntryInfo
+    is_listed: bool = True
     link: PeerLink | None = None
     digest: Digest | None = None
 
--- /dev/null
+++ b/src/chicorycrank/entry/fleet_view.py
@@ -0,0 +1,167 @@
+"""What operators see of the fleet: targets of all regions and the configuration in force."""
+
+import asyncio
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chicorycrank.entry.config import ConfigHolder
+from chicorycrank.entry.directory import Directory, Peer, Target
+from chicorycrank.model.ids import EntryId, RegionId, TargetId
+from chicorycrank.model.messages import (
+    AnyMessage,
+    ListTargets,
+    Ok,
+    Refused,
+    SetDraining,
+    TargetInfo,
+    TargetList,
+)
+from chicorycrank.ports.links import LinkError, LinkNotSentError
+
+CALL_TIMEOUT = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fleet:
+    """The regions' targets.
+
+    :param unreachable: regions of which no entry answered
+    """
+
+    lists: tuple[TargetList, ...]
+    unreachable: tuple[RegionId, ...]
+
+    def targets(self) -> Iterator[TargetInfo]:
+        """Iterate over the targets of all regions that answered."""
+        for answer in self.lists:
+            yield from answer.targets
+
+
+class FleetView:
+    """Asks one entry per region for its targets; the cost grows with operators' calls only."""
+
+    def __init__(
+        self, entry: EntryId, region: RegionId, directory: Directory, config: ConfigHolder
+    ) -> None:
+        self._entry = entry
+        self._region = region
+        self._directory = directory
+        self._config = config
+
+    def own_list(self) -> TargetList:
+        """Return the targets connected to this entry."""
+        targets = self._directory.targets_by_id
+        return TargetList(
+            self._entry,
+            self._region,
+            self._config.config.generation,
+            self._config.config.nonce,
+            tuple(_describe(targets[key]) for key in sorted(targets)),
+        )
+
+    async def collect(self) -> Fleet:
+        """Return the targets of all regions."""
+        regions = sorted(self._peers_by_region())
+        answers = await asyncio.gather(*(self._ask_region(r, ListTargets()) for r in regions))
+        lists = [answer for answer in answers if isinstance(answer, TargetList)]
+        silent = [r for r, a in zip(regions, answers, strict=True) if not isinstance(a, TargetList)]
+        return Fleet(lists=(self.own_list(), *lists), unreachable=tuple(silent))
+
+    async def set_draining(self, message: SetDraining) -> AnyMessage:
+        """Set a target of any region to draining, or back."""
+        reply = await self.set_own_draining(message)
+        if not isinstance(reply, Refused) or reply.code != "no_such_target":
+            return reply
+        regions = sorted(self._peers_by_region())
+        answers = await asyncio.gather(*(self._ask_region(r, message) for r in regions))
+        found = [a for a in answers if isinstance(a, Ok)]
+        refused = [a for a in answers if isinstance(a, Refused) and a.code != "no_such_target"]
+        return (found or refused or [reply])[0]
+
+    async def set_own_draining(self, message: SetDraining) -> AnyMessage:
+        """Set a target connected to this entry to draining, or back."""
+        target = self._directory.targets_by_id.get(message.target)
+        if target is None:
+            return Refused("no_such_target", f"target {message.target} is not connected")
+        try:
+            return await target.link.request(message, timeout=CALL_TIMEOUT)
+        except LinkNotSentError as error:
+            return Refused("unreachable", str(error))
+        except LinkError as error:
+            return Refused("no_reply", str(error))
+
+    def _peers_by_region(self) -> dict[RegionId, list[Peer]]:
+        grouped: dict[RegionId, list[Peer]] = {}
+        for peer in self._directory.peers_by_id.values():
+            if peer.info.region != self._region:
+                grouped.setdefault(peer.info.region, []).append(peer)
+        return grouped
+
+    async def _ask_region(self, region: RegionId, message: AnyMessage) -> AnyMessage:
+        """Ask the entries of a region in turn; the messages asked here are safe to repeat."""
+        reply: AnyMessage = Refused("unreachable", f"no entry of region {region} answers")
+        for peer in sorted(self._peers_by_region()[region], key=lambda p: p.info.entry_id):
+            if peer.link is None:
+                continue
+            try:
+                reply = await peer.link.request(message, timeout=CALL_TIMEOUT)
+            except LinkError:
+                continue
+            if not isinstance(reply, Refused):
+                return reply
+        return reply
+
+
+def status_of(
+    fleet: Fleet, config: ConfigHolder, entry: EntryId, peers: Iterable[Peer]
+) -> dict[str, object]:
+    """Return the generation in force in each region and process, as ``/v1/releases/status``."""
+    generation = config.config.generation
+    entries: dict[RegionId, dict[EntryId, int | None]] = {}
+    for peer in peers:
+        known = peer.digest.config_generation if peer.digest and peer.link else None
+        entries.setdefault(peer.info.region, {})[peer.info.entry_id] = known
+    for answer in fleet.lists:
+        entries.setdefault(answer.region, {})[answer.entry] = answer.generation
+    agents: dict[RegionId, dict[TargetId, int]] = {region: {} for region in entries}
+    for target in fleet.targets():
+        agents.setdefault(target.region, {})[target.target] = target.generation
+    regions = []
+    for region in sorted(entries):
+        held = [*entries[region].values(), *agents[region].values()]
+        regions.append(
+            {
+                "region": region,
+                "reachable": region not in fleet.unreachable,
+                "in_force": region not in fleet.unreachable and all(g == generation for g in held),
+                "entries": entries[region],
+                "agents": agents[region],
+            }
+        )
+    return {
+        "generation": generation,
+        "release": config.config.release,
+        "nonce": config.config.nonce,
+        "asked_entry": entry,
+        "in_force_everywhere": all(region["in_force"] for region in regions),
+        "regions": regions,
+    }
+
+
+def _describe(target: Target) -> TargetInfo:
+    hello = target.hello
+    load = target.executor_load if hello.executor is not None else target.worker_load
+    if hello.target_kind is None:
+        raise ValueError(f"agent {hello.peer_id} announced no kind of target")
+    return TargetInfo(
+        target.target_id,
+        hello.target_kind,
+        hello.region,
+        hello.zone,
+        target.config_generation,
+        load.draining,
+        target.worker_load.reachable,
+        hello.executor,
+        hello.worker,
+    )
--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -10,7 +10,7 @@
 from chicorycrank.entry.http_operations import OperationsResource
 from chicorycrank.entry.http_requests import RequestResource
 from chicorycrank.entry.process import Entry
-from chicorycrank.model.ids import JobId
+from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.model.requests import Outcome
 
 MAX_BODY_BYTES = 4_000_000
@@ -35,19 +35,55 @@
         return b"ok\n"
 
     @cherrypy.expose
-    def v1(self, resource: str, identity: str = "", **query: str) -> bytes:
-        """Serve ``/v1/<resource>[/<identity>]``."""
-        match (cherrypy.request.method, resource):
+    def metrics(self) -> bytes:
+        """Serve ``/metrics``."""
+        return self._operations.get_metrics()
+
+    @cherrypy.expose
+    def v1(self, *path: str, **query: str) -> bytes:
+        """Serve ``/v1/<resource>[/<identity>[/<part>]]``."""
+        return self._serve_operations(path) or self._serve_calls(path)
+
+    def _serve_calls(self, path: tuple[str, ...]) -> bytes:
+        match (cherrypy.request.method, *path):
             case ("POST", "requests"):
                 return self._requests.post()
             case ("POST", "jobs"):
                 return self._jobs.post()
-            case ("GET", "jobs"):
+            case ("GET", "jobs", identity):
                 return self._jobs.get(JobId(identity))
-            case ("GET", "state"):
-                return self._operations.get_state()
         return send_problem(HTTPStatus.NOT_FOUND, Outcome.NOT_RUN, "no such resource")
 
+    def _serve_operations(self, path: tuple[str, ...]) -> bytes | None:
+        match (cherrypy.request.method, *path):
+            case ("POST", "releases"):
+                return self._operations.apply_release()
+            case ("POST", "releases", "check"):
+                return self._operations.check_release()
+            case ("GET", "releases", "status"):
+                return self._operations.get_release_status()
+            case ("GET", "config"):
+                return self._operations.get_config()
+            case ("GET", "teams"):
+                return self._operations.get_teams()
+            case ("GET", "targets"):
+                return self._operations.get_targets()
+            case ("POST", "targets", identity, "drain"):
+                return self._operations.drain_target(TargetId(identity))
+            case ("GET", "state"):
+                return self._operations.get_state("")
+            case ("GET", "state", process):
+                return self._operations.get_state(process)
+        return None
+
+
+def _describe_error(status: str, message: str, traceback: str, version: str) -> str:
+    """Return a problem document for an error that no resource answered."""
+    code = int(status.split()[0])
+    is_certain = code < HTTPStatus.INTERNAL_SERVER_ERROR.value
+    outcome = Outcome.NOT_RUN if is_certain else Outcome.UNKNOWN
+    return send_problem(HTTPStatus(code), outcome, message).decode()
+
 
 def start_http(entry: Entry, loop: asyncio.AbstractEventLoop) -> None:
     """Start CherryPy in its own threads."""
@@ -60,6 +96,7 @@
             "server.thread_pool": settings.http_threads,
             "server.max_request_body_size": MAX_BODY_BYTES,
             "log.screen": False,
+            "error_page.default": _describe_error,
         }
     )
     cherrypy.engine.signals.subscribe = lambda: None
--- a/src/chicorycrank/entry/http_operations.py
+++ b/src/chicorycrank/entry/http_operations.py
@@ -1,7 +1,38 @@
-"""HTTP resources of operators: state, releases, targets and teams."""
+"""HTTP resources of operators: releases, configuration, targets, teams, state and metrics."""
 
-from chicorycrank.entry.http_common import LoopBridge, send_json
+import json
+from http import HTTPStatus
+
+import cherrypy
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client.registry import Collector
+
+from chicorycrank.entry.fleet_view import Fleet, status_of
+from chicorycrank.entry.http_common import LoopBridge, send_json, send_problem
+from chicorycrank.entry.metrics import render, snapshot
 from chicorycrank.entry.process import Entry
+from chicorycrank.entry.releases import RESOLVE_TIME_S, ReleaseReply, ReleaseResult
+from chicorycrank.model.config import Config
+from chicorycrank.model.ids import TargetId
+from chicorycrank.model.messages import AnyMessage, Ok, Refused, SetDraining, TargetInfo, Text
+from chicorycrank.model.requests import Outcome
+
+RETRY_AFTER_S = 2
+FILE_HEADER = "X-Release-File"
+DEFAULT_FILE = "release.jsonc"
+STATUS_BY_RESULT = {
+    ReleaseResult.FINDINGS: (HTTPStatus.UNPROCESSABLE_ENTITY, Outcome.NOT_RUN),
+    ReleaseResult.CONFLICT: (HTTPStatus.CONFLICT, Outcome.NOT_RUN),
+    ReleaseResult.NOT_RUN: (HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN),
+    ReleaseResult.UNKNOWN: (HTTPStatus.GATEWAY_TIMEOUT, Outcome.UNKNOWN),
+}
+
+
+class DrainBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/targets/<id>/drain``."""
+
+    draining: bool
 
 
 class OperationsResource:
@@ -11,9 +42,135 @@
         self._entry = entry
         self._bridge = bridge
 
-    def get_state(self) -> bytes:
-        """Return this process's state."""
-        return send_json(self._bridge.call(self._dump()))
+    # Releases and configuration.
+
+    def apply_release(self) -> bytes:
+        """Apply the release note in the body."""
+        return self._release(is_check=False)
+
+    def check_release(self) -> bytes:
+        """Check the release note in the body without applying it."""
+        return self._release(is_check=True)
+
+    def _release(self, *, is_check: bool) -> bytes:
+        try:
+            text = cherrypy.request.body.read().decode("utf-8")
+        except UnicodeDecodeError as error:
+            detail = f"the release is not UTF-8 at byte {error.start}"
+            return send_problem(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, detail)
+        file = cherrypy.request.headers.get(FILE_HEADER, DEFAULT_FILE)
+        releases = self._entry.releases
+        work = releases.check(text, file) if is_check else releases.apply(text, file)
+        return _send_release(self._bridge.call(work, timeout_s=RESOLVE_TIME_S))
+
+    def get_release_status(self) -> bytes:
+        """Return which generation is in force in each region and process."""
+        return send_json(self._bridge.call(self._release_status()))
+
+    async def _release_status(self) -> dict[str, object]:
+        entry = self._entry
+        fleet = await entry.fleet.collect()
+        peers = list(entry.directory.peers_by_id.values())
+        return status_of(fleet, entry.config, entry.settings.entry, peers)
+
+    def get_config(self) -> bytes:
+        """Return the configuration in force."""
+        return send_json(msgspec.to_builtins(self._bridge.call(self._config())))
+
+    async def _config(self) -> Config:
+        return self._entry.config.config
+
+    def get_teams(self) -> bytes:
+        """Return the teams and their guarantees."""
+        config = self._bridge.call(self._config())
+        teams = [
+            {
+                "team": team_id,
+                **msgspec.to_builtins(team),
+                "guarantees": {
+                    key: msgspec.to_builtins(guarantee)
+                    for key, guarantee in config.guarantees.items()
+                    if guarantee.team == team_id
+                },
+            }
+            for team_id, team in sorted(config.teams.items())
+        ]
+        return send_json({"generation": config.generation, "teams": teams})
+
+    # Targets.
+
+    def get_targets(self) -> bytes:
+        """Return the targets of all regions."""
+        fleet: Fleet = self._bridge.call(self._entry.fleet.collect())
+        targets = [_describe(target) for target in fleet.targets()]
+        return send_json({"targets": targets, "unreachable_regions": fleet.unreachable})
+
+    def drain_target(self, target: TargetId) -> bytes:
+        """Set a target to draining, or back."""
+        try:
+            body = msgspec.json.decode(cherrypy.request.body.read(), type=DrainBody)
+        except msgspec.DecodeError as error:
+            detail = f'{error}; send {{"draining": true}} or {{"draining": false}}'
+            return send_problem(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, detail)
+        message = SetDraining(target, body.draining)
+        reply = self._bridge.call(self._entry.fleet.set_draining(message))
+        if isinstance(reply, Ok):
+            return send_json({"target": target, "draining": body.draining})
+        return _send_refusal(reply)
+
+    # State.
+
+    def get_state(self, process: str) -> bytes:
+        """Return the state of a process; of this entry if none is named."""
+        reply = self._bridge.call(self._entry.state.get(process))
+        if isinstance(reply, Text):
+            return send_json(json.loads(reply.text))
+        return _send_refusal(reply)
+
+    def get_metrics(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+        body = render(self._bridge.call(self._snapshot()))
+        cherrypy.response.headers["Content-Type"] = CONTENT_TYPE_LATEST
+        return body
+
+    async def _snapshot(self) -> Collector:
+        return snapshot(self._entry, self._entry.store)
+
+
+def _describe(target: TargetInfo) -> dict[str, object]:
+    return {name: msgspec.to_builtins(getattr(target, name)) for name in target.__struct_fields__}
+
+
+def _send_release(reply: ReleaseReply) -> bytes:
+    if reply.result is ReleaseResult.ACCEPTED:
+        return send_json(
+            {
+                "result": reply.result.value,
+                "generation": reply.generation,
+                "keys": reply.keys,
+                "detail": reply.detail,
+            }
+        )
+    status, outcome = STATUS_BY_RESULT[reply.result]
+    if reply.result is ReleaseResult.NOT_RUN:
+        cherrypy.response.headers["Retry-After"] = str(RETRY_AFTER_S)
+    return send_problem(
+        status,
+        outcome,
+        reply.detail,
+        result=reply.result.value,
+        generation=reply.generation,
+        findings=[vars(finding) for finding in reply.findings],
+        changes=[msgspec.to_builtins(change) for change in reply.changes],
+    )
+
 
-    async def _dump(self) -> dict[str, object]:
-        return self._entry.dump()
+def _send_refusal(reply: AnyMessage) -> bytes:
+    if not isinstance(reply, Refused):
+        detail = "the process sent an unexpected reply"
+        return send_problem(HTTPStatus.BAD_GATEWAY, Outcome.UNKNOWN, detail)
+    detail = reply.detail or reply.code
+    if reply.code.startswith("no_such"):
+        return send_problem(HTTPStatus.NOT_FOUND, Outcome.NOT_RUN, detail, code=reply.code)
+    outcome = Outcome.UNKNOWN if reply.code == "no_reply" else Outcome.NOT_RUN
+    return send_problem(HTTPStatus.SERVICE_UNAVAILABLE, outcome, detail, code=reply.code)
--- a/src/chicorycrank/entry/membership.py
+++ b/src/chicorycrank/entry/membership.py
@@ -1,10 +1,11 @@
 """Announces this entry in the store and follows the shared keys."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from datetime import timedelta
 
-from chicorycrank.adapters.codec import encode
+from chicorycrank.adapters.codec import CodecError, encode
 from chicorycrank.model.targets import EntryInfo
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import (
@@ -13,11 +14,13 @@
     Store,
     StoreError,
     VersionConflictError,
+    WatchResult,
 )
 
 LEASE_TTL = timedelta(seconds=15)
 RENEW_INTERVAL = timedelta(seconds=5)
 WATCH_TIMEOUT = timedelta(seconds=30)
+WATCH_MARGIN = timedelta(seconds=5)
 RETRY_INTERVAL = timedelta(seconds=1)
 PREFIX = "shared/"
 
@@ -28,24 +31,35 @@
     """Keeps this entry's record alive and hands changed shared keys on.
 
     :param on_entry: called with each changed key under ``shared/``
+    :param on_list: called with all existing keys under ``shared/`` after each full list
     """
 
     def __init__(
-        self, store: Store, clock: Clock, info: EntryInfo, on_entry: Callable[[Entry], None]
+        self,
+        store: Store,
+        clock: Clock,
+        info: EntryInfo,
+        *,
+        on_entry: Callable[[Entry], None],
+        on_list: Callable[[frozenset[str]], None],
     ) -> None:
         self._store = store
         self._clock = clock
         self._info = info
         self._on_entry = on_entry
+        self._on_list = on_list
+        self._key = f"{PREFIX}entries/{info.entry_id}"
+        self._wake = asyncio.Event()
+        self._withdrawn = False
         self._lease: LeaseId | None = None
 
     async def announce_forever(self) -> None:
         """Write this entry's record under a lease and renew it until cancelled."""
-        while True:
+        while not self._withdrawn:
             try:
                 if self._lease is None or not await self._store.renew_lease(self._lease):
                     await self._announce()
-                await self._clock.sleep(RENEW_INTERVAL)
+                await self._sleep(RENEW_INTERVAL)
             except (StoreError, VersionConflictError) as error:
                 logger.warning("event=announce_delayed error=%s", error)
                 await self._clock.sleep(RETRY_INTERVAL)
@@ -55,21 +69,60 @@
         revision = -1
         while True:
             try:
-                if revision < 0:
-                    result = await self._store.list(PREFIX)
-                else:
-                    result = await self._store.watch(PREFIX, after=revision, timeout=WATCH_TIMEOUT)
+                revision = await self._follow(revision)
             except StoreError as error:
                 logger.warning("event=watch_interrupted error=%s", error)
                 await self._clock.sleep(RETRY_INTERVAL)
                 revision = -1
-                continue
-            revision = result.revision
-            for entry in result.entries:
+
+    async def _follow(self, revision: int) -> int:
+        """Hand on the next changes, or everything if ``revision`` is negative."""
+        if revision < 0:
+            result = await self._store.list(PREFIX)
+        else:
+            result = await self._watch(revision)
+        for entry in result.entries:
+            try:
                 self._on_entry(entry)
+            except CodecError as error:
+                # A malformed record must not stop the watch of all other records.
+                logger.error("event=record_malformed key=%s error=%s", entry.key, error)
+        existing = frozenset(entry.key for entry in result.entries if entry.version)
+        changed = frozenset(entry.key for entry in result.entries)
+        if revision < 0:
+            self._on_list(existing)
+        if self._key not in existing and (revision < 0 or self._key in changed):
+            self._announce_again()
+        return result.revision
+
+    async def _watch(self, revision: int) -> WatchResult:
+        """Wait for changes; a watch that goes silent fails after a bound."""
+        limit = WATCH_TIMEOUT + WATCH_MARGIN
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await self._store.watch(PREFIX, after=revision, timeout=WATCH_TIMEOUT)
+        except TimeoutError as error:
+            raise StoreError(f"the watch was silent for {limit.total_seconds():.0f} s") from error
+
+    def _announce_again(self) -> None:
+        """Announce at once; the record is gone although the lease may still renew."""
+        if self._lease is not None and not self._withdrawn:
+            self._lease = None
+            self._wake.set()
+
+    async def _sleep(self, interval: timedelta) -> None:
+        sleep = asyncio.ensure_future(self._clock.sleep(interval))
+        wake = asyncio.ensure_future(self._wake.wait())
+        try:
+            await asyncio.wait({sleep, wake}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            sleep.cancel()
+            wake.cancel()
+        self._wake.clear()
 
     async def withdraw(self) -> None:
-        """Remove this entry's record."""
+        """Remove this entry's record and stop announcing."""
+        self._withdrawn = True
         if self._lease is not None:
             try:
                 await self._store.revoke_lease(self._lease)
@@ -77,9 +130,10 @@
                 logger.warning("event=withdraw_failed error=%s", error)
 
     async def _announce(self) -> None:
-        key = f"{PREFIX}entries/{self._info.entry_id}"
-        current = await self._store.get(key)
-        self._lease = await self._store.grant_lease(LEASE_TTL)
+        """Write the record under a new lease; the lease counts only once the record is written."""
+        current = await self._store.get(self._key)
+        lease = await self._store.grant_lease(LEASE_TTL)
         await self._store.put(
-            key, encode(self._info), if_version=current.version, lease=self._lease
+            self._key, encode(self._info), if_version=current.version, lease=lease
         )
+        self._lease = lease
--- /dev/null
+++ b/src/chicorycrank/entry/metrics.py
@@ -0,0 +1,133 @@
+"""Metrics of this entry, and of the agents connected to it, for Prometheus."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from chicorycrank.entry.process import Entry
+from chicorycrank.ports.store import Store
+
+
+@dataclass(frozen=True)
+class _Figures(Collector):
+    """Figures taken on the event loop."""
+
+    metrics: tuple[Metric, ...]
+
+    def collect(self) -> Iterator[Metric]:
+        """Return the figures."""
+        return iter(self.metrics)
+
+
+def snapshot(entry: Entry, store: Store) -> Collector:
+    """Take all figures; called on the event loop."""
+    metrics = [*_requests(entry), *_jobs(entry), *_store(store), *_config(entry), *_links(entry)]
+    return _Figures(tuple(metrics))
+
+
+def render(figures: Collector) -> bytes:
+    """Return figures in the text format of Prometheus."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(figures)
+    return generate_latest(registry)
+
+
+def _requests(entry: Entry) -> Iterator[Metric]:
+    family = CounterMetricFamily(
+        "chicorycrank_requests", "Requests answered.", labels=["outcome", "class"]
+    )
+    for (outcome, request_class), count in entry.requests.answers.items():
+        family.add_metric([outcome.value, request_class.value], count)
+    yield family
+
+
+def _jobs(entry: Entry) -> Iterator[Metric]:
+    family = GaugeMetricFamily(
+        "chicorycrank_jobs", "Job records of the cell that this entry leads.", labels=["state"]
+    )
+    if entry.scheduler.is_leader:
+        counts = Counter(record.state for record in entry.scheduler.list(""))
+        for state, count in counts.items():
+            family.add_metric([state.value], count)
+    yield family
+    yield _gauge("leader", "1 while this entry leads its cell.", entry.scheduler.is_leader)
+    yield _gauge(
+        "leader_epoch",
+        "Highest epoch that a connected worker's agent has reported.",
+        max((t.worker_epoch for t in entry.directory.workers()), default=0),
+    )
+
+
+def _store(store: Store) -> Iterator[Metric]:
+    calls = CounterMetricFamily(
+        "chicorycrank_store_calls", "Calls to the store.", labels=["operation"]
+    )
+    for operation, count in getattr(store, "calls_by_operation", {}).items():
+        calls.add_metric([operation], count)
+    yield calls
+    yield CounterMetricFamily(
+        "chicorycrank_store_errors",
+        "Calls to the store that got no usable answer.",
+        value=getattr(store, "errors", 0),
+    )
+
+
+def _config(entry: Entry) -> Iterator[Metric]:
+    holder = entry.config
+    yield _gauge("config_generation", "Configuration in force.", holder.config.generation)
+    refused = CounterMetricFamily(
+        "chicorycrank_config_refused", "Configuration documents refused.", labels=["reason"]
+    )
+    refused.add_metric(["malformed"], holder.malformed)
+    refused.add_metric(["lower"], holder.lower)
+    refused.add_metric(["contradiction"], holder.contradictions)
+    yield refused
+
+
+def _links(entry: Entry) -> Iterator[Metric]:
+    targets = list(entry.directory.targets_by_id.values())
+    peers = [p for p in entry.directory.peers_by_id.values() if p.link and p.link.is_open]
+    links = GaugeMetricFamily("chicorycrank_links", "Open connections.", labels=["role"])
+    links.add_metric(["agent"], len(targets))
+    links.add_metric(["entry"], len(peers))
+    yield links
+    open_links = [*(t.link for t in targets), *(p.link for p in peers if p.link)]
+    yield _gauge(
+        "frames_refused",
+        "Malformed frames received on the connections that are open.",
+        sum(link.frames_refused for link in open_links),
+    )
+    executors = list(entry.directory.executors())
+    yield _gauge(
+        "executor_slots",
+        "Slots of the connected executors.",
+        sum(t.hello.executor.slots for t in executors if t.hello.executor),
+    )
+    yield _gauge(
+        "executor_used_slots",
+        "Slots in use at the connected executors.",
+        sum(t.executor_load.used_slots for t in executors),
+    )
+    workers = list(entry.directory.workers())
+    yield _gauge(
+        "worker_accelerators",
+        "Accelerators of the connected workers.",
+        sum(t.hello.worker.accelerators for t in workers if t.hello.worker),
+    )
+    yield _gauge(
+        "worker_used_accelerators",
+        "Accelerators that tasks or reservations hold.",
+        sum(len(task.accelerators) for t in workers for task in t.worker_load.tasks),
+    )
+    draining = sum(t.executor_load.draining or t.worker_load.draining for t in targets)
+    yield _gauge("targets_draining", "Connected targets that are leaving.", draining)
+    behind = sum(t.config_generation < entry.config.config.generation for t in targets)
+    yield _gauge("agents_behind", "Agents that have not confirmed the configuration.", behind)
+
+
+def _gauge(name: str, text: str, value: float) -> Metric:
+    return GaugeMetricFamily(f"chicorycrank_{name}", text, value=float(value))
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -1,7 +1,6 @@
 """The entry process: puts its parts together and serves peers."""
 
 import asyncio
-import json
 import logging
 import random
 from collections.abc import Coroutine
@@ -12,13 +11,16 @@
 from chicorycrank.adapters.peers import PeerLink, dial, listen
 from chicorycrank.entry.claims import ClaimLog
 from chicorycrank.entry.config import ConfigHolder
+from chicorycrank.entry.counted_requests import CountedRequests
 from chicorycrank.entry.directory import Directory, Peer
 from chicorycrank.entry.election import Election, Leader
+from chicorycrank.entry.fleet_view import FleetView
 from chicorycrank.entry.job_records import JobRecords
 from chicorycrank.entry.jobs import JobFront
 from chicorycrank.entry.membership import PREFIX, Membership
-from chicorycrank.entry.requests import RequestFront
+from chicorycrank.entry.releases import Releases
 from chicorycrank.entry.scheduler import Scheduler
+from chicorycrank.entry.state import StateView, bounded
 from chicorycrank.model.config import Config
 from chicorycrank.model.ids import CellId, EntryId, Incarnation, TargetId
 from chicorycrank.model.messages import (
@@ -33,9 +35,10 @@
     GangStarted,
     Goodbye,
     Hello,
+    ListTargets,
     QueryState,
     Role,
-    Text,
+    SetDraining,
     Welcome,
     WorkerReport,
 )
@@ -48,6 +51,7 @@
 
 PEER_HEARTBEAT = timedelta(seconds=2)
 DIGEST_INTERVAL = timedelta(seconds=1)
+CONFIG_TIMEOUT = timedelta(seconds=2)
 RECONNECT_MIN = timedelta(milliseconds=300)
 
 logger = logging.getLogger("absl")
@@ -60,7 +64,7 @@
         self, settings: EntrySettings, store: Store, clock: Clock, incarnation: Incarnation
     ) -> None:
         self.settings = settings
-        self._store = store
+        self.store = store
         self._clock = clock
         self._incarnation = incarnation
         self.info = EntryInfo(
@@ -72,7 +76,10 @@
         )
         self.directory = Directory()
         self.config = ConfigHolder(self._on_config)
-        self.requests = RequestFront(self.directory, ClaimLog(store, clock), clock)
+        self.fleet = FleetView(settings.entry, settings.region, self.directory, self.config)
+        self.state = StateView(settings.entry, self.directory, self.dump)
+        self.releases = Releases(store, clock, self.config, self.fleet.collect)
+        self.requests = CountedRequests(self.directory, ClaimLog(store, clock), clock)
         self.scheduler = Scheduler(
             cell=settings.cell,
             region=settings.region,
@@ -90,7 +97,9 @@
             on_elected=self.scheduler.take_role,
             on_lost=self.scheduler.drop_role,
         )
-        self._membership = Membership(store, clock, self.info, self._on_shared)
+        self._membership = Membership(
+            store, clock, self.info, on_entry=self._on_shared, on_list=self._on_shared_list
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._dialler_by_entry: dict[EntryId, asyncio.Task[None]] = {}
         self._stopping = asyncio.Event()
@@ -145,6 +154,26 @@
             self.jobs.leader_by_cell[cell] = decode(entry.value, Leader).holder
         elif name.startswith("entries/") and entry.version:
             self._add_peer(decode(entry.value, EntryInfo))
+        elif name.startswith("entries/"):
+            self._unlist_peer(EntryId(name.removeprefix("entries/")))
+
+    def _on_shared_list(self, keys: frozenset[str]) -> None:
+        for entry_id in list(self.directory.peers_by_id):
+            if f"{PREFIX}entries/{entry_id}" not in keys:
+                self._unlist_peer(entry_id)
+
+    def _unlist_peer(self, entry_id: EntryId) -> None:
+        """Note that an entry's record is gone; drop the entry unless its connection lives."""
+        peer = self.directory.peers_by_id.get(entry_id)
+        if peer is None:
+            return
+        peer.is_listed = False
+        if peer.link is None or not peer.link.is_open:
+            del self.directory.peers_by_id[entry_id]
+            dialler = self._dialler_by_entry.pop(entry_id, None)
+            if dialler is not None:
+                dialler.cancel()
+            logger.info("event=entry_dropped entry=%s", entry_id)
 
     def _on_config(self, config: Config) -> None:
         self.scheduler.put_config(config)
@@ -155,8 +184,21 @@
                 self._spawn(self._offer_config(peer.link))
 
     async def _offer_config(self, link: Link) -> None:
+        """Offer the configuration; an agent's reply tells which generation it holds."""
         try:
-            await link.send(self.config.offer)
+            if link.peer.role is Role.ENTRY:
+                await link.send(self.config.offer)
+                return
+            reply = await link.request(self.config.offer, timeout=CONFIG_TIMEOUT)
+            await self._handle_agent(link, reply)
+            if (
+                isinstance(reply, ConfigInForce)
+                and reply.generation > self.config.config.generation
+            ):
+                newer = await link.request(
+                    ConfigRequest(self.config.config.generation), timeout=CONFIG_TIMEOUT
+                )
+                await self._handle_agent(link, newer)
         except LinkError as error:
             logger.info("event=config_offer_lost peer=%s error=%s", link.peer.peer_id, error)
 
@@ -180,6 +222,7 @@
             return
         peer = self.directory.peers_by_id.setdefault(info.entry_id, Peer(info=info))
         peer.info = info
+        peer.is_listed = True
         if self.settings.entry < info.entry_id:
             task = self._dialler_by_entry.get(info.entry_id)
             if task is None or task.done():
@@ -204,6 +247,8 @@
             await link.run()
             if peer.link is link:
                 peer.link = None
+            if not peer.is_listed:
+                self._unlist_peer(peer.info.entry_id)
 
     def _heartbeat_for(self, hello: Hello) -> timedelta:
         if hello.role is Role.ENTRY:
@@ -215,6 +260,8 @@
             return Goodbye("draining")
         if hello.role is Role.AGENT and hello.region != self.settings.region:
             return Goodbye(f"region {hello.region} is not {self.settings.region}")
+        if hello.role is Role.AGENT and hello.target_kind is None:
+            return Goodbye("the hello of an agent must name the kind of its target")
         entries = [peer.info for peer in self.directory.peers_by_id.values()]
         return Welcome(self.info, self._incarnation, (self.info, *entries))
 
@@ -223,10 +270,16 @@
             peer = self.directory.peers_by_id.get(EntryId(link.peer.peer_id))
             if peer is not None:
                 peer.link = link
+                self._spawn(self._drop_when_closed(peer, link))
         else:
             self._spawn(self._serve_target(link))
         self._spawn(self._offer_config(link))
 
+    async def _drop_when_closed(self, peer: Peer, link: PeerLink) -> None:
+        await link.wait_closed()
+        if peer.link is link and not peer.is_listed:
+            self._unlist_peer(peer.info.entry_id)
+
     async def _serve_target(self, link: PeerLink) -> None:
         target = self.directory.add_target(link)
         logger.info("event=target_connected target=%s", target.target_id)
@@ -262,7 +315,7 @@
             case ConfigOffer():
                 self.config.take(message.document)
             case ConfigInForce():
-                return None
+                target.config_generation = max(target.config_generation, message.generation)
         return None
 
     async def _handle_entry(self, link: Link, message: AnyMessage) -> AnyMessage | None:
@@ -276,22 +329,33 @@
             case ConfigRequest():
                 return self.config.offer
             case QueryState():
-                return Text(json.dumps(self.dump()))
+                return await self.state.serve(message)
+            case ListTargets():
+                return self.fleet.own_list()
+            case SetDraining():
+                return await self.fleet.set_own_draining(message)
         return await self.jobs.serve(message)
 
     async def _take_digest(self, link: Link, digest: Digest) -> None:
         peer = self.directory.peers_by_id.get(EntryId(link.peer.peer_id))
         if peer is not None:
             peer.digest = digest
+        self.config.compare(digest.config_generation, digest.config_nonce)
         if digest.config_generation > self.config.config.generation:
-            await link.send(ConfigRequest(self.config.config.generation))
-        elif digest.config_generation < self.config.config.generation:
-            await self._offer_config(link)
+            request = ConfigRequest(self.config.config.generation)
+            try:
+                reply = await link.request(request, timeout=CONFIG_TIMEOUT)
+            except LinkError as error:
+                logger.info("event=config_not_fetched peer=%s error=%s", link.peer.peer_id, error)
+                return
+            if isinstance(reply, ConfigOffer):
+                self.config.take(reply.document)
 
     async def _digest_forever(self) -> None:
         while True:
             await self._clock.sleep(DIGEST_INTERVAL)
-            digest = Digest(self.config.config.generation, (), (), self.is_draining)
+            config = self.config.config
+            digest = Digest(config.generation, (), (), self.is_draining, config.nonce)
             for peer in list(self.directory.peers_by_id.values()):
                 if peer.link is not None and peer.link.is_open:
                     try:
@@ -306,7 +370,12 @@
             "incarnation": self._incarnation,
             "config_generation": self.config.config.generation,
             "is_leader": self.scheduler.is_leader,
-            "targets": sorted(self.directory.targets_by_id),
-            "peers": sorted(self.directory.peers_by_id),
+            "config_nonce": self.config.config.nonce,
+            "config_malformed": self.config.malformed,
+            "config_lower": self.config.lower,
+            "config_contradictions": self.config.contradictions,
+            "targets": bounded(sorted(self.directory.targets_by_id)),
+            "targets_count": len(self.directory.targets_by_id),
+            "peers": bounded(sorted(self.directory.peers_by_id)),
             "draining": self.is_draining,
         }
--- a/src/chicorycrank/model/messages.py
+++ b/src/chicorycrank/model/messages.py
@@ -368,12 +368,16 @@
 
 
 class Digest(Message, frozen=True):
-    """State of an entry, sent to the other entries every second."""
+    """State of an entry, sent to the other entries every second.
+
+    :param config_nonce: tells apart two documents of one generation
+    """
 
     config_generation: Generation
     services: tuple[ServiceLoad, ...]
     cells: tuple[CellLoad, ...]
     draining: bool
+    config_nonce: Nonce = Nonce("")
 
 
 class SubmitJob(Message, frozen=True):
@@ -431,6 +435,37 @@
     peer_id: str
 
 
+class ListTargets(Message, frozen=True):
+    """Asks an entry for the targets connected to it; answered by :class:`TargetList`."""
+
+
+class TargetInfo(Struct, frozen=True, array_like=True):
+    """A connected target.
+
+    :param generation: configuration that its agent has confirmed
+    """
+
+    target: TargetId
+    kind: TargetKind
+    region: RegionId
+    zone: ZoneId
+    generation: Generation
+    draining: bool
+    reachable: bool
+    executor: ExecutorInfo | None = None
+    worker: WorkerInfo | None = None
+
+
+class TargetList(Message, frozen=True):
+    """The targets of an entry, and the configuration in force there."""
+
+    entry: EntryId
+    region: RegionId
+    generation: Generation
+    nonce: Nonce
+    targets: tuple[TargetInfo, ...]
+
+
 class Text(Message, frozen=True):
     """A JSON document."""
 
@@ -479,4 +514,6 @@
     | JobList
     | QueryState
     | Text
+    | ListTargets
+    | TargetList
 )
--- /dev/null
+++ b/tests/memory_store.py
@@ -0,0 +1,157 @@
+"""A store in memory whose answers a test can lose, and links between entries in one process."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+
+from chicorycrank.model.ids import Version
+from chicorycrank.model.messages import AnyMessage, Hello, Ok
+from chicorycrank.ports.links import Handler, LinkNotSentError
+from chicorycrank.ports.store import (
+    Entry,
+    LeaseId,
+    StoreError,
+    VersionConflictError,
+    WatchResult,
+)
+
+
+class FastClock:
+    """Time that passes only by sleeping."""
+
+    def __init__(self) -> None:
+        self.elapsed_s = 0.0
+
+    def now(self) -> datetime:
+        """Return the time that sleeping has reached."""
+        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=self.elapsed_s)
+
+    def monotonic(self) -> float:
+        """Return the seconds slept."""
+        return self.elapsed_s
+
+    async def sleep(self, delay: timedelta) -> None:
+        """Advance the time."""
+        self.elapsed_s += delay.total_seconds()
+        await asyncio.sleep(0)
+
+
+@dataclass(kw_only=True)
+class MemoryStore:
+    """Versioned keys.
+
+    :param before_put: called once before the next write, for the write of a rival
+    :param after_lost: called once after a write without a reply
+    :param lost: number of following writes that take effect without a reply
+    :param failed: number of following writes that neither take effect nor are answered
+    """
+
+    value_by_key: dict[str, Entry] = field(default_factory=dict)
+    before_put: Callable[[], Awaitable[object]] | None = None
+    after_lost: Callable[[], Awaitable[object]] | None = None
+    lost: int = 0
+    failed: int = 0
+    is_down: bool = False
+    puts: int = 0
+    revision: int = 0
+    lease_count: int = 0
+    is_lease_live: bool = True
+    hangs: bool = False
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise StoreError("store is down")
+
+    async def get(self, key: str) -> Entry:
+        """Return a key."""
+        self._check()
+        return self.value_by_key.get(key, Entry(key=key, value=b"", version=Version(0)))
+
+    async def list(self, prefix: str) -> WatchResult:
+        """Return all keys under a prefix."""
+        self._check()
+        entries = tuple(e for k, e in self.value_by_key.items() if k.startswith(prefix))
+        return WatchResult(entries=entries, revision=self.revision)
+
+    async def put(
+        self, key: str, value: bytes, *, if_version: Version, lease: LeaseId | None = None
+    ) -> Version:
+        """Write with compare-and-swap and the planned faults."""
+        hook, self.before_put = self.before_put, None
+        if hook is not None:
+            await hook()
+        self._check()
+        if self.failed:
+            self.failed -= 1
+            raise StoreError("no reply")
+        current = (await self.get(key)).version
+        if current != if_version:
+            raise VersionConflictError(key, current)
+        self.puts += 1
+        self.revision += 1
+        version = Version(self.revision)
+        self.value_by_key[key] = Entry(key=key, value=value, version=version)
+        if self.lost:
+            self.lost -= 1
+            hook, self.after_lost = self.after_lost, None
+            if hook is not None:
+                await hook()
+            raise StoreError("reply lost")
+        return version
+
+    async def delete(self, key: str, *, if_version: Version) -> None:
+        """Delete a key."""
+        self._check()
+        self.value_by_key.pop(key, None)
+
+    async def watch(self, prefix: str, *, after: int, timeout: timedelta) -> WatchResult:
+        """Return what changed so far."""
+        self._check()
+        if self.hangs:
+            await asyncio.Event().wait()
+        await asyncio.sleep(0)
+        found = tuple(
+            e for k, e in self.value_by_key.items() if k.startswith(prefix) and e.version > after
+        )
+        return WatchResult(entries=found, revision=self.revision)
+
+    async def grant_lease(self, ttl: timedelta) -> LeaseId:
+        """Create a lease."""
+        self._check()
+        self.lease_count += 1
+        return LeaseId(str(self.lease_count))
+
+    async def renew_lease(self, lease: LeaseId) -> bool:
+        """Renew a lease."""
+        self._check()
+        return self.is_lease_live
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease."""
+        self._check()
+
+
+class MemoryLink:
+    """One direction of a connection; the other side's handler runs in place."""
+
+    def __init__(self, peer: Hello, handler: Handler) -> None:
+        self.peer = peer
+        self.is_open = True
+        self.frames_refused = 0
+        self.back: MemoryLink | None = None
+        self._handler = handler
+
+    async def send(self, message: AnyMessage) -> None:
+        """Deliver a message."""
+        await self.request(message, timeout=timedelta(seconds=1))
+
+    async def request(self, message: AnyMessage, *, timeout: timedelta) -> AnyMessage:
+        """Deliver a message and return the reply."""
+        if not self.is_open or self.back is None:
+            raise LinkNotSentError(f"{self.peer.peer_id} is cut off")
+        return await self._handler(self.back, message) or Ok()
+
+    async def close(self, reason: str) -> None:
+        """Cut the connection."""
+        self.is_open = False
