Keep a dialling entry whose record has not been seen; test distribution

Cause: an entry that was dialled before it had seen the dialler's record kept no link to it, so the two never exchanged digests in one direction.

Change: the dialler is added to the directory from its Hello.

--- a/src/chicorycrank/entry/metrics.py
+++ b/src/chicorycrank/entry/metrics.py
@@ -12,7 +12,7 @@
 from chicorycrank.ports.store import Store
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False)  # the registry needs a hash
 class _Figures(Collector):
     """Figures taken on the event loop."""
 
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -267,14 +267,28 @@
 
     async def _on_link(self, link: PeerLink) -> None:
         if link.peer.role is Role.ENTRY:
-            peer = self.directory.peers_by_id.get(EntryId(link.peer.peer_id))
-            if peer is not None:
-                peer.link = link
-                self._spawn(self._drop_when_closed(peer, link))
+            peer = self._peer_of(link.peer)
+            peer.link = link
+            self._spawn(self._drop_when_closed(peer, link))
         else:
             self._spawn(self._serve_target(link))
         self._spawn(self._offer_config(link))
 
+    def _peer_of(self, hello: Hello) -> Peer:
+        """Return the entry that dialled; its record may not have been seen yet."""
+        entry_id = EntryId(hello.peer_id)
+        peer = self.directory.peers_by_id.get(entry_id)
+        if peer is None:
+            info = EntryInfo(
+                entry_id=entry_id,
+                region=hello.region,
+                zone=hello.zone,
+                peer_address=hello.address,
+                http_address="",
+            )
+            peer = self.directory.peers_by_id[entry_id] = Peer(info=info, is_listed=False)
+        return peer
+
     async def _drop_when_closed(self, peer: Peer, link: PeerLink) -> None:
         await link.wait_closed()
         if peer.link is link and not peer.is_listed:
--- /dev/null
+++ b/tests/features/distribution.feature
@@ -0,0 +1,75 @@
+Feature: Distribution of the configuration
+  Once accepted, a configuration is in force everywhere and never goes back.
+
+  Scenario: Two regions that were cut off agree after the link returns
+    Given the connected entries "north" and "south"
+    When the link is cut
+    And generation 4 is accepted in "north"
+    And 3 s pass
+    Then "south" holds generation 0
+    When the link returns
+    And 3 s pass
+    Then "south" holds generation 4
+
+  Scenario Outline: A document that must not come into force is counted
+    Given the connected entries "north" and "south"
+    When generation 4 is accepted in "north"
+    And "north" receives a <document> document
+    Then "north" holds generation 4
+    And "north" has counted one <document> document
+
+    Examples:
+      | document      |
+      | malformed     |
+      | lower         |
+      | contradicting |
+
+  Scenario: Gossip reports two documents of one generation
+    Given the connected entries "north" and "south"
+    When the link is cut
+    And generation 4 is accepted in "north"
+    And generation 4 is accepted in "south" with another nonce
+    And the link returns
+    And 2 s pass
+    Then "south" has counted at least one contradicting document
+
+  Scenario Outline: An entry whose record vanished is kept while its connection lives
+    Given the connected entries "north" and "south"
+    When the record of "south" vanishes by <way>
+    Then "north" still knows "south"
+    When the link is cut
+    And the record of "south" vanishes by <way>
+    Then "north" no longer knows "south"
+
+    Examples:
+      | way         |
+      | a deletion  |
+      | a full list |
+
+  Scenario: An entry that dials before its record is seen is known by its connection
+    Given the connected entries "north" and "south"
+    When an entry "west" without a record dials "north"
+    Then "north" still knows "west"
+    And "north" sends digests to "west"
+
+  Scenario Outline: An entry's record is written again
+    Given an entry that has announced itself
+    When <fault>
+    Then the record is written again
+
+    Examples:
+      | fault                                        |
+      | its record is deleted but the lease renews   |
+      | its lease has ended while it was paused      |
+      | the reply to its next announcement is lost   |
+      | its next announcement does not take effect   |
+
+  Scenario: A watch that goes silent is replaced
+    Given an entry that has announced itself
+    When its watch goes silent and the configuration changes
+    Then the entry sees the change
+
+  Scenario: A planned stop does not announce the entry again
+    Given an entry that has announced itself
+    When the entry withdraws and its record is deleted
+    Then the record stays deleted
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -44,6 +44,8 @@
     :param before_put: called once before the next write, for the write of a rival
     :param after_lost: called once after a write without a reply
     :param lost: number of following writes that take effect without a reply
+    :param hangs: watches never answer
+    :param deleted: key that the next watch reports as deleted
     :param failed: number of following writes that neither take effect nor are answered
     """
 
@@ -58,6 +60,7 @@
     lease_count: int = 0
     is_lease_live: bool = True
     hangs: bool = False
+    deleted: str = ""
 
     def _check(self) -> None:
         if self.is_down:
@@ -71,7 +74,9 @@
     async def list(self, prefix: str) -> WatchResult:
         """Return all keys under a prefix."""
         self._check()
-        entries = tuple(e for k, e in self.value_by_key.items() if k.startswith(prefix))
+        entries = tuple(
+            e for k, e in self.value_by_key.items() if k.startswith(prefix) and e.version
+        )
         return WatchResult(entries=entries, revision=self.revision)
 
     async def put(
@@ -114,6 +119,8 @@
         found = tuple(
             e for k, e in self.value_by_key.items() if k.startswith(prefix) and e.version > after
         )
+        if self.deleted:
+            found, self.deleted = (*found, self.value_by_key[self.deleted]), ""
         return WatchResult(entries=found, revision=self.revision)
 
     async def grant_lease(self, ttl: timedelta) -> LeaseId:
@@ -138,7 +145,7 @@
     def __init__(self, peer: Hello, handler: Handler) -> None:
         self.peer = peer
         self.is_open = True
-        self.frames_refused = 0
+        self.sent: list[str] = []
         self.back: MemoryLink | None = None
         self._handler = handler
 
@@ -150,6 +157,7 @@
         """Deliver a message and return the reply."""
         if not self.is_open or self.back is None:
             raise LinkNotSentError(f"{self.peer.peer_id} is cut off")
+        self.sent.append(type(message).__name__)
         return await self._handler(self.back, message) or Ok()
 
     async def close(self, reason: str) -> None:
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,329 @@
+"""Distribution of the configuration and membership of entries, in one process."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+from tests.memory_store import FastClock, MemoryLink, MemoryStore
+
+from chicorycrank.adapters.codec import encode
+from chicorycrank.entry import membership
+from chicorycrank.entry.membership import Membership
+from chicorycrank.entry.process import Entry
+from chicorycrank.model.config import Config
+from chicorycrank.model.ids import (
+    CellId,
+    EntryId,
+    Generation,
+    Incarnation,
+    Nonce,
+    RegionId,
+    Version,
+    ZoneId,
+)
+from chicorycrank.model.targets import EntryInfo
+from chicorycrank.ports.store import Entry as StoreEntry
+from chicorycrank.settings.entry import EntrySettings
+
+scenarios("features/distribution.feature")
+
+ROUNDS = 50
+
+
+def document(generation: int, nonce: str) -> bytes:
+    return encode(Config(generation=Generation(generation), nonce=Nonce(nonce)))
+
+
+@dataclass(kw_only=True)
+class Pair:
+    """Two entries in one event loop with a link that can be cut."""
+
+    loop: asyncio.AbstractEventLoop
+    entries: dict[str, Entry] = field(default_factory=dict)
+
+    def run(self, action: Callable[[], object], rounds: int = ROUNDS) -> None:
+        """Run an action on the loop and let the tasks it starts make progress."""
+
+        async def work() -> None:
+            action()
+            for _ in range(rounds):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(work())
+
+    def connect(self) -> None:
+        """Connect both entries, as after a dial."""
+        north, south = self.entries["north"], self.entries["south"]
+        to_south = MemoryLink(south._hello(), south._handle)
+        to_north = MemoryLink(north._hello(), north._handle)
+        to_south.back, to_north.back = to_north, to_south
+        for entry, link in ((north, to_south), (south, to_north)):
+            peer = entry.directory.peers_by_id[EntryId(link.peer.peer_id)]
+            peer.link = link  # type: ignore[assignment]
+
+    def cut(self) -> None:
+        """Cut the link in both directions."""
+        for entry in self.entries.values():
+            for peer in entry.directory.peers_by_id.values():
+                if peer.link is not None:
+                    peer.link.is_open = False  # type: ignore[misc]
+
+
+def make_entry(name: str) -> Entry:
+    settings = EntrySettings(
+        entry=EntryId(name),
+        region=RegionId(name),
+        zone=ZoneId("a"),
+        cell=CellId(name),
+        listen_host="127.0.0.1",
+        peer_port=1,
+        http_port=1,
+        store_url="http://127.0.0.1:1",
+    )
+    return Entry(settings, MemoryStore(), FastClock(), Incarnation(name))
+
+
+@pytest.fixture
+def loop() -> Iterator[asyncio.AbstractEventLoop]:
+    loop = asyncio.new_event_loop()
+    yield loop
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.close()
+
+
+@given('the connected entries "north" and "south"', target_fixture="pair")
+def make_pair(loop: asyncio.AbstractEventLoop, monkeypatch: pytest.MonkeyPatch) -> Pair:
+    pair = Pair(loop=loop)
+    north, south = make_entry("north"), make_entry("south")
+    pair.entries = {"north": north, "south": south}
+    monkeypatch.setattr(Entry, "_dial_forever", _dial_nothing)
+    pair.run(lambda: north._add_peer(south.info))
+    pair.run(lambda: south._add_peer(north.info))
+    pair.connect()
+    return pair
+
+
+async def _dial_nothing(_: object, peer: object) -> None:
+    return None
+
+
+@when("the link is cut")
+def cut_link(pair: Pair) -> None:
+    pair.cut()
+
+
+@when("the link returns")
+def restore_link(pair: Pair) -> None:
+    pair.connect()
+
+
+@when(parsers.parse('generation {generation:d} is accepted in "{name}"'))
+def accept(pair: Pair, generation: int, name: str) -> None:
+    pair.run(lambda: pair.entries[name].config.take(document(generation, "first")))
+
+
+@when(parsers.parse('generation {generation:d} is accepted in "{name}" with another nonce'))
+def accept_other(pair: Pair, generation: int, name: str) -> None:
+    pair.run(lambda: pair.entries[name].config.take(document(generation, "other")))
+
+
+@when(parsers.parse("{seconds:d} s pass"))
+def pass_time(pair: Pair, seconds: int) -> None:
+    async def digest(entry: Entry) -> None:
+        work = asyncio.ensure_future(entry._digest_forever())
+        while entry._clock.monotonic() < ends_at[entry.settings.entry]:
+            await asyncio.wait({work}, timeout=0)
+        work.cancel()
+
+    async def work() -> None:
+        await asyncio.gather(*(digest(entry) for entry in pair.entries.values()))
+
+    ends_at = {e.settings.entry: e._clock.monotonic() + seconds for e in pair.entries.values()}
+    pair.loop.run_until_complete(work())
+
+
+@when(parsers.parse('"{name}" receives a {kind} document'))
+def receive(pair: Pair, name: str, kind: str) -> None:
+    data = {
+        "malformed": b"\xff\x00",
+        "lower": document(3, "first"),
+        "contradicting": document(4, "other"),
+    }
+    pair.run(lambda: pair.entries[name].config.take(data[kind]))
+
+
+@when(parsers.parse('the record of "{name}" vanishes by {way}'))
+def vanish(pair: Pair, name: str, way: str) -> None:
+    key = f"shared/entries/{name}"
+    north = pair.entries["north"]
+    if way == "a full list":
+        pair.run(lambda: north._on_shared_list(frozenset({"shared/entries/north"})))
+    else:
+        gone = StoreEntry(key=key, value=b"", version=Version(0))
+        pair.run(lambda: north._on_shared(gone))
+
+
+@then(parsers.parse('"{name}" holds generation {generation:d}'))
+def check_generation(pair: Pair, name: str, generation: int) -> None:
+    assert pair.entries[name].config.config.generation == generation
+
+
+@then(parsers.parse('"{name}" has counted one {kind} document'))
+def check_count(pair: Pair, name: str, kind: str) -> None:
+    assert counts(pair, name) == {k: int(k == kind) for k in counts(pair, name)}
+
+
+@then(parsers.parse('"{name}" has counted at least one contradicting document'))
+def check_contradiction(pair: Pair, name: str) -> None:
+    assert counts(pair, name)["contradicting"] >= 1
+
+
+def counts(pair: Pair, name: str) -> dict[str, int]:
+    holder = pair.entries[name].config
+    return {
+        "malformed": holder.malformed,
+        "lower": holder.lower,
+        "contradicting": holder.contradictions,
+    }
+
+
+@then(parsers.parse('"north" still knows "{name}"'))
+def check_known(pair: Pair, name: str) -> None:
+    assert EntryId(name) in pair.entries["north"].directory.peers_by_id
+
+
+@then(parsers.parse('"north" no longer knows "{name}"'))
+def check_unknown(pair: Pair, name: str) -> None:
+    assert EntryId(name) not in pair.entries["north"].directory.peers_by_id
+
+
+@when('an entry "west" without a record dials "north"')
+def dial_unlisted(pair: Pair) -> None:
+    west, north = make_entry("west"), pair.entries["north"]
+    link, back = (MemoryLink(e._hello(), e._handle) for e in (west, north))
+    link.back, back.back = back, link
+    link.wait_closed = asyncio.Event().wait  # type: ignore[attr-defined]
+    pair.loop.run_until_complete(north._on_link(link))  # type: ignore[arg-type]
+
+
+@then('"north" sends digests to "west"')
+def check_digests(pair: Pair) -> None:
+    pass_time(pair, 2)
+    link = pair.entries["north"].directory.peers_by_id[EntryId("west")].link
+    assert link is not None
+    assert "Digest" in link.sent  # type: ignore[attr-defined]
+
+
+# The record of one entry.
+
+
+class Record:
+    """An entry's record in a store in memory, followed by its membership."""
+
+    key = "shared/entries/me"
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.store = MemoryStore()
+        self.seen: list[str] = []
+        info = EntryInfo(
+            entry_id=EntryId("me"),
+            region=RegionId("north"),
+            zone=ZoneId("a"),
+            peer_address="127.0.0.1:1",
+            http_address="127.0.0.1:2",
+        )
+        self.membership = Membership(
+            self.store,
+            FastClock(),
+            info,
+            on_entry=lambda entry: self.seen.append(entry.key),
+            on_list=lambda _: None,
+        )
+        self.tasks = [
+            loop.create_task(self.membership.announce_forever()),
+            loop.create_task(self.membership.watch_forever()),
+        ]
+
+    def settle(self, seconds: float = 0.05) -> None:
+        """Let the tasks run."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def delete(self) -> None:
+        """Delete the record, as the end of an old lease does."""
+        self.store.value_by_key[self.key] = StoreEntry(key=self.key, value=b"", version=Version(0))
+        self.store.deleted = self.key
+
+
+@given("an entry that has announced itself", target_fixture="record")
+def make_record(loop: asyncio.AbstractEventLoop, monkeypatch: pytest.MonkeyPatch) -> Record:
+    short = timedelta(seconds=0.05)
+    monkeypatch.setattr(membership, "WATCH_TIMEOUT", short)
+    monkeypatch.setattr(membership, "WATCH_MARGIN", short)
+    record = Record(loop)
+    record.settle()
+    assert record.store.value_by_key[record.key].version
+    return record
+
+
+@when("its record is deleted but the lease renews")
+def delete_record(record: Record) -> None:
+    record.delete()
+
+
+@when("its lease has ended while it was paused")
+def end_lease(record: Record) -> None:
+    record.delete()
+    record.store.deleted = ""
+    record.store.is_lease_live = False
+
+
+@when("the reply to its next announcement is lost")
+def lose_announcement(record: Record) -> None:
+    record.store.lost = 1
+    record.delete()
+
+
+@when("its next announcement does not take effect")
+def fail_announcement(record: Record) -> None:
+    record.store.failed = 1
+    record.delete()
+
+
+@when("its watch goes silent and the configuration changes")
+def silence_watch(record: Record) -> None:
+    record.store.hangs = True
+    record.settle()
+    entry = StoreEntry(key="shared/config", value=b"x", version=Version(record.store.revision + 1))
+    record.store.value_by_key[entry.key] = entry
+    record.store.revision += 1
+    record.seen.clear()
+
+
+@when("the entry withdraws and its record is deleted")
+def withdraw(record: Record) -> None:
+    record.loop.run_until_complete(record.membership.withdraw())
+    record.delete()
+
+
+@then("the record is written again")
+def check_record(record: Record) -> None:
+    record.settle()
+    assert record.store.value_by_key[record.key].version
+
+
+@then("the record stays deleted")
+def check_deleted(record: Record) -> None:
+    record.settle()
+    assert not record.store.value_by_key[record.key].version
+
+
+@then("the entry sees the change")
+def check_seen(record: Record) -> None:
+    record.settle(0.5)
+    assert "shared/config" in record.seen
