Report all findings of settings files with line and column

Cause: a settings file was refused with the first problem and without its place, and contradictions between fields were found only by a failing start.

The memory of the agent was not measured in this change.

Conclusion: start-up reports every finding at once.

--- a/src/chicorycrank/agent/main.py
+++ b/src/chicorycrank/agent/main.py
@@ -14,7 +14,7 @@
 from chicorycrank.agent.process import Agent
 from chicorycrank.agent.worker import WorkerSide
 from chicorycrank.model.ids import Incarnation
-from chicorycrank.settings.agent import AgentSettings
+from chicorycrank.settings.agent import AgentSettings, check_agent
 from chicorycrank.settings.reader import SettingsError, read_settings
 
 EXIT_SETTINGS = 2
@@ -25,11 +25,11 @@
     parser = argparse.ArgumentParser(prog="chicorycrank-agent", description=__doc__)
     parser.add_argument("--settings", type=Path, required=True)
     try:
-        settings = read_settings(parser.parse_args().settings, AgentSettings)
+        settings = read_settings(parser.parse_args().settings, AgentSettings, check_agent)
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    set_up_logs(settings.log_level)
+    set_up_logs(settings.log_level.value)
     asyncio.run(_run(settings))
 
 
--- a/src/chicorycrank/entry/main.py
+++ b/src/chicorycrank/entry/main.py
@@ -13,7 +13,7 @@
 from chicorycrank.entry.http_api import start_http, stop_http
 from chicorycrank.entry.process import Entry
 from chicorycrank.model.ids import Incarnation
-from chicorycrank.settings.entry import EntrySettings
+from chicorycrank.settings.entry import EntrySettings, check_entry
 from chicorycrank.settings.reader import SettingsError, read_settings
 
 EXIT_SETTINGS = 2
@@ -24,11 +24,11 @@
     parser = argparse.ArgumentParser(prog="chicorycrank-entry", description=__doc__)
     parser.add_argument("--settings", type=Path, required=True)
     try:
-        settings = read_settings(parser.parse_args().settings, EntrySettings)
+        settings = read_settings(parser.parse_args().settings, EntrySettings, check_entry)
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    set_up_logs(settings.log_level)
+    set_up_logs(settings.log_level.value)
     asyncio.run(_run(settings))
 
 
--- a/src/chicorycrank/settings/agent.py
+++ b/src/chicorycrank/settings/agent.py
@@ -1,9 +1,22 @@
 """Settings of an agent."""
 
-from msgspec import Struct
+from collections.abc import Iterator
+from typing import Annotated
+
+from msgspec import Meta, Struct
 
 from chicorycrank.model.ids import RegionId, TargetId, ZoneId
 from chicorycrank.model.targets import ExecutorInfo, TargetKind, WorkerInfo
+from chicorycrank.settings.common import (
+    Address,
+    LogLevel,
+    Name,
+    Port,
+    Seconds,
+    check_least,
+    check_url,
+)
+from chicorycrank.settings.findings import Problem
 
 
 class AgentSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -19,11 +32,40 @@
     kind: TargetKind
     region: RegionId
     zone: ZoneId
-    balancer: str
-    listen_host: str
-    listen_port: int
+    balancer: Address
+    listen_host: Name
+    listen_port: Port
     target_url: str
     executor: ExecutorInfo | None = None
     worker: WorkerInfo | None = None
-    heartbeat_s: float = 1.5
-    log_level: str = "info"
+    heartbeat_s: Annotated[Seconds, Meta(gt=0, le=60)] = 1.5
+    log_level: LogLevel = LogLevel.INFO
+
+
+def check_agent(settings: AgentSettings) -> list[Problem]:
+    """Return the contradictions between fields."""
+    return list(_check(settings))
+
+
+def _check(settings: AgentSettings) -> Iterator[Problem]:
+    yield from check_url("target_url", settings.target_url)
+    is_executor = settings.kind is TargetKind.EXECUTOR
+    wanted, other = ("executor", "worker") if is_executor else ("worker", "executor")
+    if getattr(settings, wanted) is None:
+        yield Problem(
+            path=("kind",),
+            text=f"kind is {wanted}, but {wanted} is missing",
+            remedy=f"add {wanted} with the capacity of the target",
+        )
+    if getattr(settings, other) is not None:
+        yield Problem(
+            path=(other,),
+            text=f"{other} is given, but kind is {wanted}",
+            remedy=f"remove it or set kind to {other}",
+            at_key=True,
+        )
+    if settings.executor is not None:
+        yield from check_least("executor", settings.executor, {"slots": 1, "connections": 1})
+    if settings.worker is not None:
+        least = {"accelerators": 1, "cores": 1, "memory_gb": 1}
+        yield from check_least("worker", settings.worker, least)
--- a/src/chicorycrank/settings/entry.py
+++ b/src/chicorycrank/settings/entry.py
@@ -1,8 +1,13 @@
 """Settings of an entry."""
 
-from msgspec import Struct
+from collections.abc import Iterator
+from typing import Annotated
+
+from msgspec import Meta, Struct
 
 from chicorycrank.model.ids import CellId, EntryId, RegionId, ZoneId
+from chicorycrank.settings.common import LogLevel, Name, Port, Seconds, check_url
+from chicorycrank.settings.findings import Problem
 
 
 class EntrySettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -17,11 +22,26 @@
     region: RegionId
     zone: ZoneId
     cell: CellId
-    listen_host: str
-    peer_port: int
-    http_port: int
+    listen_host: Name
+    peer_port: Port
+    http_port: Port
     store_url: str
-    http_threads: int = 64
-    agent_heartbeat_s: float = 1.5
-    drain_s: float = 2.0
-    log_level: str = "info"
+    http_threads: Annotated[int, Meta(ge=1, le=512)] = 64
+    agent_heartbeat_s: Annotated[Seconds, Meta(gt=0, le=60)] = 1.5
+    drain_s: Annotated[Seconds, Meta(ge=0, le=600)] = 2.0
+    log_level: LogLevel = LogLevel.INFO
+
+
+def check_entry(settings: EntrySettings) -> list[Problem]:
+    """Return the contradictions between fields."""
+    return list(_check(settings))
+
+
+def _check(settings: EntrySettings) -> Iterator[Problem]:
+    yield from check_url("store_url", settings.store_url)
+    if settings.peer_port == settings.http_port:
+        yield Problem(
+            path=("http_port",),
+            text=f"http_port and peer_port are both {settings.http_port}",
+            remedy="give two different ports",
+        )
