--- a/src/chicorycrank/entry/requests.py
+++ b/src/chicorycrank/entry/requests.py
@@ -23,7 +23,7 @@
     Refused,
     ServiceLoad,
 )
-from chicorycrank.model.requests import Answer, Outcome, Request
+from chicorycrank.model.requests import Answer, Outcome, Request, RequestClass
 from chicorycrank.ports.clock import Clock
 
 # Each request earns a team this share of a retry, so that retries add at most 10% load.
@@ -90,7 +90,7 @@
         self._forwarder = Forwarder(directory, clock, region=region, config=config)
         self._running = 0
         self._is_accepting = True
-        self.outcomes: Counter[Outcome] = Counter()
+        self.outcomes: Counter[tuple[Outcome, RequestClass]] = Counter()
 
     @property
     def config(self) -> Config:
@@ -119,7 +119,7 @@
             answer = await self._answer_here(request, forwarded, deadline)
         finally:
             self._running -= 1
-        self.outcomes[answer.outcome] += 1
+        self.outcomes[answer.outcome, request.request_class] += 1
         return answer
 
     async def status(self, key: RequestKey) -> Answer | None:
--- a/src/chicorycrank_standin/demo/__main__.py
+++ b/src/chicorycrank_standin/demo/__main__.py
@@ -42,7 +42,6 @@
         self.line("\nEvery request and job was answered truthfully and once.")
         return 0
 
-
     def _print_table(self, headers: list[str], rows: list[list[str]]) -> None:
         table = self.table()
         table.set_headers(list(headers))
