Refuse and count what a peer sends wrongly, and go on

Cause: a handler that raised left its request without a reply, a text or malformed frame closed the connection without a word, a message of an unknown kind closed it too, a peer that read nothing let the send buffer grow by every timed-out send, two incarnations could hold one peer id, and the agent's duplicate connections through the balancer made an entry drop a live target.

Change: counters by event, shown in the agent's dump. An unknown message is refused and the connection lives; a malformed frame, a second handshake, silence and a peer that does not read close it. The agent dials the balancer only while no entry is connected.

A text frame and the wide except clause of the decoder stayed green without their mechanism.

--- a/src/chicorycrank/adapters/codec.py
+++ b/src/chicorycrank/adapters/codec.py
@@ -36,6 +36,22 @@
     message: AnyMessage
 
 
+class Envelope(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """A frame whose message may be of a kind that this version does not know."""
+
+    kind: FrameKind
+    correlation: int
+    message: tuple[Any, ...]
+
+
+class MessageError(CodecError):
+    """A well-formed frame holds a message of an unknown kind or shape."""
+
+    def __init__(self, envelope: Envelope, detail: str) -> None:
+        super().__init__(detail)
+        self.envelope = envelope
+
+
 def encode(value: Any) -> bytes:
     """Encode a typed value."""
     return cbor2.dumps(msgspec.to_builtins(value, builtin_types=(bytes,)))
@@ -50,5 +66,20 @@
         return msgspec.convert(cbor2.loads(data), kind, builtin_types=(bytes,))
     except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
         raise CodecError(str(error)) from error
-    except (ValueError, TypeError, OverflowError, RecursionError) as error:
-        raise CodecError(f"malformed CBOR: {error}") from error
+    except Exception as error:  # CBOR tags run converters that raise errors of many kinds.
+        raise CodecError(f"malformed CBOR: {error!r}") from error
+
+
+def decode_frame(data: str | bytes) -> Frame:
+    """Decode a frame.
+
+    :raises MessageError: the frame is well formed, its message is not
+    :raises CodecError: the frame is malformed
+    """
+    if isinstance(data, str):
+        raise CodecError("text frame")
+    try:
+        return decode(data, Frame)
+    except CodecError as error:
+        outer = decode(data, Envelope)
+        raise MessageError(outer, str(error)) from error
--- a/src/chicorycrank/agent/entry_links.py
+++ b/src/chicorycrank/agent/entry_links.py
@@ -3,18 +3,22 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from chicorycrank.adapters.peers import PeerLink, dial
 from chicorycrank.agent.background import Background
 from chicorycrank.model.ids import EntryId, RegionId
-from chicorycrank.model.messages import AnyMessage, Hello, Welcome
+from chicorycrank.model.messages import AnyMessage, Hello
+from chicorycrank.model.targets import EntryInfo
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.links import Handler, LinkError
 
 RECONNECT_MIN = timedelta(milliseconds=200)
 RECONNECT_MAX = timedelta(seconds=3)
+# Replaced VMs do not come back; a returning one is learned from another entry or the balancer.
+GIVE_UP_S = 600.0
 
 logger = logging.getLogger("absl")
 
@@ -36,6 +40,7 @@
         hello: Callable[[], Hello],
         handler: Handler,
         on_link: Callable[[PeerLink], Awaitable[None]],
+        counters: Counter[str],
     ) -> None:
         self._region = region
         self._clock = clock
@@ -43,15 +48,25 @@
         self._heartbeat = heartbeat
         self._hello = hello
         self._handler = handler
+        self._counters = counters
         self._on_link = on_link
+        self._diallers: list[asyncio.Task[None]] = []
         self._dialler_by_address: dict[str, asyncio.Task[None]] = {}
         self.link_by_entry: dict[EntryId, PeerLink] = {}
 
-    def keep(self, address: str) -> None:
-        """Keep a connection to the entry at ``address``."""
-        task = self._dialler_by_address.get(address)
+    def start(self, balancer: str) -> None:
+        """Find entries through the balancer whenever no entry is connected."""
+        self._diallers.append(self._background.start(self._dial_balancer(balancer)))
+
+    def keep(self, entry: EntryInfo) -> None:
+        """Keep a connection to an entry of the region."""
+        if entry.region != self._region:
+            return
+        task = self._dialler_by_address.get(entry.peer_address)
         if task is None or task.done():
-            self._dialler_by_address[address] = self._background.start(self._dial_forever(address))
+            self._dialler_by_address[entry.peer_address] = self._background.start(
+                self._dial_entry(entry)
+            )
 
     async def send(self, message: AnyMessage) -> None:
         """Send a message to every entry that is connected."""
@@ -63,43 +78,60 @@
 
     async def close(self, reason: str) -> None:
         """Stop dialling and close every link."""
-        for task in self._dialler_by_address.values():
+        for task in [*self._diallers, *self._dialler_by_address.values()]:
             task.cancel()
         await asyncio.gather(*(link.close(reason) for link in self.link_by_entry.values()))
 
-    async def _dial_forever(self, address: str) -> None:
+    async def _dial_balancer(self, address: str) -> None:
         delay = RECONNECT_MIN
         while True:
-            try:
-                link, welcome = await dial(
-                    address,
-                    hello=self._hello(),
-                    handler=self._handler,
-                    clock=self._clock,
-                    heartbeat=self._heartbeat,
-                )
-            except LinkError as error:
-                logger.info("event=dial_failed address=%s error=%s", address, error)
-                await self._clock.sleep(delay * random.uniform(0.5, 1.0))
-                delay = min(delay * 2, RECONNECT_MAX)
+            if self.link_by_entry or await self._connect(address):
+                delay = RECONNECT_MIN
+            await self._clock.sleep(delay * random.uniform(0.5, 1.0))
+            delay = min(delay * 2, RECONNECT_MAX)
+
+    async def _dial_entry(self, entry: EntryInfo) -> None:
+        """Keep a connection to an entry; give up when it has been away for long."""
+        delay = RECONNECT_MIN
+        seen_at = self._clock.monotonic()
+        while self._clock.monotonic() < seen_at + GIVE_UP_S:
+            link = self.link_by_entry.get(entry.entry_id)
+            if link is not None and link.is_open:
+                await link.wait_closed()
+                delay = RECONNECT_MIN
+                seen_at = self._clock.monotonic()
+            elif await self._connect(entry.peer_address):
                 continue
-            delay = RECONNECT_MIN
-            await self._run(link, welcome)
-            await self._clock.sleep(RECONNECT_MIN * random.uniform(0.5, 1.0))
+            await self._clock.sleep(delay * random.uniform(0.5, 1.0))
+            delay = min(delay * 2, RECONNECT_MAX)
+        logger.warning("event=entry_given_up entry=%s", entry.entry_id)
 
-    async def _run(self, link: PeerLink, welcome: Welcome) -> None:
+    async def _connect(self, address: str) -> bool:
+        try:
+            link, welcome = await dial(
+                address,
+                hello=self._hello(),
+                handler=self._handler,
+                clock=self._clock,
+                heartbeat=self._heartbeat,
+                counters=self._counters,
+            )
+        except LinkError as error:
+            logger.info("event=dial_failed address=%s error=%s", address, error)
+            return False
         entry_id = welcome.entry.entry_id
-        current = self.link_by_entry.get(entry_id)
-        if current is not None and current.is_open:
-            # The balancer's address leads to an entry that has a connection of its own.
-            await link.close("duplicate connection")
-            await self._clock.sleep(RECONNECT_MAX)
-            return
+        older = self.link_by_entry.get(entry_id)
         self.link_by_entry[entry_id] = link
-        logger.info("event=entry_connected entry=%s", entry_id)
+        if older is not None:
+            # The entry uses the newest connection of a target, so the older one is closed.
+            self._background.start(older.close("duplicate connection"))
+        self._background.start(self._run(entry_id, link))
         for entry in welcome.entries:
-            if entry.region == self._region:
-                self.keep(entry.peer_address)
+            self.keep(entry)
+        return True
+
+    async def _run(self, entry_id: EntryId, link: PeerLink) -> None:
+        logger.info("event=entry_connected entry=%s", entry_id)
         self._background.start(self._greet(link))
         try:
             await link.run()
--- a/src/chicorycrank/agent/member_links.py
+++ b/src/chicorycrank/agent/member_links.py
@@ -1,6 +1,7 @@
 """Links from the head of a gang to the agents of its members."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -27,11 +28,13 @@
         *,
         hello: Callable[[], Hello],
         handler: Handler,
+        counters: Counter[str],
     ) -> None:
         self._clock = clock
         self._background = background
         self._hello = hello
         self._handler = handler
+        self._counters = counters
         self._link_by_address: dict[str, PeerLink] = {}
         self._lock_by_address: dict[str, asyncio.Lock] = {}
 
@@ -75,6 +78,7 @@
                     handler=self._handler,
                     clock=self._clock,
                     heartbeat=MEMBER_HEARTBEAT,
+                    counters=self._counters,
                 )
                 self._link_by_address[address] = link
                 self._background.start(link.run())
--- a/src/chicorycrank/agent/process.py
+++ b/src/chicorycrank/agent/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+from collections import Counter
 from datetime import timedelta
 
 import msgspec
@@ -78,6 +79,7 @@
         self._config = ConfigOffer(Generation(0), b"")
         self._stopping = asyncio.Event()
         self._accepted: set[PeerLink] = set()
+        self._counters: Counter[str] = Counter()
         self._entries = EntryLinks(
             settings.region,
             clock,
@@ -86,9 +88,14 @@
             hello=self._hello,
             handler=self._handle,
             on_link=self._greet_entry,
+            counters=self._counters,
         )
         self._members = MemberLinks(
-            clock, self._background, hello=self._hello, handler=self._handle
+            clock,
+            self._background,
+            hello=self._hello,
+            handler=self._handle,
+            counters=self._counters,
         )
         self._gangs = None if worker is None else self._make_gangs(worker)
 
@@ -117,8 +124,9 @@
             handler=self._handle,
             clock=self._clock,
             heartbeat=lambda _: MEMBER_HEARTBEAT,
+            counters=self._counters,
         )
-        self._entries.keep(self._settings.balancer)
+        self._entries.start(self._settings.balancer)
         if self._gangs is not None:
             self._background.start(self._gangs.run())
         if self._executor is not None:
@@ -259,7 +267,7 @@
         match message:
             case PeerList():
                 for entry in message.entries:
-                    self._entries.keep(entry.peer_address)
+                    self._entries.keep(entry)
                 return None
             case ConfigOffer():
                 return self._take_config(message)
@@ -312,6 +320,9 @@
             "epoch": self._worker.epoch if self._worker is not None else Epoch(0),
             "load": msgspec.to_builtins(side.load) if side is not None else None,
             "gangs_led": [list(gang) for gang in self._gangs.gangs] if self._gangs else [],
+            "refused": dict(self._counters),
+            "frames_sent": sum(link.frames_sent for link in links),
+            "frames_received": sum(link.frames_received for link in links),
             "bytes_sent": sum(link.bytes_sent for link in links),
             "bytes_received": sum(link.bytes_received for link in links),
         }
