Take over running gangs from records and reports, and cancel jobs

Cause: a new leader knew neither the accelerators in use nor the gangs that ran, and queued no job whose gang was gone. A lost reply to StartGang led to a second start. A repeated GangEnded counted a failure twice. CancelJob was not supported.

Change: reconcile() compares the records with the workers' reports. A gang that the record does not name yet is adopted, a gang without a claim is stopped, and a job whose gang no connected head reports for 15 s is queued again. A job that any agent reports is not started. A new leader waits up to 3 s for the reports before it decides. Reported tasks that no job accounts for hold their accelerators in the cell. After a lost member the next attempt waits 10 s, the lease of the old tasks. Refusals are retried with a jittered backoff (0.5 s to 30 s, urgent jobs 2 s). An eviction is marked as stopping from its decision on. A decision that raises does not end the loop. Cancellation is idempotent, guarded by if_generation, and repeated to the head every 2 s until the gang ended.

Conclusion: takeover is shown against in-memory agents only. A single-worker gang on a worker that is cut off from the leader only, and is alive, can run beside its next attempt: leases do not end it.

--- a/src/chicorycrank/entry/job_records.py
+++ b/src/chicorycrank/entry/job_records.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from itertools import islice
@@ -20,7 +21,10 @@
 # The store holds values up to 1 MB; the rest is left for the growth of records already accepted.
 MAX_SHARD_BYTES = 900_000
 RETENTION = timedelta(days=1)
+PRUNE_INTERVAL = timedelta(minutes=1)
 PRUNE_LIMIT = 200
+FLUSH_INTERVAL = timedelta(milliseconds=50)
+RETRY_INTERVAL = timedelta(seconds=1)
 # Equal to the size of the store client's thread pool.
 CONCURRENT_WRITES = 8
 NO_VERSION = Version(0)
@@ -141,6 +145,23 @@
             self.is_available = False
             raise
 
+    async def flush_forever(self, on_deposed: Callable[[str], None]) -> None:
+        """Write changes in groups and remove old records until cancelled or deposed."""
+        pruned_at = self._clock.monotonic()
+        while True:
+            await self._clock.sleep(FLUSH_INTERVAL)
+            if self._clock.monotonic() - pruned_at >= PRUNE_INTERVAL.total_seconds():
+                pruned_at = self._clock.monotonic()
+                self.prune()
+            try:
+                await self.flush()
+            except StoreError as error:
+                logger.warning("event=flush_delayed shards=%s error=%s", self._prefix, error)
+                await self._clock.sleep(RETRY_INTERVAL)
+            except DeposedError as error:
+                on_deposed(str(error))
+                return
+
     async def wait_written(self, job_id: JobId, limit: timedelta) -> bool:
         """Wait until all changes that the record has now are in the store.
 
--- a/src/chicorycrank/entry/jobs.py
+++ b/src/chicorycrank/entry/jobs.py
@@ -82,5 +82,6 @@
         if isinstance(message, ListJobs):
             return JobList(tuple(self._scheduler.list(message.team)))
         if isinstance(message, CancelJob):
-            return Refused("not_supported")
+            reply = await self._scheduler.cancel(message.job_id, message.if_generation)
+            return JobReply(copy(reply)) if isinstance(reply, JobRecord) else reply
         return Refused("unexpected_message", type(message).__name__)
--- /dev/null
+++ b/src/chicorycrank/entry/occupation.py
@@ -0,0 +1,129 @@
+"""Keeps the decisions' view of a cell in step with job records and workers' reports."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from datetime import datetime
+
+from chicorycrank.entry.directory import Target
+from chicorycrank.entry.gang_reports import GangReports
+from chicorycrank.model.config import Guarantee, Team
+from chicorycrank.model.ids import GuaranteeId, JobId, TargetId, TeamId
+from chicorycrank.model.jobs import GangShape, JobRecord, JobState, MemberPlacement, WorkKind
+from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob, WorkerState
+
+
+class Occupation:
+    """Accelerators in use: by the leader's own records, and by what only the agents know of."""
+
+    def __init__(self) -> None:
+        self.cell = Cell()
+        self._unknown: dict[JobId, MemberPlacement] = {}
+
+    def set_config(
+        self, teams: dict[TeamId, Team], guarantees: dict[GuaranteeId, Guarantee]
+    ) -> None:
+        """Put teams and the guarantees of this cell in force."""
+        self.cell.set_config(teams, guarantees)
+
+    def put_worker(self, target: Target) -> bool:
+        """Add a worker that has reported; true if it is new or its availability changed."""
+        info, load = target.hello.worker, target.worker_load
+        if info is None:
+            return False
+        available = load.reachable and not load.draining
+        known = self.cell.workers_by_id.get(target.target_id)
+        if known is None:
+            self.cell.put_worker(
+                WorkerState(
+                    worker=target.target_id,
+                    rack=info.rack,
+                    zone=target.hello.zone,
+                    accelerators=info.accelerators,
+                    cores=info.cores,
+                    memory_gb=info.memory_gb,
+                )
+            )
+        is_changed = known is None or known.available != available
+        self.cell.set_available(target.target_id, available)
+        return is_changed
+
+    def close_worker(self, worker: TargetId) -> None:
+        """Use a worker for no further work."""
+        if worker in self.cell.workers_by_id:
+            self.cell.set_available(worker, False)
+
+    def occupy(self, record: JobRecord, now: datetime, now_s: float) -> None:
+        """Take the accelerators of a record's placement."""
+        elapsed_s = (now - record.started_at).total_seconds() if record.started_at else 0.0
+        self.cell.start(
+            RunningJob(
+                job=make_queued(record),
+                placement=record.placement,
+                kind=record.kind or WorkKind.BORROWED,
+                started_s=now_s - max(0.0, elapsed_s),
+                stopping=record.state is JobState.STOPPING,
+            )
+        )
+
+    def release(self, job_id: JobId) -> None:
+        """Give back the accelerators of a job, except those that another one holds as well."""
+        running = self.cell.running_by_id.get(job_id)
+        if running is None:
+            return
+        self.cell.finish(job_id)
+        for worker in {place.worker for place in running.placement}:
+            state = self.cell.workers_by_id.get(worker)
+            if state is not None:
+                self.cell.put_worker(state)
+
+    def set_stopping(self, job_id: JobId, stopping: bool) -> None:
+        """Note whether an eviction of a running job is under way."""
+        running = self.cell.running_by_id.get(job_id)
+        if running is not None:
+            self.cell.running_by_id[job_id] = replace(running, stopping=stopping)
+
+    def take_unknown(self, reports: GangReports, records_by_id: Mapping[JobId, JobRecord]) -> None:
+        """Hold the accelerators of reported tasks that no running job accounts for."""
+        unknown: dict[JobId, MemberPlacement] = {}
+        for worker, report in reports.tasks_by_worker.items():
+            for task in report.tasks:
+                place = MemberPlacement(worker, task.accelerators)
+                running = self.cell.running_by_id.get(task.job_id)
+                if running is None or place not in running.placement:
+                    name = f"{task.job_id}/{task.attempt}/{task.member}@{worker}"
+                    unknown[JobId(name)] = place
+        for job_id in [job_id for job_id in self._unknown if job_id not in unknown]:
+            self.release(job_id)
+        for job_id, place in unknown.items():
+            if job_id not in self._unknown:
+                record = records_by_id.get(JobId(job_id.split("/", 1)[0]))
+                self.cell.start(_make_unknown(job_id, place, record))
+        self._unknown = unknown
+
+
+def make_queued(record: JobRecord) -> QueuedJob:
+    """Return a record as the decisions see a waiting job."""
+    spec = record.spec
+    return QueuedJob(
+        job_id=record.job_id,
+        team=spec.team,
+        shape=spec.shape,
+        run_time_s=max(0.0, spec.run_time_s - record.progress_s),
+        submitted_s=record.submitted_at.timestamp(),
+        urgent=spec.urgent,
+        checkpointable=spec.checkpointable,
+    )
+
+
+def _make_unknown(job_id: JobId, place: MemberPlacement, record: JobRecord | None) -> RunningJob:
+    """Return a stand-in that no decision evicts, as it is about to end by itself."""
+    job = QueuedJob(
+        job_id=job_id,
+        team=record.spec.team if record else TeamId(""),
+        shape=GangShape(members=1, accelerators=len(place.accelerators)),
+        run_time_s=0.0,
+        submitted_s=0.0,
+    )
+    return RunningJob(
+        job=job, placement=(place,), kind=WorkKind.BORROWED, started_s=0.0, stopping=True
+    )
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -2,54 +2,61 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
 from chicorycrank.entry.directory import Directory, Target
+from chicorycrank.entry.gang_calls import CallResult, GangCalls
+from chicorycrank.entry.gang_reports import (
+    Action,
+    Adopt,
+    GangId,
+    GangReports,
+    ReportedGang,
+    Requeue,
+    StopOrphan,
+    reconcile,
+)
 from chicorycrank.entry.job_records import DeposedError, JobRecords
-from chicorycrank.entry.submissions import submit
+from chicorycrank.entry.occupation import Occupation, make_queued
+from chicorycrank.entry.submissions import confirm, submit
+from chicorycrank.entry.transitions import Transitions
 from chicorycrank.entry.waiting import wait_at_most
 from chicorycrank.model.config import Config
-from chicorycrank.model.ids import CellId, EntryId, Epoch, Generation, JobId, RegionId
+from chicorycrank.model.ids import CellId, EntryId, Epoch, Generation, JobId, RegionId, TargetId
 from chicorycrank.model.jobs import FINAL_STATES, JobRecord, JobSpec, JobState
 from chicorycrank.model.messages import (
     AnyMessage,
-    CancelReservation,
     GangEnded,
-    GangMember,
     GangOutcome,
     GangStarted,
-    LeaderAnnounce,
     Ok,
     Refused,
-    Reserve,
-    StartGang,
-    StopGang,
 )
-from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob, WorkerState
+from chicorycrank.policy.cell import Cell
 from chicorycrank.policy.decide import Evict, Start, decide
 from chicorycrank.ports.clock import Clock
-from chicorycrank.ports.links import LinkError
 from chicorycrank.ports.store import StoreError
 
-CALL_TIMEOUT = timedelta(seconds=2)
-RESERVATION_TTL_S = 10.0
 EVICTION_GRACE_S = 5.0
 TICK = timedelta(seconds=1)
-FLUSH_INTERVAL = timedelta(milliseconds=50)
 FINAL_FLUSH_LIMIT = timedelta(milliseconds=500)
 # Below the agents' limit for the reply, so that a refusal still reaches them.
 END_RECORD_LIMIT = timedelta(seconds=1.5)
-PRUNE_INTERVAL_S = 60.0
-MAX_FAILURES = 3
-MAX_REASON_LENGTH = 400
+# Agents report every second and at each change; 3 s also covers the delay of a reconnect.
+TAKEOVER_WAIT_S = 3.0
+STOP_REPEAT_S = 2.0
 
 logger = logging.getLogger("absl")
 
 
 class Scheduler:
-    """Places the jobs of one cell while this entry is its leader."""
+    """Places the jobs of one cell while this entry is its leader.
+
+    :param jitter: returns a number from 0 to 1
+    """
 
     def __init__(
         self,
@@ -60,6 +67,7 @@
         directory: Directory,
         records: JobRecords,
         clock: Clock,
+        jitter: Callable[[], float] = random.random,
     ) -> None:
         self._cell_id = cell
         self._region = region
@@ -67,13 +75,27 @@
         self._directory = directory
         self._records = records
         self._clock = clock
-        self._cell = Cell()
+        self._jitter = jitter
+        self._calls = GangCalls(directory, lambda reason: self.on_superseded(reason))
         self._config = Config()
         self._epoch = Epoch(0)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_leader = False
         self.on_superseded: Callable[[str], None] = lambda _: None
+        self._reset()
+
+    def _reset(self) -> None:
+        """Forget what an earlier term knew."""
+        self._occupation = Occupation()
+        self._jobs = Transitions(
+            self._records, self._occupation, self._clock, self._epoch, self._jitter
+        )
+        self._reports = GangReports()
+        self._fresh: set[TargetId] = set()
+        self._starting: set[JobId] = set()
+        self._seen_at_by_job: dict[JobId, float] = {}
+        self._stop_sent_at: dict[GangId, float] = {}
 
     # The role.
 
@@ -81,12 +103,20 @@
         """Load the records under a new epoch and begin to decide."""
         await self._records.load(epoch)
         self._epoch = epoch
-        self._cell = Cell()
+        self._reset()
         self.put_config(self._config)
+        now_s = self._clock.monotonic()
+        for record in self._records.records_by_id.values():
+            if record.placement and record.state not in FINAL_STATES:
+                self._occupation.occupy(record, self._clock.now(), now_s)
+        self._settled_at = now_s + TAKEOVER_WAIT_S
+        workers = list(self._directory.workers())
+        # An entry that has just started has few connections; their reports tell too little.
+        self._may_settle_early = bool(workers)
         self.is_leader = True
-        for target in self._directory.workers():
-            self._spawn(self._announce(target))
-        for work in (self._decide_forever(), self._flush_forever()):
+        for target in workers:
+            self._spawn(self.add_worker(target))
+        for work in (self._decide_forever(), self._records.flush_forever(self.on_superseded)):
             self._spawn(work)
 
     async def drop_role(self) -> None:
@@ -112,7 +142,7 @@
             for key, guarantee in config.guarantees.items()
             if guarantee.region == self._region
         }
-        self._cell.set_config(config.teams, guarantees)
+        self._occupation.set_config(config.teams, guarantees)
         self._wake.set()
 
     # Jobs.
@@ -125,6 +155,29 @@
         self._wake.set()
         return reply
 
+    async def cancel(
+        self, job_id: JobId, if_generation: Generation | None = None
+    ) -> AnyMessage | JobRecord:
+        """Cancel a job; a job that has ended stays as it is.
+
+        :param if_generation: refuse unless the record has this generation
+        """
+        record = self._records.records_by_id.get(job_id)
+        if not self.is_leader or record is None:
+            return Refused("no_such_job" if self.is_leader else "not_leader")
+        if if_generation is not None and record.generation != if_generation:
+            return Refused("generation_conflict", f"the generation is {record.generation}")
+        if record.state not in FINAL_STATES and not record.cancel_requested:
+            if record.state is JobState.QUEUED:
+                self._jobs.end(record, JobState.CANCELLED, reason="cancelled")
+            else:
+                self._jobs.change(
+                    record, state=JobState.STOPPING, cancel_requested=True, reason="cancelled"
+                )
+                self._occupation.set_stopping(job_id, True)
+            self._wake.set()
+        return await confirm(self._records, record)
+
     def find(self, job_id: JobId) -> JobRecord | None:
         """Return the record of a job."""
         return self._records.records_by_id.get(job_id)
@@ -134,38 +187,36 @@
         records = self._records.records_by_id.values()
         return [record for record in records if not team or record.spec.team == team]
 
+    @property
+    def cell(self) -> Cell:
+        """The cell as the decisions see it."""
+        return self._occupation.cell
+
     # Reports of agents.
 
     async def add_worker(self, target: Target) -> None:
         """Announce this leader to a worker's agent that connected."""
-        if self.is_leader:
-            await self._announce(target)
+        if not self.is_leader:
+            return
+        if target.has_reported:
+            self._note_report(target)
+        await self._calls.announce(target.target_id, self._cell_id, self._epoch, self._entry)
 
     def take_report(self, target: Target) -> None:
         """Take a worker's occupation into account."""
-        info = target.hello.worker
-        if not self.is_leader or info is None:
-            return
-        known = self._cell.workers_by_id.get(target.target_id)
-        if known is None:
-            self._cell.put_worker(
-                WorkerState(
-                    worker=target.target_id,
-                    rack=info.rack,
-                    zone=target.hello.zone,
-                    accelerators=info.accelerators,
-                    cores=info.cores,
-                    memory_gb=info.memory_gb,
-                )
-            )
-        load = target.worker_load
-        self._cell.set_available(target.target_id, load.reachable and not load.draining)
-        self._wake.set()
+        if self.is_leader and target.hello.worker is not None:
+            self._fresh.add(target.target_id)
+            self._note_report(target)
+
+    def _note_report(self, target: Target) -> None:
+        is_changed = self._reports.put(target.target_id, target.worker_load.tasks)
+        if self._occupation.put_worker(target) or is_changed or not self._is_settled():
+            self._wake.set()
 
     def remove_worker(self, target: Target) -> None:
-        """Stop using a worker whose agent is gone."""
-        if target.target_id in self._cell.workers_by_id:
-            self._cell.set_available(target.target_id, False)
+        """Stop using a worker whose agent is gone; its tasks may run until their leases end."""
+        self._occupation.close_worker(target.target_id)
+        self._reports.lose(target.target_id, self._clock.monotonic())
 
     async def take_gang_event(self, message: GangStarted | GangEnded) -> AnyMessage:
         """Record that a gang started or ended."""
@@ -174,12 +225,15 @@
         record = self._records.records_by_id.get(message.job_id)
         if record is None:
             return Ok()
-        if record.attempt == message.attempt and record.state not in FINAL_STATES:
-            if isinstance(message, GangStarted):
-                self._change(record, state=JobState.RUNNING, started_at=self._clock.now())
-                return Ok()
-            self._cell.finish(record.job_id)
-            self._end_attempt(record, message)
+        is_open = message.attempt >= record.attempt and record.state not in FINAL_STATES
+        if isinstance(message, GangStarted):
+            # The start of an attempt that the record does not name is adopted by its report.
+            if is_open and message.attempt == record.attempt and record.state is JobState.STARTING:
+                self._jobs.note_start(record)
+            return Ok()
+        is_repeated = message.attempt == record.attempt and record.state is JobState.QUEUED
+        if is_open and (not is_repeated or message.outcome is GangOutcome.COMPLETED):
+            self._jobs.end_attempt(record, message)
             self._wake.set()
         # The head keeps the end of its gang until a leader has recorded it. A leader that
         # acknowledged it earlier and lost the role would leave a finished job to be run again.
@@ -187,37 +241,6 @@
             return Refused("not_recorded")
         return Ok()
 
-    def _end_attempt(self, record: JobRecord, message: GangEnded) -> None:
-        if message.outcome is GangOutcome.COMPLETED:
-            self._change(record, state=JobState.COMPLETED, ended_at=self._clock.now())
-            return
-        failures = record.failures + (message.outcome is GangOutcome.FAILED)
-        if failures >= MAX_FAILURES:
-            self._change(
-                record,
-                state=JobState.FAILED,
-                failures=failures,
-                ended_at=self._clock.now(),
-                reason=message.reason,
-            )
-            return
-        self._change(
-            record,
-            state=JobState.QUEUED,
-            failures=failures,
-            progress_s=message.progress_s,
-            placement=(),
-            reason=message.reason,
-        )
-
-    def _change(self, record: JobRecord, **fields: object) -> None:
-        fields["reason"] = str(fields.get("reason", record.reason))[:MAX_REASON_LENGTH]
-        for name, value in fields.items():
-            setattr(record, name, value)
-        record.generation = Generation(record.generation + 1)
-        record.epoch = self._epoch
-        self._records.mark(record.job_id)
-
     # Decisions.
 
     async def _decide_forever(self) -> None:
@@ -225,145 +248,139 @@
             await wait_at_most(self._clock, self._wake.wait(), TICK)
             self._wake.clear()
             try:
-                self._decide()
+                gangs = self._reconcile()
+                if self._is_settled():
+                    self._decide(gangs)
             except Exception:  # one failed decision must not end the loop
                 logger.exception("event=decision_failed cell=%s", self._cell_id)
 
-    def _decide(self) -> None:
-        now = self._clock.monotonic()
+    def _is_settled(self) -> bool:
+        """Return whether the workers had their time to report after the takeover."""
+        if self._clock.monotonic() >= self._settled_at:
+            return True
+        if not self._may_settle_early:
+            return False
+        expected = {target.target_id for target in self._directory.workers()}
+        for record in self._records.records_by_id.values():
+            expected.update(place.worker for place in record.placement)
+        return expected <= self._fresh
+
+    def _reconcile(self) -> dict[GangId, ReportedGang]:
+        """Bring records, reports and the cell in step; return the reported gangs."""
+        now_s = self._clock.monotonic()
+        self._reports.expire(now_s)
+        gangs = self._reports.gangs()
+        records = self._records.records_by_id
+        actions = reconcile(records, gangs, self._starting, self._seen_at_by_job, now_s)
+        for action in list(actions):
+            self._apply(action)
+        for gang, reported in gangs.items():
+            record = records.get(gang[0])
+            if record is not None and record.cancel_requested and reported.head is not None:
+                self._stop(reported.head, gang, "cancelled")
+        self._occupation.take_unknown(self._reports, records)
+        return gangs
+
+    def _apply(self, action: Action) -> None:
+        if isinstance(action, StopOrphan):
+            gang = (action.job_id, action.attempt)
+            self._stop(action.head, gang, "no record asks for this attempt")
+            return
+        record = self._records.records_by_id[action.job_id]
+        if isinstance(action, Requeue):
+            logger.warning("event=gang_lost job=%s attempt=%d", record.job_id, record.attempt)
+            self._jobs.queue_again(record, "no agent reported its gang")
+        else:
+            self._adopt(record, action)
+
+    def _adopt(self, record: JobRecord, action: Adopt) -> None:
+        logger.info("event=gang_adopted job=%s attempt=%d", action.job_id, action.attempt)
+        self._occupation.release(record.job_id)
+        state = JobState.RUNNING if action.running else JobState.STARTING
+        self._jobs.change(
+            record,
+            state=JobState.STOPPING if record.cancel_requested else state,
+            attempt=action.attempt,
+            placement=action.placement,
+            started_at=self._clock.now() if action.running else None,
+        )
+        self._occupation.occupy(record, self._clock.now(), self._clock.monotonic())
+
+    def _stop(self, head: TargetId, gang: GangId, reason: str) -> None:
+        """Ask a gang's head to stop it, again after a while if the gang is still reported."""
+        now_s = self._clock.monotonic()
+        if now_s - self._stop_sent_at.get(gang, -STOP_REPEAT_S) < STOP_REPEAT_S:
+            return
+        self._stop_sent_at = {
+            g: at for g, at in self._stop_sent_at.items() if now_s - at < STOP_REPEAT_S
+        }
+        self._stop_sent_at[gang] = now_s
+
+        async def stop() -> None:
+            await self._calls.stop(self._epoch, head, gang, 0.0, reason)
+
+        self._spawn(stop())
+
+    def _decide(self, gangs: dict[GangId, ReportedGang]) -> None:
+        now_s = self._clock.monotonic()
+        reported = {job_id for job_id, _ in gangs}
         queue = [
-            _queued(record)
+            make_queued(record)
             for record in self._records.records_by_id.values()
-            if record.state is JobState.QUEUED and self._records.is_accepted(record.job_id)
+            if self._jobs.may_start(record) and record.job_id not in reported
         ]
-        for decision in decide(self._cell, queue, now):
+        for decision in decide(self.cell, queue, now_s):
+            record = self._records.records_by_id.get(decision.job_id)
+            if record is None:
+                continue
             if isinstance(decision, Start):
-                self._begin(decision, now)
+                self._begin(record, decision)
             else:
-                self._spawn(self._evict(decision))
+                self._spawn(self._evict(record, decision))
 
-    def _begin(self, decision: Start, now: float) -> None:
-        record = self._records.records_by_id[decision.job_id]
-        running = RunningJob(
-            job=_queued(record), placement=decision.placement, kind=decision.kind, started_s=now
-        )
-        self._cell.start(running)
-        self._change(
+    def _begin(self, record: JobRecord, decision: Start) -> None:
+        self._jobs.change(
             record,
             state=JobState.STARTING,
             attempt=record.attempt + 1,
             placement=decision.placement,
             kind=decision.kind,
+            started_at=None,
             reason="",
         )
+        self._occupation.occupy(record, self._clock.now(), self._clock.monotonic())
+        self._starting.add(record.job_id)
         self._spawn(self._start(record))
 
     async def _start(self, record: JobRecord) -> None:
-        """Reserve all members, then hand the gang to its head."""
-        members = self._gang_members(record)
         attempt = record.attempt
-        if members is not None and await self._reserve(record):
-            head = self._directory.targets_by_id.get(record.placement[0].worker)
-            message = StartGang(
-                self._epoch, record.job_id, attempt, record.spec, members, record.progress_s
-            )
-            if head is not None and await self._ask(head, message):
-                return
-        await self._give_up(record, attempt)
-
-    def _gang_members(self, record: JobRecord) -> tuple[GangMember, ...] | None:
-        members = []
-        for placement in record.placement:
-            target = self._directory.targets_by_id.get(placement.worker)
-            if target is None:
-                return None
-            members.append(GangMember(placement, target.hello.address))
-        return tuple(members)
-
-    async def _reserve(self, record: JobRecord) -> bool:
-        shape = record.spec.shape
-        calls = []
-        for index, placement in enumerate(record.placement):
-            message = Reserve(
-                self._epoch,
-                record.job_id,
-                record.attempt,
-                index,
-                placement.accelerators,
-                shape.cores,
-                shape.memory_gb,
-                RESERVATION_TTL_S,
-            )
-            calls.append(self._ask(self._directory.targets_by_id[placement.worker], message))
-        return all(await asyncio.gather(*calls))
+        try:
+            result = await self._calls.start(self._epoch, record)
+        finally:
+            self._starting.discard(record.job_id)
+        is_waiting = record.state in (JobState.STARTING, JobState.STOPPING)
+        if result is CallResult.REFUSED and is_waiting and record.attempt == attempt:
+            self._jobs.back_off(record)
+            self._jobs.queue_again(record, "reservation refused")
+            self._wake.set()
 
-    async def _give_up(self, record: JobRecord, attempt: int) -> None:
-        if record.attempt != attempt or record.state is not JobState.STARTING:
+    async def _evict(self, record: JobRecord, decision: Evict) -> None:
+        self._occupation.set_stopping(record.job_id, True)
+        gang, head = (record.job_id, record.attempt), record.placement[0].worker
+        result = await self._calls.stop(self._epoch, head, gang, EVICTION_GRACE_S, decision.reason)
+        if record.attempt != gang[1] or record.state not in (JobState.STARTING, JobState.RUNNING):
             return
-        message = CancelReservation(self._epoch, record.job_id, attempt)
-        for worker in {placement.worker for placement in record.placement}:
-            target = self._directory.targets_by_id.get(worker)
-            if target is not None:
-                await self._ask(target, message)
-        self._cell.finish(record.job_id)
-        self._change(record, state=JobState.QUEUED, placement=(), reason="reservation refused")
-        self._wake.set()
-
-    async def _evict(self, decision: Evict) -> None:
-        record = self._records.records_by_id[decision.job_id]
-        head = self._directory.targets_by_id.get(record.placement[0].worker)
-        message = StopGang(
-            self._epoch, record.job_id, record.attempt, EVICTION_GRACE_S, decision.reason
-        )
-        if head is not None and await self._ask(head, message):
-            self._change(record, state=JobState.STOPPING, reason=decision.reason)
-
-    async def _announce(self, target: Target) -> None:
-        await self._ask(target, LeaderAnnounce(self._cell_id, self._epoch, self._entry))
-        self.take_report(target)
-
-    async def _ask(self, target: Target, message: AnyMessage) -> bool:
-        try:
-            reply = await target.link.request(message, timeout=CALL_TIMEOUT)
-        except LinkError as error:
-            logger.info("event=agent_silent target=%s error=%s", target.target_id, error)
-            return False
-        if isinstance(reply, Refused):
-            logger.info("event=agent_refused target=%s code=%s", target.target_id, reply.code)
-            if reply.code == "stale_epoch":
-                self.on_superseded(f"{target.target_id}: {reply.detail}")
-        return isinstance(reply, Ok)
-
-    async def _flush_forever(self) -> None:
-        pruned_at = self._clock.monotonic()
-        while True:
-            await self._clock.sleep(FLUSH_INTERVAL)
-            if self._clock.monotonic() - pruned_at >= PRUNE_INTERVAL_S:
-                pruned_at = self._clock.monotonic()
-                self._records.prune()
-            try:
-                await self._records.flush()
-            except StoreError as error:
-                logger.warning("event=flush_delayed cell=%s error=%s", self._cell_id, error)
-                await self._clock.sleep(TICK)
-            except DeposedError as error:
-                self.on_superseded(str(error))
-                return
+        if result is CallResult.DONE:
+            self._jobs.change(
+                record,
+                state=JobState.STOPPING,
+                evictions=record.evictions + 1,
+                reason=decision.reason,
+            )
+        else:
+            self._occupation.set_stopping(record.job_id, False)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _queued(record: JobRecord) -> QueuedJob:
-    spec = record.spec
-    return QueuedJob(
-        job_id=record.job_id,
-        team=spec.team,
-        shape=spec.shape,
-        run_time_s=max(0.0, spec.run_time_s - record.progress_s),
-        submitted_s=record.submitted_at.timestamp(),
-        urgent=spec.urgent,
-        checkpointable=spec.checkpointable,
-    )
--- a/src/chicorycrank/entry/submissions.py
+++ b/src/chicorycrank/entry/submissions.py
@@ -43,11 +43,14 @@
         return record
     if records.withdraw(job_id):
         return _refuse("store_unavailable", "the record could not be written in time")
-    return Refused(
-        "write_unconfirmed",
-        "the store has not confirmed the record; submit again with the same key",
-        RETRY_AFTER_S,
-    )
+    return _refuse("write_unconfirmed", "submit again with the same key")
+
+
+async def confirm(records: JobRecords, record: JobRecord) -> JobRecord | Refused:
+    """Return a changed record once the change is in the store."""
+    if await records.wait_written(record.job_id, WRITE_LIMIT):
+        return record
+    return _refuse("write_unconfirmed", "the store has not confirmed the change")
 
 
 def _refuse(code: str, detail: str) -> Refused:
--- a/src/chicorycrank/model/jobs.py
+++ b/src/chicorycrank/model/jobs.py
@@ -104,3 +104,4 @@
     evictions: int = 0
     failures: int = 0
     reason: str = ""
+    cancel_requested: bool = False
--- a/src/chicorycrank/model/messages.py
+++ b/src/chicorycrank/model/messages.py
@@ -386,9 +386,13 @@
 
 
 class CancelJob(Message, frozen=True):
-    """Cancels a job; answered by JobReply or Refused."""
+    """Cancels a job; answered by JobReply or Refused.
+
+    :param if_generation: refused unless the record has this generation
+    """
 
     job_id: JobId
+    if_generation: Generation | None = None
 
 
 class QueryJob(Message, frozen=True):
