--- /dev/null
+++ b/src/chicorycrank/cli/base.py
@@ -0,0 +1,92 @@
+"""Shared parts of all commands: entries, output and exit codes."""
+
+import json
+import os
+from collections.abc import Sequence
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from chicorycrank.cli.client import EXIT_UNREACHABLE, Client, Reply, UnreachableError
+
+ENTRY_VARIABLE = "CHICORYCRANK_ENTRY"
+EXIT_USAGE = 2
+EXIT_CODES = (
+    "Exit codes: 0 done, 1 refused or failed, 2 usage or findings, 3 not run, 4 unknown, "
+    "5 no entry reachable."
+)
+JSON_OPTION = option("json", None, "Print JSON, one object per line.")
+
+
+def entry_options() -> list[Option]:
+    """Return the options of commands that call an entry."""
+    text = f"Base address of an entry; the next one is tried if it is down. Or {ENTRY_VARIABLE}."
+    return [option("entry", None, text, flag=False, multiple=True), JSON_OPTION]
+
+
+class EntryCommand(Command):
+    """A command that calls an entry."""
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        named = os.environ.get(ENTRY_VARIABLE, "").split(",")
+        urls = self.option("entry") or [url for url in named if url]
+        if not urls:
+            self.line_error(f"no entry is named; give --entry URL or set {ENTRY_VARIABLE}")
+            return EXIT_USAGE
+        try:
+            return self.run_with(Client(urls))
+        except UnreachableError as error:
+            self.line_error(f"no entry answered: {error}; check the address and the network")
+            return EXIT_UNREACHABLE
+        except OSError as error:
+            self.line_error(f"{error.filename}: {error.strerror}; give a file that can be read")
+            return EXIT_USAGE
+
+    def run_with(self, client: Client) -> int:
+        """Run the command against an entry and return its exit code."""
+        raise NotImplementedError
+
+    def show(self, reply: Reply, headers: Sequence[str], rows: Sequence[dict[str, Any]]) -> int:
+        """Print the answer as a table, or as one JSON object per line."""
+        if reply.exit_code:
+            return self.show_problem(reply)
+        if self.option("json"):
+            for row in rows:
+                self.io.write_line(json.dumps(row))
+        else:
+            table = self.table(style="compact")
+            table.set_headers(list(headers))
+            for row in rows:
+                table.add_row([_show(row.get(name)) for name in headers])
+            table.render()
+        return 0
+
+    def show_problem(self, reply: Reply) -> int:
+        """Print a refusal with its findings or changes."""
+        document = reply.document
+        if self.option("json"):
+            self.io.write_line(json.dumps(document))
+            return reply.exit_code
+        for finding in document.get("findings", ()):
+            place = f"{finding['file']}:{finding['line']}:{finding['column']}"
+            self.line_error(f"{place}: {finding['text']}; {finding['remedy']}")
+        for change in document.get("changes", ()):
+            keys = ", ".join(change["keys"])
+            self.line_error(
+                f"generation {change['generation']}: {change['release']} "
+                f"by {change['author']}: {keys}"
+            )
+        outcome = document.get("outcome", "failed")
+        self.line_error(f"{outcome}: {document.get('detail', 'no detail')}")
+        return reply.exit_code
+
+
+def _show(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return ", ".join(map(str, value))
+    return "-" if value is None else str(value)
--- /dev/null
+++ b/src/chicorycrank/cli/commands.py
@@ -0,0 +1,193 @@
+"""The commands of operators."""
+
+import json
+from pathlib import Path
+from typing import Any, ClassVar
+from urllib.parse import quote
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from chicorycrank.cli.base import EXIT_CODES, EXIT_USAGE, EntryCommand, entry_options
+from chicorycrank.cli.client import Client
+from chicorycrank.settings.agent import AgentSettings, check_agent
+from chicorycrank.settings.entry import EntrySettings, check_entry
+from chicorycrank.settings.reader import SettingsError, read_settings
+
+FILE = argument("file", "File to read.")
+
+
+def _help(example: str) -> str:
+    return f"Example: <info>chicorycrank {example}</info>\n\n{EXIT_CODES}"
+
+
+class SettingsCheck(Command):
+    """Checks a settings file."""
+
+    name = "settings check"
+    description = "Check a settings file with the code that start-up runs."
+    help = _help("settings check examples/agent.jsonc --program agent")
+    arguments: ClassVar[list[Argument]] = [FILE]
+    options: ClassVar[list[Option]] = [
+        option("program", None, "agent or entry; by default the one named in the file.", flag=False)
+    ]
+
+    def handle(self) -> int:
+        """Print the findings."""
+        path = Path(self.argument("file"))
+        program = self.option("program") or _guess(path)
+        try:
+            if program == "agent":
+                read_settings(path, AgentSettings, check_agent)
+            else:
+                read_settings(path, EntrySettings, check_entry)
+        except SettingsError as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        self.line(f"{path}: no findings")
+        return 0
+
+
+def _guess(path: Path) -> str:
+    try:
+        return "agent" if '"target"' in path.read_text(encoding="utf-8") else "entry"
+    except (OSError, UnicodeDecodeError):
+        return "entry"
+
+
+class ReleaseCheck(EntryCommand):
+    """Checks a release note."""
+
+    name = "release check"
+    description = "Check a release note against the configuration in force."
+    help = _help("release check note.jsonc --entry http://192.0.2.10:7100")
+    arguments: ClassVar[list[Argument]] = [FILE]
+    options: ClassVar[list[Option]] = entry_options()
+    path = "/v1/releases/check"
+
+    def run_with(self, client: Client) -> int:
+        """Send the note; sending it again is harmless."""
+        file = self.argument("file")
+        headers = {"X-Release-File": quote(Path(file).name)}
+        body = Path(file).read_bytes()
+        reply = client.call("POST", self.path, body, is_repeatable=True, headers=headers)
+        return self.show(reply, ("result", "generation", "keys", "detail"), [reply.document])
+
+
+class ReleaseApply(ReleaseCheck):
+    """Applies a release note."""
+
+    name = "release apply"
+    description = "Apply a release note; the same note may be applied again."
+    help = _help("release apply note.jsonc --entry http://192.0.2.10:7100")
+    path = "/v1/releases"
+
+
+class ReleaseStatus(EntryCommand):
+    """Shows where a generation is in force."""
+
+    name = "release status"
+    description = "Show which generation is in force in each region and process."
+    help = _help("release status --json")
+    options: ClassVar[list[Option]] = entry_options()
+
+    def run_with(self, client: Client) -> int:
+        """Print one row per process."""
+        reply = client.call("GET", "/v1/releases/status", is_repeatable=True)
+        rows = [
+            {"region": region["region"], "process": process, "kind": kind, "generation": held}
+            for region in reply.document.get("regions", ())
+            for kind, section in (("entry", "entries"), ("agent", "agents"))
+            for process, held in sorted(region[section].items())
+        ]
+        return self.show(reply, ("region", "process", "kind", "generation"), rows)
+
+
+class TargetsList(EntryCommand):
+    """Lists the targets."""
+
+    name = "targets list"
+    description = "List the targets of all regions."
+    help = _help("targets list")
+    options: ClassVar[list[Option]] = entry_options()
+
+    def run_with(self, client: Client) -> int:
+        """Print one row per target."""
+        reply = client.call("GET", "/v1/targets", is_repeatable=True)
+        rows = reply.document.get("targets", [])
+        for region in reply.document.get("unreachable_regions", ()):
+            self.line_error(f"no entry of region {region} answers; its targets are not listed")
+        return self.show(
+            reply, ("target", "kind", "region", "zone", "draining", "generation"), rows
+        )
+
+
+class TargetsDrain(EntryCommand):
+    """Drains a target."""
+
+    name = "targets drain"
+    description = "Give a target no new work, or give it work again with --undo."
+    help = _help("targets drain work-north-1")
+    arguments: ClassVar[list[Argument]] = [argument("target", "Name of the target.")]
+    options: ClassVar[list[Option]] = [
+        *entry_options(),
+        option("undo", None, "Let the target take work again."),
+    ]
+
+    def run_with(self, client: Client) -> int:
+        """Send the wish to the target's agent; sending it again is harmless."""
+        path = f"/v1/targets/{quote(self.argument('target'), safe='')}/drain"
+        body = json.dumps({"draining": not self.option("undo")}).encode()
+        reply = client.call("POST", path, body, is_repeatable=True)
+        return self.show(reply, ("target", "draining"), [reply.document])
+
+
+class Teams(EntryCommand):
+    """Lists the teams."""
+
+    name = "teams"
+    description = "List the teams and their guarantees."
+    help = _help("teams")
+    options: ClassVar[list[Option]] = entry_options()
+
+    def run_with(self, client: Client) -> int:
+        """Print one row per team."""
+        reply = client.call("GET", "/v1/teams", is_repeatable=True)
+        rows: list[dict[str, Any]] = reply.document.get("teams", [])
+        if not self.option("json"):
+            rows = [row | {"guarantees": ", ".join(row["guarantees"]) or None} for row in rows]
+        return self.show(reply, ("team", "weight", "max_queued_jobs", "guarantees"), rows)
+
+
+class Dump(EntryCommand):
+    """Prints the state of a process."""
+
+    name = "dump"
+    description = "Print the state of an entry or an agent as JSON."
+    help = _help("dump work-north-1")
+    arguments: ClassVar[list[Argument]] = [argument("process", "Name of the entry or target.")]
+    options: ClassVar[list[Option]] = entry_options()
+
+    def run_with(self, client: Client) -> int:
+        """Print the dump."""
+        path = f"/v1/state/{quote(self.argument('process'), safe='')}"
+        reply = client.call("GET", path, is_repeatable=True)
+        if reply.exit_code:
+            return self.show_problem(reply)
+        indent = None if self.option("json") else 2
+        self.io.write_line(json.dumps(reply.document, indent=indent))
+        return 0
+
+
+COMMANDS: tuple[type[Command], ...] = (
+    SettingsCheck,
+    ReleaseCheck,
+    ReleaseApply,
+    ReleaseStatus,
+    TargetsList,
+    TargetsDrain,
+    Teams,
+    Dump,
+)
