Place jobs on aligned pieces and keep every guarantee reclaimable

Cause: the placeholder policy was first fit; it knew no guarantees, no evictions and no shares. Change: pools indexed by mask, rack and piece size; homes for guaranteed shapes that move; evictions by lost work; dominant share with aging; one reservation with backfill by corrected run times; admission findings; reasons why a job waits. The scheduler passes wall time to decide, so that now and submission share a clock, and marks evicted jobs as stopping.

--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -172,7 +172,11 @@
         if isinstance(message, GangStarted):
             self._change(record, state=JobState.RUNNING, started_at=self._clock.now())
             return Ok()
-        self._cell.finish(record.job_id)
+        self._cell.finish(
+            record.job_id,
+            completed=message.outcome is GangOutcome.COMPLETED,
+            now_s=self._clock.now().timestamp(),
+        )
         self._end_attempt(record, message)
         self._wake.set()
         return Ok()
@@ -220,7 +224,7 @@
             self._decide()
 
     def _decide(self) -> None:
-        now = self._clock.monotonic()
+        now = self._clock.now().timestamp()  # the clock of submitted_s
         queue = [
             _queued(record)
             for record in self._records.records_by_id.values()
@@ -230,12 +234,17 @@
             if isinstance(decision, Start):
                 self._begin(decision, now)
             else:
+                self._cell.mark_stopping(decision.job_id)
                 self._spawn(self._evict(decision))
 
     def _begin(self, decision: Start, now: float) -> None:
         record = self._records.records_by_id[decision.job_id]
         running = RunningJob(
-            job=_queued(record), placement=decision.placement, kind=decision.kind, started_s=now
+            job=_queued(record),
+            placement=decision.placement,
+            kind=decision.kind,
+            started_s=now,
+            backfill=decision.backfill,
         )
         self._cell.start(running)
         self._change(
--- /dev/null
+++ b/src/chicorycrank/policy/admission.py
@@ -0,0 +1,154 @@
+"""Findings on jobs that can never run and guarantees that cannot be assembled."""
+
+from collections.abc import Iterable, Mapping
+from enum import Enum
+
+from msgspec import Struct
+
+from chicorycrank.model.config import Guarantee, Team
+from chicorycrank.model.ids import GuaranteeId, RackId, TeamId
+from chicorycrank.model.jobs import Adjacency, GangShape, JobSpec
+from chicorycrank.policy.cell import WorkerState
+from chicorycrank.policy.guarantees import Homes
+from chicorycrank.policy.packing import blocks
+
+
+class FindingCode(Enum):
+    """Kind of a finding."""
+
+    UNKNOWN_TEAM = "unknown_team"
+    EMPTY_SHAPE = "empty_shape"
+    BAD_RUN_TIME = "bad_run_time"
+    TOO_MANY_ACCELERATORS = "too_many_accelerators"
+    TOO_MANY_CORES = "too_many_cores"
+    TOO_MUCH_MEMORY = "too_much_memory"
+    GANG_TOO_LARGE = "gang_too_large"
+    GUARANTEE_DOES_NOT_FIT = "guarantee_does_not_fit"
+
+
+class Finding(Struct, frozen=True, kw_only=True):
+    """A problem in a job or a release.
+
+    :param field: name of the field with the problem
+    """
+
+    code: FindingCode
+    field: str
+    message: str
+
+
+def check_job(
+    spec: JobSpec, workers: Iterable[WorkerState], teams: Mapping[TeamId, Team]
+) -> list[Finding]:
+    """Return every reason why a job can never run on these workers.
+
+    Workers that are unavailable now count: they may return.
+    """
+    findings: list[Finding] = []
+    known = list(workers)
+    if spec.team not in teams:
+        findings.append(_finding(FindingCode.UNKNOWN_TEAM, "team", f"no team {spec.team!r}"))
+    if not spec.run_time_s > 0:
+        text = f"run time must be above 0 s, is {spec.run_time_s:g}"
+        findings.append(_finding(FindingCode.BAD_RUN_TIME, "run_time_s", text))
+    if spec.shape.members < 1 or spec.shape.accelerators < 1:
+        text = "a gang needs at least one member with one accelerator"
+        findings.append(_finding(FindingCode.EMPTY_SHAPE, "shape", text))
+        return findings
+    sizes = _check_member(spec.shape, known)
+    findings += sizes
+    if not sizes:
+        findings += _check_gang(spec.shape, known)
+    return findings
+
+
+def check_guarantees(
+    workers: Iterable[WorkerState], guarantees: Mapping[GuaranteeId, Guarantee]
+) -> list[Finding]:
+    """Return a finding for each guarantee that does not fit beside the others."""
+    homes = Homes()
+    for worker in workers:
+        full = (1 << worker.accelerators) - 1
+        homes.full_by_worker[worker.worker] = (full, worker.cores, worker.memory_gb)
+        homes.pool.add(worker.worker, worker.rack, full, worker.cores, worker.memory_gb)
+    homes.set_guarantees(guarantees)
+    homes.settle()
+    missing: dict[GuaranteeId, int] = {}
+    for home in homes.unplaced():
+        missing[home.key[0]] = missing.get(home.key[0], 0) + 1
+    findings = []
+    for key in sorted(missing):
+        guarantee = guarantees[key]
+        text = (
+            f"{missing[key]} of {guarantee.count} instances of {_describe(guarantee.shape)} "
+            f"for team {guarantee.team!r} cannot be assembled beside the other guarantees"
+        )
+        findings.append(_finding(FindingCode.GUARANTEE_DOES_NOT_FIT, f"guarantees.{key}", text))
+    return findings
+
+
+def _check_member(shape: GangShape, workers: list[WorkerState]) -> list[Finding]:
+    limits = (
+        (
+            FindingCode.TOO_MANY_ACCELERATORS,
+            "shape.accelerators",
+            shape.accelerators,
+            max((worker.accelerators for worker in workers), default=0),
+            "accelerators",
+        ),
+        (
+            FindingCode.TOO_MANY_CORES,
+            "shape.cores",
+            shape.cores,
+            max((worker.cores for worker in workers), default=0),
+            "cores",
+        ),
+        (
+            FindingCode.TOO_MUCH_MEMORY,
+            "shape.memory_gb",
+            shape.memory_gb,
+            max((worker.memory_gb for worker in workers), default=0),
+            "GB of memory",
+        ),
+    )
+    return [
+        _finding(code, field, f"a member needs {need} {unit}; no worker has more than {most}")
+        for code, field, need, most, unit in limits
+        if need > most
+    ]
+
+
+def _check_gang(shape: GangShape, workers: list[WorkerState]) -> list[Finding]:
+    members_by_rack: dict[RackId, int] = {}
+    best_worker = 0
+    for worker in workers:
+        count = _members_on(worker, shape)
+        best_worker = max(best_worker, count)
+        members_by_rack[worker.rack] = members_by_rack.get(worker.rack, 0) + count
+    if shape.adjacency is Adjacency.WORKER:
+        most, place = best_worker, "worker"
+    elif shape.adjacency is Adjacency.RACK:
+        most, place = max(members_by_rack.values(), default=0), "rack"
+    else:
+        most, place = sum(members_by_rack.values()), "region"
+    if most >= shape.members:
+        return []
+    text = f"{_describe(shape)} does not fit: no {place} holds more than {most} such members"
+    return [_finding(FindingCode.GANG_TOO_LARGE, "shape.members", text)]
+
+
+def _members_on(worker: WorkerState, shape: GangShape) -> int:
+    count = len(blocks((1 << worker.accelerators) - 1, shape.accelerators))
+    if shape.cores:
+        count = min(count, worker.cores // shape.cores)
+    if shape.memory_gb:
+        count = min(count, worker.memory_gb // shape.memory_gb)
+    return count
+
+
+def _describe(shape: GangShape) -> str:
+    return f"{shape.members} x {shape.accelerators} accelerators ({shape.adjacency.value})"
+
+
+def _finding(code: FindingCode, field: str, message: str) -> Finding:
+    return Finding(code=code, field=field, message=message)
--- /dev/null
+++ b/src/chicorycrank/policy/backfill.py
@@ -0,0 +1,119 @@
+"""Reservations for the head of the queue, and which jobs may start before it."""
+
+from collections.abc import Iterable
+from functools import partial
+from itertools import islice
+from math import inf
+
+from chicorycrank.model.ids import JobId, TargetId
+from chicorycrank.model.jobs import Adjacency, GangShape
+from chicorycrank.policy.cell import Cell, QueuedJob, Reservation, RunningJob
+from chicorycrank.policy.packing import PIECE_SIZES, piece_class
+from chicorycrank.policy.placement import cheapest_spots, neighbour_order, open_masks
+from chicorycrank.policy.pool import Spot, Spots
+
+RACKS_TRIED = 16  # racks whose expected free time is worked out
+STOP_GRACE_S = 5.0
+
+
+def expected_end_s(cell: Cell, running: RunningJob, now_s: float) -> float:
+    """Return when a job is expected to end.
+
+    A job past its expected run time is taken to run as long again as it already has.
+    """
+    if running.stopping:
+        return now_s + STOP_GRACE_S
+    expected_s = cell.estimates.correct(running.job.team, running.job.run_time_s)
+    elapsed_s = max(0.0, now_s - running.started_s)
+    return now_s + (expected_s - elapsed_s if elapsed_s < expected_s else elapsed_s)
+
+
+def is_overrun(cell: Cell, running: RunningJob, now_s: float) -> bool:
+    """Whether a job runs longer than its corrected run time."""
+    expected_s = cell.estimates.correct(running.job.team, running.job.run_time_s)
+    return now_s - running.started_s > expected_s
+
+
+def reserve(cell: Cell, job: QueuedJob, now_s: float) -> Reservation | None:
+    """Return the reservation of a job; an earlier one keeps its place."""
+    known = cell.reservations_by_id.get(job.job_id)
+    if known is not None and all(cell.free.is_open(worker) for worker, _ in known.spots):
+        start_s = max(_free_at_s(cell, now_s, worker, mask) for worker, mask in known.spots)
+        return Reservation(job_id=job.job_id, spots=known.spots, start_s=start_s)
+    best: tuple[float, Spots] | None = None
+    cost = partial(_free_at_s, cell, now_s)
+    for group in _groups(cell, job.shape):
+        # Cores and memory are checked again when the job starts.
+        found = cheapest_spots(group, job.shape, lambda worker: job.shape.members, cost)
+        if found is not None and (best is None or max(found[1]) < best[0]):
+            best = (max(found[1]), found[0])
+    if best is None:
+        return None
+    return Reservation(job_id=job.job_id, spots=best[1], start_s=best[0])
+
+
+def overrun_victims(cell: Cell, reservation: Reservation, now_s: float) -> list[JobId]:
+    """Return backfilled jobs on reserved accelerators that overran and may be evicted.
+
+    Overrunning ends only the protection of a backfilled job: it is evicted if the reservation
+    needs its accelerators, and otherwise runs on.
+    """
+    found: dict[JobId, None] = {}
+    for worker, mask in reservation.spots:
+        for job_id, held in cell.masks_by_worker.get(worker, {}).items():
+            running = cell.running_by_id[job_id]
+            if (
+                held & mask
+                and running.backfill
+                and not running.stopping
+                and cell.is_evictable(job_id)
+                and is_overrun(cell, running, now_s)
+            ):
+                found[job_id] = None
+    return list(found)
+
+
+def _free_at_s(cell: Cell, now_s: float, worker: TargetId, block: int) -> float:
+    if not cell.free.is_open(worker):
+        return inf
+    ends = (
+        expected_end_s(cell, cell.running_by_id[job_id], now_s)
+        for job_id, held in cell.masks_by_worker.get(worker, {}).items()
+        if held & block
+    )
+    return max(ends, default=now_s)
+
+
+def _groups(cell: Cell, shape: GangShape) -> Iterable[list[Spot]]:
+    """Yield groups of whole workers that a gang may use together, the freest racks first."""
+    full = cell.homes.full_by_worker
+    buckets = cell.free.racks_by_count[PIECE_SIZES.index(piece_class(shape.accelerators))]
+    racks = (rack for count in sorted(buckets, reverse=True) for rack in sorted(buckets[count]))
+    fits = False
+    for rack in islice(racks, RACKS_TRIED):
+        spots = [(worker, full[worker][0]) for worker, _ in open_masks(cell.free, rack)]
+        if shape.adjacency is Adjacency.WORKER and shape.members > 1:
+            yield from ([spot] for spot in spots)
+        elif spots:
+            blocks = sum(mask.bit_count() // shape.accelerators for _, mask in spots)
+            fits |= blocks >= shape.members
+            yield spots
+    if fits or shape.adjacency is not Adjacency.ANY:
+        return
+    order = neighbour_order(cell.free.workers_by_rack)
+    counts = [
+        sum(full[w][0].bit_count() // shape.accelerators for w, _ in open_masks(cell.free, rack))
+        for rack in order
+    ]
+    step = max(1, len(order) // RACKS_TRIED)
+    for start in range(0, len(order), step):
+        end, total = start, 0
+        while end < len(order) and total < shape.members:
+            total += counts[end]
+            end += 1
+        if total >= shape.members:
+            yield [
+                (worker, full[worker][0])
+                for rack in order[start:end]
+                for worker, _ in open_masks(cell.free, rack)
+            ]
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -1,15 +1,19 @@
 """State of a cell as the decisions see it: workers, running jobs and queued jobs."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 
 from chicorycrank.model.config import Guarantee, Team
 from chicorycrank.model.ids import GuaranteeId, JobId, RackId, TargetId, TeamId, ZoneId
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
+from chicorycrank.policy.estimates import Estimates
+from chicorycrank.policy.guarantees import Homes
+from chicorycrank.policy.placement import spots_of
+from chicorycrank.policy.pool import Pool, Spots
 
 
 @dataclass(kw_only=True)
 class WorkerState:
-    """A worker and its free accelerators.
+    """A worker.
 
     :param available: false while it drains, is unreachable or is quarantined
     """
@@ -21,9 +25,6 @@
     cores: int
     memory_gb: int
     available: bool = True
-    free: set[int] = field(default_factory=set)
-    free_cores: int = 0
-    free_memory_gb: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,7 +32,7 @@
     """A job that waits.
 
     :param run_time_s: declared run time that remains, in seconds
-    :param submitted_s: time of submission on the caller's clock in seconds
+    :param submitted_s: time of submission on the clock of ``decide``'s ``now_s``
     """
 
     job_id: JobId
@@ -48,6 +49,7 @@
     """A job that holds accelerators.
 
     :param stopping: an eviction was asked and has not ended yet
+    :param backfill: it was started on accelerators reserved for another job
     """
 
     job: QueuedJob
@@ -55,16 +57,45 @@
     kind: WorkKind
     started_s: float
     stopping: bool = False
+    backfill: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reservation:
+    """Accelerators kept for a waiting job.
+
+    :param start_s: when they are expected to be free
+    """
+
+    job_id: JobId
+    spots: Spots
+    start_s: float
 
 
 class Cell:
-    """Workers and running jobs of one cell, with the guarantees that hold there."""
+    """Workers and running jobs of one cell, with the guarantees that hold there.
+
+    ``free`` holds the accelerators without a task. ``reclaimable`` holds those that are free or
+    run borrowed work that is not urgent.
+    """
 
     def __init__(self) -> None:
         self.workers_by_id: dict[TargetId, WorkerState] = {}
         self.running_by_id: dict[JobId, RunningJob] = {}
         self.teams_by_id: dict[TeamId, Team] = {}
         self.guarantees_by_id: dict[GuaranteeId, Guarantee] = {}
+        self.estimates = Estimates()
+        self.free = Pool()
+        self.reclaimable = Pool()
+        self.homes = Homes()
+        self.reservations_by_id: dict[JobId, Reservation] = {}
+        self.borrowed: dict[JobId, None] = {}  # in the order of their starts
+        self.demoted: dict[JobId, None] = {}  # guaranteed jobs that lost their home
+        self.stopping: dict[JobId, None] = {}
+        self.usage_by_team: dict[TeamId, list[int]] = {}  # accelerators, cores, memory
+        self.totals = [0, 0, 0]
+        self.masks_by_worker: dict[TargetId, dict[JobId, int]] = {}
+        self._spots_by_id: dict[JobId, Spots] = {}
 
     def set_config(
         self, teams: dict[TeamId, Team], guarantees: dict[GuaranteeId, Guarantee]
@@ -72,46 +103,172 @@
         """Put teams and the guarantees of this cell in force."""
         self.teams_by_id = dict(teams)
         self.guarantees_by_id = dict(guarantees)
+        for job_id in self.homes.set_guarantees(guarantees):
+            self._set_borrowed(job_id)
 
     def put_worker(self, worker: WorkerState) -> None:
         """Add a worker or replace what is known of it."""
-        worker.free = set(range(worker.accelerators))
-        worker.free_cores = worker.cores
-        worker.free_memory_gb = worker.memory_gb
-        self.workers_by_id[worker.worker] = worker
-        for running in self.running_by_id.values():
-            for member in running.placement:
-                if member.worker == worker.worker:
-                    self._take(worker, member, running.job.shape)
+        name = worker.worker
+        if name in self.workers_by_id:
+            self.remove_worker(name)
+        self.workers_by_id[name] = worker
+        full = (1 << worker.accelerators) - 1
+        values = (worker.rack, full, worker.cores, worker.memory_gb)
+        self._add_totals(worker, 1)
+        self.homes.full_by_worker[name] = (full, worker.cores, worker.memory_gb)
+        for pool in (self.free, self.reclaimable, self.homes.pool):
+            pool.add(name, *values)
+        for job_id in self.masks_by_worker.get(name, {}):
+            self._hold(self.free, job_id, 1, only=name)
+            if job_id not in self.borrowed or self.running_by_id[job_id].job.urgent:
+                self._hold(self.reclaimable, job_id, 1, only=name)
+        if not worker.available:
+            self.set_available(name, False)
+        self.homes.needs_settling = True
 
     def set_available(self, worker: TargetId, available: bool) -> None:
         """Open or close a worker for new work."""
-        self.workers_by_id[worker].available = available
+        state = self.workers_by_id[worker]
+        state.available = available
+        pools = (self.free, self.reclaimable, self.homes.pool)
+        if available and not self.free.is_open(worker):
+            for pool in pools:
+                pool.open(worker)
+            self.homes.needs_settling = True
+        elif not available and self.free.is_open(worker):
+            for pool in pools:
+                pool.close(worker)
+            for job_id in self.homes.free_worker(worker):
+                self._set_borrowed(job_id)
 
     def remove_worker(self, worker: TargetId) -> None:
-        """Forget a worker; jobs on it stay until they are finished."""
-        self.workers_by_id.pop(worker, None)
+        """Forget a worker; jobs on it stay until they are finished, outside any home."""
+        state = self.workers_by_id.pop(worker, None)
+        if state is None:
+            return
+        pools = (self.free, self.reclaimable, self.homes.pool)
+        for pool in pools:
+            pool.close(worker)
+        for job_id in self.homes.free_worker(worker, lost=True):
+            self._set_borrowed(job_id)
+        for pool in pools:
+            pool.remove(worker)
+        self._add_totals(state, -1)
 
     def start(self, running: RunningJob) -> None:
         """Take the accelerators of a placement."""
-        self.running_by_id[running.job.job_id] = running
-        for member in running.placement:
-            worker = self.workers_by_id.get(member.worker)
-            if worker is not None:
-                self._take(worker, member, running.job.shape)
-
-    def finish(self, job_id: JobId) -> None:
-        """Give back the accelerators of a job."""
-        running = self.running_by_id.pop(job_id, None)
-        for member in running.placement if running else ():
-            worker = self.workers_by_id.get(member.worker)
-            if worker is not None and running is not None:
-                worker.free |= set(member.accelerators)
-                worker.free_cores += running.job.shape.cores
-                worker.free_memory_gb += running.job.shape.memory_gb
-
-    @staticmethod
-    def _take(worker: WorkerState, member: MemberPlacement, shape: GangShape) -> None:
-        worker.free -= set(member.accelerators)
-        worker.free_cores -= shape.cores
-        worker.free_memory_gb -= shape.memory_gb
+        job = running.job
+        if job.job_id in self.running_by_id:
+            self.finish(job.job_id)
+        spots = spots_of(running.placement)
+        self.running_by_id[job.job_id] = running
+        self._spots_by_id[job.job_id] = spots
+        for worker, mask in spots:
+            masks = self.masks_by_worker.setdefault(worker, {})
+            masks[job.job_id] = masks.get(job.job_id, 0) | mask
+        self._hold(self.free, job.job_id, 1)
+        self._add_usage(job, 1)
+        guaranteed = running.kind is WorkKind.GUARANTEED
+        if guaranteed and self.homes.bind(job.team, job.job_id, spots, job.shape):
+            self._hold(self.reclaimable, job.job_id, 1)
+        else:
+            self.borrowed[job.job_id] = None
+            if guaranteed:
+                self._demote(job.job_id)
+            if job.urgent:
+                self._hold(self.reclaimable, job.job_id, 1)
+        if running.stopping:
+            self.stopping[job.job_id] = None
+
+    def mark_stopping(self, job_id: JobId, stopping: bool = True) -> None:
+        """Note that the eviction of a job was asked, or that the request failed.
+
+        The accelerators of a stopping job count as soon free.
+        """
+        running = self.running_by_id.get(job_id)
+        if running is not None and running.stopping is not stopping:
+            self.running_by_id[job_id] = replace(running, stopping=stopping)
+            if stopping:
+                self.stopping[job_id] = None
+            else:
+                del self.stopping[job_id]
+
+    def finish(self, job_id: JobId, *, completed: bool = False, now_s: float | None = None) -> None:
+        """Give back the accelerators of a job.
+
+        :param completed: it ran to its end, so its run time corrects later estimates
+        """
+        running = self.running_by_id.get(job_id)
+        if running is None:
+            return
+        job = running.job
+        if completed and now_s is not None:
+            self.estimates.add(job.team, job.run_time_s, now_s - running.started_s)
+        self._hold(self.free, job_id, -1)
+        if job_id not in self.borrowed or job.urgent:
+            self._hold(self.reclaimable, job_id, -1)
+        self._add_usage(job, -1)
+        for worker, _ in self._spots_by_id[job_id]:
+            self.masks_by_worker[worker].pop(job_id, None)
+        self.borrowed.pop(job_id, None)
+        self.demoted.pop(job_id, None)
+        self.stopping.pop(job_id, None)
+        del self.running_by_id[job_id], self._spots_by_id[job_id]
+        for other in self.homes.detach(job_id):
+            self._set_borrowed(other)
+
+    def settle(self) -> None:
+        """Give every home a place and every guaranteed job a home, as far as possible."""
+        if not self.homes.needs_settling:
+            return
+        for job_id in list(self.demoted):
+            running, spots = self.running_by_id[job_id], self._spots_by_id[job_id]
+            known = all(worker in self.workers_by_id for worker, _ in spots)
+            if known and not running.stopping:
+                job = running.job
+                if self.homes.bind(job.team, job_id, spots, job.shape):
+                    del self.borrowed[job_id], self.demoted[job_id]
+                    self.running_by_id[job_id] = replace(running, kind=WorkKind.GUARANTEED)
+                    if not job.urgent:
+                        self._hold(self.reclaimable, job_id, 1)
+        self.homes.settle()
+
+    def spots(self, job_id: JobId) -> Spots:
+        """Return the accelerators of a running job."""
+        return self._spots_by_id[job_id]
+
+    def is_evictable(self, job_id: JobId) -> bool:
+        """Whether a job runs outside its team's guarantee."""
+        return job_id in self.borrowed
+
+    def _set_borrowed(self, job_id: JobId) -> None:
+        self.borrowed[job_id] = None
+        self._demote(job_id)
+        if not self.running_by_id[job_id].job.urgent:
+            self._hold(self.reclaimable, job_id, -1)
+
+    def _demote(self, job_id: JobId) -> None:
+        """Treat a guaranteed job as borrowed until its team has a home at its place."""
+        running = self.running_by_id[job_id]
+        self.running_by_id[job_id] = replace(running, kind=WorkKind.BORROWED)
+        self.demoted[job_id] = None
+        self.homes.needs_settling = True
+
+    def _hold(self, pool: Pool, job_id: JobId, sign: int, only: TargetId | None = None) -> None:
+        shape = self.running_by_id[job_id].job.shape
+        for worker, mask in self._spots_by_id[job_id]:
+            if worker in pool.masks and only in (None, worker):
+                if sign > 0:
+                    pool.take(worker, mask, shape.cores, shape.memory_gb)
+                else:
+                    pool.give(worker, mask, shape.cores, shape.memory_gb)
+
+    def _add_usage(self, job: QueuedJob, sign: int) -> None:
+        shape = job.shape
+        used = self.usage_by_team.setdefault(job.team, [0, 0, 0])
+        for i, part in enumerate((shape.accelerators, shape.cores, shape.memory_gb)):
+            used[i] += sign * shape.members * part
+
+    def _add_totals(self, worker: WorkerState, sign: int) -> None:
+        for i, part in enumerate((worker.accelerators, worker.cores, worker.memory_gb)):
+            self.totals[i] += sign * part
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -3,18 +3,30 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from chicorycrank.model.ids import JobId, RackId, TargetId
-from chicorycrank.model.jobs import Adjacency, GangShape, MemberPlacement, WorkKind
-from chicorycrank.policy.cell import Cell, QueuedJob, WorkerState
+from chicorycrank.model.ids import JobId, TargetId, TeamId
+from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
+from chicorycrank.policy.backfill import overrun_victims, reserve
+from chicorycrank.policy.cell import Cell, QueuedJob, Reservation, RunningJob
+from chicorycrank.policy.eviction import EvictionPlan, plan_for_spots, plan_for_urgent
+from chicorycrank.policy.fairness import fair_order, within_team_order
+from chicorycrank.policy.guarantees import Home, fit_home
+from chicorycrank.policy.placement import find_spots, placement_of
+from chicorycrank.policy.pool import Spots
+
+MAX_RESERVATIONS = 1
 
 
 @dataclass(frozen=True, kw_only=True)
 class Start:
-    """Start a queued job."""
+    """Start a queued job.
+
+    :param backfill: it starts on accelerators reserved for another job
+    """
 
     job_id: JobId
     placement: tuple[MemberPlacement, ...]
     kind: WorkKind
+    backfill: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -27,49 +39,297 @@
 
 
 Decision = Start | Evict
+Hold = tuple[TargetId, int, int, int]  # worker, mask, cores and memory kept back
 
 
 def decide(cell: Cell, queue: Sequence[QueuedJob], now_s: float) -> list[Decision]:
-    """Return the decisions for the current state; the caller applies them to the cell."""
-    taken: set[tuple[TargetId, int]] = set()
-    decisions: list[Decision] = []
-    for job in sorted(queue, key=lambda job: (not job.urgent, job.submitted_s)):
-        placement = _first_fit(cell, job.shape, taken)
-        if placement is not None:
-            taken |= {(m.worker, a) for m in placement for a in m.accelerators}
-            kind = WorkKind.GUARANTEED
-            decisions.append(Start(job_id=job.job_id, placement=placement, kind=kind))
-    return decisions
-
-
-def _first_fit(
-    cell: Cell, shape: GangShape, taken: set[tuple[TargetId, int]]
-) -> tuple[MemberPlacement, ...] | None:
-    if shape.adjacency is Adjacency.WORKER:
-        groups = [[worker] for worker in cell.workers_by_id.values()]
-    elif shape.adjacency is Adjacency.RACK:
-        by_rack: dict[RackId, list[WorkerState]] = {}
-        for worker in cell.workers_by_id.values():
-            by_rack.setdefault(worker.rack, []).append(worker)
-        groups = list(by_rack.values())
-    else:
-        groups = [list(cell.workers_by_id.values())]
-    for group in groups:
-        placement = _fit_group(group, shape, taken)
-        if placement is not None:
-            return placement
-    return None
-
-
-def _fit_group(
-    group: list[WorkerState], shape: GangShape, taken: set[tuple[TargetId, int]]
-) -> tuple[MemberPlacement, ...] | None:
-    members: list[MemberPlacement] = []
-    for worker in group:
-        if not worker.available:
-            continue
-        free = sorted(a for a in worker.free if (worker.worker, a) not in taken)
-        while len(free) >= shape.accelerators and len(members) < shape.members:
-            members.append(MemberPlacement(worker.worker, tuple(free[: shape.accelerators])))
-            free = free[shape.accelerators :]
-    return tuple(members) if len(members) == shape.members else None
+    """Return the decisions for the current state; the caller applies them to the cell.
+
+    The caller applies a ``Start`` with ``Cell.start`` and an ``Evict`` with
+    ``Cell.mark_stopping``, in the order given.
+    """
+    cell.settle()
+    cell.homes.journal.clear()
+    work = _Pass(cell, now_s)
+    try:
+        work.run(queue)
+    finally:
+        work.undo()
+    return work.decisions
+
+
+class _Pass:
+    """One decision pass: changes the cell while it decides and then undoes the changes."""
+
+    def __init__(self, cell: Cell, now_s: float) -> None:
+        self.cell = cell
+        self.now_s = now_s
+        self.decisions: list[Decision] = []
+        self.started: list[JobId] = []
+        self.stopped: list[RunningJob] = []
+        self.held: list[Hold] = []
+        self.claimed: dict[TargetId, int] = {}
+        self.reservations: list[Reservation] = []
+        self.reserved: list[Hold] = []
+        self.unfit: set[GangShape] = set()
+        self.unfit_lifted: set[GangShape] = set()
+        self.unfit_homes: set[tuple[TeamId, GangShape]] = set()
+
+    def run(self, queue: Sequence[QueuedJob]) -> None:
+        """Decide for urgent jobs, then jobs inside guarantees, then the rest."""
+        urgent = [job for job in queue if job.urgent]
+        urgent.sort(key=lambda job: (job.submitted_s, job.job_id))
+        for job in urgent:
+            if not self._guaranteed(job):
+                self._urgent(job)
+        rest: list[QueuedJob] = []
+        owners = self.cell.homes.homes_by_team
+        normal = [job for job in queue if not job.urgent]
+        inside = [job for job in normal if job.team in owners]
+        for job in within_team_order(self.cell, inside, self.now_s):
+            if not self._guaranteed(job):
+                rest.append(job)
+        rest += [job for job in normal if job.team not in owners]
+        for job in fair_order(self.cell, rest, self.now_s):
+            self._borrowed(job)
+        self.cell.reservations_by_id = {held.job_id: held for held in self.reservations}
+
+    def undo(self) -> None:
+        """Put the cell back to where it was."""
+        self._lift(self.held)
+        self._lift(self.reserved)
+        for job_id in reversed(self.started):
+            self.cell.finish(job_id)
+        self.cell.homes.undo_moves()
+        for running in self.stopped:
+            self.cell.running_by_id[running.job.job_id] = running
+            self.cell.stopping.pop(running.job.job_id, None)
+
+    # Jobs inside guarantees.
+
+    def _guaranteed(self, job: QueuedJob) -> bool:
+        """Start a job in a home of its team, or wait for evictions there.
+
+        :returns: false if the job is not inside a guarantee
+        """
+        key = (job.team, job.shape)
+        homes = self.cell.homes.homes_by_team.get(job.team)
+        if not homes or key in self.unfit_homes:
+            return False
+        homes = sorted(homes, key=lambda home: (not home.jobs, home.key))
+        free = self.cell.free.masks
+        for home in homes:
+            spots = fit_home(home, job.shape, free, self.cell.free)
+            if spots is not None and self._has_room(spots, job.shape):
+                self._start(job, spots, WorkKind.GUARANTEED)
+                return True
+        inside = [home for home in homes if fit_home(home, job.shape, None, self.cell.free)]
+        if not inside:
+            self.unfit_homes.add(key)
+            return False
+        if any(not home.jobs for home in inside) and self._start_elsewhere(job):
+            return True
+        plan = self._plan_at_home(job, inside)
+        if plan is None:
+            self.unfit_homes.add(key)
+            return False
+        self._evict(job, plan, f"guaranteed shape of team {job.team}")
+        return True
+
+    def _start_elsewhere(self, job: QueuedJob) -> bool:
+        """Start a guaranteed job on free accelerators to which a home of its team can move."""
+        spots = self._find(job.shape)
+        if spots is None:
+            return False
+        cell = self.cell
+        running = self._running(job, spots, WorkKind.GUARANTEED)
+        cell.start(running)
+        if cell.is_evictable(job.job_id):
+            cell.finish(job.job_id)
+            return False
+        self._record(running)
+        return True
+
+    def _plan_at_home(self, job: QueuedJob, homes: list[Home]) -> EvictionPlan | None:
+        plans = []
+        soon = self._soon_free(homes)
+        unclaimed = {worker: self._unclaimed(worker) for worker in soon}
+        for home in homes:
+            for usable in (soon, unclaimed):
+                spots = fit_home(home, job.shape, usable, self.cell.free)
+                plan = spots and plan_for_spots(
+                    self.cell, spots, job.shape, self.now_s, spare_urgent=False
+                )
+                if plan and self._is_open_plan(plan):
+                    plans.append(plan)
+                    break
+        return min(plans, key=lambda plan: (plan.lost_s, len(plan.victims)), default=None)
+
+    def _soon_free(self, homes: list[Home]) -> dict[TargetId, int]:
+        masks: dict[TargetId, int] = {}
+        for home in homes:
+            for worker, _ in home.spots or ():
+                masks[worker] = self.cell.free.masks.get(worker, 0)
+                for job_id, mask in self.cell.masks_by_worker.get(worker, {}).items():
+                    if job_id in self.cell.stopping:
+                        masks[worker] |= mask & self._unclaimed(worker)
+        return masks
+
+    # Urgent jobs outside guarantees.
+
+    def _urgent(self, job: QueuedJob) -> None:
+        spots = self._find(job.shape)
+        if spots is not None:
+            self._start(job, spots, WorkKind.BORROWED)
+            return
+        spots = self._find_soon(job.shape)
+        if spots is not None:
+            self._claim(spots, job.shape)
+            return
+        plan = plan_for_urgent(self.cell, job, self.now_s)
+        if plan is not None and self._is_open_plan(plan):
+            self._evict(job, plan, "urgent work")
+
+    def _find_soon(self, shape: GangShape) -> Spots | None:
+        """Find a place among free accelerators and those of jobs that stop."""
+        if not self.cell.stopping:
+            return None
+        given: list[Hold] = []
+        free = self.cell.free
+        for job_id in self.cell.stopping:
+            job_shape = self.cell.running_by_id[job_id].job.shape
+            for worker, mask in self.cell.spots(job_id):
+                mask &= self._unclaimed(worker)
+                if worker in free.masks and mask:
+                    values = (worker, mask, job_shape.cores, job_shape.memory_gb)
+                    free.give(*values)
+                    given.append(values)
+        spots = find_spots(free, shape)
+        for values in given:
+            free.take(*values)
+        return spots
+
+    # The rest.
+
+    def _borrowed(self, job: QueuedJob) -> None:
+        if job.shape not in self.unfit:
+            spots = self._find(job.shape)
+            if spots is not None:
+                self._start(job, spots, WorkKind.BORROWED)
+                return
+        if len(self.reservations) < MAX_RESERVATIONS:
+            self._reserve(job)
+        elif self.reservations and job.shape not in self.unfit_lifted:
+            self._backfill(job)
+
+    def _reserve(self, job: QueuedJob) -> None:
+        reservation = reserve(self.cell, job, self.now_s)
+        if reservation is None:
+            return
+        self.reservations.append(reservation)
+        for victim in overrun_victims(self.cell, reservation, self.now_s):
+            self._stop(victim, job, "overran its expected run time on reserved accelerators")
+        self._hold(reservation.spots, job.shape, self.reserved)
+
+    def _backfill(self, job: QueuedJob) -> None:
+        """Start a job on reserved accelerators if it is expected to end in time."""
+        expected_s = self.cell.estimates.correct(job.team, job.run_time_s)
+        if self.now_s + expected_s > min(held.start_s for held in self.reservations):
+            return
+        self._lift(self.reserved)
+        spots = find_spots(self.cell.free, job.shape)
+        if spots is None:
+            self.unfit_lifted.add(job.shape)
+        else:
+            self._start(job, spots, WorkKind.BORROWED, backfill=True)
+        for held in self.reservations:
+            self._hold(held.spots, None, self.reserved)
+
+    # Changes to the cell, all undone at the end.
+
+    def _find(self, shape: GangShape) -> Spots | None:
+        if shape in self.unfit:
+            return None
+        spots = find_spots(self.cell.free, shape)
+        if spots is None:
+            self.unfit.add(shape)
+        return spots
+
+    def _has_room(self, spots: Spots, shape: GangShape) -> bool:
+        workers = [worker for worker, _ in spots]
+        return all(
+            self.cell.free.room(worker, shape) >= workers.count(worker) for worker in set(workers)
+        )
+
+    def _running(
+        self, job: QueuedJob, spots: Spots, kind: WorkKind, backfill: bool = False
+    ) -> RunningJob:
+        return RunningJob(
+            job=job,
+            placement=placement_of(spots),
+            kind=kind,
+            started_s=self.now_s,
+            backfill=backfill,
+        )
+
+    def _start(
+        self, job: QueuedJob, spots: Spots, kind: WorkKind, *, backfill: bool = False
+    ) -> None:
+        running = self._running(job, spots, kind, backfill)
+        self.cell.start(running)
+        self._record(running)
+
+    def _record(self, running: RunningJob) -> None:
+        job_id = running.job.job_id
+        self.started.append(job_id)
+        self.decisions.append(
+            Start(
+                job_id=job_id,
+                placement=running.placement,
+                kind=running.kind,
+                backfill=running.backfill,
+            )
+        )
+
+    def _evict(self, job: QueuedJob, plan: EvictionPlan, reason: str) -> None:
+        for victim in plan.victims:
+            self._stop(victim, job, reason)
+        self._claim(plan.spots, job.shape)
+
+    def _claim(self, spots: Spots, shape: GangShape) -> None:
+        """Keep accelerators that evictions free for the job that needs them."""
+        self._hold(spots, shape, self.held)
+        for worker, mask in spots:
+            self.claimed[worker] = self.claimed.get(worker, 0) | mask
+
+    def _stop(self, victim: JobId, job: QueuedJob, reason: str) -> None:
+        if victim in self.started:
+            raise AssertionError(f"job {victim} starts and is evicted in one decision")
+        self.stopped.append(self.cell.running_by_id[victim])
+        self.cell.mark_stopping(victim)
+        self.decisions.append(Evict(job_id=victim, for_job=job.job_id, reason=reason))
+
+    def _hold(self, spots: Spots, shape: GangShape | None, holds: list[Hold]) -> None:
+        """Keep accelerators from the jobs that come later in this pass."""
+        free = self.cell.free
+        for worker, mask in spots:
+            if worker in free.masks:
+                cores = min(shape.cores, max(0, free.cores[worker])) if shape else 0
+                memory_gb = min(shape.memory_gb, max(0, free.memory_gb[worker])) if shape else 0
+                part = free.masks[worker] & mask
+                free.take(worker, part, cores, memory_gb)
+                holds.append((worker, part, cores, memory_gb))
+
+    def _lift(self, holds: list[Hold]) -> None:
+        for hold in holds:
+            self.cell.free.give(*hold)
+        holds.clear()
+
+    def _unclaimed(self, worker: TargetId) -> int:
+        return ~self.claimed.get(worker, 0)
+
+    def _is_open_plan(self, plan: EvictionPlan) -> bool:
+        """Whether a plan needs nothing that this pass has given to another job."""
+        if any(victim in self.started for victim in plan.victims):
+            return False
+        return not any(mask & ~self._unclaimed(worker) for worker, mask in plan.spots)
--- /dev/null
+++ b/src/chicorycrank/policy/estimates.py
@@ -0,0 +1,34 @@
+"""Run times corrected by what a team's earlier jobs took."""
+
+from collections import deque
+from statistics import median
+
+from chicorycrank.model.ids import TeamId
+
+MAX_FACTOR = 10.0  # declared run times are up to ten times wrong
+HISTORY_JOBS = 32
+MIN_RUN_TIME_S = 1.0
+
+
+class Estimates:
+    """Ratios of real to declared run time by team."""
+
+    def __init__(self) -> None:
+        self._ratios_by_team: dict[TeamId, deque[float]] = {}
+        self._factor_by_team: dict[TeamId, float] = {}
+
+    def add(self, team: TeamId, declared_s: float, taken_s: float) -> None:
+        """Record the run time of a job that completed."""
+        ratio = max(taken_s, MIN_RUN_TIME_S) / max(declared_s, MIN_RUN_TIME_S)
+        ratio = min(max(ratio, 1 / MAX_FACTOR), MAX_FACTOR)
+        ratios = self._ratios_by_team.setdefault(team, deque(maxlen=HISTORY_JOBS))
+        ratios.append(ratio)
+        self._factor_by_team[team] = median(ratios)
+
+    def factor(self, team: TeamId) -> float:
+        """Return the median ratio of a team's recent jobs; 1 without any."""
+        return self._factor_by_team.get(team, 1.0)
+
+    def correct(self, team: TeamId, declared_s: float) -> float:
+        """Return the expected run time of a job in seconds."""
+        return max(declared_s, MIN_RUN_TIME_S) * self._factor_by_team.get(team, 1.0)
--- /dev/null
+++ b/src/chicorycrank/policy/explain.py
@@ -0,0 +1,161 @@
+"""Why a job waits, and what would free its place."""
+
+from collections.abc import Sequence
+from enum import Enum
+
+from msgspec import Struct
+
+from chicorycrank.model.config import Guarantee
+from chicorycrank.model.ids import GuaranteeId, JobId, TargetId, TeamId
+from chicorycrank.model.jobs import GangShape
+from chicorycrank.policy.backfill import expected_end_s
+from chicorycrank.policy.cell import Cell, QueuedJob
+from chicorycrank.policy.decide import Start, decide
+from chicorycrank.policy.guarantees import fit_home
+from chicorycrank.policy.placement import find_spots
+
+
+class WaitCause(Enum):
+    """Why a job waits."""
+
+    STARTS_NOW = "starts_now"
+    EVICTION_RUNS = "eviction_runs"
+    NO_ROOM = "no_room"
+    FRAGMENTED = "fragmented"
+    RESERVED_FOR_OTHERS = "reserved_for_others"
+
+
+class Blocker(Struct, frozen=True, kw_only=True):
+    """A running job on accelerators that a waiting job could use.
+
+    :param accelerators: accelerators it holds in the whole cell
+    :param expected_end_s: when it is expected to end, in seconds from now
+    """
+
+    job_id: JobId
+    team: TeamId
+    accelerators: int
+    borrowed: bool
+    expected_end_s: float
+
+
+class Explanation(Struct, frozen=True, kw_only=True):
+    """Why a job waits.
+
+    :param needs: the shape that has to fit
+    :param inside_guarantee: whether the job fits a home of its team
+    :param blockers: running jobs on the place kept for it, or on any place it could use
+    :param freed_by: jobs whose end frees its place
+    :param expected_wait_s: expected wait in seconds, if known
+    """
+
+    job_id: JobId
+    cause: WaitCause
+    needs: GangShape
+    inside_guarantee: bool
+    free_accelerators: int
+    blockers: tuple[Blocker, ...] = ()
+    freed_by: tuple[JobId, ...] = ()
+    expected_wait_s: float | None = None
+
+
+class DegradedGuarantee(Struct, frozen=True, kw_only=True):
+    """A guarantee of which some instances have no place now.
+
+    :param missing: instances that cannot be assembled
+    """
+
+    guarantee: GuaranteeId
+    team: TeamId
+    shape: GangShape
+    missing: int
+    count: int
+
+
+def explain_wait(
+    cell: Cell, queue: Sequence[QueuedJob], job_id: JobId, now_s: float
+) -> Explanation:
+    """Return why a queued job waits.
+
+    :raises KeyError: the job is not in the queue
+    """
+    job = {queued.job_id: queued for queued in queue}[job_id]
+    decisions = decide(cell, queue, now_s)
+    homes = cell.homes.homes_by_team.get(job.team, [])
+    inside = any(fit_home(home, job.shape, None, cell.free) for home in homes)
+    evicted = {d.job_id for d in decisions if not isinstance(d, Start) and d.for_job == job_id}
+    reservation = cell.reservations_by_id.get(job_id)
+    wait_s: float | None = None
+    freed_by = sorted(evicted)
+    if any(isinstance(d, Start) and d.job_id == job_id for d in decisions):
+        cause = WaitCause.STARTS_NOW
+        wait_s = 0.0
+    elif evicted or (cell.stopping and (inside or job.urgent)):
+        cause = WaitCause.EVICTION_RUNS
+        freed_by = freed_by or sorted(cell.stopping)
+    else:
+        cause = _cause(cell, job)
+        if reservation is not None:
+            wait_s = max(0.0, reservation.start_s - now_s)
+            freed_by = sorted(_jobs_on(cell, reservation.spots))
+    places = freed_by or sorted(cell.running_by_id)
+    return Explanation(
+        job_id=job_id,
+        cause=cause,
+        needs=job.shape,
+        inside_guarantee=inside,
+        free_accelerators=cell.free.totals[0],
+        blockers=tuple(_blocker(cell, other, now_s) for other in places),
+        freed_by=tuple(freed_by),
+        expected_wait_s=wait_s,
+    )
+
+
+def degraded_guarantees(cell: Cell) -> tuple[DegradedGuarantee, ...]:
+    """Return the guarantees that cannot all be assembled now."""
+    cell.settle()
+    missing: dict[GuaranteeId, int] = {}
+    for home in cell.homes.unplaced():
+        missing[home.key[0]] = missing.get(home.key[0], 0) + 1
+    found = []
+    for key in sorted(missing):
+        guarantee: Guarantee = cell.guarantees_by_id[key]
+        found.append(
+            DegradedGuarantee(
+                guarantee=key,
+                team=guarantee.team,
+                shape=guarantee.shape,
+                missing=missing[key],
+                count=guarantee.count,
+            )
+        )
+    return tuple(found)
+
+
+def _cause(cell: Cell, job: QueuedJob) -> WaitCause:
+    if find_spots(cell.free, job.shape) is not None:
+        return WaitCause.RESERVED_FOR_OTHERS
+    if cell.free.totals[0] >= job.shape.members * job.shape.accelerators:
+        return WaitCause.FRAGMENTED
+    return WaitCause.NO_ROOM
+
+
+def _jobs_on(cell: Cell, spots: tuple[tuple[TargetId, int], ...]) -> set[JobId]:
+    return {
+        job_id
+        for worker, mask in spots
+        for job_id, held in cell.masks_by_worker.get(worker, {}).items()
+        if held & mask
+    }
+
+
+def _blocker(cell: Cell, job_id: JobId, now_s: float) -> Blocker:
+    running = cell.running_by_id[job_id]
+    shape = running.job.shape
+    return Blocker(
+        job_id=job_id,
+        team=running.job.team,
+        accelerators=shape.members * shape.accelerators,
+        borrowed=cell.is_evictable(job_id),
+        expected_end_s=expected_end_s(cell, running, now_s) - now_s,
+    )
--- /dev/null
+++ b/src/chicorycrank/policy/fairness.py
@@ -0,0 +1,74 @@
+"""Order of jobs: dominant share by team weight, with aging."""
+
+import heapq
+from collections.abc import Iterator, Sequence
+
+from chicorycrank.model.ids import TeamId
+from chicorycrank.policy.cell import Cell, QueuedJob
+
+AGING_S = 4 * 3600.0  # a wait of this length outweighs a dominant share of the whole fleet
+
+
+def dominant_share(cell: Cell, team: TeamId) -> float:
+    """Return a team's largest share of accelerators, cores or memory, divided by its weight."""
+    used = cell.usage_by_team.get(team)
+    if used is None:
+        return 0.0
+    shares = (part / whole for part, whole in zip(used, cell.totals, strict=True) if whole > 0)
+    config = cell.teams_by_id.get(team)
+    return max(shares, default=0.0) / max(config.weight if config else 1.0, 1e-9)
+
+
+def waited_s(job: QueuedJob, now_s: float) -> float:
+    """Return how long a job has waited in seconds."""
+    return max(0.0, now_s - job.submitted_s)
+
+
+def response_ratio(cell: Cell, job: QueuedJob, now_s: float) -> float:
+    """Return the wait relative to the expected run time.
+
+    Short jobs reach a high ratio soon; the ratio of a long job grows until it is first.
+    """
+    expected_s = cell.estimates.correct(job.team, job.run_time_s)
+    return (waited_s(job, now_s) + expected_s) / expected_s
+
+
+def within_team_order(cell: Cell, jobs: Sequence[QueuedJob], now_s: float) -> list[QueuedJob]:
+    """Return jobs by falling response ratio, shorter jobs first at equal ratios."""
+    return sorted(
+        jobs,
+        key=lambda job: (
+            -response_ratio(cell, job, now_s),
+            job.run_time_s,
+            job.submitted_s,
+            job.job_id,
+        ),
+    )
+
+
+def fair_order(cell: Cell, jobs: Sequence[QueuedJob], now_s: float) -> Iterator[QueuedJob]:
+    """Yield jobs by dominant share and wait.
+
+    The share of a team is read again after each job, so starts made meanwhile count.
+    """
+    by_team: dict[TeamId, list[QueuedJob]] = {}
+    for job in within_team_order(cell, jobs, now_s):
+        by_team.setdefault(job.team, []).append(job)
+
+    def key(team: TeamId) -> float:
+        wait = waited_s(by_team[team][-1], now_s)
+        return dominant_share(cell, team) - wait / AGING_S
+
+    for queue in by_team.values():
+        queue.reverse()
+    heap = [(key(team), team) for team in by_team]
+    heapq.heapify(heap)
+    while heap:
+        _, team = heapq.heappop(heap)
+        current = key(team)
+        if heap and heap[0] < (current, team):
+            heapq.heappush(heap, (current, team))
+            continue
+        yield by_team[team].pop()
+        if by_team[team]:
+            heapq.heappush(heap, (key(team), team))
--- /dev/null
+++ b/src/chicorycrank/policy/pool.py
@@ -0,0 +1,139 @@
+"""Accelerators that one purpose may use, indexed by mask, rack and piece size."""
+
+from collections.abc import Iterable
+from itertools import islice
+
+from chicorycrank.model.ids import RackId, TargetId
+from chicorycrank.model.jobs import GangShape
+from chicorycrank.policy.packing import PIECE_SIZES, piece_counts
+
+Spot = tuple[TargetId, int]
+Spots = tuple[Spot, ...]
+
+RACKS_TRIED = 16  # bounds the search for the rack with the fewest whole pieces
+
+
+class Pool:
+    """Masks, cores and memory by worker, with counts per rack.
+
+    A closed worker keeps its values but is in no index.
+    """
+
+    def __init__(self) -> None:
+        self.masks: dict[TargetId, int] = {}
+        self.cores: dict[TargetId, int] = {}
+        self.memory_gb: dict[TargetId, int] = {}
+        self.rack_by_worker: dict[TargetId, RackId] = {}
+        self.workers_by_rack: dict[RackId, list[TargetId]] = {}
+        self.workers_by_mask: dict[int, set[TargetId]] = {}
+        self.counts_by_rack: dict[RackId, list[int]] = {}
+        self.racks_by_count: list[dict[int, set[RackId]]] = [{} for _ in PIECE_SIZES]
+        self.totals = [0] * len(PIECE_SIZES)
+        self._closed: set[TargetId] = set()
+
+    def add(self, worker: TargetId, rack: RackId, mask: int, cores: int, memory_gb: int) -> None:
+        """Add a worker or replace its values; it is open."""
+        if worker in self.masks:
+            self.remove(worker)
+        self.masks[worker], self.cores[worker], self.memory_gb[worker] = mask, cores, memory_gb
+        self.rack_by_worker[worker] = rack
+        self.workers_by_rack.setdefault(rack, []).append(worker)
+        if rack not in self.counts_by_rack:
+            self.counts_by_rack[rack] = [0] * len(PIECE_SIZES)
+            for buckets in self.racks_by_count:
+                buckets.setdefault(0, set()).add(rack)
+        self._index(worker, 0, mask)
+
+    def remove(self, worker: TargetId) -> None:
+        """Forget a worker."""
+        self.close(worker)
+        self._closed.discard(worker)
+        rack = self.rack_by_worker.pop(worker)
+        del self.masks[worker], self.cores[worker], self.memory_gb[worker]
+        self.workers_by_rack[rack].remove(worker)
+        if not self.workers_by_rack[rack]:
+            del self.workers_by_rack[rack], self.counts_by_rack[rack]
+            for buckets in self.racks_by_count:
+                buckets[0].discard(rack)
+
+    def close(self, worker: TargetId) -> None:
+        """Take a worker out of the indexes."""
+        if worker in self.masks and worker not in self._closed:
+            self._index(worker, self.masks[worker], 0)
+            self._closed.add(worker)
+
+    def open(self, worker: TargetId) -> None:
+        """Put a closed worker back into the indexes."""
+        if worker in self._closed:
+            self._closed.discard(worker)
+            self._index(worker, 0, self.masks[worker])
+
+    def is_open(self, worker: TargetId) -> bool:
+        """Whether a worker is known and open."""
+        return worker in self.masks and worker not in self._closed
+
+    def take(self, worker: TargetId, mask: int, cores: int = 0, memory_gb: int = 0) -> None:
+        """Remove accelerators, cores and memory from a worker."""
+        self._set(worker, self.masks[worker] & ~mask)
+        self.cores[worker] -= cores
+        self.memory_gb[worker] -= memory_gb
+
+    def give(self, worker: TargetId, mask: int, cores: int = 0, memory_gb: int = 0) -> None:
+        """Return accelerators, cores and memory to a worker."""
+        self._set(worker, self.masks[worker] | mask)
+        self.cores[worker] += cores
+        self.memory_gb[worker] += memory_gb
+
+    def room(self, worker: TargetId, shape: GangShape) -> int:
+        """Return how many members the cores and memory of a worker allow."""
+        room = shape.members
+        if shape.cores:
+            room = min(room, self.cores[worker] // shape.cores)
+        if shape.memory_gb:
+            room = min(room, self.memory_gb[worker] // shape.memory_gb)
+        return room
+
+    def pick(self, mask: int) -> Iterable[TargetId]:
+        """Return workers with a mask, those in racks with few whole pieces first."""
+        workers = self.workers_by_mask.get(mask, set())
+        if len(workers) <= 1:
+            return workers
+        largest = max(i for i, count in enumerate(piece_counts(mask)) if count or i == 0)
+        buckets = self.racks_by_count[largest]
+        tried = 0
+        for count in sorted(buckets):
+            for rack in islice(sorted(buckets[count]), RACKS_TRIED) if count else ():
+                for worker in self.workers_by_rack[rack]:
+                    if worker in workers:
+                        return [worker, *sorted(workers - {worker})]
+                tried += 1
+                if tried >= RACKS_TRIED:
+                    return sorted(workers)
+        return sorted(workers)
+
+    def _set(self, worker: TargetId, mask: int) -> None:
+        old = self.masks[worker]
+        if old != mask:
+            self.masks[worker] = mask
+            if worker not in self._closed:
+                self._index(worker, old, mask)
+
+    def _index(self, worker: TargetId, old: int, new: int) -> None:
+        if old:
+            workers = self.workers_by_mask[old]
+            workers.discard(worker)
+            if not workers:
+                del self.workers_by_mask[old]
+        if new:
+            self.workers_by_mask.setdefault(new, set()).add(worker)
+        rack = self.rack_by_worker[worker]
+        counts = self.counts_by_rack[rack]
+        for i, (before, after) in enumerate(zip(piece_counts(old), piece_counts(new), strict=True)):
+            if before != after:
+                buckets = self.racks_by_count[i]
+                buckets[counts[i]].discard(rack)
+                if not buckets[counts[i]] and counts[i]:
+                    del buckets[counts[i]]
+                counts[i] += after - before
+                self.totals[i] += after - before
+                buckets.setdefault(counts[i], set()).add(rack)
