--- /dev/null
+++ b/src/chicorycrank/bench/main.py
@@ -0,0 +1,23 @@
+"""``chicorycrank-bench``: measurements for developers."""
+
+from cleo.application import Application
+
+from chicorycrank.bench.decision import DecisionCommand
+from chicorycrank.bench.placement import PlacementCommand
+
+
+def make_application() -> Application:
+    """Return the application with all commands."""
+    application = Application("chicorycrank-bench")
+    application.add(PlacementCommand())
+    application.add(DecisionCommand())
+    return application
+
+
+def main() -> None:
+    """Run the command line."""
+    make_application().run()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -122,6 +122,7 @@
             self._hold(self.free, job_id, 1, only=name)
             if job_id not in self.borrowed or self.running_by_id[job_id].job.urgent:
                 self._hold(self.reclaimable, job_id, 1, only=name)
+        self.homes.forget_fitting(name)
         if not worker.available:
             self.set_available(name, False)
         self.homes.needs_settling = True
@@ -134,10 +135,12 @@
         if available and not self.free.is_open(worker):
             for pool in pools:
                 pool.open(worker)
+            self.homes.forget_fitting(worker)
             self.homes.needs_settling = True
         elif not available and self.free.is_open(worker):
             for pool in pools:
                 pool.close(worker)
+            self.homes.forget_fitting(worker)
             for job_id in self.homes.free_worker(worker):
                 self._set_borrowed(job_id)
 
@@ -153,6 +156,7 @@
             self._set_borrowed(job_id)
         for pool in pools:
             pool.remove(worker)
+        self.homes.forget_fitting(worker)
         self._add_totals(state, -1)
 
     def start(self, running: RunningJob) -> None:
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -82,14 +82,9 @@
         for job in urgent:
             if not self._guaranteed(job):
                 self._urgent(job)
-        rest: list[QueuedJob] = []
-        owners = self.cell.homes.homes_by_team
         normal = [job for job in queue if not job.urgent]
-        inside = [job for job in normal if job.team in owners]
-        for job in within_team_order(self.cell, inside, self.now_s):
-            if not self._guaranteed(job):
-                rest.append(job)
-        rest += [job for job in normal if job.team not in owners]
+        normal = within_team_order(self.cell, normal, self.now_s)
+        rest = [job for job in normal if not self._guaranteed(job)]
         for job in fair_order(self.cell, rest, self.now_s):
             self._borrowed(job)
         self.cell.reservations_by_id = {held.job_id: held for held in self.reservations}
@@ -112,21 +107,16 @@
 
         :returns: false if the job is not inside a guarantee
         """
+        inside = self.cell.homes.fitting(job.team, job.shape)
         key = (job.team, job.shape)
-        homes = self.cell.homes.homes_by_team.get(job.team)
-        if not homes or key in self.unfit_homes:
+        if not inside or key in self.unfit_homes:
             return False
-        homes = sorted(homes, key=lambda home: (not home.jobs, home.key))
         free = self.cell.free.masks
-        for home in homes:
+        for home in inside:
             spots = fit_home(home, job.shape, free, self.cell.free)
             if spots is not None and self._has_room(spots, job.shape):
                 self._start(job, spots, WorkKind.GUARANTEED)
                 return True
-        inside = [home for home in homes if fit_home(home, job.shape, None, self.cell.free)]
-        if not inside:
-            self.unfit_homes.add(key)
-            return False
         if any(not home.jobs for home in inside) and self._start_elsewhere(job):
             return True
         plan = self._plan_at_home(job, inside)
--- a/src/chicorycrank/policy/explain.py
+++ b/src/chicorycrank/policy/explain.py
@@ -11,7 +11,6 @@
 from chicorycrank.policy.backfill import expected_end_s
 from chicorycrank.policy.cell import Cell, QueuedJob
 from chicorycrank.policy.decide import Start, decide
-from chicorycrank.policy.guarantees import fit_home
 from chicorycrank.policy.placement import find_spots
 
 
@@ -81,8 +80,7 @@
     """
     job = {queued.job_id: queued for queued in queue}[job_id]
     decisions = decide(cell, queue, now_s)
-    homes = cell.homes.homes_by_team.get(job.team, [])
-    inside = any(fit_home(home, job.shape, None, cell.free) for home in homes)
+    inside = bool(cell.homes.fitting(job.team, job.shape))
     evicted = {d.job_id for d in decisions if not isinstance(d, Start) and d.for_job == job_id}
     reservation = cell.reservations_by_id.get(job_id)
     wait_s: float | None = None
--- a/src/chicorycrank/policy/fairness.py
+++ b/src/chicorycrank/policy/fairness.py
@@ -47,28 +47,28 @@
 
 
 def fair_order(cell: Cell, jobs: Sequence[QueuedJob], now_s: float) -> Iterator[QueuedJob]:
-    """Yield jobs by dominant share and wait.
+    """Yield jobs by dominant share and wait, in the given order within a team.
 
-    The share of a team is read again after each job, so starts made meanwhile count.
+    The share of a team is read again after each of its jobs, so starts made meanwhile count.
     """
     by_team: dict[TeamId, list[QueuedJob]] = {}
-    for job in within_team_order(cell, jobs, now_s):
+    for job in reversed(jobs):
         by_team.setdefault(job.team, []).append(job)
-
-    def key(team: TeamId) -> float:
-        wait = waited_s(by_team[team][-1], now_s)
-        return dominant_share(cell, team) - wait / AGING_S
-
-    for queue in by_team.values():
-        queue.reverse()
-    heap = [(key(team), team) for team in by_team]
+    shares = {team: dominant_share(cell, team) for team in by_team}
+    heap = [
+        (shares[team] - waited_s(queue[-1], now_s) / AGING_S, team)
+        for team, queue in by_team.items()
+    ]
     heapq.heapify(heap)
     while heap:
-        _, team = heapq.heappop(heap)
-        current = key(team)
-        if heap and heap[0] < (current, team):
-            heapq.heappush(heap, (current, team))
+        _, team = heap[0]
+        queue = by_team[team]
+        used = cell.usage_by_team.get(team, [0])[0]
+        yield queue.pop()
+        if not queue:
+            heapq.heappop(heap)
             continue
-        yield by_team[team].pop()
-        if by_team[team]:
-            heapq.heappush(heap, (key(team), team))
+        if cell.usage_by_team.get(team, [0])[0] != used:
+            shares[team] = dominant_share(cell, team)
+        wait_s = waited_s(queue[-1], now_s)
+        heapq.heapreplace(heap, (shares[team] - wait_s / AGING_S, team))
--- a/src/chicorycrank/policy/guarantees.py
+++ b/src/chicorycrank/policy/guarantees.py
@@ -107,6 +107,24 @@
         self.journal: list[tuple[Home, Spots | None, tuple[tuple[int, int], ...]]] = []
         self.needs_settling = False
         self.missing = 0
+        self._fitting: dict[TeamId, dict[GangShape, list[Home]]] = {}
+
+    def fitting(self, team: TeamId, shape: GangShape) -> list[Home]:
+        """Return a team's homes with room for a gang, those in use first.
+
+        The answer is kept until a home of the team or a worker changes.
+        """
+        by_shape = self._fitting.setdefault(team, {})
+        if shape not in by_shape:
+            homes = self.homes_by_team.get(team, [])
+            found = [home for home in homes if fit_home(home, shape, None, self.pool)]
+            by_shape[shape] = sorted(found, key=lambda home: (not home.jobs, home.key))
+        return by_shape[shape]
+
+    def forget_fitting(self, worker: TargetId) -> None:
+        """Forget which homes have room, after a worker opened or closed."""
+        for key in self.keys_by_worker.get(worker, {}):
+            self._fitting.pop(self.homes_by_key[key].team, None)
 
     def set_guarantees(self, guarantees: Mapping[GuaranteeId, Guarantee]) -> list[JobId]:
         """Put guarantees in force.
@@ -131,6 +149,7 @@
             if key not in self.homes_by_key:
                 self.homes_by_key[key] = Home(key=key, team=guarantee.team, shape=guarantee.shape)
         self.homes_by_team = {}
+        self._fitting.clear()
         for key in sorted(self.homes_by_key):
             home = self.homes_by_key[key]
             self.homes_by_team.setdefault(home.team, []).append(home)
@@ -178,6 +197,7 @@
     def attach(self, home: Home, job_id: JobId, spots: Spots, shape: GangShape) -> None:
         """Count a job as running inside a home."""
         home.jobs[job_id] = (spots, shape)
+        self._fitting.pop(home.team, None)
         self.home_by_job[job_id] = home
 
     def detach(self, job_id: JobId) -> list[JobId]:
@@ -189,6 +209,7 @@
         if home is None:
             return []
         del home.jobs[job_id]
+        self._fitting.pop(home.team, None)
         self.needs_settling |= self.missing > 0
         return self._leave_closed(home)
 
@@ -367,6 +388,7 @@
 
     def _occupy(self, home: Home, spots: Spots, shares: tuple[tuple[int, int], ...]) -> None:
         home.spots, home.shares = spots, shares
+        self._fitting.pop(home.team, None)
         for (worker, mask), (cores, memory_gb) in zip(spots, shares, strict=True):
             self.pool.take(worker, mask, cores, memory_gb)
             self.keys_by_worker.setdefault(worker, {})[home.key] = None
@@ -377,6 +399,7 @@
                 self.pool.give(worker, mask, cores, memory_gb)
             self.keys_by_worker.get(worker, {}).pop(home.key, None)
         home.spots, home.shares = None, ()
+        self._fitting.pop(home.team, None)
 
 
 def _covers(home: Home, spots: Spots, shape: GangShape) -> bool:
