--- a/src/chicorycrank/entry/metrics.py
+++ b/src/chicorycrank/entry/metrics.py
@@ -95,12 +95,12 @@
     links.add_metric(["agent"], len(targets))
     links.add_metric(["entry"], len(peers))
     yield links
-    open_links = [*(t.link for t in targets), *(p.link for p in peers if p.link)]
-    yield _gauge(
-        "frames_refused",
-        "Malformed frames received on the connections that are open.",
-        sum(link.frames_refused for link in open_links),
+    refusals = CounterMetricFamily(
+        "chicorycrank_refusals", "Handshakes, frames and messages refused.", labels=["event"]
     )
+    for event, count in entry.link_counters.items():
+        refusals.add_metric([event], count)
+    yield refusals
     executors = list(entry.directory.executors())
     yield _gauge(
         "executor_slots",
--- a/src/chicorycrank/entry/occupation.py
+++ b/src/chicorycrank/entry/occupation.py
@@ -1,7 +1,6 @@
 """Keeps the decisions' view of a cell in step with job records and workers' reports."""
 
 from collections.abc import Mapping
-from dataclasses import replace
 from datetime import datetime
 
 from chicorycrank.entry.directory import Target
@@ -52,35 +51,52 @@
         if worker in self.cell.workers_by_id:
             self.cell.set_available(worker, False)
 
-    def occupy(self, record: JobRecord, now: datetime, now_s: float) -> None:
-        """Take the accelerators of a record's placement."""
-        elapsed_s = (now - record.started_at).total_seconds() if record.started_at else 0.0
+    def occupy(self, record: JobRecord, now: datetime, *, backfill: bool = False) -> None:
+        """Take the accelerators of a record's placement.
+
+        :param backfill: the job starts on accelerators reserved for another job
+        """
+        started_at = min(now, record.started_at) if record.started_at else now
         self.cell.start(
             RunningJob(
                 job=make_queued(record),
                 placement=record.placement,
                 kind=record.kind or WorkKind.BORROWED,
-                started_s=now_s - max(0.0, elapsed_s),
+                started_s=started_at.timestamp(),
                 stopping=record.state is JobState.STOPPING,
+                backfill=backfill,
             )
         )
 
-    def release(self, job_id: JobId) -> None:
-        """Give back the accelerators of a job, except those that another one holds as well."""
+    def release(self, job_id: JobId, *, completed_at: datetime | None = None) -> None:
+        """Give back the accelerators of a job, except those that another one holds as well.
+
+        :param completed_at: set if the job ran to its end, so that its run time is learned
+        """
         running = self.cell.running_by_id.get(job_id)
         if running is None:
             return
-        self.cell.finish(job_id)
-        for worker in {place.worker for place in running.placement}:
-            state = self.cell.workers_by_id.get(worker)
-            if state is not None:
-                self.cell.put_worker(state)
-
-    def set_stopping(self, job_id: JobId, stopping: bool) -> None:
-        """Note whether an eviction of a running job is under way."""
-        running = self.cell.running_by_id.get(job_id)
-        if running is not None:
-            self.cell.running_by_id[job_id] = replace(running, stopping=stopping)
+        shared = self._find_shared(job_id)
+        now_s = completed_at.timestamp() if completed_at else None
+        self.cell.finish(job_id, completed=completed_at is not None, now_s=now_s)
+        for worker in shared:
+            self.cell.put_worker(self.cell.workers_by_id[worker])
+
+    def _find_shared(self, job_id: JobId) -> list[TargetId]:
+        """Return the workers where another job holds some accelerators of this one.
+
+        Only these are counted anew: putting a worker again moves the homes on it.
+        """
+        return [
+            worker
+            for worker, mask_by_job in self.cell.masks_by_worker.items()
+            if worker in self.cell.workers_by_id
+            and any(
+                mask & mask_by_job.get(job_id, 0)
+                for other, mask in mask_by_job.items()
+                if other != job_id
+            )
+        ]
 
     def take_unknown(self, reports: GangReports, records_by_id: Mapping[JobId, JobRecord]) -> None:
         """Hold the accelerators of reported tasks that no running job accounts for."""
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Coroutine
 from datetime import timedelta
 from typing import Any
@@ -77,6 +78,7 @@
             http_address=f"{settings.listen_host}:{settings.http_port}",
         )
         self.directory = Directory()
+        self.link_counters: Counter[str] = Counter()
         self.config = ConfigHolder(self._on_config)
         self.fleet = FleetView(settings.entry, settings.region, self.directory, self.config)
         self.state = StateView(settings.entry, self.directory, self.dump)
@@ -124,6 +126,7 @@
             handler=self._handle,
             clock=self._clock,
             heartbeat=self._heartbeat_for,
+            counters=self.link_counters,
         )
         for work in (
             self._membership.announce_forever(),
@@ -251,6 +254,7 @@
                     handler=self._handle,
                     clock=self._clock,
                     heartbeat=PEER_HEARTBEAT,
+                    counters=self.link_counters,
                 )
             except LinkError as error:
                 logger.info("event=dial_failed entry=%s error=%s", peer.info.entry_id, error)
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -108,7 +108,7 @@
         now_s = self._clock.monotonic()
         for record in self._records.records_by_id.values():
             if record.placement and record.state not in FINAL_STATES:
-                self._occupation.occupy(record, self._clock.now(), now_s)
+                self._occupation.occupy(record, self._clock.now())
         self._settled_at = now_s + TAKEOVER_WAIT_S
         workers = list(self._directory.workers())
         # An entry that has just started has few connections; their reports tell too little.
@@ -174,7 +174,7 @@
                 self._jobs.change(
                     record, state=JobState.STOPPING, cancel_requested=True, reason="cancelled"
                 )
-                self._occupation.set_stopping(job_id, True)
+                self.cell.mark_stopping(job_id)
             self._wake.set()
         return await confirm(self._records, record)
 
@@ -304,7 +304,7 @@
             placement=action.placement,
             started_at=self._clock.now() if action.running else None,
         )
-        self._occupation.occupy(record, self._clock.now(), self._clock.monotonic())
+        self._occupation.occupy(record, self._clock.now())
 
     def _stop(self, head: TargetId, gang: GangId, reason: str) -> None:
         """Ask a gang's head to stop it, again after a while if the gang is still reported."""
@@ -322,7 +322,7 @@
         self._spawn(stop())
 
     def _decide(self, gangs: dict[GangId, ReportedGang]) -> None:
-        now_s = self._clock.monotonic()
+        now_s = self._clock.now().timestamp()  # the clock of QueuedJob.submitted_s
         reported = {job_id for job_id, _ in gangs}
         queue = [
             make_queued(record)
@@ -348,7 +348,7 @@
             started_at=None,
             reason="",
         )
-        self._occupation.occupy(record, self._clock.now(), self._clock.monotonic())
+        self._occupation.occupy(record, self._clock.now(), backfill=decision.backfill)
         self._starting.add(record.job_id)
         self._spawn(self._start(record))
 
@@ -365,7 +365,7 @@
             self._wake.set()
 
     async def _evict(self, record: JobRecord, decision: Evict) -> None:
-        self._occupation.set_stopping(record.job_id, True)
+        self.cell.mark_stopping(record.job_id)
         gang, head = (record.job_id, record.attempt), record.placement[0].worker
         result = await self._calls.stop(self._epoch, head, gang, EVICTION_GRACE_S, decision.reason)
         if record.attempt != gang[1] or record.state not in (JobState.STARTING, JobState.RUNNING):
@@ -378,7 +378,7 @@
                 reason=decision.reason,
             )
         else:
-            self._occupation.set_stopping(record.job_id, False)
+            self.cell.mark_stopping(record.job_id, stopping=False)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/src/chicorycrank/entry/transitions.py
+++ b/src/chicorycrank/entry/transitions.py
@@ -56,10 +56,12 @@
 
     def end(self, record: JobRecord, state: JobState, reason: str = "") -> None:
         """Put a job into a final state."""
-        self._occupation.release(record.job_id)
+        ended_at = self._clock.now()
+        completed_at = ended_at if state is JobState.COMPLETED else None
+        self._occupation.release(record.job_id, completed_at=completed_at)
         self._not_before_by_job.pop(record.job_id, None)
         self._refusals_by_job.pop(record.job_id, None)
-        self.change(record, state=state, ended_at=self._clock.now(), reason=reason)
+        self.change(record, state=state, ended_at=ended_at, reason=reason)
 
     def end_attempt(self, record: JobRecord, message: GangEnded) -> None:
         """Record how an attempt ended: the job ends or is queued again."""
