Test slots, deadlines, findings and forwarding of requests

Cause: queue, checks of bodies and forwarding had no test.

Change: a burst against one executor, a body with five mistakes, and forwards with lost and late messages, against the in-memory fakes.

Conclusion: a forwarded request whose reply is lost runs once.

--- /dev/null
+++ b/tests/test_request_queue.py
@@ -0,0 +1,71 @@
+"""Queue, slots, checks of bodies and forwarding, against the in-memory fakes."""
+
+import asyncio
+import json
+
+import pytest
+from tests.request_fakes import FakeLink, ManualClock, World, make_request, run_world
+
+from chicorycrank.entry.request_check import check_request
+from chicorycrank.model.config import Config, Service, Team
+from chicorycrank.model.ids import Generation, ServiceId, TeamId
+from chicorycrank.model.messages import ForwardRequest
+from chicorycrank.model.requests import Answer, Outcome, RequestClass
+
+CONFIG = Config(
+    generation=Generation(1),
+    teams={TeamId("claims"): Team()},
+    services={ServiceId("order"): Service(request_class=RequestClass.URGENT, repeatable=False)},
+)
+
+
+def test_slots_and_deadlines_hold_in_a_burst() -> None:
+    """Guards against an overcommitted executor and against waiting beyond the deadline."""
+    world = World(ManualClock())
+    world.add_entry("entry-0")
+    agent = world.add_agent("exec-0")
+    agent.service_s = 1.0
+
+    async def work() -> list[Answer]:
+        requests = [make_request(f"k{i}", repeatable=True, deadline_s=2.5) for i in range(40)]
+        return list(await asyncio.gather(*(world.send("entry-0", r) for r in requests)))
+
+    answers = run_world(world.clock.run(work(), limit_s=4.0))
+    assert agent.most_used == 8
+    # The agent would refuse a ninth request; the entry does not send it.
+    assert len(world.link("entry-0", "exec-0").sent) == len(agent.record)
+    ran = [a for a in answers if a.outcome is not Outcome.NOT_RUN]
+    assert len(ran) == len(agent.record)
+    assert all(a.retry_after_s for a in answers if a.outcome is Outcome.NOT_RUN)
+
+
+def test_all_findings_are_reported_at_once() -> None:
+    """Guards against a caller that has to send a body once per mistake."""
+    body = {"team": "x", "service": "order", "repeatable": True, "deadline_s": 0, "extra": 1}
+    checked = check_request(json.dumps(body).encode(), "a/b", CONFIG)
+    pointers = {finding.pointer for finding in checked.error.findings}
+    assert pointers == {"/team", "/repeatable", "/deadline_s", "/extra", "Idempotency-Key"}
+
+
+@pytest.mark.parametrize("fault", ["", "reply lost", "request lost", "request late"])
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_forwarded_request_runs_once(fault: str, repeatable: bool) -> None:
+    """Guards against a second run after the reply of a forward is lost."""
+    world = World(ManualClock())
+    world.add_entry("entry-0")
+    world.add_entry("entry-1", "south")
+    world.add_agent("exec-1", "south")
+    world.connect_entries("entry-0", "entry-1")
+    world.exchange_digests()
+    peer = next(iter(world.directory_by_id["entry-0"].peers_by_id.values()))
+    assert isinstance(peer.link, FakeLink)
+    peer.link.faults = [fault] if fault else []
+
+    async def work() -> Answer:
+        return await world.send("entry-0", make_request("k", repeatable=repeatable))
+
+    answer = run_world(world.clock.run(work(), limit_s=60.0))
+    assert any(isinstance(m, ForwardRequest) for m in peer.link.sent)
+    is_lost = fault.startswith("request")
+    assert answer.outcome is (Outcome.NOT_RUN if is_lost else Outcome.COMPLETED)
+    assert world.runs("k") == (0 if is_lost else 1)
