--- a/src/chicorycrank_standin/demo/plans.py
+++ b/src/chicorycrank_standin/demo/plans.py
@@ -159,7 +159,7 @@
             members=1,
             accelerators=8,
             adjacency="worker",
-            run_time_s=120,
+            run_time_s=50,
             region="north",
         )
         for index in range(4)
@@ -271,7 +271,7 @@
             members=1,
             accelerators=8,
             adjacency="worker",
-            run_time_s=120,
+            run_time_s=50,
             region="shannon",
         )
         for index in range(4)
--- a/src/chicorycrank_standin/demo/session.py
+++ b/src/chicorycrank_standin/demo/session.py
@@ -79,7 +79,7 @@
                 str(row.record.get("state")),
                 str(row.record.get("attempt")),
                 str(row.record.get("evictions")),
-                " ".join(sorted({m[0] for m in row.record.get("placement", [])})),
+                " ".join(sorted({m["worker"] for m in row.record.get("placement", [])})),
             ]
             for row in self._ledger.jobs_by_id.values()
         ]
