Choose ports of test fleets outside the range of outgoing connections

Change: ports are sampled from 12000 to 31999, below the kernel's range for outgoing connections. Conclusion: the cause was seen in the agent's log.

--- a/src/chicorycrank_standin/fleet.py
+++ b/src/chicorycrank_standin/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,8 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
 SLOTS = 8
 CONNECTIONS = 60
 ACCELERATORS = 8
@@ -268,11 +271,22 @@
         for name in [*self.executor_names(), *self.worker_names()]:
             names += [name, f"agent-{name}"]
             self.region_by_name[name] = name.split("-")[1]
-        sockets = []
-        for name in names:
-            sock = socket.socket()
-            sock.bind((HOST, 0))
-            sockets.append(sock)
-            self.port_by_name[name] = sock.getsockname()[1]
-        for sock in sockets:
-            sock.close()
+        self.port_by_name = dict(zip(names, _find_ports(len(names)), strict=True))
+
+
+def _find_ports(count: int) -> list[int]:
+    """Return free ports below the range that the kernel uses for outgoing connections.
+
+    A port in that range can be taken by an outgoing connection before its server starts.
+    """
+    ports: list[int] = []
+    for port in random.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"fewer than {count} free ports from {FIRST_PORT} to {LAST_PORT}")
