Name the cause of an eviction

Cause: the replay counted evictions of overrun backfills as reclaims. Change: Evict carries a typed cause beside its reason. Conclusion: reclaim time can be measured.

--- a/src/chicorycrank/bench/replay.py
+++ b/src/chicorycrank/bench/replay.py
@@ -11,7 +11,7 @@
 from chicorycrank.model.jobs import GangShape, JobSpec, WorkKind
 from chicorycrank.policy.admission import check_job
 from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob
-from chicorycrank.policy.decide import Evict, Start
+from chicorycrank.policy.decide import Evict, EvictionCause, Start
 from chicorycrank.policy.packing import PIECE_SIZES
 
 STOP_S = 5.0  # checkpoint and stop of an evicted job
@@ -177,7 +177,8 @@
     def _evict(self, evict: Evict) -> None:
         self.cell.mark_stopping(evict.job_id)
         self.tally.evictions += 1
-        self.evicted_for.setdefault(evict.for_job, self.now_s)
+        if evict.cause is not EvictionCause.OVERRUN:
+            self.evicted_for.setdefault(evict.for_job, self.now_s)
         attempt = self.attempt[evict.job_id]
         self._push(self.now_s + STOP_S, EventKind.STOPPED, evict.job_id, attempt)
 
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 from chicorycrank.model.ids import JobId, TargetId, TeamId
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
@@ -29,15 +30,30 @@
     backfill: bool = False
 
 
+class EvictionCause(Enum):
+    """Why a job is evicted."""
+
+    GUARANTEE = "guarantee"
+    URGENT = "urgent"
+    OVERRUN = "overrun"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Evict:
     """Stop a running job so that ``for_job`` can start."""
 
     job_id: JobId
     for_job: JobId
+    cause: EvictionCause
     reason: str
 
 
+REASONS = {
+    EvictionCause.GUARANTEE: "borrowed the guaranteed shape of team {team}",
+    EvictionCause.URGENT: "borrowed what urgent work of team {team} needs",
+    EvictionCause.OVERRUN: "overran its expected run time on accelerators reserved for team {team}",
+}
+
 Decision = Start | Evict
 Hold = tuple[TargetId, int, int, int]  # worker, mask, cores and memory kept back
 
@@ -123,7 +139,7 @@
         if plan is None:
             self.unfit_homes.add(key)
             return False
-        self._evict(job, plan, f"guaranteed shape of team {job.team}")
+        self._evict(job, plan, EvictionCause.GUARANTEE)
         return True
 
     def _start_elsewhere(self, job: QueuedJob) -> bool:
@@ -178,7 +194,7 @@
             return
         plan = plan_for_urgent(self.cell, job, self.now_s)
         if plan is not None and self._is_open_plan(plan):
-            self._evict(job, plan, "urgent work")
+            self._evict(job, plan, EvictionCause.URGENT)
 
     def _find_soon(self, shape: GangShape) -> Spots | None:
         """Find a place among free accelerators and those of jobs that stop."""
@@ -218,7 +234,7 @@
             return
         self.reservations.append(reservation)
         for victim in overrun_victims(self.cell, reservation, self.now_s):
-            self._stop(victim, job, "overran its expected run time on reserved accelerators")
+            self._stop(victim, job, EvictionCause.OVERRUN)
         self._hold(reservation.spots, job.shape, self.reserved)
 
     def _backfill(self, job: QueuedJob) -> None:
@@ -281,9 +297,9 @@
             )
         )
 
-    def _evict(self, job: QueuedJob, plan: EvictionPlan, reason: str) -> None:
+    def _evict(self, job: QueuedJob, plan: EvictionPlan, cause: EvictionCause) -> None:
         for victim in plan.victims:
-            self._stop(victim, job, reason)
+            self._stop(victim, job, cause)
         self._claim(plan.spots, job.shape)
 
     def _claim(self, spots: Spots, shape: GangShape) -> None:
@@ -292,12 +308,13 @@
         for worker, mask in spots:
             self.claimed[worker] = self.claimed.get(worker, 0) | mask
 
-    def _stop(self, victim: JobId, job: QueuedJob, reason: str) -> None:
+    def _stop(self, victim: JobId, job: QueuedJob, cause: EvictionCause) -> None:
         if victim in self.started:
             raise AssertionError(f"job {victim} starts and is evicted in one decision")
         self.stopped.append(self.cell.running_by_id[victim])
         self.cell.mark_stopping(victim)
-        self.decisions.append(Evict(job_id=victim, for_job=job.job_id, reason=reason))
+        reason = REASONS[cause].format(team=job.team)
+        self.decisions.append(Evict(job_id=victim, for_job=job.job_id, cause=cause, reason=reason))
 
     def _hold(self, spots: Spots, shape: GangShape | None, holds: list[Hold]) -> None:
         """Keep accelerators from the jobs that come later in this pass."""
