Reserve for the oldest job that does not fit, away from homes

Cause: the reservation followed the fair order, so it moved from job to job and large gangs starved; guaranteed jobs kept starting on reserved racks. Change: the oldest waiting job that does not fit holds the reservation; idle homes leave reserved accelerators; blocks under homes count as free 4 h later; a reservation is chosen anew when its expected time slips.

--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -1,6 +1,7 @@
 """Reservations for the head of the queue, and which jobs may start before it."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from functools import partial
 from itertools import islice
 from math import inf
@@ -13,6 +14,7 @@
 from chicorycrank.policy.pool import Spot, Spots
 
 RACKS_TRIED = 16  # racks whose expected free time is worked out
+HOME_PENALTY_S = 4 * 3600.0  # a home is likely to be used again by its team
 STOP_GRACE_S = 5.0
 
 
@@ -38,10 +40,12 @@
     """Return the reservation of a job; an earlier one keeps its place."""
     known = cell.reservations_by_id.get(job.job_id)
     if known is not None and all(cell.free.is_open(worker) for worker, _ in known.spots):
-        start_s = max(_free_at_s(cell, now_s, worker, mask) for worker, mask in known.spots)
-        return Reservation(job_id=job.job_id, spots=known.spots, start_s=start_s)
+        price_s = max(_cost_s(cell, now_s, worker, mask) for worker, mask in known.spots)
+        if price_s <= known.price_s:
+            start_s = max(_free_at_s(cell, now_s, worker, mask) for worker, mask in known.spots)
+            return replace(known, start_s=start_s)
     best: tuple[float, Spots] | None = None
-    cost = partial(_free_at_s, cell, now_s)
+    cost = partial(_cost_s, cell, now_s)
     for group in _groups(cell, job.shape):
         # Cores and memory are checked again when the job starts.
         found = cheapest_spots(group, job.shape, lambda worker: job.shape.members, cost)
@@ -49,7 +53,8 @@
             best = (max(found[1]), found[0])
     if best is None:
         return None
-    return Reservation(job_id=job.job_id, spots=best[1], start_s=best[0])
+    start_s = max(_free_at_s(cell, now_s, worker, mask) for worker, mask in best[1])
+    return Reservation(job_id=job.job_id, spots=best[1], start_s=start_s, price_s=best[0])
 
 
 def overrun_victims(cell: Cell, reservation: Reservation, now_s: float) -> list[JobId]:
@@ -84,6 +89,14 @@
     return max(ends, default=now_s)
 
 
+def _cost_s(cell: Cell, now_s: float, worker: TargetId, block: int) -> float:
+    """Return when a block is free, later if guaranteed jobs are likely to start there."""
+    homes = cell.homes
+    if homes.pool.masks.get(worker, 0) & block == block:
+        return _free_at_s(cell, now_s, worker, block)
+    return _free_at_s(cell, now_s, worker, block) + HOME_PENALTY_S
+
+
 def _groups(cell: Cell, shape: GangShape) -> Iterable[list[Spot]]:
     """Yield groups of whole workers that a gang may use together, the freest racks first."""
     full = cell.homes.full_by_worker
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -65,11 +65,13 @@
     """Accelerators kept for a waiting job.
 
     :param start_s: when they are expected to be free
+    :param price_s: ``start_s``, later by the penalty for homes, when it was made
     """
 
     job_id: JobId
     spots: Spots
     start_s: float
+    price_s: float
 
 
 class Cell:
@@ -223,6 +225,8 @@
 
     def settle(self) -> None:
         """Give every home a place and every guaranteed job a home, as far as possible."""
+        reserved = self.reservations_by_id.values()
+        self.homes.avoid(tuple(spot for held in reserved for spot in held.spots))
         if not self.homes.needs_settling:
             return
         for job_id in list(self.demoted):
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -93,14 +93,18 @@
 
     def run(self, queue: Sequence[QueuedJob]) -> None:
         """Decide for urgent jobs, then jobs inside guarantees, then the rest."""
+        self._hold_reserved(queue)
         urgent = [job for job in queue if job.urgent]
         urgent.sort(key=lambda job: (job.submitted_s, job.job_id))
         for job in urgent:
             if not self._guaranteed(job):
+                self._lift(self.reserved)
                 self._urgent(job)
+        self._hold_reserved(queue)
         normal = [job for job in queue if not job.urgent]
         normal = within_team_order(self.cell, normal, self.now_s)
         rest = [job for job in normal if not self._guaranteed(job)]
+        self._reserve_oldest(rest)
         for job in fair_order(self.cell, rest, self.now_s):
             self._borrowed(job)
         self.cell.reservations_by_id = {held.job_id: held for held in self.reservations}
@@ -127,14 +131,14 @@
         key = (job.team, job.shape)
         if not inside or key in self.unfit_homes:
             return False
-        free = self.cell.free.masks
-        for home in inside:
-            spots = fit_home(home, job.shape, free, self.cell.free)
-            if spots is not None and self._has_room(spots, job.shape):
-                self._start(job, spots, WorkKind.GUARANTEED)
-                return True
+        if self._start_at_home(job, inside):
+            return True
         if any(not home.jobs for home in inside) and self._start_elsewhere(job):
             return True
+        if self.reserved:
+            self._lift(self.reserved)
+            if self._start_at_home(job, inside):
+                return True
         plan = self._plan_at_home(job, inside)
         if plan is None:
             self.unfit_homes.add(key)
@@ -142,6 +146,15 @@
         self._evict(job, plan, EvictionCause.GUARANTEE)
         return True
 
+    def _start_at_home(self, job: QueuedJob, homes: list[Home]) -> bool:
+        free = self.cell.free.masks
+        for home in homes:
+            spots = fit_home(home, job.shape, free, self.cell.free)
+            if spots is not None and self._has_room(spots, job.shape):
+                self._start(job, spots, WorkKind.GUARANTEED)
+                return True
+        return False
+
     def _start_elsewhere(self, job: QueuedJob) -> bool:
         """Start a guaranteed job on free accelerators to which a home of its team can move."""
         spots = self._find(job.shape)
@@ -218,6 +231,8 @@
     # The rest.
 
     def _borrowed(self, job: QueuedJob) -> None:
+        if job.job_id in self.cell.running_by_id:
+            return
         if job.shape not in self.unfit:
             spots = self._find(job.shape)
             if spots is not None:
@@ -228,6 +243,25 @@
         elif self.reservations and job.shape not in self.unfit_lifted:
             self._backfill(job)
 
+    def _hold_reserved(self, queue: Sequence[QueuedJob]) -> None:
+        """Keep earlier reservations from jobs that could start elsewhere."""
+        if self.reserved or not self.cell.reservations_by_id:
+            return
+        waiting = {job.job_id for job in queue}
+        for reservation in self.cell.reservations_by_id.values():
+            if reservation.job_id in waiting:
+                self._hold(reservation.spots, None, self.reserved)
+
+    def _reserve_oldest(self, rest: Sequence[QueuedJob]) -> None:
+        """Start the oldest jobs, or reserve accelerators for the first that does not fit."""
+        self._lift(self.reserved)
+        for job in sorted(rest, key=lambda job: (job.submitted_s, job.job_id)):
+            spots = self._find(job.shape)
+            if spots is None:
+                self._reserve(job)
+                return
+            self._start(job, spots, WorkKind.BORROWED)
+
     def _reserve(self, job: QueuedJob) -> None:
         reservation = reserve(self.cell, job, self.now_s)
         if reservation is None:
--- a/src/chicorycrank/policy/guarantees.py
+++ b/src/chicorycrank/policy/guarantees.py
@@ -107,6 +107,7 @@
         self.journal: list[tuple[Home, Spots | None, tuple[tuple[int, int], ...]]] = []
         self.needs_settling = False
         self.missing = 0
+        self.avoided: Spots = ()  # homes are placed elsewhere if that is possible
         self._fitting: dict[TeamId, dict[GangShape, list[Home]]] = {}
 
     def fitting(self, team: TeamId, shape: GangShape) -> list[Home]:
@@ -179,6 +180,30 @@
         else:
             self._restore(before)
 
+    def avoid(self, spots: Spots) -> None:
+        """Move idle homes off accelerators that are reserved, as far as possible."""
+        if set(spots) == set(self.avoided):
+            return
+        self.avoided = spots
+        for home in self._overlapping(spots):
+            if not home.jobs:
+                before = home.spots
+                self.move(home, None)
+                self.move(home, self._find_place(home.shape) or before)
+
+    def _find_place(self, shape: GangShape) -> Spots | None:
+        kept = [
+            (worker, self.pool.masks[worker] & mask)
+            for worker, mask in self.avoided
+            if worker in self.pool.masks
+        ]
+        for worker, mask in kept:
+            self.pool.take(worker, mask)
+        spots = find_spots(self.pool, shape)
+        for worker, mask in kept:
+            self.pool.give(worker, mask)
+        return spots or (find_spots(self.pool, shape) if kept else None)
+
     def move(self, home: Home, spots: Spots | None) -> None:
         """Move a home, or take its place away."""
         self.journal.append((home, home.spots, home.shares))
@@ -344,7 +369,7 @@
         failed: set[GangShape] = set()
         for home in sorted(homes, key=_packing_order):
             if home.shape not in failed:
-                spots = find_spots(self.pool, home.shape)
+                spots = self._find_place(home.shape)
                 if spots is None:
                     failed.add(home.shape)
                 else:
