Start jobs first for which work was evicted

Work of the same team was evicted as well, though it was within the guarantee by then. Change: jobs for which work was evicted are decided first; a plan never evicts work of its own team; borrowed work counts as guaranteed once the end of a guaranteed job leaves room for it.

--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -1,6 +1,7 @@
 """State of a cell as the decisions see it: workers, running jobs and queued jobs."""
 
 from dataclasses import dataclass, replace
+from itertools import islice
 
 from chicorycrank.model.config import Guarantee, Team
 from chicorycrank.model.ids import GuaranteeId, JobId, RackId, TargetId, TeamId, ZoneId
@@ -10,6 +11,8 @@
 from chicorycrank.policy.placement import spots_of
 from chicorycrank.policy.pool import Pool, Spots
 
+PROMOTIONS_TRIED = 4  # bounds the time that the end of a guaranteed job takes
+
 
 @dataclass(kw_only=True)
 class WorkerState:
@@ -91,6 +94,7 @@
         self.reclaimable = Pool()
         self.homes = Homes()
         self.reservations_by_id: dict[JobId, Reservation] = {}
+        self.evicted_for: set[JobId] = set()  # waiting jobs for which work was evicted
         self.borrowed: dict[JobId, None] = {}  # in the order of their starts
         self.demoted: dict[JobId, None] = {}  # guaranteed jobs that lost their home
         self.stopping: dict[JobId, None] = {}
@@ -210,6 +214,14 @@
         job = running.job
         if completed and now_s is not None:
             self.estimates.add(job.team, job.run_time_s, now_s - running.started_s)
+        guaranteed = job_id not in self.borrowed
+        self.take_back(job_id)
+        if guaranteed:
+            self._promote(job.team)
+
+    def take_back(self, job_id: JobId) -> None:
+        """Undo the start of a job."""
+        job = self.running_by_id[job_id].job
         self._hold(self.free, job_id, -1)
         if job_id not in self.borrowed or job.urgent:
             self._hold(self.reclaimable, job_id, -1)
@@ -235,10 +247,7 @@
             if known and not running.stopping:
                 job = running.job
                 if self.homes.bind(job.team, job_id, spots, job.shape):
-                    del self.borrowed[job_id], self.demoted[job_id]
-                    self.running_by_id[job_id] = replace(running, kind=WorkKind.GUARANTEED)
-                    if not job.urgent:
-                        self._hold(self.reclaimable, job_id, 1)
+                    self._set_guaranteed(job_id)
         self.homes.settle()
 
     def spots(self, job_id: JobId) -> Spots:
@@ -255,6 +264,28 @@
         if not self.running_by_id[job_id].job.urgent:
             self._hold(self.reclaimable, job_id, -1)
 
+    def _promote(self, team: TeamId) -> None:
+        """Count borrowed jobs of a team as guaranteed where its guarantee has room again."""
+        mine = (j for j in self.borrowed if self.running_by_id[j].job.team == team)
+        for job_id in list(islice(mine, PROMOTIONS_TRIED)):
+            running = self.running_by_id[job_id]
+            shape = running.job.shape
+            if running.stopping or not self.homes.fitting(team, shape):
+                continue
+            spots = self._spots_by_id[job_id]
+            if all(self.free.is_open(worker) for worker, _ in spots) and self.homes.bind(
+                team, job_id, spots, shape
+            ):
+                self._set_guaranteed(job_id)
+
+    def _set_guaranteed(self, job_id: JobId) -> None:
+        running = self.running_by_id[job_id]
+        self.running_by_id[job_id] = replace(running, kind=WorkKind.GUARANTEED)
+        del self.borrowed[job_id]
+        self.demoted.pop(job_id, None)
+        if not running.job.urgent:
+            self._hold(self.reclaimable, job_id, 1)
+
     def _demote(self, job_id: JobId) -> None:
         """Treat a guaranteed job as borrowed until its team has a home at its place."""
         running = self.running_by_id[job_id]
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -84,6 +84,7 @@
         self.started: list[JobId] = []
         self.stopped: list[RunningJob] = []
         self.held: list[Hold] = []
+        self.waiting_for_evictions: set[JobId] = set()
         self.claimed: dict[TargetId, int] = {}
         self.reservations: list[Reservation] = []
         self.reserved: list[Hold] = []
@@ -94,27 +95,36 @@
     def run(self, queue: Sequence[QueuedJob]) -> None:
         """Decide for urgent jobs, then jobs inside guarantees, then the rest."""
         self._hold_reserved(queue)
-        urgent = [job for job in queue if job.urgent]
-        urgent.sort(key=lambda job: (job.submitted_s, job.job_id))
-        for job in urgent:
-            if not self._guaranteed(job):
+        # Jobs for which work was evicted come first: whoever else took the place would be
+        # evicted in turn.
+        for job in sorted(queue, key=self._turn):
+            if job.job_id not in self.cell.evicted_for and not job.urgent:
+                break
+            if not self._guaranteed(job) and job.urgent:
                 self._lift(self.reserved)
                 self._urgent(job)
         self._hold_reserved(queue)
-        normal = [job for job in queue if not job.urgent]
+        normal = [job for job in queue if not job.urgent and not self._is_done(job)]
         normal = within_team_order(self.cell, normal, self.now_s)
         rest = [job for job in normal if not self._guaranteed(job)]
         self._reserve_oldest(rest)
         for job in fair_order(self.cell, rest, self.now_s):
             self._borrowed(job)
         self.cell.reservations_by_id = {held.job_id: held for held in self.reservations}
+        self.cell.evicted_for = self.waiting_for_evictions
+
+    def _turn(self, job: QueuedJob) -> tuple[bool, bool, float, JobId]:
+        return job.job_id not in self.cell.evicted_for, not job.urgent, job.submitted_s, job.job_id
+
+    def _is_done(self, job: QueuedJob) -> bool:
+        return job.job_id in self.waiting_for_evictions or job.job_id in self.cell.running_by_id
 
     def undo(self) -> None:
         """Put the cell back to where it was."""
         self._lift(self.held)
         self._lift(self.reserved)
         for job_id in reversed(self.started):
-            self.cell.finish(job_id)
+            self.cell.take_back(job_id)
         self.cell.homes.undo_moves()
         for running in self.stopped:
             self.cell.running_by_id[running.job.job_id] = running
@@ -164,7 +174,7 @@
         running = self._running(job, spots, WorkKind.GUARANTEED)
         cell.start(running)
         if cell.is_evictable(job.job_id):
-            cell.finish(job.job_id)
+            cell.take_back(job.job_id)
             return False
         self._record(running)
         return True
@@ -179,11 +189,16 @@
                 plan = spots and plan_for_spots(
                     self.cell, spots, job.shape, self.now_s, spare_urgent=False
                 )
-                if plan and self._is_open_plan(plan):
+                if plan and self._is_open_plan(plan) and not self._is_own(plan, job.team):
                     plans.append(plan)
                     break
         return min(plans, key=lambda plan: (plan.lost_s, len(plan.victims)), default=None)
 
+    def _is_own(self, plan: EvictionPlan, team: TeamId) -> bool:
+        """Whether a plan evicts work of the team that it is for."""
+        running = self.cell.running_by_id
+        return any(running[victim].job.team == team for victim in plan.victims)
+
     def _soon_free(self, homes: list[Home]) -> dict[TargetId, int]:
         masks: dict[TargetId, int] = {}
         for home in homes:
@@ -203,7 +218,7 @@
             return
         spots = self._find_soon(job.shape)
         if spots is not None:
-            self._claim(spots, job.shape)
+            self._claim(spots, job)
             return
         plan = plan_for_urgent(self.cell, job, self.now_s)
         if plan is not None and self._is_open_plan(plan):
@@ -334,11 +349,12 @@
     def _evict(self, job: QueuedJob, plan: EvictionPlan, cause: EvictionCause) -> None:
         for victim in plan.victims:
             self._stop(victim, job, cause)
-        self._claim(plan.spots, job.shape)
+        self._claim(plan.spots, job)
 
-    def _claim(self, spots: Spots, shape: GangShape) -> None:
+    def _claim(self, spots: Spots, job: QueuedJob) -> None:
         """Keep accelerators that evictions free for the job that needs them."""
-        self._hold(spots, shape, self.held)
+        self.waiting_for_evictions.add(job.job_id)
+        self._hold(spots, job.shape, self.held)
         for worker, mask in spots:
             self.claimed[worker] = self.claimed.get(worker, 0) | mask
 
--- a/tests/features/eviction.feature
+++ b/tests/features/eviction.feature
@@ -67,3 +67,19 @@
     Given team "red" runs a gang of 1 x 8 inside its guarantee
     When a normal gang of 1 x 8 of team "red" is decided
     Then the gang starts as "borrowed" work
+
+  Scenario: Evicted urgent work does not take the place from the job it was evicted for
+    Given an urgent gang of 1 x 8 of team "green" runs on worker 0
+    And borrowed jobs run with these sizes, ages and checkpoints
+      | job | worker | accelerators | age_s | checkpointable |
+      | b   | 1      | 8            | 100   | no             |
+      | c   | 2      | 8            | 100   | no             |
+    When a normal gang of 1 x 8 of team "red" is decided
+    And the evicted job stops and both wait
+    Then the gang starts as "guaranteed" work
+
+  Scenario: Borrowed work counts as guaranteed once the guarantee has room for it
+    Given team "red" runs a gang of 1 x 8 inside its guarantee
+    And team "red" runs a borrowed gang of 1 x 8 on worker 1
+    When the gang inside the guarantee ends
+    Then the borrowed gang counts as guaranteed
--- a/tests/policy/test_policy_scenarios.py
+++ b/tests/policy/test_policy_scenarios.py
@@ -4,7 +4,7 @@
 from tests.policy.conftest import NOW_S, TEAMS, make_job, run_job
 
 from chicorycrank.model.config import Guarantee
-from chicorycrank.model.ids import GuaranteeId, RegionId, TeamId
+from chicorycrank.model.ids import GuaranteeId, JobId, RegionId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape, JobSpec, WorkKind
 from chicorycrank.policy.admission import check_guarantees, check_job
 from chicorycrank.policy.cell import Cell, QueuedJob
@@ -125,6 +125,37 @@
     assert starts(decisions)["gang"].kind is WorkKind(kind)
 
 
+@given('an urgent gang of 1 x 8 of team "green" runs on worker 0')
+def run_urgent(cell: Cell) -> None:
+    run_job(cell, make_job("first", "green", 1, 8, urgent=True), 0, tuple(range(8)))
+
+
+@when("the evicted job stops and both wait", target_fixture="decisions")
+def stop_evicted(cell: Cell, decisions: list[Decision]) -> list[Decision]:
+    assert victims(decisions) == ["first"]
+    evicted = cell.running_by_id[JobId("first")].job
+    cell.mark_stopping(evicted.job_id)
+    cell.finish(evicted.job_id)
+    return decide(cell, [make_job("gang", "red", 1, 8), evicted], NOW_S + 5.0)
+
+
+@given('team "red" runs a borrowed gang of 1 x 8 on worker 1')
+def run_second(cell: Cell) -> None:
+    run_job(cell, make_job("second", "red", 1, 8), 1, tuple(range(8)))
+    assert cell.running_by_id[JobId("second")].kind is WorkKind.BORROWED
+
+
+@when("the gang inside the guarantee ends")
+def end_inside(cell: Cell) -> None:
+    cell.finish(JobId("inside"))
+
+
+@then("the borrowed gang counts as guaranteed")
+def check_promoted(cell: Cell) -> None:
+    assert cell.running_by_id[JobId("second")].kind is WorkKind.GUARANTEED
+    assert not cell.is_evictable(JobId("second"))
+
+
 # Backfill.
 
 
