Bound the search for a reservation's place

Cause: a reservation whose expected time slipped was searched anew in each decision; a gang of 64 small members priced thousands of blocks. Change: a reservation keeps its place for 300 s, a search prices at most 192 blocks, and idle homes of one form are checked once per shape.

--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -9,11 +9,13 @@
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob, Reservation, RunningJob
-from chicorycrank.policy.packing import PIECE_SIZES, piece_class
+from chicorycrank.policy.packing import PIECE_SIZES, blocks, piece_class
 from chicorycrank.policy.placement import cheapest_spots, neighbour_order, open_masks
 from chicorycrank.policy.pool import Spot, Spots
 
 RACKS_TRIED = 16  # racks whose expected free time is worked out
+BLOCKS_PRICED = 192  # bounds the time for gangs of many small members
+RECHOICE_S = 300.0  # a reservation keeps its place at least this long
 HOME_PENALTY_S = 4 * 3600.0  # a home is likely to be used again by its team
 STOP_GRACE_S = 5.0
 
@@ -40,13 +42,20 @@
     """Return the reservation of a job; an earlier one keeps its place."""
     known = cell.reservations_by_id.get(job.job_id)
     if known is not None and all(cell.free.is_open(worker) for worker, _ in known.spots):
-        price_s = max(_cost_s(cell, now_s, worker, mask) for worker, mask in known.spots)
+        young = now_s - known.made_s < RECHOICE_S
+        price_s = 0.0
+        if not young:
+            price_s = max(_cost_s(cell, now_s, worker, mask) for worker, mask in known.spots)
         if price_s <= known.price_s:
             start_s = max(_free_at_s(cell, now_s, worker, mask) for worker, mask in known.spots)
             return replace(known, start_s=start_s)
     best: tuple[float, Spots] | None = None
     cost = partial(_cost_s, cell, now_s)
+    priced = 0
     for group in _groups(cell, job.shape):
+        if priced >= BLOCKS_PRICED:
+            break
+        priced += sum(len(blocks(mask, job.shape.accelerators)) for _, mask in group)
         # Cores and memory are checked again when the job starts.
         found = cheapest_spots(group, job.shape, lambda worker: job.shape.members, cost)
         if found is not None and (best is None or max(found[1]) < best[0]):
@@ -54,7 +63,9 @@
     if best is None:
         return None
     start_s = max(_free_at_s(cell, now_s, worker, mask) for worker, mask in best[1])
-    return Reservation(job_id=job.job_id, spots=best[1], start_s=start_s, price_s=best[0])
+    return Reservation(
+        job_id=job.job_id, spots=best[1], start_s=start_s, price_s=best[0], made_s=now_s
+    )
 
 
 def overrun_victims(cell: Cell, reservation: Reservation, now_s: float) -> list[JobId]:
@@ -108,8 +119,8 @@
         if shape.adjacency is Adjacency.WORKER and shape.members > 1:
             yield from ([spot] for spot in spots)
         elif spots:
-            blocks = sum(mask.bit_count() // shape.accelerators for _, mask in spots)
-            fits |= blocks >= shape.members
+            count = sum(mask.bit_count() // shape.accelerators for _, mask in spots)
+            fits |= count >= shape.members
             yield spots
     if fits or shape.adjacency is not Adjacency.ANY:
         return
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -69,12 +69,14 @@
 
     :param start_s: when they are expected to be free
     :param price_s: ``start_s``, later by the penalty for homes, when it was made
+    :param made_s: when it was made
     """
 
     job_id: JobId
     spots: Spots
     start_s: float
     price_s: float
+    made_s: float
 
 
 class Cell:
--- a/src/chicorycrank/policy/guarantees.py
+++ b/src/chicorycrank/policy/guarantees.py
@@ -117,11 +117,29 @@
         """
         by_shape = self._fitting.setdefault(team, {})
         if shape not in by_shape:
-            homes = self.homes_by_team.get(team, [])
-            found = [home for home in homes if fit_home(home, shape, None, self.pool)]
+            found = []
+            known: dict[object, bool] = {}  # idle homes of one form all give one answer
+            for home in self.homes_by_team.get(team, []):
+                form = home.key if home.jobs else self._form(home)
+                if form not in known:
+                    known[form] = fit_home(home, shape, None, self.pool) is not None
+                if known[form]:
+                    found.append(home)
             by_shape[shape] = sorted(found, key=lambda home: (not home.jobs, home.key))
         return by_shape[shape]
 
+    def _form(self, home: Home) -> object:
+        """Return what decides whether a gang fits an idle home."""
+        workers = [worker for worker, _ in home.spots or ()]
+        racks = [self.pool.rack_by_worker.get(worker) for worker in workers]
+        return (
+            home.shape,
+            home.shares,
+            tuple(workers.index(worker) for worker in workers),
+            tuple(racks.index(rack) for rack in racks),
+            tuple(self.pool.is_open(worker) for worker in workers),
+        )
+
     def forget_fitting(self, worker: TargetId) -> None:
         """Forget which homes have room, after a worker opened or closed."""
         for key in self.keys_by_worker.get(worker, {}):
