--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 from chicorycrank.model.ids import JobId, TargetId, TeamId
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
@@ -29,15 +30,30 @@
     backfill: bool = False
 
 
+class EvictionCause(Enum):
+    """Why a job is evicted."""
+
+    GUARANTEE = "guarantee"
+    URGENT = "urgent"
+    OVERRUN = "overrun"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Evict:
     """Stop a running job so that ``for_job`` can start."""
 
     job_id: JobId
     for_job: JobId
+    cause: EvictionCause
     reason: str
 
 
+REASONS = {
+    EvictionCause.GUARANTEE: "borrowed the guaranteed shape of team {team}",
+    EvictionCause.URGENT: "borrowed what urgent work of team {team} needs",
+    EvictionCause.OVERRUN: "overran its expected run time on accelerators reserved for team {team}",
+}
+
 Decision = Start | Evict
 Hold = tuple[TargetId, int, int, int]  # worker, mask, cores and memory kept back
 
@@ -68,6 +84,7 @@
         self.started: list[JobId] = []
         self.stopped: list[RunningJob] = []
         self.held: list[Hold] = []
+        self.waiting_for_evictions: set[JobId] = set()
         self.claimed: dict[TargetId, int] = {}
         self.reservations: list[Reservation] = []
         self.reserved: list[Hold] = []
@@ -77,24 +94,37 @@
 
     def run(self, queue: Sequence[QueuedJob]) -> None:
         """Decide for urgent jobs, then jobs inside guarantees, then the rest."""
-        urgent = [job for job in queue if job.urgent]
-        urgent.sort(key=lambda job: (job.submitted_s, job.job_id))
-        for job in urgent:
-            if not self._guaranteed(job):
+        self._hold_reserved(queue)
+        # Jobs for which work was evicted come first: whoever else took the place would be
+        # evicted in turn.
+        for job in sorted(queue, key=self._turn):
+            if job.job_id not in self.cell.evicted_for and not job.urgent:
+                break
+            if not self._guaranteed(job) and job.urgent:
+                self._lift(self.reserved)
                 self._urgent(job)
-        normal = [job for job in queue if not job.urgent]
+        self._hold_reserved(queue)
+        normal = [job for job in queue if not job.urgent and not self._is_done(job)]
         normal = within_team_order(self.cell, normal, self.now_s)
         rest = [job for job in normal if not self._guaranteed(job)]
+        self._reserve_oldest(rest)
         for job in fair_order(self.cell, rest, self.now_s):
             self._borrowed(job)
         self.cell.reservations_by_id = {held.job_id: held for held in self.reservations}
+        self.cell.evicted_for = self.waiting_for_evictions
+
+    def _turn(self, job: QueuedJob) -> tuple[bool, bool, float, JobId]:
+        return job.job_id not in self.cell.evicted_for, not job.urgent, job.submitted_s, job.job_id
+
+    def _is_done(self, job: QueuedJob) -> bool:
+        return job.job_id in self.waiting_for_evictions or job.job_id in self.cell.running_by_id
 
     def undo(self) -> None:
         """Put the cell back to where it was."""
         self._lift(self.held)
         self._lift(self.reserved)
         for job_id in reversed(self.started):
-            self.cell.finish(job_id)
+            self.cell.take_back(job_id)
         self.cell.homes.undo_moves()
         for running in self.stopped:
             self.cell.running_by_id[running.job.job_id] = running
@@ -111,21 +141,30 @@
         key = (job.team, job.shape)
         if not inside or key in self.unfit_homes:
             return False
-        free = self.cell.free.masks
-        for home in inside:
-            spots = fit_home(home, job.shape, free, self.cell.free)
-            if spots is not None and self._has_room(spots, job.shape):
-                self._start(job, spots, WorkKind.GUARANTEED)
-                return True
+        if self._start_at_home(job, inside):
+            return True
         if any(not home.jobs for home in inside) and self._start_elsewhere(job):
             return True
+        if self.reserved:
+            self._lift(self.reserved)
+            if self._start_at_home(job, inside):
+                return True
         plan = self._plan_at_home(job, inside)
         if plan is None:
             self.unfit_homes.add(key)
             return False
-        self._evict(job, plan, f"guaranteed shape of team {job.team}")
+        self._evict(job, plan, EvictionCause.GUARANTEE)
         return True
 
+    def _start_at_home(self, job: QueuedJob, homes: list[Home]) -> bool:
+        free = self.cell.free.masks
+        for home in homes:
+            spots = fit_home(home, job.shape, free, self.cell.free)
+            if spots is not None and self._has_room(spots, job.shape):
+                self._start(job, spots, WorkKind.GUARANTEED)
+                return True
+        return False
+
     def _start_elsewhere(self, job: QueuedJob) -> bool:
         """Start a guaranteed job on free accelerators to which a home of its team can move."""
         spots = self._find(job.shape)
@@ -135,7 +174,7 @@
         running = self._running(job, spots, WorkKind.GUARANTEED)
         cell.start(running)
         if cell.is_evictable(job.job_id):
-            cell.finish(job.job_id)
+            cell.take_back(job.job_id)
             return False
         self._record(running)
         return True
@@ -150,11 +189,16 @@
                 plan = spots and plan_for_spots(
                     self.cell, spots, job.shape, self.now_s, spare_urgent=False
                 )
-                if plan and self._is_open_plan(plan):
+                if plan and self._is_open_plan(plan) and not self._is_own(plan, job.team):
                     plans.append(plan)
                     break
         return min(plans, key=lambda plan: (plan.lost_s, len(plan.victims)), default=None)
 
+    def _is_own(self, plan: EvictionPlan, team: TeamId) -> bool:
+        """Whether a plan evicts work of the team that it is for."""
+        running = self.cell.running_by_id
+        return any(running[victim].job.team == team for victim in plan.victims)
+
     def _soon_free(self, homes: list[Home]) -> dict[TargetId, int]:
         masks: dict[TargetId, int] = {}
         for home in homes:
@@ -174,11 +218,11 @@
             return
         spots = self._find_soon(job.shape)
         if spots is not None:
-            self._claim(spots, job.shape)
+            self._claim(spots, job)
             return
         plan = plan_for_urgent(self.cell, job, self.now_s)
         if plan is not None and self._is_open_plan(plan):
-            self._evict(job, plan, "urgent work")
+            self._evict(job, plan, EvictionCause.URGENT)
 
     def _find_soon(self, shape: GangShape) -> Spots | None:
         """Find a place among free accelerators and those of jobs that stop."""
@@ -202,6 +246,8 @@
     # The rest.
 
     def _borrowed(self, job: QueuedJob) -> None:
+        if job.job_id in self.cell.running_by_id:
+            return
         if job.shape not in self.unfit:
             spots = self._find(job.shape)
             if spots is not None:
@@ -212,13 +258,32 @@
         elif self.reservations and job.shape not in self.unfit_lifted:
             self._backfill(job)
 
+    def _hold_reserved(self, queue: Sequence[QueuedJob]) -> None:
+        """Keep earlier reservations from jobs that could start elsewhere."""
+        if self.reserved or not self.cell.reservations_by_id:
+            return
+        waiting = {job.job_id for job in queue}
+        for reservation in self.cell.reservations_by_id.values():
+            if reservation.job_id in waiting:
+                self._hold(reservation.spots, None, self.reserved)
+
+    def _reserve_oldest(self, rest: Sequence[QueuedJob]) -> None:
+        """Start the oldest jobs, or reserve accelerators for the first that does not fit."""
+        self._lift(self.reserved)
+        for job in sorted(rest, key=lambda job: (job.submitted_s, job.job_id)):
+            spots = self._find(job.shape)
+            if spots is None:
+                self._reserve(job)
+                return
+            self._start(job, spots, WorkKind.BORROWED)
+
     def _reserve(self, job: QueuedJob) -> None:
         reservation = reserve(self.cell, job, self.now_s)
         if reservation is None:
             return
         self.reservations.append(reservation)
         for victim in overrun_victims(self.cell, reservation, self.now_s):
-            self._stop(victim, job, "overran its expected run time on reserved accelerators")
+            self._stop(victim, job, EvictionCause.OVERRUN)
         self._hold(reservation.spots, job.shape, self.reserved)
 
     def _backfill(self, job: QueuedJob) -> None:
@@ -281,23 +346,25 @@
             )
         )
 
-    def _evict(self, job: QueuedJob, plan: EvictionPlan, reason: str) -> None:
+    def _evict(self, job: QueuedJob, plan: EvictionPlan, cause: EvictionCause) -> None:
         for victim in plan.victims:
-            self._stop(victim, job, reason)
-        self._claim(plan.spots, job.shape)
+            self._stop(victim, job, cause)
+        self._claim(plan.spots, job)
 
-    def _claim(self, spots: Spots, shape: GangShape) -> None:
+    def _claim(self, spots: Spots, job: QueuedJob) -> None:
         """Keep accelerators that evictions free for the job that needs them."""
-        self._hold(spots, shape, self.held)
+        self.waiting_for_evictions.add(job.job_id)
+        self._hold(spots, job.shape, self.held)
         for worker, mask in spots:
             self.claimed[worker] = self.claimed.get(worker, 0) | mask
 
-    def _stop(self, victim: JobId, job: QueuedJob, reason: str) -> None:
+    def _stop(self, victim: JobId, job: QueuedJob, cause: EvictionCause) -> None:
         if victim in self.started:
             raise AssertionError(f"job {victim} starts and is evicted in one decision")
         self.stopped.append(self.cell.running_by_id[victim])
         self.cell.mark_stopping(victim)
-        self.decisions.append(Evict(job_id=victim, for_job=job.job_id, reason=reason))
+        reason = REASONS[cause].format(team=job.team)
+        self.decisions.append(Evict(job_id=victim, for_job=job.job_id, cause=cause, reason=reason))
 
     def _hold(self, spots: Spots, shape: GangShape | None, holds: list[Hold]) -> None:
         """Keep accelerators from the jobs that come later in this pass."""
--- a/src/chicorycrank/policy/guarantees.py
+++ b/src/chicorycrank/policy/guarantees.py
@@ -107,6 +107,7 @@
         self.journal: list[tuple[Home, Spots | None, tuple[tuple[int, int], ...]]] = []
         self.needs_settling = False
         self.missing = 0
+        self.avoided: Spots = ()  # homes are placed elsewhere if that is possible
         self._fitting: dict[TeamId, dict[GangShape, list[Home]]] = {}
 
     def fitting(self, team: TeamId, shape: GangShape) -> list[Home]:
@@ -116,11 +117,29 @@
         """
         by_shape = self._fitting.setdefault(team, {})
         if shape not in by_shape:
-            homes = self.homes_by_team.get(team, [])
-            found = [home for home in homes if fit_home(home, shape, None, self.pool)]
+            found = []
+            known: dict[object, bool] = {}  # idle homes of one form all give one answer
+            for home in self.homes_by_team.get(team, []):
+                form = home.key if home.jobs else self._form(home)
+                if form not in known:
+                    known[form] = fit_home(home, shape, None, self.pool) is not None
+                if known[form]:
+                    found.append(home)
             by_shape[shape] = sorted(found, key=lambda home: (not home.jobs, home.key))
         return by_shape[shape]
 
+    def _form(self, home: Home) -> object:
+        """Return what decides whether a gang fits an idle home."""
+        workers = [worker for worker, _ in home.spots or ()]
+        racks = [self.pool.rack_by_worker.get(worker) for worker in workers]
+        return (
+            home.shape,
+            home.shares,
+            tuple(workers.index(worker) for worker in workers),
+            tuple(racks.index(rack) for rack in racks),
+            tuple(self.pool.is_open(worker) for worker in workers),
+        )
+
     def forget_fitting(self, worker: TargetId) -> None:
         """Forget which homes have room, after a worker opened or closed."""
         for key in self.keys_by_worker.get(worker, {}):
@@ -179,6 +198,30 @@
         else:
             self._restore(before)
 
+    def avoid(self, spots: Spots) -> None:
+        """Move idle homes off accelerators that are reserved, as far as possible."""
+        if set(spots) == set(self.avoided):
+            return
+        self.avoided = spots
+        for home in self._overlapping(spots):
+            if not home.jobs:
+                before = home.spots
+                self.move(home, None)
+                self.move(home, self._find_place(home.shape) or before)
+
+    def _find_place(self, shape: GangShape) -> Spots | None:
+        kept = [
+            (worker, self.pool.masks[worker] & mask)
+            for worker, mask in self.avoided
+            if worker in self.pool.masks
+        ]
+        for worker, mask in kept:
+            self.pool.take(worker, mask)
+        spots = find_spots(self.pool, shape)
+        for worker, mask in kept:
+            self.pool.give(worker, mask)
+        return spots or (find_spots(self.pool, shape) if kept else None)
+
     def move(self, home: Home, spots: Spots | None) -> None:
         """Move a home, or take its place away."""
         self.journal.append((home, home.spots, home.shares))
@@ -344,7 +387,7 @@
         failed: set[GangShape] = set()
         for home in sorted(homes, key=_packing_order):
             if home.shape not in failed:
-                spots = find_spots(self.pool, home.shape)
+                spots = self._find_place(home.shape)
                 if spots is None:
                     failed.add(home.shape)
                 else:
