Serve jobs over HTTP; choose cells; quarantine failing workers

Cause: jobs could be submitted and read only; a job without a region went to the entry's own cell; a message was lost when the leader changed; a worker that failed everything kept getting jobs.

Change: - GET, DELETE and explain of /v1/jobs, a long poll without polling in the loop, and all findings of a submission at once. Sizes are checked against the workers this entry has seen, and only once the workers have reported. - A job without a region goes to the cell that choose_cell picks from the digests. A job fails for good after 3 different workers or 8 counted failures. - The calls of starts and evictions move to gang_starts.py, jobs of a term to cell_jobs.py.

No test covers the new parts yet; they follow.

Conclusion: existing behaviour is kept; the quarantine is held in memory and ends with the leader's term.

--- /dev/null
+++ b/src/chicorycrank/entry/cell_load.py
@@ -0,0 +1,28 @@
+"""The load of a cell as its leader tells the other entries."""
+
+from chicorycrank.model.ids import CellId, EntryId, Epoch, GuaranteeId
+from chicorycrank.model.messages import CellLoad
+from chicorycrank.policy.cell import Cell
+from chicorycrank.policy.packing import PIECE_SIZES
+
+
+def measure(cell_id: CellId, epoch: Epoch, leader: EntryId, cell: Cell, queued: int) -> CellLoad:
+    """Return the load of a cell."""
+    whole_by_rack: dict[str, int] = {}
+    for name, worker in cell.workers_by_id.items():
+        if cell.free.is_open(name) and cell.free.masks[name] == (1 << worker.accelerators) - 1:
+            whole_by_rack[worker.rack] = whole_by_rack.get(worker.rack, 0) + 1
+    free_guarantees: set[GuaranteeId] = {
+        key[0]
+        for key, home in cell.homes.homes_by_key.items()
+        if home.spots is not None and not home.jobs
+    }
+    return CellLoad(
+        cell_id,
+        epoch,
+        leader,
+        cell.free.totals[PIECE_SIZES.index(1)],
+        max(whole_by_rack.values(), default=0),
+        queued,
+        tuple(sorted(free_guarantees)),
+    )
--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -16,6 +16,8 @@
 MAX_BODY_BYTES = 4_000_000
 MAX_HEADER_BYTES = 16_384
 RESERVED_THREADS = 8
+# One thread in this many may hold a status call that waits for a job's next change.
+WAITING_SHARE = 8
 
 
 class HttpApi:
@@ -24,9 +26,10 @@
     def __init__(self, entry: Entry, loop: asyncio.AbstractEventLoop) -> None:
         bridge = LoopBridge(loop)
         self._entry = entry
-        max_running = max(1, entry.settings.http_threads - RESERVED_THREADS)
+        waiting = max(1, entry.settings.http_threads // WAITING_SHARE)
+        max_running = max(1, entry.settings.http_threads - RESERVED_THREADS - waiting)
         self._requests = RequestResource(entry.requests, bridge, max_running=max_running)
-        self._jobs = JobResource(entry.jobs, bridge, entry.settings.cell)
+        self._jobs = JobResource(entry.jobs, bridge, max_waiting=waiting)
         self._operations = OperationsResource(entry, bridge)
 
     @cherrypy.expose(["healthz"])
@@ -45,9 +48,9 @@
     @cherrypy.expose
     def v1(self, *path: str, **query: str) -> bytes:
         """Serve ``/v1/<resource>[/<identity>[/<part>]]``."""
-        return self._serve_operations(path) or self._serve_calls(path)
+        return self._serve_operations(path) or self._serve_calls(path, query)
 
-    def _serve_calls(self, path: tuple[str, ...]) -> bytes:
+    def _serve_calls(self, path: tuple[str, ...], query: dict[str, str]) -> bytes:
         match (cherrypy.request.method, *path):
             case ("POST", "requests"):
                 return self._requests.post()
@@ -56,7 +59,15 @@
             case ("POST", "jobs"):
                 return self._jobs.post()
             case ("GET", "jobs", identity):
-                return self._jobs.get(JobId(identity))
+                return self._jobs.get(JobId(identity), query)
+            case ("GET", "jobs"):
+                return self._jobs.list(query)
+            case ("DELETE", "jobs", identity):
+                return self._jobs.delete(JobId(identity), query)
+            case ("GET", "jobs", identity, "explain"):
+                return self._jobs.explain(JobId(identity))
+            case ("POST", "targets", identity, "release-quarantine"):
+                return self._jobs.release_quarantine(TargetId(identity))
         return send_problem(HTTPStatus.NOT_FOUND, Outcome.NOT_RUN, "no such resource")
 
     def _serve_operations(self, path: tuple[str, ...]) -> bytes | None:
--- a/src/chicorycrank/entry/http_jobs.py
+++ b/src/chicorycrank/entry/http_jobs.py
@@ -1,64 +1,163 @@
 """HTTP resource ``/v1/jobs``."""
 
+import json
 import math
-import uuid
+import threading
 from http import HTTPStatus
 
 import cherrypy
 import msgspec
 
+from chicorycrank.entry.cell_jobs import MAX_WAIT_S
 from chicorycrank.entry.http_common import (
     STATUS_BY_OUTCOME,
     LoopBridge,
     send_json,
     send_problem,
 )
-from chicorycrank.entry.jobs import JobFront, cell_of, make_job_id
-from chicorycrank.model.ids import CellId, JobId
-from chicorycrank.model.jobs import JobSpec
-from chicorycrank.model.messages import AnyMessage, JobReply, QueryJob, Refused, SubmitJob
+from chicorycrank.entry.job_check import read_spec
+from chicorycrank.entry.jobs import ASK_LIMIT_S, CellAnswers, JobFront, cell_of
+from chicorycrank.model.ids import Generation, JobId, TargetId
+from chicorycrank.model.jobs import JobRecord, JobSpec, JobState
+from chicorycrank.model.messages import (
+    AnyMessage,
+    CancelJob,
+    ExplainJob,
+    JobFinding,
+    JobFindings,
+    JobList,
+    JobReply,
+    ListJobs,
+    Ok,
+    QueryJob,
+    Refused,
+    ReleaseQuarantine,
+    Text,
+)
 from chicorycrank.model.requests import Outcome
 
 UNKNOWN_CODES = frozenset({"no_reply", "write_unconfirmed"})
 STATUS_BY_CODE = {
     "no_such_job": HTTPStatus.NOT_FOUND,
+    "no_such_target": HTTPStatus.NOT_FOUND,
     "key_conflict": HTTPStatus.CONFLICT,
+    "generation_conflict": HTTPStatus.CONFLICT,
+    "queue_full": HTTPStatus.TOO_MANY_REQUESTS,
 }
 
 
 class JobResource:
     """Serves jobs of operators.
 
-    :param cell: cell of jobs that name no region
+    :param max_waiting: status calls that may wait for a change at the same time; further ones
+        are answered at once, as each holds a thread of the server
     """
 
-    def __init__(self, front: JobFront, bridge: LoopBridge, cell: CellId) -> None:
+    def __init__(self, front: JobFront, bridge: LoopBridge, *, max_waiting: int) -> None:
         self._front = front
         self._bridge = bridge
-        self._cell = cell
+        self._slots = threading.BoundedSemaphore(max_waiting)
 
     def post(self) -> bytes:
         """Submit a job."""
+        spec = read_spec(cherrypy.request.body.read(), self._front.config)
+        if not isinstance(spec, JobSpec):
+            return _send_findings(spec)
+        key = cherrypy.request.headers.get("Idempotency-Key") or None
+        work = self._front.submit(spec, key)
+        return _send_reply(self._bridge.call(work, timeout_s=ASK_LIMIT_S))
+
+    def get(self, job_id: JobId, query: dict[str, str]) -> bytes:
+        """Return a job record, after a change if the caller names a generation."""
+        try:
+            above = Generation(int(query.get("generation", -1)))
+            wait_s = min(max(float(query.get("wait_s", 0)), 0.0), MAX_WAIT_S)
+        except ValueError as error:
+            return _send_bad_query(str(error))
+        if math.isnan(wait_s):
+            return _send_bad_query("wait_s is no number")
+        if "generation" not in query or not self._slots.acquire(blocking=False):
+            return self._ask(job_id, QueryJob(job_id))
+        try:
+            return self._ask(job_id, QueryJob(job_id, above, wait_s), 2 * wait_s)
+        finally:
+            self._slots.release()
+
+    def delete(self, job_id: JobId, query: dict[str, str]) -> bytes:
+        """Cancel a job."""
+        generation = query.get("if_generation")
+        try:
+            guard = Generation(int(generation)) if generation is not None else None
+        except ValueError as error:
+            return _send_bad_query(str(error))
+        return self._ask(job_id, CancelJob(job_id, guard))
+
+    def explain(self, job_id: JobId) -> bytes:
+        """Return why a job waits or was evicted."""
+        return self._ask(job_id, ExplainJob(job_id))
+
+    def list(self, query: dict[str, str]) -> bytes:
+        """Return the jobs of all cells that answer."""
         try:
-            spec = msgspec.json.decode(cherrypy.request.body.read(), type=JobSpec)
-        except msgspec.DecodeError as error:
-            return send_problem(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, str(error))
-        key = cherrypy.request.headers.get("Idempotency-Key") or uuid.uuid4().hex
-        cell = CellId(spec.region or self._cell)
-        job_id = make_job_id(cell, spec.team, key)
-        return self._ask(cell, SubmitJob(job_id, spec))
+            state = JobState(query["state"]) if query.get("state") else None
+        except ValueError:
+            states = ", ".join(state.value for state in JobState)
+            return _send_bad_query(f"state must be one of {states}")
+        message = ListJobs(query.get("team", ""), state)
+        answers = self._bridge.call(self._front.ask_all(message), timeout_s=ASK_LIMIT_S)
+        return send_json(_merge(answers))
+
+    def release_quarantine(self, worker: TargetId) -> bytes:
+        """Give a quarantined worker work again."""
+        work = self._front.release_quarantine(ReleaseQuarantine(worker))
+        reply = self._bridge.call(work, timeout_s=ASK_LIMIT_S)
+        if isinstance(reply, Ok):
+            return send_json({"target": worker, "quarantined": False})
+        return _send_reply(reply)
+
+    def _ask(self, job_id: JobId, message: AnyMessage, wait_s: float = 0.0) -> bytes:
+        work = self._front.ask(cell_of(job_id), message)
+        return _send_reply(self._bridge.call(work, timeout_s=ASK_LIMIT_S + wait_s))
+
+
+def _merge(answers: CellAnswers) -> dict[str, object]:
+    lists = [reply for reply in answers.reply_by_cell.values() if isinstance(reply, JobList)]
+    records = [record for answer in lists for record in answer.records]
+    records.sort(key=lambda record: (record.submitted_at, record.job_id), reverse=True)
+    return {
+        "jobs": [_to_builtins(record) for record in records],
+        "omitted": sum(answer.omitted for answer in lists),
+        "unreachable_cells": [
+            cell for cell, reply in answers.reply_by_cell.items() if not isinstance(reply, JobList)
+        ],
+    }
+
+
+def _to_builtins(record: JobRecord) -> object:
+    return msgspec.to_builtins(record, str_keys=True)
+
+
+def _send_bad_query(detail: str) -> bytes:
+    return send_problem(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, detail)
 
-    def get(self, job_id: JobId) -> bytes:
-        """Return a job record."""
-        return self._ask(cell_of(job_id), QueryJob(job_id))
 
-    def _ask(self, cell: CellId, message: AnyMessage) -> bytes:
-        return _send_reply(self._bridge.call(self._front.ask(cell, message)))
+def _send_findings(findings: tuple[JobFinding, ...]) -> bytes:
+    detail = "; ".join(f"{finding.field or 'body'}: {finding.message}" for finding in findings)
+    listed = [
+        {"code": finding.code, "field": finding.field, "message": finding.message}
+        for finding in findings
+    ]
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+    return send_problem(status, Outcome.NOT_RUN, detail, findings=listed)
 
 
 def _send_reply(reply: AnyMessage) -> bytes:
     if isinstance(reply, JobReply):
-        return send_json(msgspec.to_builtins(reply.record, str_keys=True))
+        return send_json(_to_builtins(reply.record))
+    if isinstance(reply, Text):
+        return send_json(json.loads(reply.text))
+    if isinstance(reply, JobFindings):
+        return _send_findings(reply.findings)
     if isinstance(reply, Refused):
         outcome = Outcome.UNKNOWN if reply.code in UNKNOWN_CODES else Outcome.NOT_RUN
         status = STATUS_BY_CODE.get(reply.code, STATUS_BY_OUTCOME[outcome])
--- a/src/chicorycrank/entry/job_records.py
+++ b/src/chicorycrank/entry/job_records.py
@@ -12,7 +12,7 @@
 
 from chicorycrank.adapters.codec import decode, encode
 from chicorycrank.entry.waiting import wait_at_most
-from chicorycrank.model.ids import CellId, Epoch, JobId, Version
+from chicorycrank.model.ids import CellId, Epoch, Generation, JobId, Version
 from chicorycrank.model.jobs import FINAL_STATES, JobRecord
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import Entry, Store, StoreError, VersionConflictError
@@ -74,6 +74,8 @@
         self._unsent: set[JobId] = set()
         self._unaccepted: set[JobId] = set()
         self._written = asyncio.Condition()
+        self._changed_by_job: dict[JobId, asyncio.Event] = {}
+        self._wakes = 0
         self.records_by_id: dict[JobId, JobRecord] = {}
         self.is_available = True
 
@@ -128,6 +130,29 @@
     def mark(self, job_id: JobId) -> None:
         """Note that a record changed."""
         self._shard_of(job_id).changes += 1
+        if event := self._changed_by_job.pop(job_id, None):
+            event.set()
+
+    async def wait_above(self, job_id: JobId, above: Generation, limit: timedelta) -> None:
+        """Wait until a record's generation exceeds ``above`` or the role ends."""
+        wakes = self._wakes
+
+        async def wait() -> None:
+            while (record := self.records_by_id.get(job_id)) and record.generation <= above:
+                event = self._changed_by_job.setdefault(job_id, asyncio.Event())
+                await event.wait()
+                if self._wakes != wakes:
+                    return
+
+        if limit > timedelta(0):
+            await wait_at_most(self._clock, wait(), limit)
+
+    def wake_all(self) -> None:
+        """End all waits for a change."""
+        self._wakes += 1
+        for event in self._changed_by_job.values():
+            event.set()
+        self._changed_by_job.clear()
 
     async def flush(self) -> None:
         """Write all changed shards.
--- a/src/chicorycrank/entry/jobs.py
+++ b/src/chicorycrank/entry/jobs.py
@@ -1,27 +1,51 @@
 """The front door of jobs: finds the leader of a cell and asks it."""
 
+import asyncio
 import hashlib
-from collections.abc import Awaitable, Callable
+import json
+import uuid
+from collections.abc import Awaitable, Callable, Iterator
 from copy import copy
+from dataclasses import dataclass
 from datetime import timedelta
 
+from chicorycrank.entry.cell_binding import CellBinding
 from chicorycrank.entry.directory import Directory
+from chicorycrank.entry.election import VACANT
 from chicorycrank.entry.scheduler import Scheduler
+from chicorycrank.entry.waiting import wait_at_most
+from chicorycrank.model.config import Config
 from chicorycrank.model.ids import CellId, EntryId, JobId, TeamId
-from chicorycrank.model.jobs import JobRecord
+from chicorycrank.model.jobs import JobRecord, JobSpec
 from chicorycrank.model.messages import (
     AnyMessage,
     CancelJob,
+    CellLoad,
+    ExplainJob,
     JobList,
     JobReply,
     ListJobs,
     QueryJob,
     Refused,
+    ReleaseQuarantine,
     SubmitJob,
+    Text,
 )
+from chicorycrank.policy.cell_choice import choose_cell
+from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.links import LinkError, LinkNotSentError
+from chicorycrank.ports.store import Store, StoreError
 
 CALL_TIMEOUT = timedelta(seconds=5)
+# Covers a planned change of the leader; after a crash the lease lasts longer than a caller waits.
+LEADER_WAIT = timedelta(seconds=1.5)
+# Two calls, the wait between them, and the binding of a key to a cell.
+ASK_LIMIT_S = 20.0
+RETRY_AFTER_S = 5.0
+# The message was not carried out by the entry that was asked.
+NO_LEADER_CODES = frozenset({"not_leader", "no_leader"})
+# After an unanswered try, these do not tell whether it was carried out.
+NO_KNOWLEDGE_CODES = NO_LEADER_CODES | {"no_reply", "store_unavailable"}
 
 
 def make_job_id(cell: CellId, team: TeamId, key: str) -> JobId:
@@ -35,6 +59,13 @@
     return CellId(job_id.rsplit("-", 1)[0])
 
 
+@dataclass(frozen=True, kw_only=True)
+class CellAnswers:
+    """What the leaders of all known cells replied."""
+
+    reply_by_cell: dict[CellId, AnyMessage]
+
+
 class JobFront:
     """Hands job messages to the leader of the job's cell.
 
@@ -47,41 +78,157 @@
         directory: Directory,
         scheduler: Scheduler,
         confirm: Callable[[], Awaitable[bool]],
+        *,
+        store: Store,
+        clock: Clock,
+        config: Callable[[], Config],
     ) -> None:
         self._cell = cell
         self._directory = directory
         self._scheduler = scheduler
         self._confirm = confirm
+        self._clock = clock
+        self._config = config
+        self._binding = CellBinding(store)
+        self._leader_changed = asyncio.Event()
         self.leader_by_cell: dict[CellId, EntryId] = {}
 
+    @property
+    def config(self) -> Config:
+        """The configuration in force."""
+        return self._config()
+
+    def note_leader(self, cell: CellId, leader: EntryId) -> None:
+        """Take notice of a cell's leader."""
+        if self.leader_by_cell.get(cell) != leader:
+            self.leader_by_cell[cell] = leader
+            self._leader_changed.set()
+            self._leader_changed = asyncio.Event()
+
+    # Callers.
+
+    async def submit(self, spec: JobSpec, key: str | None) -> AnyMessage:
+        """Submit a job to its region's cell, or to the best one if it names no region.
+
+        :param key: idempotency key; a job without one can't be submitted again
+        """
+        if spec.region is not None:
+            cell = CellId(spec.region)
+        else:
+            cell = choose_cell(spec, self._loads(), self.config.guarantees) or self._cell
+            if key is not None:
+                try:
+                    cell = await self._binding.bind(spec.team, key, cell)
+                except StoreError as error:
+                    return Refused("store_unavailable", str(error), RETRY_AFTER_S)
+        job_id = make_job_id(cell, spec.team, key or uuid.uuid4().hex)
+        return await self.ask(cell, SubmitJob(job_id, spec))
+
+    async def ask_all(self, message: AnyMessage) -> CellAnswers:
+        """Ask the leaders of all known cells."""
+        cells = sorted({self._cell, *self.leader_by_cell})
+        replies = await asyncio.gather(*(self.ask(cell, message) for cell in cells))
+        return CellAnswers(reply_by_cell=dict(zip(cells, replies, strict=True)))
+
+    async def release_quarantine(self, message: ReleaseQuarantine) -> AnyMessage:
+        """Release a worker in whichever cell it is quarantined."""
+        replies = (await self.ask_all(message)).reply_by_cell.values()
+        refused = [reply for reply in replies if isinstance(reply, Refused)]
+        done = [reply for reply in replies if not isinstance(reply, Refused)]
+        unclear = [reply for reply in refused if reply.code != "no_such_target"]
+        return (done or unclear or refused)[0]
+
     async def ask(self, cell: CellId, message: AnyMessage) -> AnyMessage:
-        """Return the leader's reply, or Refused with a code that tells whether it is certain."""
+        """Return the leader's reply, or Refused with a code that tells whether it is certain.
+
+        A message that may be carried out twice is sent again once if the leader changes.
+        """
+        asked = self.leader_by_cell.get(cell)
+        first = await self._ask_once(cell, message)
+        code = first.code if isinstance(first, Refused) else ""
+        is_lost = code == "no_reply"
+        if not (code in NO_LEADER_CODES or (is_lost and _is_idempotent(message))):
+            return first
+        if not is_lost:
+            await wait_at_most(self._clock, self._wait_for_leader(cell, asked), LEADER_WAIT)
+        second = await self._ask_once(cell, message)
+        if is_lost and isinstance(second, Refused) and second.code in NO_KNOWLEDGE_CODES:
+            return Refused("no_reply", f"no reply to the first try; then: {second.code}")
+        return second
+
+    async def _wait_for_leader(self, cell: CellId, last: EntryId | None) -> None:
+        """Wait until a cell has another leader than the last one."""
+        while not (cell == self._cell and self._scheduler.is_leader):
+            if self.leader_by_cell.get(cell) not in (None, last, VACANT):
+                return
+            await self._leader_changed.wait()
+
+    async def _ask_once(self, cell: CellId, message: AnyMessage) -> AnyMessage:
         if cell == self._cell and self._scheduler.is_leader:
             return await self.serve(message)
         leader = self.leader_by_cell.get(cell)
         peer = self._directory.peers_by_id.get(leader) if leader else None
         if peer is None or peer.link is None:
-            return Refused("no_leader", f"cell {cell} has no leader that can be reached")
+            detail = f"cell {cell} has no leader that can be reached"
+            return Refused("no_leader", detail, RETRY_AFTER_S)
+        wait_s = message.wait_s if isinstance(message, QueryJob) else 0.0
         try:
-            return await peer.link.request(message, timeout=CALL_TIMEOUT)
+            timeout = CALL_TIMEOUT + timedelta(seconds=wait_s)
+            return await peer.link.request(message, timeout=timeout)
         except LinkNotSentError as error:
-            return Refused("no_leader", str(error))
+            return Refused("no_leader", str(error), RETRY_AFTER_S)
         except LinkError as error:
             return Refused("no_reply", str(error))
 
+    def _loads(self) -> Iterator[CellLoad]:
+        """Return the newest load of each cell whose leader can be reached."""
+        loads: dict[CellId, CellLoad] = {}
+        for peer in self._directory.peers_by_id.values():
+            is_connected = peer.link is not None and peer.link.is_open
+            for load in peer.digest.cells if peer.digest and is_connected else ():
+                if load.cell not in loads or load.epoch > loads[load.cell].epoch:
+                    loads[load.cell] = load
+        own = self._scheduler.load()
+        if own is not None:
+            loads[own.cell] = own
+        return iter(loads.values())
+
+    # The leader.
+
     async def serve(self, message: AnyMessage) -> AnyMessage:
         """Serve a job message as the leader."""
         if not self._scheduler.is_leader or not await self._confirm():
             return Refused("not_leader")
-        if isinstance(message, SubmitJob):
-            reply = await self._scheduler.submit(message.job_id, message.spec)
-            return JobReply(copy(reply)) if isinstance(reply, JobRecord) else reply
-        if isinstance(message, QueryJob):
-            record = self._scheduler.find(message.job_id)
-            return JobReply(copy(record)) if record else Refused("no_such_job")
-        if isinstance(message, ListJobs):
-            return JobList(tuple(self._scheduler.list(message.team)))
-        if isinstance(message, CancelJob):
-            reply = await self._scheduler.cancel(message.job_id, message.if_generation)
-            return JobReply(copy(reply)) if isinstance(reply, JobRecord) else reply
+        match message:
+            case SubmitJob():
+                return _to_reply(await self._scheduler.submit(message.job_id, message.spec))
+            case CancelJob():
+                reply = await self._scheduler.cancel(message.job_id, message.if_generation)
+                return _to_reply(reply)
+            case QueryJob():
+                return await self._query(message)
+            case ExplainJob():
+                document = self._scheduler.explain(message.job_id)
+                return Text(json.dumps(document)) if document else Refused("no_such_job")
+            case ListJobs():
+                listed = self._scheduler.jobs.select(message)
+                return JobList(tuple(map(copy, listed.records)), listed.omitted)
+            case ReleaseQuarantine():
+                return self._scheduler.release_quarantine(message.worker)
         return Refused("unexpected_message", type(message).__name__)
+
+    async def _query(self, message: QueryJob) -> AnyMessage:
+        jobs = self._scheduler.jobs
+        record = await jobs.wait(message.job_id, message.above, message.wait_s)
+        if not self._scheduler.is_leader:
+            return Refused("not_leader")
+        return JobReply(copy(record)) if record else Refused("no_such_job")
+
+
+def _to_reply(reply: AnyMessage | JobRecord) -> AnyMessage:
+    return JobReply(copy(reply)) if isinstance(reply, JobRecord) else reply
+
+
+def _is_idempotent(message: AnyMessage) -> bool:
+    """Return whether a message may be carried out twice; a guarded cancellation may not."""
+    return not isinstance(message, CancelJob) or message.if_generation is None
--- a/src/chicorycrank/entry/metrics.py
+++ b/src/chicorycrank/entry/metrics.py
@@ -54,6 +54,11 @@
         for state, count in counts.items():
             family.add_metric([state.value], count)
     yield family
+    yield _gauge(
+        "workers_quarantined",
+        "Workers of the led cell that get no work because they fail it.",
+        len(entry.scheduler.quarantine.held_by_worker) if entry.scheduler.is_leader else 0,
+    )
     yield _gauge("leader", "1 while this entry leads its cell.", entry.scheduler.is_leader)
     yield _gauge(
         "leader_epoch",
--- a/src/chicorycrank/entry/occupation.py
+++ b/src/chicorycrank/entry/occupation.py
@@ -17,6 +17,8 @@
     def __init__(self) -> None:
         self.cell = Cell()
         self._unknown: dict[JobId, MemberPlacement] = {}
+        self._ready: dict[TargetId, bool] = {}
+        self._closed: set[TargetId] = set()
 
     def set_config(
         self, teams: dict[TeamId, Team], guarantees: dict[GuaranteeId, Guarantee]
@@ -26,28 +28,29 @@
 
     def put_worker(self, target: Target) -> bool:
         """Add a worker that has reported; true if it is new or its availability changed."""
-        info, load = target.hello.worker, target.worker_load
-        if info is None:
+        worker = describe_worker(target)
+        if worker is None:
             return False
-        available = load.reachable and not load.draining
+        load = target.worker_load
+        available = load.reachable and not load.draining and worker.worker not in self._closed
         known = self.cell.workers_by_id.get(target.target_id)
         if known is None:
-            self.cell.put_worker(
-                WorkerState(
-                    worker=target.target_id,
-                    rack=info.rack,
-                    zone=target.hello.zone,
-                    accelerators=info.accelerators,
-                    cores=info.cores,
-                    memory_gb=info.memory_gb,
-                )
-            )
+            self.cell.put_worker(worker)
         is_changed = known is None or known.available != available
         self.cell.set_available(target.target_id, available)
+        self._ready[target.target_id] = load.reachable and not load.draining
         return is_changed
 
+    def set_closed(self, worker: TargetId, is_closed: bool) -> None:
+        """Close a quarantined worker for new work, or open it again if it is ready."""
+        if is_closed is not (worker in self._closed):
+            (self._closed.add if is_closed else self._closed.discard)(worker)
+            ready = self._ready.get(worker, False)
+            self.cell.set_available(worker, ready and not is_closed)
+
     def close_worker(self, worker: TargetId) -> None:
         """Use a worker for no further work."""
+        self._ready[worker] = False
         if worker in self.cell.workers_by_id:
             self.cell.set_available(worker, False)
 
@@ -117,6 +120,21 @@
         self._unknown = unknown
 
 
+def describe_worker(target: Target) -> WorkerState | None:
+    """Return a target as the decisions see a worker; absent for an executor."""
+    info = target.hello.worker
+    if info is None:
+        return None
+    return WorkerState(
+        worker=target.target_id,
+        rack=info.rack,
+        zone=target.hello.zone,
+        accelerators=info.accelerators,
+        cores=info.cores,
+        memory_gb=info.memory_gb,
+    )
+
+
 def make_queued(record: JobRecord) -> QueuedJob:
     """Return a record as the decisions see a waiting job."""
     spec = record.spec
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -108,7 +108,15 @@
             on_lost=self.scheduler.drop_role,
         )
         self.scheduler.on_superseded = self._election.step_down
-        self.jobs = JobFront(settings.cell, self.directory, self.scheduler, self._election.confirm)
+        self.jobs = JobFront(
+            settings.cell,
+            self.directory,
+            self.scheduler,
+            self._election.confirm,
+            store=store,
+            clock=clock,
+            config=lambda: self.config.config,
+        )
         self._membership = Membership(
             store, clock, self.info, on_entry=self._on_shared, on_list=self._on_shared_list
         )
@@ -167,7 +175,7 @@
         elif name.startswith("leaders/") and entry.version:
             cell = CellId(name.removeprefix("leaders/"))
             leader = decode(entry.value, Leader)
-            self.jobs.leader_by_cell[cell] = leader.holder
+            self.jobs.note_leader(cell, leader.holder)
             if cell == self.settings.cell:
                 self._election.note_leader(leader)
         elif name.startswith("entries/") and entry.version:
@@ -402,7 +410,9 @@
             await self._clock.sleep(DIGEST_INTERVAL)
             config = self.config.config
             loads = self.requests.loads()
-            digest = Digest(config.generation, loads, (), self.is_draining, config.nonce)
+            load = self.scheduler.load()
+            cells = (load,) if load is not None else ()
+            digest = Digest(config.generation, loads, cells, self.is_draining, config.nonce)
             for peer in list(self.directory.peers_by_id.values()):
                 if peer.link is not None and peer.link.is_open:
                     try:
@@ -425,4 +435,5 @@
             "targets_count": len(self.directory.targets_by_id),
             "peers": bounded(sorted(self.directory.peers_by_id)),
             "draining": self.is_draining,
+            "quarantined": self.scheduler.quarantine.describe(),
         }
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -7,8 +7,10 @@
 from datetime import timedelta
 from typing import Any
 
+from chicorycrank.entry.cell_jobs import CellJobs
+from chicorycrank.entry.cell_load import measure
 from chicorycrank.entry.directory import Directory, Target
-from chicorycrank.entry.gang_calls import CallResult, GangCalls
+from chicorycrank.entry.gang_calls import GangCalls
 from chicorycrank.entry.gang_reports import (
     Action,
     Adopt,
@@ -19,9 +21,10 @@
     StopOrphan,
     reconcile,
 )
+from chicorycrank.entry.gang_starts import GangStarts
 from chicorycrank.entry.job_records import DeposedError, JobRecords
-from chicorycrank.entry.occupation import Occupation, make_queued
-from chicorycrank.entry.submissions import confirm, submit
+from chicorycrank.entry.occupation import Occupation, describe_worker
+from chicorycrank.entry.quarantine import Quarantine
 from chicorycrank.entry.transitions import Transitions
 from chicorycrank.entry.waiting import wait_at_most
 from chicorycrank.model.config import Config
@@ -29,18 +32,18 @@
 from chicorycrank.model.jobs import FINAL_STATES, JobRecord, JobSpec, JobState
 from chicorycrank.model.messages import (
     AnyMessage,
+    CellLoad,
     GangEnded,
     GangOutcome,
     GangStarted,
     Ok,
     Refused,
 )
-from chicorycrank.policy.cell import Cell
-from chicorycrank.policy.decide import Evict, Start, decide
+from chicorycrank.policy.cell import Cell, WorkerState
+from chicorycrank.policy.decide import Start, decide
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import StoreError
 
-EVICTION_GRACE_S = 5.0
 TICK = timedelta(seconds=1)
 FINAL_FLUSH_LIMIT = timedelta(milliseconds=500)
 # Below the agents' limit for the reply, so that a refusal still reaches them.
@@ -78,6 +81,7 @@
         self._jitter = jitter
         self._calls = GangCalls(directory, lambda reason: self.on_superseded(reason))
         self._config = Config()
+        self._workers_seen: dict[TargetId, WorkerState] = {}
         self._epoch = Epoch(0)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -88,12 +92,27 @@
     def _reset(self) -> None:
         """Forget what an earlier term knew."""
         self._occupation = Occupation()
+        self.quarantine = Quarantine(self._clock)
         self._jobs = Transitions(
-            self._records, self._occupation, self._clock, self._epoch, self._jitter
+            self._records,
+            self._occupation,
+            self._clock,
+            self._epoch,
+            self._jitter,
+            self.quarantine,
+        )
+        self.jobs = CellJobs(
+            records=self._records,
+            transitions=self._jobs,
+            occupation=self._occupation,
+            clock=self._clock,
+            epoch=self._epoch,
         )
         self._reports = GangReports()
         self._fresh: set[TargetId] = set()
-        self._starting: set[JobId] = set()
+        self._starts = GangStarts(
+            self._calls, self._jobs, self._occupation, self._clock, self._epoch, self._wake
+        )
         self._seen_at_by_job: dict[JobId, float] = {}
         self._stop_sent_at: dict[GangId, float] = {}
 
@@ -125,6 +144,7 @@
         The shards' versions keep this last write from replacing a newer leader's.
         """
         self.is_leader = False
+        self._records.wake_all()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -136,7 +156,7 @@
 
     def put_config(self, config: Config) -> None:
         """Put teams and guarantees in force."""
-        self._config = config
+        self._config = self.jobs.config = config
         guarantees = {
             key: guarantee
             for key, guarantee in config.guarantees.items()
@@ -148,10 +168,14 @@
     # Jobs.
 
     async def submit(self, job_id: JobId, spec: JobSpec) -> AnyMessage | JobRecord:
-        """Accept a job; it is accepted once its record is in the store."""
+        """Accept a job; it is accepted once its record is in the store.
+
+        No size is refused before the workers had their time to report.
+        """
         if not self.is_leader:
             return Refused("not_leader")
-        reply = await submit(self._records, self._clock, self._epoch, job_id, spec)
+        workers = self._workers_seen.values() if self._is_settled() else ()
+        reply = await self.jobs.submit(job_id, spec, workers)
         self._wake.set()
         return reply
 
@@ -162,21 +186,10 @@
 
         :param if_generation: refuse unless the record has this generation
         """
-        record = self._records.records_by_id.get(job_id)
-        if not self.is_leader or record is None:
-            return Refused("no_such_job" if self.is_leader else "not_leader")
-        if if_generation is not None and record.generation != if_generation:
-            return Refused("generation_conflict", f"the generation is {record.generation}")
-        if record.state not in FINAL_STATES and not record.cancel_requested:
-            if record.state is JobState.QUEUED:
-                self._jobs.end(record, JobState.CANCELLED, reason="cancelled")
-            else:
-                self._jobs.change(
-                    record, state=JobState.STOPPING, cancel_requested=True, reason="cancelled"
-                )
-                self.cell.mark_stopping(job_id)
-            self._wake.set()
-        return await confirm(self._records, record)
+        if not self.is_leader:
+            return Refused("not_leader")
+        self._wake.set()
+        return await self.jobs.cancel(job_id, if_generation)
 
     def find(self, job_id: JobId) -> JobRecord | None:
         """Return the record of a job."""
@@ -187,6 +200,27 @@
         records = self._records.records_by_id.values()
         return [record for record in records if not team or record.spec.team == team]
 
+    def explain(self, job_id: JobId) -> dict[str, object] | None:
+        """Return why a job waits or was evicted."""
+        document = self.jobs.explain(job_id, self._reported_jobs())
+        if document is not None and "cause" in document and not self._is_settled():
+            return document | {"cause": "leader_changed"}
+        return document
+
+    def load(self) -> CellLoad | None:
+        """Return the load of the cell while this entry leads it."""
+        if not self.is_leader:
+            return None
+        queued = self.jobs.count_queued()
+        return measure(self._cell_id, self._epoch, self._entry, self.cell, queued)
+
+    def release_quarantine(self, worker: TargetId) -> AnyMessage:
+        """Give a quarantined worker work at once."""
+        if not self.quarantine.release(worker):
+            return Refused("no_such_target", f"worker {worker} is not quarantined here")
+        self._wake.set()
+        return Ok()
+
     @property
     def cell(self) -> Cell:
         """The cell as the decisions see it."""
@@ -196,6 +230,8 @@
 
     async def add_worker(self, target: Target) -> None:
         """Announce this leader to a worker's agent that connected."""
+        if worker := describe_worker(target):
+            self._workers_seen[target.target_id] = worker
         if not self.is_leader:
             return
         if target.has_reported:
@@ -241,6 +277,9 @@
             return Refused("not_recorded")
         return Ok()
 
+    def _reported_jobs(self) -> set[JobId]:
+        return {job_id for job_id, _ in self._reports.gangs()}
+
     # Decisions.
 
     async def _decide_forever(self) -> None:
@@ -269,9 +308,11 @@
         """Bring records, reports and the cell in step; return the reported gangs."""
         now_s = self._clock.monotonic()
         self._reports.expire(now_s)
+        for worker in list(self.cell.workers_by_id):
+            self._occupation.set_closed(worker, self.quarantine.is_closed(worker))
         gangs = self._reports.gangs()
         records = self._records.records_by_id
-        actions = reconcile(records, gangs, self._starting, self._seen_at_by_job, now_s)
+        actions = reconcile(records, gangs, self._starts.starting, self._seen_at_by_job, now_s)
         for action in list(actions):
             self._apply(action)
         for gang, reported in gangs.items():
@@ -323,62 +364,17 @@
 
     def _decide(self, gangs: dict[GangId, ReportedGang]) -> None:
         now_s = self._clock.now().timestamp()  # the clock of QueuedJob.submitted_s
-        reported = {job_id for job_id, _ in gangs}
-        queue = [
-            make_queued(record)
-            for record in self._records.records_by_id.values()
-            if self._jobs.may_start(record) and record.job_id not in reported
-        ]
+        queue = self.jobs.queue({job_id for job_id, _ in gangs})
         for decision in decide(self.cell, queue, now_s):
             record = self._records.records_by_id.get(decision.job_id)
             if record is None:
                 continue
             if isinstance(decision, Start):
-                self._begin(record, decision)
+                # A worker on probation takes one job even if the decision gives it several.
+                if self.quarantine.begin(record.job_id, decision.placement):
+                    self._spawn(self._starts.start(record, decision))
             else:
-                self._spawn(self._evict(record, decision))
-
-    def _begin(self, record: JobRecord, decision: Start) -> None:
-        self._jobs.change(
-            record,
-            state=JobState.STARTING,
-            attempt=record.attempt + 1,
-            placement=decision.placement,
-            kind=decision.kind,
-            started_at=None,
-            reason="",
-        )
-        self._occupation.occupy(record, self._clock.now(), backfill=decision.backfill)
-        self._starting.add(record.job_id)
-        self._spawn(self._start(record))
-
-    async def _start(self, record: JobRecord) -> None:
-        attempt = record.attempt
-        try:
-            result = await self._calls.start(self._epoch, record)
-        finally:
-            self._starting.discard(record.job_id)
-        is_waiting = record.state in (JobState.STARTING, JobState.STOPPING)
-        if result is CallResult.REFUSED and is_waiting and record.attempt == attempt:
-            self._jobs.back_off(record)
-            self._jobs.queue_again(record, "reservation refused")
-            self._wake.set()
-
-    async def _evict(self, record: JobRecord, decision: Evict) -> None:
-        self.cell.mark_stopping(record.job_id)
-        gang, head = (record.job_id, record.attempt), record.placement[0].worker
-        result = await self._calls.stop(self._epoch, head, gang, EVICTION_GRACE_S, decision.reason)
-        if record.attempt != gang[1] or record.state not in (JobState.STARTING, JobState.RUNNING):
-            return
-        if result is CallResult.DONE:
-            self._jobs.change(
-                record,
-                state=JobState.STOPPING,
-                evictions=record.evictions + 1,
-                reason=decision.reason,
-            )
-        else:
-            self.cell.mark_stopping(record.job_id, stopping=False)
+                self._spawn(self._starts.evict(record, decision))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/src/chicorycrank/entry/transitions.py
+++ b/src/chicorycrank/entry/transitions.py
@@ -5,8 +5,9 @@
 from chicorycrank.entry.gang_reports import FENCE_S
 from chicorycrank.entry.job_records import JobRecords
 from chicorycrank.entry.occupation import Occupation
-from chicorycrank.model.ids import Epoch, Generation, JobId
-from chicorycrank.model.jobs import JobRecord, JobState
+from chicorycrank.entry.quarantine import Quarantine
+from chicorycrank.model.ids import Epoch, Generation, JobId, TargetId
+from chicorycrank.model.jobs import FINAL_STATES, JobRecord, JobState
 from chicorycrank.model.messages import GangEnded, GangOutcome
 from chicorycrank.ports.clock import Clock
 
@@ -14,7 +15,10 @@
 BACKOFF_MAX_S = 30.0
 # Keeps the bound of 9.5 s for the start of urgent work within reach after a refusal.
 URGENT_BACKOFF_MAX_S = 2.0
-MAX_FAILURES = 3
+# Failures on this many different workers are the job's own.
+MAX_FAILED_WORKERS = 3
+# Bounds the retries of a job that keeps coming back to the same workers.
+MAX_FAILURES = 8
 MAX_REASON_LENGTH = 400
 
 
@@ -31,7 +35,9 @@
         clock: Clock,
         epoch: Epoch,
         jitter: Callable[[], float],
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._records = records
         self._occupation = occupation
         self._clock = clock
@@ -61,6 +67,8 @@
         self._occupation.release(record.job_id, completed_at=completed_at)
         self._not_before_by_job.pop(record.job_id, None)
         self._refusals_by_job.pop(record.job_id, None)
+        self._quarantine.note_end(record.job_id, record.placement, ok=state is JobState.COMPLETED)
+        self._quarantine.note_final(record.job_id, is_faulty=state is JobState.FAILED)
         self.change(record, state=state, ended_at=ended_at, reason=reason)
 
     def end_attempt(self, record: JobRecord, message: GangEnded) -> None:
@@ -69,9 +77,11 @@
         if message.outcome is GangOutcome.COMPLETED:
             self.end(record, JobState.COMPLETED)
             return
-        record.failures += message.outcome is GangOutcome.FAILED
-        if record.failures >= MAX_FAILURES and not record.cancel_requested:
-            self.end(record, JobState.FAILED, reason=message.reason)
+        self._note_failure(record, message)
+        if _has_failed(record) and not record.cancel_requested:
+            workers = ", ".join(record.failed_on)
+            reason = f"failed {record.failures} times, on {workers or 'no known worker'}; last: "
+            self.end(record, JobState.FAILED, reason=reason + message.reason)
             return
         record.progress_s = max(record.progress_s, message.progress_s)
         if message.outcome is GangOutcome.LOST:
@@ -81,12 +91,33 @@
             self.back_off(record)
         self.queue_again(record, message.reason)
 
+    def _note_failure(self, record: JobRecord, message: GangEnded) -> None:
+        """Count a failure against the job, unless it is the worker's."""
+        is_failed = message.outcome is GangOutcome.FAILED
+        worker = message.blamed
+        if worker is not None and (is_failed or message.outcome is GangOutcome.NOT_STARTED):
+            counts = self._quarantine.note_failure(worker, record.job_id, message.reason)
+            if worker in self._quarantine.held_by_worker:
+                self._forgive(worker)
+            if is_failed and counts and worker not in record.failed_on:
+                record.failed_on = (*record.failed_on, worker)
+            is_failed = is_failed and counts
+        record.failures += is_failed
+
+    def _forgive(self, worker: TargetId) -> None:
+        """Take back the failures at a quarantined worker from jobs that have not ended."""
+        for record in self._records.records_by_id.values():
+            if worker in record.failed_on and record.state not in FINAL_STATES:
+                rest = tuple(other for other in record.failed_on if other != worker)
+                self.change(record, failed_on=rest, failures=max(0, record.failures - 1))
+
     def queue_again(self, record: JobRecord, reason: str) -> None:
         """Queue a job whose attempt has ended, or end it if it was cancelled meanwhile."""
         if record.cancel_requested:
             self.end(record, JobState.CANCELLED, reason="cancelled")
             return
         self._occupation.release(record.job_id)
+        self._quarantine.note_end(record.job_id, record.placement, ok=False)
         self.change(record, state=JobState.QUEUED, placement=(), reason=reason)
 
     def back_off(self, record: JobRecord) -> None:
@@ -98,11 +129,19 @@
         not_before = self._clock.monotonic() + delay_s * (0.5 + self._jitter() / 2)
         self._not_before_by_job[record.job_id] = not_before
 
+    def delay_s(self, job_id: JobId) -> float:
+        """Return the time until a job's next start may be tried in seconds."""
+        now_s = self._clock.monotonic()
+        return max(0.0, self._not_before_by_job.get(job_id, now_s) - now_s)
+
     def may_start(self, record: JobRecord) -> bool:
         """Return whether a job waits, is in the store and has no delay to wait for."""
-        now_s = self._clock.monotonic()
         return (
             record.state is JobState.QUEUED
-            and self._not_before_by_job.get(record.job_id, now_s) <= now_s
+            and self.delay_s(record.job_id) <= 0
             and self._records.is_accepted(record.job_id)
         )
+
+
+def _has_failed(record: JobRecord) -> bool:
+    return len(record.failed_on) >= MAX_FAILED_WORKERS or record.failures >= MAX_FAILURES
--- a/src/chicorycrank/model/jobs.py
+++ b/src/chicorycrank/model/jobs.py
@@ -87,6 +87,8 @@
     :param epoch: scheduler epoch that wrote the record last
     :param attempt: number of the current or last start, from 1
     :param progress_s: saved work in seconds of run time
+    :param evicted_for: job for which it was evicted last
+    :param failed_on: different workers at which its tasks failed
     """
 
     job_id: JobId
@@ -105,3 +107,5 @@
     failures: int = 0
     reason: str = ""
     cancel_requested: bool = False
+    evicted_for: JobId | None = None
+    failed_on: tuple[TargetId, ...] = ()
--- a/src/chicorycrank/model/messages.py
+++ b/src/chicorycrank/model/messages.py
@@ -13,6 +13,7 @@
     EntryId,
     Epoch,
     Generation,
+    GuaranteeId,
     Incarnation,
     JobId,
     Nonce,
@@ -22,7 +23,7 @@
     TargetId,
     ZoneId,
 )
-from chicorycrank.model.jobs import JobRecord, JobSpec, MemberPlacement
+from chicorycrank.model.jobs import JobRecord, JobSpec, JobState, MemberPlacement
 from chicorycrank.model.requests import Answer, Request
 from chicorycrank.model.targets import (
     EntryInfo,
@@ -368,7 +369,11 @@
 
 
 class CellLoad(Struct, frozen=True, array_like=True):
-    """Load of one cell, sent by its leader."""
+    """Load of one cell, sent by its leader.
+
+    :param largest_free_workers: wholly free workers of the rack with the most of them
+    :param free_guarantees: guarantees with an instance that no job of the team uses
+    """
 
     cell: CellId
     epoch: Epoch
@@ -376,6 +381,7 @@
     free_accelerators: int
     largest_free_workers: int
     queued_jobs: int
+    free_guarantees: tuple[GuaranteeId, ...] = ()
 
 
 class Digest(Message, frozen=True):
@@ -433,15 +439,47 @@
 
 
 class ListJobs(Message, frozen=True):
-    """Asks for the jobs of a cell; answered by JobList or Refused."""
+    """Asks for the jobs of a cell; answered by JobList or Refused.
+
+    :param team: empty for all teams
+    :param state: absent for all states
+    """
 
     team: str = ""
+    state: JobState | None = None
 
 
 class JobList(Message, frozen=True):
-    """Job records of a cell."""
+    """Job records of a cell, the last submitted first.
+
+    :param omitted: number of further records that would not fit in one reply
+    """
 
     records: tuple[JobRecord, ...]
+    omitted: int = 0
+
+
+class JobFinding(Struct, frozen=True, array_like=True):
+    """A problem of a submitted job.
+
+    :param field: dotted path of the field with the problem
+    """
+
+    code: str
+    field: str
+    message: str
+
+
+class JobFindings(Message, frozen=True):
+    """Negative reply to :class:`SubmitJob`; the job was not accepted."""
+
+    findings: tuple[JobFinding, ...]
+
+
+class ReleaseQuarantine(Message, frozen=True):
+    """Asks a cell's leader to give a quarantined worker work; answered by Ok or Refused."""
+
+    worker: TargetId
 
 
 class QueryState(Message, frozen=True):
@@ -528,6 +566,8 @@
     | JobReply
     | ListJobs
     | JobList
+    | JobFindings
+    | ReleaseQuarantine
     | QueryState
     | Text
     | ListTargets
