Refuse a list of objects to add with findings, not an error

Change: only withdrawn takes lists; the case is an explicit example of the property test. Seen: the example fails without the change and passes with it.

--- a/src/chicorycrank/settings/release.py
+++ b/src/chicorycrank/settings/release.py
@@ -46,9 +46,9 @@
             continue
         for kind in SECTIONS:
             objects = section.get(kind)
-            if isinstance(objects, list):
+            if isinstance(objects, list) and name == "withdrawn":
                 bad_item = any((name, kind, number) in bad for number in range(len(objects)))
-                note[name][kind] = [] if bad_item or name != "withdrawn" else objects
+                note[name][kind] = [] if bad_item else objects
             elif isinstance(objects, dict) and name != "withdrawn":
                 note[name][kind] = {
                     key: DEFAULT_BY_SECTION[kind] if (name, kind, key) in bad else item
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -6,6 +6,7 @@
 
 import json5.loader  # noqa: F401  # loaded before the timed test, which loads it on a finding
 import pytest
+from hypothesis import example
 from hypothesis import given as given_values
 from hypothesis import strategies as st
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -188,6 +189,8 @@
 )
 
 
+# A list of objects to add, beside another finding.
+@example('{"added": {"": null, "teams": []}}')
 @given_values(
     st.text(max_size=60)
     | VALUES.map(json.dumps)
