Add chicorycrank-bench node-cost; report the traffic of an entry's links

Change: the command starts a store, an entry, an executor and a worker with their agents and measures agents and entry idle and under load. The dump of an entry carries its links' counters. With --no-bytecode each process compiles its modules, as after an editable installation with PYTHONDONTWRITEBYTECODE set; without, byte code is loaded from files, as after pip install.

--- a/src/chicorycrank/adapters/peer_link.py
+++ b/src/chicorycrank/adapters/peer_link.py
@@ -4,7 +4,7 @@
 import itertools
 import logging
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from datetime import timedelta
 from typing import Any
 
@@ -36,10 +36,17 @@
 MAX_CONCURRENT_REQUESTS = 1024
 MIN_MONITOR_PAUSE_S = 0.02
 OVERSIZED_CODE = 1009
+TRAFFIC_COUNTERS = ("frames_sent", "frames_received", "bytes_sent", "bytes_received")
 
 logger = logging.getLogger("absl")
 
 
+def sum_traffic(links: "Iterable[PeerLink]") -> dict[str, int]:
+    """Return the traffic of links by counter; bytes are those of frames, without headers."""
+    links = list(links)
+    return {name: sum(getattr(link, name) for link in links) for name in TRAFFIC_COUNTERS}
+
+
 class PeerLink:
     """A connection to a peer after the handshake.
 
--- a/src/chicorycrank/adapters/peers.py
+++ b/src/chicorycrank/adapters/peers.py
@@ -19,7 +19,7 @@
     decode_frame,
     encode,
 )
-from chicorycrank.adapters.peer_link import PeerLink
+from chicorycrank.adapters.peer_link import PeerLink, sum_traffic
 from chicorycrank.model.ids import Incarnation, RegionId, ZoneId
 from chicorycrank.model.messages import (
     PROTOCOL_VERSION,
@@ -32,7 +32,7 @@
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.links import Handler, LinkNotSentError
 
-__all__ = ["PeerLink", "dial", "listen"]
+__all__ = ["PeerLink", "dial", "listen", "sum_traffic"]
 
 HANDSHAKE_TIMEOUT = timedelta(seconds=3)
 CLOSE_TIMEOUT_S = 1.0
--- a/src/chicorycrank/agent/process.py
+++ b/src/chicorycrank/agent/process.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from chicorycrank.adapters.peers import PeerLink, listen
+from chicorycrank.adapters.peers import PeerLink, listen, sum_traffic
 from chicorycrank.agent.background import Background
 from chicorycrank.agent.entry_links import EntryLinks
 from chicorycrank.agent.executor import ExecutorSide
@@ -321,8 +321,5 @@
             "load": msgspec.to_builtins(side.load) if side is not None else None,
             "gangs_led": [list(gang) for gang in self._gangs.gangs] if self._gangs else [],
             "refused": dict(self._counters),
-            "frames_sent": sum(link.frames_sent for link in links),
-            "frames_received": sum(link.frames_received for link in links),
-            "bytes_sent": sum(link.bytes_sent for link in links),
-            "bytes_received": sum(link.bytes_received for link in links),
+            **sum_traffic(links),
         }
--- a/src/chicorycrank/bench/main.py
+++ b/src/chicorycrank/bench/main.py
@@ -3,6 +3,7 @@
 from cleo.application import Application
 
 from chicorycrank.bench.decision import DecisionCommand
+from chicorycrank.bench.node_cost import NodeCostCommand
 from chicorycrank.bench.placement import PlacementCommand
 
 
@@ -11,6 +12,7 @@
     application = Application("chicorycrank-bench")
     application.add(PlacementCommand())
     application.add(DecisionCommand())
+    application.add(NodeCostCommand())
     return application
 
 
--- /dev/null
+++ b/src/chicorycrank/bench/processes.py
@@ -0,0 +1,122 @@
+"""Processes of a small fleet on loopback, started by command, and what the kernel says of them."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from contextlib import ExitStack, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+HOST = "127.0.0.1"
+CALL_TIMEOUT_S = 10.0
+STOP_TIMEOUT_S = 10.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def choose_ports(names: list[str]) -> dict[str, int]:
+    """Return a free port for each name."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in names]
+        for sock in sockets:
+            sock.bind((HOST, 0))
+        return {n: s.getsockname()[1] for n, s in zip(names, sockets, strict=True)}
+
+
+@dataclass(kw_only=True)
+class Processes:
+    """Child processes with their settings and logs in a folder.
+
+    :param is_compiled: whether children load byte code from files, as after an installation by
+        pip; a process that compiles its modules keeps over 1 MB more
+    """
+
+    folder: Path
+    is_compiled: bool = True
+    process_by_name: dict[str, "subprocess.Popen[bytes]"] = field(default_factory=dict)
+
+    def compile(self, module: str) -> None:
+        """Write the byte code of a program and all its imports into the folder."""
+        if self.is_compiled:
+            subprocess.run([sys.executable, "-c", f"import {module}"], env=self._env(), check=True)
+
+    def _env(self) -> dict[str, str]:
+        env = dict(os.environ)
+        if self.is_compiled:
+            env.pop("PYTHONDONTWRITEBYTECODE", None)
+            env["PYTHONPYCACHEPREFIX"] = str(self.folder / "bytecode")
+        else:
+            env |= {"PYTHONDONTWRITEBYTECODE": "1"}
+        return env
+
+    def start(self, name: str, module: str, *words: str) -> None:
+        """Run ``python -m module words``; its output goes to a log file."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.process_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *words],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=self._env(),
+            )
+
+    def start_with_settings(self, name: str, module: str, settings: dict[str, Any]) -> None:
+        """Run a program with a settings file."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.start(name, module, "--settings", str(path))
+
+    def stop(self) -> None:
+        """End every child."""
+        for process in self.process_by_name.values():
+            process.terminate()
+        for process in self.process_by_name.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def memory_kb(self, name: str) -> dict[str, int]:
+        """Return ``VmRSS`` and, where the kernel gives it, ``Pss`` in kB."""
+        folder = Path(f"/proc/{self.process_by_name[name].pid}")
+        found: dict[str, int] = {}
+        for file, key in (("status", "VmRSS"), ("smaps_rollup", "Pss")):
+            with suppress(OSError):
+                for line in (folder / file).read_text().splitlines():
+                    if line.startswith(f"{key}:"):
+                        found[key] = int(line.split()[1])
+        return found
+
+    def cpu_s(self, name: str) -> float:
+        """Return the processor time used so far in seconds."""
+        text = Path(f"/proc/{self.process_by_name[name].pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def call(
+    port: int, method: str, path: str, body: Any = None, *, key: str = "", timeout_s: float = 10.0
+) -> Any:
+    """Call an HTTP interface on loopback and return the JSON answer.
+
+    :raises OSError: it does not answer, or not with status 200
+    """
+    try:
+        response = urllib3.request(
+            method,
+            f"http://{HOST}:{port}{path}",
+            body=None if body is None else json.dumps(body).encode(),
+            headers={"Idempotency-Key": key} if key else {},
+            timeout=timeout_s,
+            retries=False,
+        )
+    except urllib3.exceptions.HTTPError as error:
+        raise OSError(str(error)) from error
+    if response.status != 200:
+        raise OSError(f"{method} {path}: status {response.status}: {response.data[:300]!r}")
+    return json.loads(response.data) if response.data[:1] in b"{[" else response.data
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from chicorycrank.adapters.codec import decode
-from chicorycrank.adapters.peers import PeerLink, dial, listen
+from chicorycrank.adapters.peers import PeerLink, dial, listen, sum_traffic
 from chicorycrank.entry.claims import ClaimLog
 from chicorycrank.entry.config import ConfigHolder
 from chicorycrank.entry.directory import Directory, Peer
@@ -422,6 +422,8 @@
 
     def dump(self) -> dict[str, object]:
         """Return this process's state for people."""
+        links = [target.link for target in self.directory.targets_by_id.values()]
+        links += [p.link for p in self.directory.peers_by_id.values() if p.link is not None]
         return {
             "entry": self.settings.entry,
             "incarnation": self._incarnation,
@@ -436,4 +438,5 @@
             "peers": bounded(sorted(self.directory.peers_by_id)),
             "draining": self.is_draining,
             "quarantined": self.scheduler.quarantine.describe(),
+            **sum_traffic(links),
         }
