Add the commands for jobs, requests and release differences

Cause: operators could not submit, follow or explain jobs, send requests, see what a release note would change, or end a quarantine from the command line. cleo's script for bash takes one word as the command, so it offered no option of a command of two words.

Change: job submit|status|watch|list|cancel, explain, request send|status, release diff, targets release; a completion script of our own for bash. A call whose answer was lost goes to the next entry only if it is safe to repeat under its Idempotency-Key; if none answers, a call that may have taken effect ends with 4 (unknown) and names its key, no longer with 5. Progress goes to standard error after one second. 409 ends with 1. chicorycrank-bench has the command routing.

--- a/src/chicorycrank/bench/main.py
+++ b/src/chicorycrank/bench/main.py
@@ -4,6 +4,7 @@
 
 from chicorycrank.bench.decision import DecisionCommand
 from chicorycrank.bench.placement import PlacementCommand
+from chicorycrank.bench.routing import RoutingCommand
 
 
 def make_application() -> Application:
@@ -11,6 +12,7 @@
     application = Application("chicorycrank-bench")
     application.add(PlacementCommand())
     application.add(DecisionCommand())
+    application.add(RoutingCommand())
     return application
 
 
--- a/src/chicorycrank/cli/base.py
+++ b/src/chicorycrank/cli/base.py
@@ -9,7 +9,14 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from chicorycrank.cli.client import EXIT_UNREACHABLE, Client, Reply, UnreachableError
+from chicorycrank.cli.client import (
+    EXIT_UNKNOWN,
+    EXIT_UNREACHABLE,
+    Client,
+    Reply,
+    UnansweredError,
+    UnreachableError,
+)
 
 ENTRY_VARIABLE = "CHICORYCRANK_ENTRY"
 EXIT_USAGE = 2
@@ -26,8 +33,19 @@
     return [option("entry", None, text, flag=False, multiple=True), JSON_OPTION]
 
 
+def help_text(*examples: str) -> str:
+    """Return the help of a command: examples and the exit codes."""
+    lines = "\n".join(f"  <info>chicorycrank {example}</info>" for example in examples)
+    return f"Example:\n{lines}\n\n{EXIT_CODES}"
+
+
 class EntryCommand(Command):
-    """A command that calls an entry."""
+    """A command that calls an entry.
+
+    :cvar after_unknown: what to do when the answer was lost; ``{key}`` is the call's key
+    """
+
+    after_unknown = "run the same command again, which is safe"
 
     def handle(self) -> int:
         """Run the command and return its exit code."""
@@ -37,7 +55,11 @@
             self.line_error(f"no entry is named; give --entry URL or set {ENTRY_VARIABLE}")
             return EXIT_USAGE
         try:
-            return self.run_with(Client(urls))
+            return self.run_with(Client(urls, on_wait=self.line_error))
+        except UnansweredError as error:
+            remedy = self.after_unknown.format(key=error.key)
+            self.line_error(f"unknown: no answer: {error}; {remedy}")
+            return EXIT_UNKNOWN
         except UnreachableError as error:
             self.line_error(f"no entry answered: {error}; check the address and the network")
             return EXIT_UNREACHABLE
@@ -71,8 +93,7 @@
             self.io.write_line(json.dumps(document))
             return reply.exit_code
         for finding in document.get("findings", ()):
-            place = f"{finding['file']}:{finding['line']}:{finding['column']}"
-            self.line_error(f"{place}: {finding['text']}; {finding['remedy']}")
+            self.line_error(_show_finding(finding))
         for change in document.get("changes", ()):
             keys = ", ".join(change["keys"])
             self.line_error(
@@ -84,9 +105,18 @@
         return reply.exit_code
 
 
+def _show_finding(finding: dict[str, Any]) -> str:
+    """Return a finding as one line; findings of jobs and requests have a field and no file."""
+    if "file" in finding:
+        place = f"{finding['file']}:{finding['line']}:{finding['column']}"
+        return f"{place}: {finding['text']}; {finding['remedy']}"
+    place = finding.get("field") or finding.get("pointer") or "body"
+    return f"{place}: {finding.get('message') or finding.get('detail')}"
+
+
 def _show(value: Any) -> str:
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, list):
-        return ", ".join(map(str, value))
+        return ", ".join(map(str, value)) or "-"
     return "-" if value is None else str(value)
--- a/src/chicorycrank/cli/client.py
+++ b/src/chicorycrank/cli/client.py
@@ -2,23 +2,40 @@
 
 import json
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-TIMEOUT = urllib3.Timeout(connect=3.0, read=60.0)
+from chicorycrank.cli.progress import progress
+
+CONNECT_TIMEOUT_S = 3.0
+READ_TIMEOUT_S = 60.0
 EXIT_BY_OUTCOME = {"completed": 0, "failed": 1, "not_run": 3, "unknown": 4}
 EXIT_FINDINGS = 2
+EXIT_UNKNOWN = 4
 EXIT_UNREACHABLE = 5
+HTTP_CONFLICT = 409
 HTTP_UNPROCESSABLE = 422
 HTTP_ERROR = 400
+KEY_HEADER = "Idempotency-Key"
 
 
 class UnreachableError(Exception):
-    """No entry answered."""
+    """No entry answered, and nothing was changed."""
+
+
+class UnansweredError(Exception):
+    """A call that changes something may have reached an entry, but its answer was lost.
+
+    :param key: ``Idempotency-Key`` of the call
+    """
+
+    def __init__(self, problem: str, key: str) -> None:
+        super().__init__(problem)
+        self.key = key
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -33,7 +50,7 @@
         """Exit code of the command that got this answer."""
         if self.status < HTTP_ERROR:
             return 0
-        if self.document.get("result") == "conflict":
+        if self.status == HTTP_CONFLICT:
             return 1
         if self.status == HTTP_UNPROCESSABLE:
             return EXIT_FINDINGS
@@ -44,11 +61,13 @@
     """Calls the first entry that can be reached.
 
     :param urls: base addresses of entries, in the order in which they are tried
+    :param on_wait: takes a line of progress of a call that takes over a second
     """
 
-    def __init__(self, urls: Sequence[str]) -> None:
+    def __init__(self, urls: Sequence[str], on_wait: Callable[[str], None]) -> None:
         self._urls = [url.rstrip("/") for url in urls]
-        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT)
+        self._on_wait = on_wait
+        self._http = urllib3.PoolManager(retries=False)
 
     def call(
         self,
@@ -58,32 +77,52 @@
         *,
         is_repeatable: bool,
         headers: dict[str, str] | None = None,
+        changes: bool | None = None,
+        timeout_s: float = READ_TIMEOUT_S,
     ) -> Reply:
         """Return an entry's answer.
 
-        :param is_repeatable: whether the call may be sent again when its answer is lost
+        :param is_repeatable: whether the call may be sent to the next entry, under the same
+            ``Idempotency-Key``, when its answer is lost
+        :param changes: whether the call changes anything; by default all but GET do
+        :param timeout_s: longest wait for an answer in seconds
         :raises UnreachableError: no entry answered
+        :raises UnansweredError: the call may have taken effect
         """
-        sent = {"Idempotency-Key": uuid.uuid4().hex} | (headers or {})
+        sent = {KEY_HEADER: uuid.uuid4().hex} | (headers or {})
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         problems: list[str] = []
+        may_have_run = False
         for url in self._urls:
             try:
-                response = self._http.request(method, url + path, body=body, headers=sent)
+                with progress(f"waiting for {url}", self._on_wait):
+                    response = self._http.request(
+                        method, url + path, body=body, headers=sent, timeout=timeout
+                    )
             except HTTPError as error:
-                problems.append(f"{url}: {error}")
-                was_not_sent = isinstance(error, NewConnectionError | ConnectTimeoutError)
-                if was_not_sent or is_repeatable:
+                problems.append(f"{url}: {_describe(error)}")
+                if isinstance(error, NewConnectionError | ConnectTimeoutError):
+                    continue
+                may_have_run = method != "GET" if changes is None else changes
+                if is_repeatable:
                     continue
-                raise UnreachableError(
-                    f"{problems[-1]}; the call may have taken effect, "
-                    f"its Idempotency-Key is {sent['Idempotency-Key']}"
-                ) from error
+                break
             return Reply(status=response.status, document=_decode(response.data))
+        if may_have_run:
+            raise UnansweredError("; ".join(problems), sent[KEY_HEADER])
         raise UnreachableError("; ".join(problems))
 
 
+def _describe(error: HTTPError) -> str:
+    # The text of urllib3's errors begins with the object's representation, which holds its id.
+    return str(error).rpartition(">: ")[2] or type(error).__name__
+
+
 def _decode(body: bytes) -> Any:
     try:
-        return json.loads(body)
+        document = json.loads(body)
     except ValueError:
-        return {"detail": body.decode(errors="replace")[:200]}
+        document = None
+    if isinstance(document, dict):
+        return document
+    return {"detail": body.decode(errors="replace")[:200]}
--- a/src/chicorycrank/cli/commands.py
+++ b/src/chicorycrank/cli/commands.py
@@ -10,8 +10,12 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from chicorycrank.cli.base import EXIT_CODES, EXIT_USAGE, EntryCommand, entry_options
+from chicorycrank.cli.base import EXIT_USAGE, EntryCommand, entry_options, help_text
 from chicorycrank.cli.client import Client
+from chicorycrank.cli.completions import Completions
+from chicorycrank.cli.job_commands import JOB_COMMANDS
+from chicorycrank.cli.release_diff import ReleaseDiff
+from chicorycrank.cli.request_commands import REQUEST_COMMANDS
 from chicorycrank.settings.agent import AgentSettings, check_agent
 from chicorycrank.settings.entry import EntrySettings, check_entry
 from chicorycrank.settings.reader import SettingsError, read_settings
@@ -19,16 +23,12 @@
 FILE = argument("file", "File to read.")
 
 
-def _help(example: str) -> str:
-    return f"Example: <info>chicorycrank {example}</info>\n\n{EXIT_CODES}"
-
-
 class SettingsCheck(Command):
     """Checks a settings file."""
 
     name = "settings check"
     description = "Check a settings file with the code that start-up runs."
-    help = _help("settings check examples/agent.jsonc --program agent")
+    help = help_text("settings check examples/agent.jsonc --program agent")
     arguments: ClassVar[list[Argument]] = [FILE]
     options: ClassVar[list[Option]] = [
         option("program", None, "agent or entry; by default the one named in the file.", flag=False)
@@ -62,17 +62,20 @@
 
     name = "release check"
     description = "Check a release note against the configuration in force."
-    help = _help("release check note.jsonc --entry http://192.0.2.10:7100")
+    help = help_text("release check note.jsonc --entry http://192.0.2.10:7100")
     arguments: ClassVar[list[Argument]] = [FILE]
     options: ClassVar[list[Option]] = entry_options()
     path = "/v1/releases/check"
+    changes = False
 
     def run_with(self, client: Client) -> int:
         """Send the note; sending it again is harmless."""
         file = self.argument("file")
         headers = {"X-Release-File": quote(Path(file).name)}
         body = Path(file).read_bytes()
-        reply = client.call("POST", self.path, body, is_repeatable=True, headers=headers)
+        reply = client.call(
+            "POST", self.path, body, is_repeatable=True, headers=headers, changes=self.changes
+        )
         return self.show(reply, ("result", "generation", "keys", "detail"), [reply.document])
 
 
@@ -81,8 +84,9 @@
 
     name = "release apply"
     description = "Apply a release note; the same note may be applied again."
-    help = _help("release apply note.jsonc --entry http://192.0.2.10:7100")
+    help = help_text("release apply note.jsonc --entry http://192.0.2.10:7100")
     path = "/v1/releases"
+    changes = True
 
 
 class ReleaseStatus(EntryCommand):
@@ -90,7 +94,7 @@
 
     name = "release status"
     description = "Show which generation is in force in each region and process."
-    help = _help("release status --json")
+    help = help_text("release status --json")
     options: ClassVar[list[Option]] = entry_options()
 
     def run_with(self, client: Client) -> int:
@@ -110,7 +114,7 @@
 
     name = "targets list"
     description = "List the targets of all regions."
-    help = _help("targets list")
+    help = help_text("targets list")
     options: ClassVar[list[Option]] = entry_options()
 
     def run_with(self, client: Client) -> int:
@@ -129,7 +133,7 @@
 
     name = "targets drain"
     description = "Give a target no new work, or give it work again with --undo."
-    help = _help("targets drain work-north-1")
+    help = help_text("targets drain work-north-1")
     arguments: ClassVar[list[Argument]] = [argument("target", "Name of the target.")]
     options: ClassVar[list[Option]] = [
         *entry_options(),
@@ -144,12 +148,31 @@
         return self.show(reply, ("target", "draining"), [reply.document])
 
 
+class TargetsRelease(EntryCommand):
+    """Ends the quarantine of a worker."""
+
+    name = "targets release"
+    description = "End the quarantine of a worker, so that it gets jobs again."
+    help = help_text("targets release work-north-1")
+    arguments: ClassVar[list[Argument]] = [argument("target", "Name of the worker.")]
+    options: ClassVar[list[Option]] = entry_options()
+
+    def run_with(self, client: Client) -> int:
+        """Send the wish to the cell's leader; sending it again is harmless."""
+        target = self.argument("target")
+        path = f"/v1/targets/{quote(target, safe='')}/release-quarantine"
+        reply = client.call("POST", path, is_repeatable=True)
+        return self.show(
+            reply, ("target", "quarantined"), [{"target": target, "quarantined": False}]
+        )
+
+
 class Teams(EntryCommand):
     """Lists the teams."""
 
     name = "teams"
     description = "List the teams and their guarantees."
-    help = _help("teams")
+    help = help_text("teams")
     options: ClassVar[list[Option]] = entry_options()
 
     def run_with(self, client: Client) -> int:
@@ -166,7 +189,7 @@
 
     name = "dump"
     description = "Print the state of an entry or an agent as JSON."
-    help = _help("dump work-north-1")
+    help = help_text("dump work-north-1")
     arguments: ClassVar[list[Argument]] = [argument("process", "Name of the entry or target.")]
     options: ClassVar[list[Option]] = entry_options()
 
@@ -183,11 +206,16 @@
 
 COMMANDS: tuple[type[Command], ...] = (
     SettingsCheck,
+    *JOB_COMMANDS,
+    *REQUEST_COMMANDS,
+    ReleaseDiff,
     ReleaseCheck,
     ReleaseApply,
     ReleaseStatus,
     TargetsList,
     TargetsDrain,
+    TargetsRelease,
     Teams,
     Dump,
+    Completions,
 )
--- /dev/null
+++ b/src/chicorycrank/cli/request_commands.py
@@ -0,0 +1,111 @@
+"""The commands for short requests."""
+
+import json
+from pathlib import Path
+from typing import Any, ClassVar
+from urllib.parse import quote
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from chicorycrank.cli.base import EXIT_USAGE, EntryCommand, entry_options, help_text
+from chicorycrank.cli.client import KEY_HEADER, READ_TIMEOUT_S, Client, Reply
+
+ANSWER_MARGIN_S = 10.0
+COLUMNS = ("outcome", "key", "target", "answer", "detail")
+
+
+class RequestCommand(EntryCommand):
+    """A command about one request."""
+
+    def show_answer(self, reply: Reply) -> int:
+        """Print the outcome of a request."""
+        document = reply.document
+        if reply.exit_code or self.option("json"):
+            return self.show(reply, COLUMNS, [document])
+        answer = {"answer": json.dumps(document.get("answer"))} if "answer" in document else {}
+        return self.show(reply, COLUMNS, [document | answer])
+
+
+class RequestSend(RequestCommand):
+    """Runs a request."""
+
+    name = "request send"
+    description = "Run a request and print its outcome."
+    help = help_text(
+        "request send --team claims --service scan --body '{\"photo\": 7}'",
+        "request send --team claims --service order --body-file order.json --key claim-7",
+    )
+    options: ClassVar[list[Option]] = [
+        *entry_options(),
+        option("team", None, "Team that asks.", flag=False),
+        option("service", None, "Service to ask.", flag=False),
+        option("body", None, "Body as JSON.", flag=False),
+        option("body-file", None, "File that holds the body as JSON.", flag=False),
+        option(
+            "deadline-s", None, "Longest wait in seconds; by default the service's.", flag=False
+        ),
+        option("key", None, "Idempotency-Key; by default a new one.", flag=False),
+    ]
+    after_unknown = "ask `request status {key}`, or send it again with --key {key}"
+
+    def run_with(self, client: Client) -> int:
+        """Send the request; entries run a key once, so another entry may be tried."""
+        document = self._read()
+        if document is None:
+            return EXIT_USAGE
+        key = self.option("key")
+        reply = client.call(
+            "POST",
+            "/v1/requests",
+            json.dumps(document).encode(),
+            is_repeatable=True,
+            headers={KEY_HEADER: key} if key else None,
+            timeout_s=document.get("deadline_s", READ_TIMEOUT_S) + ANSWER_MARGIN_S,
+        )
+        return self.show_answer(reply)
+
+    def _read(self) -> dict[str, Any] | None:
+        """Return the request, or nothing after printing all problems of the options."""
+        document: dict[str, Any] = {}
+        problems = []
+        for name in ("team", "service"):
+            document[name] = self.option(name)
+            if not document[name]:
+                problems.append(f"--{name} is missing; give its name as the release note has it")
+        if self.option("body") is not None and self.option("body-file"):
+            problems.append("--body and --body-file are both given; keep one of them")
+        file = self.option("body-file")
+        text = Path(file).read_text(encoding="utf-8") if file else self.option("body") or "null"
+        try:
+            document["body"] = json.loads(text)
+        except ValueError as error:
+            problems.append(f"the body is not JSON: {error}; correct it")
+        if self.option("deadline-s") is not None:
+            try:
+                document["deadline_s"] = float(self.option("deadline-s"))
+            except ValueError:
+                problems.append("--deadline-s is not a number; give seconds such as 30")
+        for problem in problems:
+            self.line_error(problem)
+        return None if problems else document
+
+
+class RequestStatus(RequestCommand):
+    """Shows the outcome of a key."""
+
+    name = "request status"
+    description = "Show the recorded outcome of a non-repeatable request."
+    help = help_text("request status claim-7")
+    arguments: ClassVar[list[Argument]] = [argument("key", "Idempotency-Key of the request.")]
+    options: ClassVar[list[Option]] = entry_options()
+
+    def run_with(self, client: Client) -> int:
+        """Print the outcome."""
+        path = f"/v1/requests/{quote(self.argument('key'), safe='')}"
+        return self.show_answer(client.call("GET", path, is_repeatable=True))
+
+
+REQUEST_COMMANDS: tuple[type[Command], ...] = (RequestSend, RequestStatus)
