--- a/src/chicorycrank/agent/main.py
+++ b/src/chicorycrank/agent/main.py
@@ -29,7 +29,7 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    set_up_logs(settings.log_level.value)
+    set_up_logs(settings.log_level.value, settings.region)
     asyncio.run(_run(settings))
 
 
--- a/src/chicorycrank/entry/main.py
+++ b/src/chicorycrank/entry/main.py
@@ -9,7 +9,7 @@
 
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.adapters.http_store import HttpStore
-from chicorycrank.adapters.logs import set_up_logs
+from chicorycrank.adapters.logs import set_up_absl_logs
 from chicorycrank.entry.http_api import start_http, stop_http
 from chicorycrank.entry.process import Entry
 from chicorycrank.model.ids import Incarnation
@@ -28,7 +28,7 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    set_up_logs(settings.log_level.value)
+    set_up_absl_logs(settings.log_level.value, settings.region)
     asyncio.run(_run(settings))
 
 
