Ask several entries at once for operators; export queues, bytes and refusals

Cause: the entries of a region were asked one after another, 2 s each, so three silent ones used up the 5 s that the HTTP interface waits. Queue lengths, dropped answers, forwarded bytes, this entry's epoch and the agents' refusals were counted but not exported.

Change: ask_first asks up to 64 entries 300 ms apart, closer if there are many, and returns the first usable reply, so an answer or a refusal takes at most 4 s and only one reply crosses regions while the first entry lives. Metrics requests_queued, answers_dropped, forwarded_bytes, term_epoch, agent_refusals; the agents are asked for their counters once a minute while metrics are read. The state dump has region, cell, epoch, leaders and queues, is cut at 1,000 names of 100 characters, and is built in entry/state.py.

--- a/src/chicorycrank/entry/admission.py
+++ b/src/chicorycrank/entry/admission.py
@@ -64,6 +64,11 @@
         """Number of queued requests."""
         return len(self._queue)
 
+    @property
+    def queued_by_class(self) -> dict[RequestClass, int]:
+        """Number of queued requests by class."""
+        return {kind: self._queue.ahead_of(kind) for kind in RequestClass}
+
     async def acquire(
         self, request: Request, deadline: float, avoid: frozenset[TargetId] = frozenset()
     ) -> Target | Answer:
--- a/src/chicorycrank/entry/election.py
+++ b/src/chicorycrank/entry/election.py
@@ -83,6 +83,11 @@
         self._idle.set()
         self._resigned = False
 
+    @property
+    def epoch(self) -> Epoch:
+        """Epoch of the current term; 0 without one."""
+        return self._term.epoch if self._term is not None else Epoch(0)
+
     async def run(self) -> None:
         """Campaign and serve terms until cancelled or resigned."""
         while not self._resigned:
--- a/src/chicorycrank/entry/fleet_view.py
+++ b/src/chicorycrank/entry/fleet_view.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import timedelta
 
+from chicorycrank.entry.asking import CALL_TIMEOUT, ask_first
 from chicorycrank.entry.config import ConfigHolder
 from chicorycrank.entry.directory import Directory, Peer, Target
 from chicorycrank.model.ids import EntryId, RegionId, TargetId
@@ -17,10 +17,9 @@
     TargetInfo,
     TargetList,
 )
+from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.links import LinkError, LinkNotSentError
 
-CALL_TIMEOUT = timedelta(seconds=2)
-
 
 @dataclass(frozen=True, kw_only=True)
 class Fleet:
@@ -42,12 +41,18 @@
     """Asks one entry per region for its targets; the cost grows with operators' calls only."""
 
     def __init__(
-        self, entry: EntryId, region: RegionId, directory: Directory, config: ConfigHolder
+        self,
+        entry: EntryId,
+        region: RegionId,
+        directory: Directory,
+        config: ConfigHolder,
+        clock: Clock,
     ) -> None:
         self._entry = entry
         self._region = region
         self._directory = directory
         self._config = config
+        self._clock = clock
 
     def own_list(self) -> TargetList:
         """Return the targets connected to this entry."""
@@ -99,18 +104,11 @@
         return grouped
 
     async def _ask_region(self, region: RegionId, message: AnyMessage) -> AnyMessage:
-        """Ask the entries of a region in turn; the messages asked here are safe to repeat."""
-        reply: AnyMessage = Refused("unreachable", f"no entry of region {region} answers")
-        for peer in sorted(self._peers_by_region()[region], key=lambda p: p.info.entry_id):
-            if peer.link is None:
-                continue
-            try:
-                reply = await peer.link.request(message, timeout=CALL_TIMEOUT)
-            except LinkError:
-                continue
-            if not isinstance(reply, Refused):
-                return reply
-        return reply
+        """Ask the entries of a region; the messages asked here are safe to repeat."""
+        peers = sorted(self._peers_by_region()[region], key=lambda p: p.info.entry_id)
+        links = [peer.link for peer in peers if peer.link is not None]
+        reply = await ask_first(links, message, self._clock, lambda r: not isinstance(r, Refused))
+        return reply or Refused("unreachable", f"no entry of region {region} answers")
 
 
 def status_of(
--- a/src/chicorycrank/entry/http_operations.py
+++ b/src/chicorycrank/entry/http_operations.py
@@ -134,6 +134,7 @@
         return body
 
     async def _snapshot(self) -> Collector:
+        await self._entry.agent_counters.refresh()
         return snapshot(self._entry, self._entry.store)
 
 
--- a/src/chicorycrank/entry/metrics.py
+++ b/src/chicorycrank/entry/metrics.py
@@ -1,8 +1,9 @@
 """Metrics of this entry, and of the agents connected to it, for Prometheus."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
@@ -43,6 +44,24 @@
     for (outcome, request_class), count in entry.requests.outcomes.items():
         family.add_metric([outcome.value, request_class.value], count)
     yield family
+    queued = GaugeMetricFamily(
+        "chicorycrank_requests_queued", "Requests waiting for an executor.", labels=["class"]
+    )
+    for kind, length in entry.requests.queued_by_class.items():
+        queued.add_metric([kind.value], length)
+    yield queued
+    yield _counter(
+        "answers_dropped",
+        "Answers of executors that were not passed on.",
+        "reason",
+        entry.requests.dropped_by_reason,
+    )
+    yield _counter(
+        "forwarded_bytes",
+        "Bytes of request bodies sent to other regions.",
+        "region",
+        entry.requests.forwarded_bytes_by_region,
+    )
 
 
 def _jobs(entry: Entry) -> Iterator[Metric]:
@@ -55,6 +74,7 @@
             family.add_metric([state.value], count)
     yield family
     yield _gauge("leader", "1 while this entry leads its cell.", entry.scheduler.is_leader)
+    yield _gauge("term_epoch", "Epoch of this entry's term; 0 without one.", entry.term_epoch)
     yield _gauge(
         "leader_epoch",
         "Highest epoch that a connected worker's agent has reported.",
@@ -63,12 +83,8 @@
 
 
 def _store(store: Store) -> Iterator[Metric]:
-    calls = CounterMetricFamily(
-        "chicorycrank_store_calls", "Calls to the store.", labels=["operation"]
-    )
-    for operation, count in getattr(store, "calls_by_operation", {}).items():
-        calls.add_metric([operation], count)
-    yield calls
+    calls = getattr(store, "calls_by_operation", {})
+    yield _counter("store_calls", "Calls to the store.", "operation", calls)
     yield CounterMetricFamily(
         "chicorycrank_store_errors",
         "Calls to the store that got no usable answer.",
@@ -95,12 +111,15 @@
     links.add_metric(["agent"], len(targets))
     links.add_metric(["entry"], len(peers))
     yield links
-    refusals = CounterMetricFamily(
-        "chicorycrank_refusals", "Handshakes, frames and messages refused.", labels=["event"]
+    yield _counter(
+        "refusals", "Handshakes, frames and messages refused.", "event", entry.link_counters
+    )
+    yield _counter(
+        "agent_refusals",
+        "The same at the connected agents, at most a minute old.",
+        "event",
+        entry.agent_counters.refusals,
     )
-    for event, count in entry.link_counters.items():
-        refusals.add_metric([event], count)
-    yield refusals
     executors = list(entry.directory.executors())
     yield _gauge(
         "executor_slots",
@@ -129,5 +148,12 @@
     yield _gauge("agents_behind", "Agents that have not confirmed the configuration.", behind)
 
 
+def _counter(name: str, text: str, label: str, counts: Mapping[Any, int]) -> Metric:
+    family = CounterMetricFamily(f"chicorycrank_{name}", text, labels=[label])
+    for value, count in counts.items():
+        family.add_metric([value], count)
+    return family
+
+
 def _gauge(name: str, text: str, value: float) -> Metric:
     return GaugeMetricFamily(f"chicorycrank_{name}", text, value=float(value))
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -10,6 +10,7 @@
 
 from chicorycrank.adapters.codec import decode
 from chicorycrank.adapters.peers import PeerLink, dial, listen
+from chicorycrank.entry.agent_counters import AgentCounters
 from chicorycrank.entry.claims import ClaimLog
 from chicorycrank.entry.config import ConfigHolder
 from chicorycrank.entry.directory import Directory, Peer
@@ -21,9 +22,9 @@
 from chicorycrank.entry.releases import Releases
 from chicorycrank.entry.requests import RequestFront
 from chicorycrank.entry.scheduler import Scheduler
-from chicorycrank.entry.state import StateView, bounded
+from chicorycrank.entry.state import StateView, dump_of
 from chicorycrank.model.config import Config
-from chicorycrank.model.ids import CellId, EntryId, Incarnation, TargetId
+from chicorycrank.model.ids import CellId, EntryId, Epoch, Incarnation, TargetId
 from chicorycrank.model.messages import (
     PROTOCOL_VERSION,
     AnyMessage,
@@ -70,7 +71,7 @@
         self.settings = settings
         self.store = store
         self._clock = clock
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self.info = EntryInfo(
             entry_id=settings.entry,
             region=settings.region,
@@ -81,8 +82,9 @@
         self.directory = Directory()
         self.link_counters: Counter[str] = Counter()
         self.config = ConfigHolder(self._on_config)
-        self.fleet = FleetView(settings.entry, settings.region, self.directory, self.config)
-        self.state = StateView(settings.entry, self.directory, self.dump)
+        self.fleet = FleetView(settings.entry, settings.region, self.directory, self.config, clock)
+        self.state = StateView(settings.entry, self.directory, clock, lambda: dump_of(self))
+        self.agent_counters = AgentCounters(self.directory, clock)
         self.releases = Releases(store, clock, self.config, self.fleet.collect)
         self.requests = RequestFront(
             self.directory,
@@ -227,7 +229,7 @@
             version=PROTOCOL_VERSION,
             role=Role.ENTRY,
             peer_id=self.settings.entry,
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
             region=self.settings.region,
             zone=self.settings.zone,
             address=self.info.peer_address,
@@ -294,7 +296,7 @@
         if hello.role is Role.AGENT and hello.target_kind is None:
             return Goodbye("the hello of an agent must name the kind of its target")
         entries = [peer.info for peer in self.directory.peers_by_id.values()]
-        return Welcome(self.info, self._incarnation, (self.info, *entries))
+        return Welcome(self.info, self.incarnation, (self.info, *entries))
 
     async def _on_link(self, link: PeerLink) -> None:
         if link.peer.role is Role.ENTRY:
@@ -410,19 +412,7 @@
                     except LinkError as error:
                         logger.debug("event=digest_lost error=%s", error)
 
-    def dump(self) -> dict[str, object]:
-        """Return this process's state for people."""
-        return {
-            "entry": self.settings.entry,
-            "incarnation": self._incarnation,
-            "config_generation": self.config.config.generation,
-            "is_leader": self.scheduler.is_leader,
-            "config_nonce": self.config.config.nonce,
-            "config_malformed": self.config.malformed,
-            "config_lower": self.config.lower,
-            "config_contradictions": self.config.contradictions,
-            "targets": bounded(sorted(self.directory.targets_by_id)),
-            "targets_count": len(self.directory.targets_by_id),
-            "peers": bounded(sorted(self.directory.peers_by_id)),
-            "draining": self.is_draining,
-        }
+    @property
+    def term_epoch(self) -> Epoch:
+        """Epoch of this entry's term as leader; 0 without one."""
+        return self._election.epoch
--- a/src/chicorycrank/entry/requests.py
+++ b/src/chicorycrank/entry/requests.py
@@ -102,6 +102,16 @@
         """Answers that were dropped, by reason."""
         return self._dispatcher.dropped_by_reason
 
+    @property
+    def forwarded_bytes_by_region(self) -> Counter[RegionId]:
+        """Bytes of bodies sent to other regions."""
+        return self._forwarder.sent_bytes_by_region
+
+    @property
+    def queued_by_class(self) -> dict[RequestClass, int]:
+        """Number of requests that wait for an executor."""
+        return self._gate.queued_by_class
+
     async def answer(self, request: Request, *, is_forwarded: bool = False) -> Answer:
         """Run a request and return its outcome.
 
--- a/src/chicorycrank/entry/state.py
+++ b/src/chicorycrank/entry/state.py
@@ -2,15 +2,20 @@
 
 import json
 from collections.abc import Callable, Sequence
-from datetime import timedelta
+from typing import TYPE_CHECKING
 
+from chicorycrank.entry.asking import CALL_TIMEOUT, ask_first
 from chicorycrank.entry.directory import Directory
 from chicorycrank.model.ids import EntryId, TargetId
 from chicorycrank.model.messages import AnyMessage, QueryState, Refused, Text
+from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.links import Link, LinkError
 
-CALL_TIMEOUT = timedelta(seconds=2)
+if TYPE_CHECKING:
+    from chicorycrank.entry.process import Entry
+
 MAX_ITEMS = 1000
+MAX_NAME_LENGTH = 100
 MAX_TEXT_BYTES = 256_000
 
 Dump = Callable[[], dict[str, object]]
@@ -18,7 +23,7 @@
 
 def bounded(items: Sequence[str]) -> list[str]:
     """Return the first items of a list, so that a dump stays small at any fleet size."""
-    return list(items[:MAX_ITEMS])
+    return [item[:MAX_NAME_LENGTH] for item in items[:MAX_ITEMS]]
 
 
 class StateView:
@@ -27,9 +32,10 @@
     :param dump: returns the state of this entry
     """
 
-    def __init__(self, entry: EntryId, directory: Directory, dump: Dump) -> None:
+    def __init__(self, entry: EntryId, directory: Directory, clock: Clock, dump: Dump) -> None:
         self._entry = entry
         self._directory = directory
+        self._clock = clock
         self._dump = dump
 
     async def get(self, process: str) -> AnyMessage:
@@ -40,16 +46,14 @@
         peer = self._directory.peers_by_id.get(EntryId(process))
         if peer is not None:
             return await _ask(peer.link, process)
-        for other in list(self._directory.peers_by_id.values()):
-            answer = await _ask(other.link, process)
-            if isinstance(answer, Text):
-                return answer
-        return reply
+        links = [p.link for p in self._directory.peers_by_id.values() if p.link is not None]
+        answer = await ask_first(links, QueryState(process), self._clock, _is_text)
+        return _limit(answer, process) if isinstance(answer, Text) else reply
 
     async def serve(self, message: QueryState) -> AnyMessage:
         """Return the state of this entry or of an agent connected to it."""
         if message.peer_id in ("", self._entry):
-            return Text(json.dumps(self._dump()))
+            return _limit(Text(json.dumps(self._dump())), self._entry)
         target = self._directory.targets_by_id.get(TargetId(message.peer_id))
         if target is None:
             return Refused("no_such_process", f"no process {message.peer_id} is connected")
@@ -63,6 +67,42 @@
         reply = await link.request(QueryState(process), timeout=CALL_TIMEOUT)
     except LinkError as error:
         return Refused("unreachable", str(error))
+    return _limit(reply, process)
+
+
+def _limit(reply: AnyMessage, process: str) -> AnyMessage:
+    """Return the reply, or Refused if it is too large to pass on."""
     if isinstance(reply, Text) and len(reply.text) > MAX_TEXT_BYTES:
         return Refused("too_large", f"the state of {process} has {len(reply.text)} bytes")
     return reply
+
+
+def _is_text(reply: AnyMessage) -> bool:
+    return isinstance(reply, Text)
+
+
+def dump_of(entry: "Entry") -> dict[str, object]:
+    """Return the state of an entry for people; operators' programs read the field names."""
+    config = entry.config
+    directory = entry.directory
+    queued = entry.requests.queued_by_class
+    return {
+        "entry": entry.settings.entry,
+        "region": entry.settings.region,
+        "cell": entry.settings.cell,
+        "incarnation": entry.incarnation,
+        "config_generation": config.config.generation,
+        "config_nonce": config.config.nonce,
+        "config_malformed": config.malformed,
+        "config_lower": config.lower,
+        "config_contradictions": config.contradictions,
+        "is_leader": entry.scheduler.is_leader,
+        "term_epoch": entry.term_epoch,
+        "leaders": dict(sorted(entry.jobs.leader_by_cell.items())[:MAX_ITEMS]),
+        "queued_requests": {kind.value: count for kind, count in queued.items()},
+        "targets": bounded(sorted(directory.targets_by_id)),
+        "targets_count": len(directory.targets_by_id),
+        "peers": bounded(sorted(directory.peers_by_id)),
+        "peers_count": len(directory.peers_by_id),
+        "draining": entry.is_draining,
+    }
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -182,6 +182,10 @@
     assert 'chicorycrank_links{role="entry"} 1.0' in lines
     assert 'chicorycrank_requests_total{class="patient",outcome="completed"} 1.0' in lines
     assert "chicorycrank_agents_behind 0.0" in lines
+    assert 'chicorycrank_requests_queued{class="urgent"} 0.0' in lines
+    _, state = fleet.call(f"entry-{region}-0", "GET", "/v1/state")
+    assert state["is_leader"] and state["term_epoch"] >= 1
+    assert f"chicorycrank_term_epoch {float(state['term_epoch'])}" in lines
 
 
 @then("unknown resources and targets are answered with problem documents")
