--- a/src/chicorycrank/bench/main.py
+++ b/src/chicorycrank/bench/main.py
@@ -2,9 +2,12 @@
 
 from cleo.application import Application
 
+from chicorycrank.bench.control_cost import ControlCostCommand
 from chicorycrank.bench.decision import DecisionCommand
+from chicorycrank.bench.generations import GenerationsCommand
 from chicorycrank.bench.node_cost import NodeCostCommand
 from chicorycrank.bench.placement import PlacementCommand
+from chicorycrank.bench.routing import RoutingCommand
 
 
 def make_application() -> Application:
@@ -13,6 +16,9 @@
     application.add(PlacementCommand())
     application.add(DecisionCommand())
     application.add(NodeCostCommand())
+    application.add(RoutingCommand())
+    application.add(ControlCostCommand())
+    application.add(GenerationsCommand())
     return application
 
 
--- a/src/chicorycrank/bench/processes.py
+++ b/src/chicorycrank/bench/processes.py
@@ -2,10 +2,12 @@
 
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
-from contextlib import ExitStack, suppress
+from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -15,16 +17,27 @@
 HOST = "127.0.0.1"
 CALL_TIMEOUT_S = 10.0
 STOP_TIMEOUT_S = 10.0
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
-def choose_ports(names: list[str]) -> dict[str, int]:
-    """Return a free port for each name."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in names]
-        for sock in sockets:
-            sock.bind((HOST, 0))
-        return {n: s.getsockname()[1] for n, s in zip(names, sockets, strict=True)}
+def choose_ports(names: Sequence[str]) -> dict[str, int]:
+    """Return a free port for each name, below the range that outgoing connections use.
+
+    A port in that range can be taken by an outgoing connection before its server starts.
+    """
+    ports: list[int] = []
+    for port in random.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == len(names):
+            return dict(zip(names, ports, strict=True))
+    raise OSError(f"fewer than {len(names)} free ports from {FIRST_PORT} to {LAST_PORT}")
 
 
 @dataclass(kw_only=True)
