Keep per home which gangs fit, and reserve for gangs over several racks

Cause: a start inside one home made all homes of its team be checked again; the search for a reservation spent its blocks on racks too small for the gang, so gangs over several racks got no reservation at 950 workers. Change: the answers are kept per home; racks that are too small are skipped; at most two reservations are tried in a decision.

--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -120,8 +120,9 @@
             yield from ([spot] for spot in spots)
         elif spots:
             count = sum(mask.bit_count() // shape.accelerators for _, mask in spots)
-            fits |= count >= shape.members
-            yield spots
+            if count >= shape.members:
+                fits = True
+                yield spots
     if fits or shape.adjacency is not Adjacency.ANY:
         return
     order = neighbour_order(cell.free.workers_by_rack)
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -15,6 +15,7 @@
 from chicorycrank.policy.pool import Spots
 
 MAX_RESERVATIONS = 1
+RESERVATIONS_TRIED = 2  # bounds the time if the oldest jobs fit nowhere
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -87,6 +88,7 @@
         self.waiting_for_evictions: set[JobId] = set()
         self.claimed: dict[TargetId, int] = {}
         self.reservations: list[Reservation] = []
+        self.reservations_tried = 0
         self.reserved: list[Hold] = []
         self.unfit: set[GangShape] = set()
         self.unfit_lifted: set[GangShape] = set()
@@ -278,6 +280,9 @@
             self._start(job, spots, WorkKind.BORROWED)
 
     def _reserve(self, job: QueuedJob) -> None:
+        self.reservations_tried += 1
+        if self.reservations_tried > RESERVATIONS_TRIED:
+            return
         reservation = reserve(self.cell, job, self.now_s)
         if reservation is None:
             return
--- a/src/chicorycrank/policy/guarantees.py
+++ b/src/chicorycrank/policy/guarantees.py
@@ -25,6 +25,7 @@
     :param spots: one worker and mask per member; None while it has no place
     :param shares: cores and memory in gigabytes held for each member
     :param jobs: guaranteed jobs inside, with the spots and shape of each
+    :param has_room_by_shape: known answers, until the home or one of its workers changes
     """
 
     key: HomeKey
@@ -33,6 +34,7 @@
     spots: Spots | None = None
     shares: tuple[tuple[int, int], ...] = ()
     jobs: dict[JobId, tuple[Spots, GangShape]] = field(default_factory=dict)
+    has_room_by_shape: dict[GangShape, bool] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -118,32 +120,23 @@
         by_shape = self._fitting.setdefault(team, {})
         if shape not in by_shape:
             found = []
-            known: dict[object, bool] = {}  # idle homes of one form all give one answer
             for home in self.homes_by_team.get(team, []):
-                form = home.key if home.jobs else self._form(home)
-                if form not in known:
-                    known[form] = fit_home(home, shape, None, self.pool) is not None
-                if known[form]:
+                if shape not in home.has_room_by_shape:
+                    fits = fit_home(home, shape, None, self.pool) is not None
+                    home.has_room_by_shape[shape] = fits
+                if home.has_room_by_shape[shape]:
                     found.append(home)
             by_shape[shape] = sorted(found, key=lambda home: (not home.jobs, home.key))
         return by_shape[shape]
 
-    def _form(self, home: Home) -> object:
-        """Return what decides whether a gang fits an idle home."""
-        workers = [worker for worker, _ in home.spots or ()]
-        racks = [self.pool.rack_by_worker.get(worker) for worker in workers]
-        return (
-            home.shape,
-            home.shares,
-            tuple(workers.index(worker) for worker in workers),
-            tuple(racks.index(rack) for rack in racks),
-            tuple(self.pool.is_open(worker) for worker in workers),
-        )
-
     def forget_fitting(self, worker: TargetId) -> None:
         """Forget which homes have room, after a worker opened or closed."""
         for key in self.keys_by_worker.get(worker, {}):
-            self._fitting.pop(self.homes_by_key[key].team, None)
+            self._forget(self.homes_by_key[key])
+
+    def _forget(self, home: Home) -> None:
+        home.has_room_by_shape.clear()
+        self._fitting.pop(home.team, None)
 
     def set_guarantees(self, guarantees: Mapping[GuaranteeId, Guarantee]) -> list[JobId]:
         """Put guarantees in force.
@@ -240,7 +233,7 @@
     def attach(self, home: Home, job_id: JobId, spots: Spots, shape: GangShape) -> None:
         """Count a job as running inside a home."""
         home.jobs[job_id] = (spots, shape)
-        self._fitting.pop(home.team, None)
+        self._forget(home)
         self.home_by_job[job_id] = home
 
     def detach(self, job_id: JobId) -> list[JobId]:
@@ -252,7 +245,7 @@
         if home is None:
             return []
         del home.jobs[job_id]
-        self._fitting.pop(home.team, None)
+        self._forget(home)
         self.needs_settling |= self.missing > 0
         return self._leave_closed(home)
 
@@ -431,7 +424,7 @@
 
     def _occupy(self, home: Home, spots: Spots, shares: tuple[tuple[int, int], ...]) -> None:
         home.spots, home.shares = spots, shares
-        self._fitting.pop(home.team, None)
+        self._forget(home)
         for (worker, mask), (cores, memory_gb) in zip(spots, shares, strict=True):
             self.pool.take(worker, mask, cores, memory_gb)
             self.keys_by_worker.setdefault(worker, {})[home.key] = None
@@ -442,7 +435,7 @@
                 self.pool.give(worker, mask, cores, memory_gb)
             self.keys_by_worker.get(worker, {}).pop(home.key, None)
         home.spots, home.shares = None, ()
-        self._fitting.pop(home.team, None)
+        self._forget(home)
 
 
 def _covers(home: Home, spots: Spots, shape: GangShape) -> bool:
