--- a/src/chicorycrank_standin/swarm.py
+++ b/src/chicorycrank_standin/swarm.py
@@ -1,11 +1,16 @@
 """Many workers with their agents in one process, for measuring what entries spend on them."""
 
+import argparse
 import asyncio
 import signal
 import time
 import uuid
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
 
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.agent.process import Agent
@@ -97,24 +102,22 @@
         return min(spec.run_time_s, held.task.launch.progress_s + elapsed)
 
 
-async def run_swarm(
-    *, count: int, balancer: str, host: str, first_port: int, region: str, heartbeat_s: float
-) -> None:
-    """Run ``count`` agents with workers in memory until a signal arrives.
+class SwarmSettings(Struct, frozen=True, kw_only=True):
+    """Settings of a swarm.
 
-    :param first_port: the agents listen on this port and the following ones
+    :param ports: one agent listens on each
     """
-    agents = [
-        _build_agent(
-            index,
-            balancer=balancer,
-            host=host,
-            port=first_port + index,
-            region=region,
-            heartbeat_s=heartbeat_s,
-        )
-        for index in range(count)
-    ]
+
+    balancer: str
+    host: str
+    ports: list[int]
+    region: str
+    heartbeat_s: float
+
+
+async def run_swarm(settings: SwarmSettings) -> None:
+    """Run one agent per port, each with a worker in memory, until a signal arrives."""
+    agents = [_build_agent(index, settings) for index in range(len(settings.ports))]
     loop = asyncio.get_running_loop()
 
     def stop() -> None:
@@ -126,28 +129,39 @@
     await asyncio.gather(*(agent.run() for agent in agents))
 
 
-def _build_agent(
-    index: int, *, balancer: str, host: str, port: int, region: str, heartbeat_s: float
-) -> Agent:
+def _build_agent(index: int, swarm: SwarmSettings) -> Agent:
     settings = AgentSettings(
-        target=TargetId(f"work-{region}-{index}"),
+        target=TargetId(f"work-{swarm.region}-{index}"),
         kind=TargetKind.WORKER,
-        region=RegionId(region),
-        zone=ZoneId(f"{region}-a"),
-        balancer=balancer,
-        listen_host=host,
-        listen_port=port,
+        region=RegionId(swarm.region),
+        zone=ZoneId(f"{swarm.region}-a"),
+        balancer=swarm.balancer,
+        listen_host=swarm.host,
+        listen_port=swarm.ports[index],
         target_url="http://127.0.0.1:1",
         worker=WorkerInfo(
-            rack=RackId(f"{region}-rack-{index // WORKERS_PER_RACK}"),
+            rack=RackId(f"{swarm.region}-rack-{index // WORKERS_PER_RACK}"),
             accelerators=ACCELERATORS,
             cores=CORES,
             memory_gb=MEMORY_GB,
         ),
-        heartbeat_s=heartbeat_s,
+        heartbeat_s=swarm.heartbeat_s,
+        drain_limit_s=0.0,
     )
     clock = SystemClock()
     assert settings.worker is not None
     side = WorkerSide(settings.target, settings.worker, MemoryWorker(), clock)
     incarnation = Incarnation(uuid.uuid4().hex)
     return Agent(settings, clock, incarnation, executor=None, worker=side)
+
+
+def main() -> None:
+    """Read the settings file and run the swarm."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True)
+    text = parser.parse_args().settings.read_bytes()
+    asyncio.run(run_swarm(msgspec.json.decode(text, type=SwarmSettings)))
+
+
+if __name__ == "__main__":
+    main()
