Report a target's load only when it changed

Cause: an agent sent its report every second although nothing had changed, which is most of what an entry spends per worker: 161 bytes/s idle and 445 bytes/s with 3.5 tasks per worker. Change: equal reports are not sent again, but for one every 30 s; bursts are joined within 100 ms. Conclusion: what remains are heartbeats in both directions, whose interval is a setting.

--- a/src/chicorycrank/agent/process.py
+++ b/src/chicorycrank/agent/process.py
@@ -47,6 +47,10 @@
 from chicorycrank.settings.agent import AgentSettings
 
 REPORT_INTERVAL = timedelta(seconds=1)
+# Shortest time between two reports; bursts of short requests are reported together.
+REPORT_GAP = timedelta(milliseconds=100)
+# Sends an unchanged report again, in case an entry's view is wrong for an unknown reason.
+REFRESH_INTERVAL = timedelta(seconds=30)
 REPORT_TIMEOUT = timedelta(seconds=2)
 DRAIN_POLL = timedelta(milliseconds=50)
 REPLY_LIMIT = timedelta(seconds=2)
@@ -78,6 +82,8 @@
         self._background = Background()
         self._config = ConfigOffer(Generation(0), b"")
         self._stopping = asyncio.Event()
+        self._last_report: AnyMessage | None = None
+        self._reported_at = 0.0
         self._accepted: set[PeerLink] = set()
         self._counters: Counter[str] = Counter()
         self._entries = EntryLinks(
@@ -238,14 +244,28 @@
             except TimeoutError:
                 pass
             side.changed.clear()
-            await self._report()
+            await self._report_change()
             if self._gangs is not None:
                 self._members.close_unused(self._gangs.addresses())
 
+    async def _report_change(self) -> None:
+        """Report unless the entries know the load already.
+
+        An entry that connects gets a report at once, and a report that could not be sent closes
+        its link, so equal reports carry no news.
+        """
+        self._note_connections()
+        is_due = self._clock.monotonic() - self._reported_at >= REFRESH_INTERVAL.total_seconds()
+        if is_due or self._make_report() != self._last_report:
+            await self._report()
+            await self._clock.sleep(REPORT_GAP)
+
     async def _report(self) -> None:
         self._note_connections()
         report = self._make_report()
         if report is not None:
+            self._last_report = report
+            self._reported_at = self._clock.monotonic()
             await self._entries.send(report)
 
     async def _report_gang(self, message: GangStarted | GangEnded) -> None:
