--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -10,7 +10,7 @@
 from chicorycrank.policy.cell import Cell, QueuedJob, Reservation, RunningJob
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_spots, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
-from chicorycrank.policy.guarantees import Home, fit_home
+from chicorycrank.policy.home import Home, fit_home
 from chicorycrank.policy.placement import find_spots, placement_of
 from chicorycrank.policy.pool import Spots
 
