--- a/src/chicorycrank/entry/gang_starts.py
+++ b/src/chicorycrank/entry/gang_starts.py
@@ -67,9 +67,8 @@
             self._wake.set()
 
     async def evict(self, record: JobRecord, decision: Evict) -> None:
-        """Stop a gang so that another can start."""
+        """Stop a gang that the cell counts as stopping, so that another can start."""
         cell = self._occupation.cell
-        cell.mark_stopping(record.job_id)
         gang, head = (record.job_id, record.attempt), record.placement[0].worker
         result = await self._calls.stop(self._epoch, head, gang, EVICTION_GRACE_S, decision.reason)
         if record.attempt != gang[1] or record.state not in (JobState.STARTING, JobState.RUNNING):
