Let non-repeatable requests wait for slots that other entries use

Cause: two entries may each send an executor as many requests as it has slots, so its agent refuses some with no_free_slot. OnceRunner counted such a refusal as a tried executor and answered not_run once each had refused, after about 0.1 s of a 2 s deadline, while repeatable requests went on.

Change: a refusal for lack of a slot no longer excludes the executor (entry/once.py). The request queues again until its deadline. If it gets the same agent, the claim is kept, because this refusal leaves no trace at the agent; that saves the write of a moved claim.

Seen to fail: with the refusal counted as tried again, test_non_repeatable_requests_wait_for_slots_that_other_entries_use fails.

--- a/src/chicorycrank/entry/once.py
+++ b/src/chicorycrank/entry/once.py
@@ -12,7 +12,7 @@
 from chicorycrank.entry.admission import Gate
 from chicorycrank.entry.claims import ClaimLog, ClaimShardFullError
 from chicorycrank.entry.directory import Directory, Target
-from chicorycrank.entry.dispatch import Attempt, Dispatcher, ask
+from chicorycrank.entry.dispatch import NO_FREE_SLOT, Attempt, Dispatcher, ask
 from chicorycrank.model.ids import Nonce, RegionId, RequestKey, TargetId
 from chicorycrank.model.messages import AnyMessage, KeyState, KeyStatus, QueryKey, QueryKeyAt
 from chicorycrank.model.requests import Answer, Claim, ClaimState, Outcome, Request
@@ -122,10 +122,15 @@
                 self._gate.release(target, failed=failed, latency_s=elapsed)
                 return await self._finish(claim, attempt)
             self._give_back(target, attempt, elapsed)
-            tried |= {target.target_id}
+            if attempt.refusal != NO_FREE_SLOT:
+                tried |= {target.target_id}
             other = await self._next_target(request, deadline, tried)
             if other is None:
                 return await self._release(claim, answer, deadline)
+            if (other.target_id, other.incarnation) == (claim.target, claim.incarnation):
+                # A refusal for lack of a slot leaves no trace at the agent, so the claim holds.
+                target = other
+                continue
             moved = self._make_claim(request, other, claim.digest)
             try:
                 stored = await self._claims.put(moved, expected=claim.nonce)
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -38,6 +38,24 @@
     assert not world.link("entry-0", "exec-0").sent
 
 
+def test_non_repeatable_requests_wait_for_slots_that_other_entries_use() -> None:
+    """Guards against not_run for a request whose deadline leaves time to wait for a slot."""
+    world = World(ManualClock())
+    world.add_entry("entry-0")
+    world.add_entry("entry-1")
+    agent = world.add_agent("exec-0")
+    agent.service_s = 0.2
+
+    async def work() -> list[Answer]:
+        requests = [(f"entry-{i % 2}", make_request(f"k{i}", deadline_s=10.0)) for i in range(32)]
+        return list(await asyncio.gather(*(world.send(entry, r) for entry, r in requests)))
+
+    answers = run_world(world.clock.run(work()))
+    assert {answer.outcome for answer in answers} == {Outcome.COMPLETED}
+    assert sorted(agent.record) == sorted(f"k{i}" for i in range(32))
+    assert agent.most_used == 8
+
+
 def test_slots_and_deadlines_hold_in_a_burst() -> None:
     """Guards against an overcommitted executor and against waiting beyond the deadline."""
     world = World(ManualClock())
