Give the entry's HTTP port a longer queue of new connections

Cause: CherryPy's default queue holds 5 connections. A burst overflows it on a busy machine, and callers see a reset connection about 1 s later instead of an outcome.

Change: server.socket_queue_size is 512 (entry/http_api.py).

--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -18,6 +18,9 @@
 RESERVED_THREADS = 8
 # One thread in this many may hold a status call that waits for a job's next change.
 WAITING_SHARE = 8
+# With a shorter queue (CherryPy's default is 5), a burst of callers overflows it and some of them
+# see a reset connection instead of an outcome.
+SOCKET_QUEUE_SIZE = 512
 
 
 class HttpApi:
@@ -109,6 +112,7 @@
             "environment": "production",
             "server.socket_host": settings.listen_host,
             "server.socket_port": settings.http_port,
+            "server.socket_queue_size": SOCKET_QUEUE_SIZE,
             "server.thread_pool": settings.http_threads,
             "server.max_request_body_size": MAX_BODY_BYTES,
             "server.max_request_header_size": MAX_HEADER_BYTES,
