Check a release's guarantees by packing them

Cause: only the accelerators of a region were counted, so 3 members of 5 accelerators were accepted on two workers of 8. Change: check_fleet packs all guarantees of a touched region with check_guarantees of the policy. Conclusion: a release that promises more than can be assembled is refused with the guarantees that do not fit.

--- a/src/chicorycrank/entry/guarantee_check.py
+++ b/src/chicorycrank/entry/guarantee_check.py
@@ -1,11 +1,12 @@
 """Checks that the fleet can assemble the guarantees of a release."""
 
-from collections import Counter
 from collections.abc import Iterable, Iterator
 
 from chicorycrank.model.config import Config, ReleaseNote
-from chicorycrank.model.ids import RegionId
+from chicorycrank.model.ids import GuaranteeId, RegionId
 from chicorycrank.model.messages import TargetInfo
+from chicorycrank.policy.admission import check_guarantees
+from chicorycrank.policy.cell import WorkerState
 from chicorycrank.settings.findings import Problem
 
 
@@ -18,29 +19,40 @@
 def check_fleet(
     note: ReleaseNote, after: Config, targets: Iterable[TargetInfo]
 ) -> Iterator[Problem]:
-    """Yield the guarantees of a release that the connected workers can't hold.
+    """Yield the guarantees that the connected workers can't hold together after a release.
 
-    Only the number of accelerators per region is compared. The packing check of the policy
-    replaces this rule; it is called from here so that nothing else changes.
+    A guarantee of an earlier release that no longer fits is reported at the release's own
+    guarantees of the region, since these displace it.
 
     :param after: the configuration with the release applied
     """
-    accelerators: Counter[RegionId] = Counter()
-    for target in targets:
-        if target.worker is not None:
-            accelerators[target.region] += target.worker.accelerators
-    promised: Counter[RegionId] = Counter()
-    for guarantee in after.guarantees.values():
-        shape = guarantee.shape
-        promised[guarantee.region] += guarantee.count * shape.members * shape.accelerators
-    for name, section in (("added", note.added), ("changed", note.changed)):
-        for identity, guarantee in section.guarantees.items():
-            region = guarantee.region
-            if promised[region] > accelerators[region]:
-                yield Problem(
-                    path=(name, "guarantees", identity),
-                    text=f"all guarantees in {region} need {promised[region]} accelerators, "
-                    f"but its workers have {accelerators[region]}",
-                    remedy="promise less, or apply the release when more workers are connected",
-                    at_key=True,
-                )
+    known = list(targets)
+    for region in sorted(touched_regions(note)):
+        workers = [_make_worker(t) for t in known if t.worker and t.region == region]
+        guarantees = {k: g for k, g in after.guarantees.items() if g.region == region}
+        own = {
+            identity: (name, "guarantees", identity)
+            for name, section in (("added", note.added), ("changed", note.changed))
+            for identity, guarantee in section.guarantees.items()
+            if guarantee.region == region
+        }
+        for finding in check_guarantees(workers, guarantees):
+            identity = GuaranteeId(finding.field.removeprefix("guarantees."))
+            yield Problem(
+                path=own.get(identity) or next(iter(own.values())),
+                text=f"in {region}, guarantee {identity}: {finding.message}",
+                remedy="promise less, or apply the release when more workers are connected",
+                at_key=True,
+            )
+
+
+def _make_worker(target: TargetInfo) -> WorkerState:
+    assert target.worker is not None
+    return WorkerState(
+        worker=target.target,
+        rack=target.worker.rack,
+        zone=target.zone,
+        accelerators=target.worker.accelerators,
+        cores=target.worker.cores,
+        memory_gb=target.worker.memory_gb,
+    )
