Prove the promises about requests with failing processes and links

Cause: outcomes under failure were tested with in-memory fakes only; nothing showed them with real processes, connections and a planned stop.

Change: a fault-injecting forwarder (chicorycrank_standin/forwarder.py) and Fleet.forwarded, which puts one before an entry's peer port or between an entry and the store; the defaults are unchanged. The entry's optional setting peer_address names the address that peers dial, so that the forwarder is on the path of agents and entries.

--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -76,7 +76,7 @@
             entry_id=settings.entry,
             region=settings.region,
             zone=settings.zone,
-            peer_address=f"{settings.listen_host}:{settings.peer_port}",
+            peer_address=settings.peer_address or f"{settings.listen_host}:{settings.peer_port}",
             http_address=f"{settings.listen_host}:{settings.http_port}",
         )
         self.directory = Directory()
--- a/src/chicorycrank/settings/entry.py
+++ b/src/chicorycrank/settings/entry.py
@@ -6,7 +6,7 @@
 from msgspec import Meta, Struct
 
 from chicorycrank.model.ids import CellId, EntryId, RegionId, ZoneId
-from chicorycrank.settings.common import LogLevel, Name, Port, Seconds, check_url
+from chicorycrank.settings.common import Address, LogLevel, Name, Port, Seconds, check_url
 from chicorycrank.settings.findings import Problem
 
 
@@ -15,6 +15,8 @@
 
     :param cell: cell whose scheduler role this entry may hold
     :param store_url: base address of the platform's store
+    :param peer_address: ``host:port`` at which peers reach this entry, if it isn't the one it
+        listens on
     :param drain_s: time between the health check's turn and the stop in seconds
     """
 
@@ -29,6 +31,7 @@
     http_threads: Annotated[int, Meta(ge=1, le=512)] = 64
     agent_heartbeat_s: Annotated[Seconds, Meta(gt=0, le=60)] = 1.5
     drain_s: Annotated[Seconds, Meta(ge=0, le=600)] = 2.0
+    peer_address: Address | None = None
     log_level: LogLevel = LogLevel.INFO
 
 
--- a/src/chicorycrank_standin/fleet.py
+++ b/src/chicorycrank_standin/fleet.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from chicorycrank.bench.processes import choose_ports
+from chicorycrank_standin.forwarder import Forwarder
 
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 30.0
@@ -78,12 +79,16 @@
     :param folder: settings files and logs
     :param service_time_s: time an executor takes for a request in seconds
     :param speed: work that a worker does per second
+    :param forwarded: links with a forwarder in between: ``<entry>/peer`` for agents and entries
+        that dial this entry, ``<entry>/store`` for the entry's calls to the store
     """
 
     deployment: Deployment
     folder: Path
     service_time_s: float = 0.05
     speed: float = 1.0
+    forwarded: frozenset[str] = frozenset()
+    forwarder_by_link: dict[str, Forwarder] = field(default_factory=dict)
     children_by_name: dict[str, Child] = field(default_factory=dict)
     port_by_name: dict[str, int] = field(default_factory=dict)
     region_by_name: dict[str, str] = field(default_factory=dict)
@@ -92,6 +97,7 @@
         """Start every process and wait until all targets are connected."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self._choose_ports()
+        self._start_forwarders()
         self.start_child("store", ["standin", "store", "--port", str(self.port_by_name["store"])])
         self.wait_http("store", "/record")
         for name in self.entry_names():
@@ -127,9 +133,11 @@
             "listen_host": HOST,
             "peer_port": self.port_by_name[f"{name}/peer"],
             "http_port": self.port_by_name[name],
-            "store_url": f"http://{HOST}:{self.port_by_name['store']}",
+            "store_url": f"http://{HOST}:{self._dialled_port(f'{name}/store')}",
             "drain_s": 0.5,
         }
+        if f"{name}/peer" in self.forwarded:
+            settings["peer_address"] = f"{HOST}:{self._dialled_port(f'{name}/peer')}"
         self._start_program("entry", name, settings)
 
     def start_target(self, name: str) -> None:
@@ -150,7 +158,7 @@
             "kind": "executor" if name.startswith("exec-") else "worker",
             "region": region,
             "zone": f"{region}-a",
-            "balancer": f"{HOST}:{self.port_by_name[f'entry-{region}-0/peer']}",
+            "balancer": f"{HOST}:{self._dialled_port(f'entry-{region}-0/peer')}",
             "listen_host": HOST,
             "listen_port": self.port_by_name[f"agent-{name}"],
             "target_url": f"http://{HOST}:{self.port_by_name[name]}",
@@ -202,6 +210,8 @@
             except subprocess.TimeoutExpired:
                 child.process.kill()
                 child.process.wait()
+        for forwarder in self.forwarder_by_link.values():
+            forwarder.stop()
 
     def url(self, name: str) -> str:
         """Return the base HTTP address of an entry or a stand-in."""
@@ -261,6 +271,25 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def _start_forwarders(self) -> None:
+        for link in sorted(self.forwarded):
+            name, _, side = link.partition("/")
+            if name not in self.entry_names() or side not in ("peer", "store"):
+                raise ValueError(f"no such link: {link}")
+            forwarder = Forwarder(self._dialled_port(link), self._served_port(link))
+            forwarder.start()
+            self.forwarder_by_link[link] = forwarder
+
+    def _served_port(self, link: str) -> int:
+        """Return the port of the process at the far side of a link."""
+        return self.port_by_name["store" if link.endswith("/store") else link]
+
+    def _dialled_port(self, link: str) -> int:
+        """Return the port to dial for a link: that of its forwarder, if it has one."""
+        if link in self.forwarded:
+            return self.port_by_name[f"forwarder-{link}"]
+        return self._served_port(link)
+
     def _choose_ports(self) -> None:
         names = ["store"]
         for name in self.entry_names():
@@ -269,4 +298,5 @@
         for name in [*self.executor_names(), *self.worker_names()]:
             names += [name, f"agent-{name}"]
             self.region_by_name[name] = name.split("-")[1]
+        names += [f"forwarder-{link}" for link in self.forwarded]
         self.port_by_name = choose_ports(names)
--- a/src/chicorycrank_standin/http.py
+++ b/src/chicorycrank_standin/http.py
@@ -1,8 +1,9 @@
 """Small HTTP server for the stand-ins, on cheroot."""
 
+import errno
 import json
 import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl
@@ -36,7 +37,7 @@
 class Reply:
     """The reply to a call.
 
-    :param cut: announce the whole body but send only half of it
+    :param cut: announce the whole body, send only half of it and close the connection
     """
 
     status: int = 200
@@ -66,13 +67,19 @@
             *reply.headers.items(),
         ]
         start_response(f"{reply.status} {'OK' if reply.status == 200 else 'Other'}", headers)
-        return [reply.body[: len(reply.body) // 2] if reply.cut else reply.body]
+        return _send_half(reply.body) if reply.cut else [reply.body]
 
     server = Server((host, port), application, numthreads=THREADS, request_queue_size=256)
     server.max_request_body_size = MAX_BODY_BYTES
     return server
 
 
+def _send_half(body: bytes) -> Iterator[bytes]:
+    yield body[: len(body) // 2]
+    # The server closes a connection whose caller went away, without a log line.
+    raise BrokenPipeError(errno.EPIPE, "answer cut on purpose")
+
+
 def _read_call(environ: dict[str, Any]) -> Call:
     length = int(environ.get("CONTENT_LENGTH") or 0)
     headers = {
