--- a/src/chicorycrank/adapters/logs.py
+++ b/src/chicorycrank/adapters/logs.py
@@ -12,12 +12,14 @@
 FIELD_BY_ALIAS = {"key": "request"}
 PEER_FIELDS = ("entry", "target", "peer", "address", "worker", "cell")
 FAULT_FIELDS = ("error", "code", "reason")
-# The value of a free-text field goes on to the end of the message.
-FIELD = re.compile(r"(\w+)=(?:(?<=error=)(.*)|(\S*))\s*", re.DOTALL)
+# A value ends before the next field; an error's text goes on to the end of the message.
+FIELD = re.compile(r"(\w+)=((?<=\berror=).*|.*?)(?=\s\w+=|\s*\Z)\s*", re.DOTALL)
 USER_INFO = re.compile(r"(\w+://)[^/@\s]+@")
 MAX_TEXT_LENGTH = 500
 REPEAT_INTERVAL_S = 10.0
 MAX_KNOWN_FAULTS = 1000
+# A line per closed connection or full pool tells an operator nothing.
+LEVEL_BY_LIBRARY = {"websockets": logging.ERROR, "urllib3": logging.ERROR}
 DATE_FORMAT = "%m%d %H:%M:%S"
 
 
@@ -25,9 +27,8 @@
     """Return the fields of a message ``event=name field=value ...``."""
     message = record.getMessage()
     if not message.startswith("event="):
-        return {"event": "message", "logger": record.name, "error": message}
-    pairs = [(name, text or word) for name, text, word in FIELD.findall(message)]
-    return {FIELD_BY_ALIAS.get(name, name): value for name, value in pairs}
+        return {"event": "message", "logger": record.name, "text": message}
+    return {FIELD_BY_ALIAS.get(name, name): value for name, value in FIELD.findall(message)}
 
 
 class EventFormatter(logging.Formatter):
@@ -140,4 +141,5 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-    logging.getLogger("websockets").setLevel(logging.ERROR)
+    for name, least in LEVEL_BY_LIBRARY.items():
+        logging.getLogger(name).setLevel(least)
--- a/src/chicorycrank/cli/app.py
+++ b/src/chicorycrank/cli/app.py
@@ -25,7 +25,7 @@
     try:
         code = application.run()
     except CleoError as error:
-        print(f"{str(error).rstrip('.')}; see chicorycrank --help", file=sys.stderr)
+        print(f"{error}\nSee chicorycrank --help.", file=sys.stderr)
         code = EXIT_USAGE
     sys.exit(code)
 
--- a/src/chicorycrank/cli/base.py
+++ b/src/chicorycrank/cli/base.py
@@ -101,7 +101,8 @@
                 f"by {change['author']}: {keys}"
             )
         outcome = document.get("outcome", "failed")
-        self.line_error(f"{outcome}: {document.get('detail', 'no detail')}")
+        hint = f"; run it again in {reply.retry_after} s" if reply.retry_after else ""
+        self.line_error(f"{outcome}: {document.get('detail', 'no detail')}{hint}")
         return reply.exit_code
 
 
@@ -119,4 +120,4 @@
         return "yes" if value else "no"
     if isinstance(value, list):
         return ", ".join(map(str, value)) or "-"
-    return "-" if value is None else str(value)
+    return "-" if value in (None, "") else str(value)
--- a/src/chicorycrank/cli/client.py
+++ b/src/chicorycrank/cli/client.py
@@ -40,10 +40,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Reply:
-    """Answer of an entry."""
+    """Answer of an entry.
+
+    :param retry_after: the entry's retry hint in seconds; empty without one
+    """
 
     status: int
     document: Any
+    retry_after: str = ""
 
     @property
     def exit_code(self) -> int:
@@ -107,7 +111,11 @@
                 if is_repeatable:
                     continue
                 break
-            return Reply(status=response.status, document=_decode(response.data))
+            return Reply(
+                status=response.status,
+                document=_decode(response.data),
+                retry_after=response.headers.get("Retry-After", ""),
+            )
         if may_have_run:
             raise UnansweredError("; ".join(problems), sent[KEY_HEADER])
         raise UnreachableError("; ".join(problems))
--- a/src/chicorycrank/cli/job_commands.py
+++ b/src/chicorycrank/cli/job_commands.py
@@ -66,15 +66,10 @@
         *job_options(),
         option("key", None, "Idempotency-Key; by default a new one.", flag=False),
     ]
-    after_unknown = "submit it again through the same entry with --key {key}"
+    after_unknown = "submit it again with --key {key}, which starts it at most once"
 
     def run_with(self, client: Client) -> int:
-        """Submit the job.
-
-        Entries derive a job's cell from its region. Without a region it is the entry's own cell,
-        so another entry could accept the same key as a second job: only a job that names its
-        region is sent to the next entry when an answer is lost.
-        """
+        """Submit the job; a key names the same job at every entry."""
         source = JobSource(self)
         spec = source.read()
         if isinstance(spec, list):
@@ -86,7 +81,7 @@
             "POST",
             "/v1/jobs",
             msgspec.json.encode(spec),
-            is_repeatable=spec.region is not None,
+            is_repeatable=True,
             headers={KEY_HEADER: key} if key else None,
         )
         findings = reply.document.get("findings")
--- a/src/chicorycrank/entry/asking.py
+++ b/src/chicorycrank/entry/asking.py
@@ -6,7 +6,7 @@
 
 from chicorycrank.model.messages import AnyMessage, Refused
 from chicorycrank.ports.clock import Clock
-from chicorycrank.ports.links import Link, LinkError
+from chicorycrank.ports.links import Link, LinkError, LinkNotSentError
 
 CALL_TIMEOUT = timedelta(seconds=2)
 # The last entry is asked after this time, so that with the timeout an answer or a refusal takes
@@ -15,22 +15,23 @@
 # An entry that lives answers sooner, and then no other entry's reply crosses regions.
 STAGGER = timedelta(milliseconds=300)
 MAX_ASKED = 64
+NOT_SENT = Refused("unreachable", "no entry that could answer is connected")
 
 
 async def ask_first(
     links: Sequence[Link], message: AnyMessage, clock: Clock, accepts: Callable[[AnyMessage], bool]
-) -> AnyMessage | None:
+) -> AnyMessage:
     """Return the first reply that is accepted.
 
     The entries are asked one shortly after the other without waiting for replies; the message
     must be safe to repeat.
 
-    :returns: without an accepted reply, the refusal of the last entry that refused; absent if
-        none replied
+    :returns: without an accepted reply, Refused: ``no_reply`` if an entry may have carried the
+        message out, otherwise a refusal of an entry, or ``unreachable``
     """
     asked = list(links[:MAX_ASKED])
     step = min(STAGGER, SPREAD / max(1, len(asked)))
-    refusal: AnyMessage | None = None
+    refusal = NOT_SENT
     tasks = [
         asyncio.create_task(_ask_later(link, message, clock, step * position))
         for position, link in enumerate(asked)
@@ -38,9 +39,10 @@
     try:
         for answered in asyncio.as_completed(tasks):
             reply = await answered
-            if reply is not None and accepts(reply):
+            if accepts(reply):
                 return reply
-            if isinstance(reply, Refused):
+            is_weaker = refusal.code == "no_reply" or reply == NOT_SENT
+            if isinstance(reply, Refused) and not is_weaker:
                 refusal = reply
     finally:
         for task in tasks:
@@ -48,12 +50,12 @@
     return refusal
 
 
-async def _ask_later(
-    link: Link, message: AnyMessage, clock: Clock, delay: timedelta
-) -> AnyMessage | None:
+async def _ask_later(link: Link, message: AnyMessage, clock: Clock, delay: timedelta) -> AnyMessage:
     if delay:
         await clock.sleep(delay)
     try:
         return await link.request(message, timeout=CALL_TIMEOUT)
-    except LinkError:
-        return None
+    except LinkNotSentError:
+        return NOT_SENT
+    except LinkError as error:
+        return Refused("no_reply", str(error))
--- a/src/chicorycrank/entry/fleet_view.py
+++ b/src/chicorycrank/entry/fleet_view.py
@@ -107,8 +107,7 @@
         """Ask the entries of a region; the messages asked here are safe to repeat."""
         peers = sorted(self._peers_by_region()[region], key=lambda p: p.info.entry_id)
         links = [peer.link for peer in peers if peer.link is not None]
-        reply = await ask_first(links, message, self._clock, lambda r: not isinstance(r, Refused))
-        return reply or Refused("unreachable", f"no entry of region {region} answers")
+        return await ask_first(links, message, self._clock, lambda r: not isinstance(r, Refused))
 
 
 def status_of(
--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -117,7 +117,9 @@
         }
     )
     cherrypy.engine.signals.subscribe = lambda: None
-    cherrypy.tree.mount(HttpApi(entry, loop), "/")
+    application = cherrypy.tree.mount(HttpApi(entry, loop), "/")
+    # A line per call tells an operator nothing that the metrics do not.
+    application.log.access_log.propagate = False
     cherrypy.engine.start()
 
 
--- a/src/chicorycrank/entry/metrics.py
+++ b/src/chicorycrank/entry/metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client.registry import Collector
 
 from chicorycrank.entry.process import Entry
+from chicorycrank.entry.state import missing_by_guarantee
 from chicorycrank.ports.store import Store
 
 
@@ -73,6 +74,11 @@
         for state, count in counts.items():
             family.add_metric([state.value], count)
     yield family
+    yield _gauge(
+        "guarantees_degraded",
+        "Instances of guarantees that the led cell cannot assemble now.",
+        sum(missing_by_guarantee(entry.scheduler).values()),
+    )
     yield _gauge(
         "workers_quarantined",
         "Workers of the led cell that get no work because they fail it.",
--- a/src/chicorycrank/entry/state.py
+++ b/src/chicorycrank/entry/state.py
@@ -7,8 +7,10 @@
 from chicorycrank.adapters.peers import sum_traffic
 from chicorycrank.entry.asking import CALL_TIMEOUT, ask_first
 from chicorycrank.entry.directory import Directory
+from chicorycrank.entry.scheduler import Scheduler
 from chicorycrank.model.ids import EntryId, TargetId
 from chicorycrank.model.messages import AnyMessage, QueryState, Refused, Text
+from chicorycrank.policy.explain import degraded_guarantees
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.links import Link, LinkError
 
@@ -82,6 +84,13 @@
     return isinstance(reply, Text)
 
 
+def missing_by_guarantee(scheduler: Scheduler) -> dict[str, int]:
+    """Return the instances that the led cell cannot assemble now, by guarantee."""
+    if not scheduler.is_leader:
+        return {}
+    return {found.guarantee: found.missing for found in degraded_guarantees(scheduler.cell)}
+
+
 def dump_of(entry: "Entry") -> dict[str, object]:
     """Return the state of an entry for people; operators' programs read the field names."""
     config = entry.config
@@ -103,11 +112,12 @@
         "term_epoch": entry.term_epoch,
         "leaders": dict(sorted(entry.jobs.leader_by_cell.items())[:MAX_ITEMS]),
         "queued_requests": {kind.value: count for kind, count in queued.items()},
+        "quarantined": dict(list(entry.scheduler.quarantine.describe().items())[:MAX_ITEMS]),
+        "degraded_guarantees": missing_by_guarantee(entry.scheduler),
         "targets": bounded(sorted(directory.targets_by_id)),
         "targets_count": len(directory.targets_by_id),
         "peers": bounded(sorted(directory.peers_by_id)),
         "peers_count": len(directory.peers_by_id),
         "draining": entry.is_draining,
-        "quarantined": entry.scheduler.quarantine.describe(),
         **sum_traffic(links),
     }
