Export how long jobs wait

Cause: the target that urgent work starts within 9.5 s could not be watched.

Change: the metric job_longest_wait_seconds{urgent} at the leader of a cell, for queued jobs that have never run.

Seen failing: with queued jobs left out, "Operators see how long jobs wait".

--- a/src/chicorycrank/entry/cell_jobs.py
+++ b/src/chicorycrank/entry/cell_jobs.py
@@ -120,6 +120,17 @@
         records = self.records.records_by_id.values()
         return sum(record.state is JobState.QUEUED for record in records)
 
+    def longest_wait_s(self, *, urgent: bool) -> float:
+        """Return for how long the oldest queued job that has never run waits, in seconds."""
+        waiting = [
+            record.submitted_at
+            for record in self.records.records_by_id.values()
+            if record.state is JobState.QUEUED
+            and record.started_at is None  # it ran before if it has one
+            and record.spec.urgent is urgent
+        ]
+        return (self.clock.now() - min(waiting)).total_seconds() if waiting else 0.0
+
     def _is_queue_full(self, team: TeamId) -> bool:
         limits = self.config.teams.get(team)
         if limits is None:
--- a/src/chicorycrank/entry/metrics.py
+++ b/src/chicorycrank/entry/metrics.py
@@ -74,6 +74,15 @@
         for state, count in counts.items():
             family.add_metric([state.value], count)
     yield family
+    waits = GaugeMetricFamily(
+        "chicorycrank_job_longest_wait_seconds",
+        "Wait of the oldest queued job of the led cell that has never run.",
+        labels=["urgent"],
+    )
+    if entry.scheduler.is_leader:
+        for label, urgent in (("yes", True), ("no", False)):
+            waits.add_metric([label], entry.scheduler.jobs.longest_wait_s(urgent=urgent))
+    yield waits
     yield _gauge(
         "guarantees_degraded",
         "Instances of guarantees that the led cell cannot assemble now.",
--- a/tests/features/operations.feature
+++ b/tests/features/operations.feature
@@ -27,3 +27,10 @@
     Then the state of an agent of "south" is read through the entry of "north"
     And the metrics of "north" name the generation and the agents
     And unknown resources and targets are answered with problem documents
+
+  Scenario: Operators see how long jobs wait
+    Given a running fleet of two regions
+    When two jobs ask for the only worker of "north"
+    Then the metrics of "north" show that a job waits
+    When the running job is cancelled through the entry of "north"
+    Then the metrics of "north" show that no job waits
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -199,3 +199,34 @@
     ):
         status, problem = fleet.call("entry-north-0", method, path, body)
         assert (status, problem["outcome"]) == (404, "not_run"), (path, problem)
+
+
+@when(parsers.parse('two jobs ask for the only worker of "{region}"'), target_fixture="job_id")
+def submit_jobs(fleet: Fleet, region: str) -> str:
+    spec = {
+        "team": "claims",
+        "name": "survey",
+        "shape": {"members": 1, "accelerators": 8},
+        "run_time_s": 600.0,
+        "region": region,
+    }
+    records = [fleet.call(f"entry-{region}-0", "POST", "/v1/jobs", spec)[1] for _ in range(2)]
+    return str(records[0]["job_id"])
+
+
+@when(parsers.parse('the running job is cancelled through the entry of "{region}"'))
+def cancel_job(fleet: Fleet, region: str, job_id: str) -> None:
+    status, reply = fleet.call(f"entry-{region}-0", "DELETE", f"/v1/jobs/{job_id}")
+    assert status == 200, reply
+
+
+@then(parsers.parse('the metrics of "{region}" show that {word} job waits'))
+def check_wait(fleet: Fleet, region: str, word: str) -> None:
+    def is_shown() -> bool:
+        url = fleet.url(f"entry-{region}-0") + "/metrics"
+        text = urllib3.request("GET", url).data.decode()
+        name = 'chicorycrank_job_longest_wait_seconds{urgent="no"} '
+        shown = [float(x.removeprefix(name)) for x in text.splitlines() if x.startswith(name)]
+        return bool(shown) and (shown[0] > 1.0 if word == "a" else shown[0] == 0.0)
+
+    fleet.wait(is_shown, "the metric does not follow the queue")
