--- a/src/chicorycrank/adapters/peer_link.py
+++ b/src/chicorycrank/adapters/peer_link.py
@@ -68,6 +68,10 @@
         self.peer = peer
         self.counters = Counter() if counters is None else counters
         self._connection = connection
+        # Nothing reads the headers of the opening handshake; they take over 2 kB a connection.
+        for part in (connection.request, connection.response):
+            if part is not None:
+                part.headers.clear()
         self._handler = handler
         self._clock = clock
         self._heartbeat = heartbeat
@@ -192,6 +196,9 @@
             future = self._waiting_by_correlation.get(frame.correlation)
             if future is not None and not future.done():
                 future.set_result(frame.message)
+            else:
+                # Late: its request gave up. Duplicated: its request was answered before.
+                self._count("reply_dropped", f"no request waits for {frame.correlation}")
             return
         if len(self._tasks) >= MAX_CONCURRENT_REQUESTS:
             self._count("overloaded", type(frame.message).__name__)
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -365,7 +365,10 @@
     def _decide(self, gangs: dict[GangId, ReportedGang]) -> None:
         now_s = self._clock.now().timestamp()  # the clock of QueuedJob.submitted_s
         queue = self.jobs.queue({job_id for job_id, _ in gangs})
-        for decision in decide(self.cell, queue, now_s):
+        decisions = decide(self.cell, queue, now_s)
+        if decisions:
+            self._wake.set()  # a pass is bounded, so there may be more to decide
+        for decision in decisions:
             record = self._records.records_by_id.get(decision.job_id)
             if record is None:
                 continue
@@ -374,6 +377,7 @@
                 if self.quarantine.begin(record.job_id, decision.placement):
                     self._spawn(self._starts.start(record, decision))
             else:
+                self.cell.mark_stopping(record.job_id)  # before the next pass
                 self._spawn(self._starts.evict(record, decision))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
