--- a/src/chicorycrank/cli/commands.py
+++ b/src/chicorycrank/cli/commands.py
@@ -100,6 +100,10 @@
     def run_with(self, client: Client) -> int:
         """Print one row per process."""
         reply = client.call("GET", "/v1/releases/status", is_repeatable=True)
+        for region in reply.document.get("regions", ()):
+            if not region["reachable"]:
+                name = region["region"]
+                self.line_error(f"no entry of region {name} answers; its agents are not listed")
         rows = [
             {"region": region["region"], "process": process, "kind": kind, "generation": held}
             for region in reply.document.get("regions", ())
