Measure a leader among several entries

Cause: the traffic between entries grows with their number and was not measured. Conclusion: none yet.

--- a/src/chicorycrank/bench/control_cost.py
+++ b/src/chicorycrank/bench/control_cost.py
@@ -32,7 +32,7 @@
 
     :param cpu_percent: share of one core
     :param bytes_per_s: control traffic with TCP/IP headers, both directions
-    :param store_calls_per_s: calls to the store, a waiting watch counted once
+    :param store_calls_per_s: calls of all entries to the store, a waiting watch counted once
     """
 
     workers: int
@@ -41,17 +41,23 @@
     cpu_percent: float
     bytes_per_s: float
     store_calls_per_s: float
+    entries: int
     jobs_per_s: float = 0.0
 
 
 class Bed:
-    """A store, an entry that leads a cell, and a number of agents in one process."""
+    """A store, an entry that leads a cell, and a number of agents in one process.
 
-    def __init__(self, folder: Path, workers: int, heartbeat_s: float) -> None:
+    :param entries: all entries; those beside the measured one lead empty cells of other regions
+    """
+
+    def __init__(self, folder: Path, workers: int, heartbeat_s: float, *, entries: int = 1) -> None:
         self._processes = Processes(folder=folder)
         self._workers = workers
         self._heartbeat_s = heartbeat_s
-        self._ports = choose_ports(["store", "entry", "peer"])
+        self._entries = entries
+        others = [name for i in range(1, entries) for name in (f"http-{i}", f"peer-{i}")]
+        self._ports = choose_ports(["store", "entry", "peer", *others])
         self._agent_ports = choose_ports([str(index) for index in range(workers)])
 
     def start(self) -> None:
@@ -61,19 +67,10 @@
             "store", "chicorycrank_standin.main", "store", "--port", str(ports["store"])
         )
         wait_until(lambda: call(ports["store"], "GET", "/record") is not None, "no store")
-        settings = {
-            "entry": "entry",
-            "region": REGION,
-            "zone": f"{REGION}-a",
-            "cell": REGION,
-            "listen_host": HOST,
-            "peer_port": ports["peer"],
-            "http_port": ports["entry"],
-            "store_url": f"http://{HOST}:{ports['store']}",
-            "agent_heartbeat_s": self._heartbeat_s,
-            "drain_s": 0.0,
-        }
-        self._processes.start_with_settings("entry", "chicorycrank.entry.main", settings)
+        self._start_entry("entry", REGION, http=ports["entry"], peer=ports["peer"])
+        for i in range(1, self._entries):
+            http, peer = ports[f"http-{i}"], ports[f"peer-{i}"]
+            self._start_entry(f"entry-{i}", f"region-{i}", http=http, peer=peer)
         swarm = {
             "balancer": f"{HOST}:{ports['peer']}",
             "host": HOST,
@@ -84,6 +81,23 @@
         self._processes.start_with_settings("swarm", "chicorycrank_standin.swarm", swarm)
         wait_until(lambda: self._state()["targets_count"] == self._workers, "agents are missing")
         wait_until(lambda: bool(self._state()["is_leader"]), "the cell has no leader")
+        others = self._entries - 1
+        wait_until(lambda: self._state()["peers_count"] == others, "entries are missing")
+
+    def _start_entry(self, name: str, region: str, *, http: int, peer: int) -> None:
+        settings = {
+            "entry": name,
+            "region": region,
+            "zone": f"{region}-a",
+            "cell": region,
+            "listen_host": HOST,
+            "peer_port": peer,
+            "http_port": http,
+            "store_url": f"http://{HOST}:{self._ports['store']}",
+            "agent_heartbeat_s": self._heartbeat_s,
+            "drain_s": 0.0,
+        }
+        self._processes.start_with_settings(name, "chicorycrank.entry.main", settings)
 
     def stop(self) -> None:
         """End all processes."""
@@ -127,6 +141,7 @@
             cpu_percent=round(cpu * 100, 2),
             bytes_per_s=round(traffic, 1),
             store_calls_per_s=round(calls, 3),
+            entries=self._entries,
             jobs_per_s=round(submitted / elapsed, 3),
         )
 
@@ -149,10 +164,12 @@
         return int(float(values[0])) if values else 0
 
 
-def measure(workers: int, *, seconds: float, jobs_per_s: float, heartbeat_s: float) -> list[Sample]:
+def measure(
+    workers: int, *, seconds: float, jobs_per_s: float, heartbeat_s: float, entries: int
+) -> list[Sample]:
     """Measure one size: idle, with held tasks, and with arriving jobs."""
     with tempfile.TemporaryDirectory() as folder:
-        bed = Bed(Path(folder), workers, heartbeat_s)
+        bed = Bed(Path(folder), workers, heartbeat_s, entries=entries)
         try:
             bed.start()
             time.sleep(SETTLE_S)
@@ -196,6 +213,7 @@
         option("seconds", None, "Time of each measurement", flag=False, default="15"),
         option("jobs-per-s", None, "Rate of arriving jobs", flag=False, default="2"),
         option("heartbeat-s", None, "Heartbeat of agents", flag=False, default="1.5"),
+        option("entries", None, "Number of entries", flag=False, default="1"),
         option("json", None, "One JSON object per line", flag=True),
     ]
 
@@ -209,6 +227,7 @@
                 seconds=float(self.option("seconds")),
                 jobs_per_s=float(self.option("jobs-per-s")),
                 heartbeat_s=float(self.option("heartbeat-s")),
+                entries=int(self.option("entries")),
             )
         rows = [asdict(sample) for sample in samples]
         if len({sample.workers for sample in samples}) > 1:
