Split peer links and the exchange of the configuration from the entry's process

Change: PeerLinks and ConfigExchange are modules of their own; Background serves agent and entry and logs failed tasks of the entry, which were lost before. A dialler ends when its entry is dropped instead of being cancelled. Conclusion: the process module composes and routes.

--- a/src/chicorycrank/agent/background.py
+++ b/src/chicorycrank/adapters/background.py
@@ -1,4 +1,4 @@
-"""Background tasks of an agent."""
+"""Background tasks of a process."""
 
 import asyncio
 import logging
--- a/src/chicorycrank/agent/entry_links.py
+++ b/src/chicorycrank/agent/entry_links.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+from chicorycrank.adapters.background import Background
 from chicorycrank.adapters.peers import PeerLink, dial
-from chicorycrank.agent.background import Background
 from chicorycrank.model.ids import EntryId, RegionId
 from chicorycrank.model.messages import AnyMessage, Hello
 from chicorycrank.model.targets import EntryInfo
--- a/src/chicorycrank/agent/gangs.py
+++ b/src/chicorycrank/agent/gangs.py
@@ -3,7 +3,7 @@
 import logging
 from datetime import timedelta
 
-from chicorycrank.agent.background import Background
+from chicorycrank.adapters.background import Background
 from chicorycrank.agent.gang_head import CallMember, GangHead, Report
 from chicorycrank.agent.reservations import GangId
 from chicorycrank.agent.worker import WorkerSide
--- a/src/chicorycrank/agent/member_links.py
+++ b/src/chicorycrank/agent/member_links.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from chicorycrank.adapters.background import Background
 from chicorycrank.adapters.peers import PeerLink, dial
-from chicorycrank.agent.background import Background
 from chicorycrank.model.messages import AnyMessage, Hello
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.links import Handler, LinkError, LinkNotSentError
--- a/src/chicorycrank/agent/process.py
+++ b/src/chicorycrank/agent/process.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
+from chicorycrank.adapters.background import Background
 from chicorycrank.adapters.peers import PeerLink, listen, sum_traffic
-from chicorycrank.agent.background import Background
 from chicorycrank.agent.entry_links import EntryLinks
 from chicorycrank.agent.executor import ExecutorSide
 from chicorycrank.agent.gangs import GangLeading
--- a/src/chicorycrank/entry/directory.py
+++ b/src/chicorycrank/entry/directory.py
@@ -42,10 +42,12 @@
 
     :param is_listed: its record is in the store; an entry whose record vanished is kept while
         its connection lives, because a store outage ends records of entries that still serve
+    :param is_dialled: a task of this entry keeps the connection
     """
 
     info: EntryInfo
     is_listed: bool = True
+    is_dialled: bool = False
     link: PeerLink | None = None
     digest: Digest | None = None
 
--- a/tests/fakes/gangs.py
+++ b/tests/fakes/gangs.py
@@ -9,7 +9,7 @@
 
 from tests.virtual_time import VirtualClock, VirtualLoop
 
-from chicorycrank.agent.background import Background
+from chicorycrank.adapters.background import Background
 from chicorycrank.agent.gangs import GangLeading
 from chicorycrank.agent.worker import WorkerSide
 from chicorycrank.model.ids import CellId, EntryId, Epoch, JobId, RackId, TargetId, TeamId
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -12,6 +12,7 @@
 from chicorycrank.adapters.codec import encode
 from chicorycrank.entry import membership
 from chicorycrank.entry.membership import Membership
+from chicorycrank.entry.peer_links import PeerLinks
 from chicorycrank.entry.process import Entry
 from chicorycrank.model.config import Config
 from chicorycrank.model.ids import (
@@ -101,9 +102,9 @@
     pair = Pair(loop=loop)
     north, south = make_entry("north"), make_entry("south")
     pair.entries = {"north": north, "south": south}
-    monkeypatch.setattr(Entry, "_dial_forever", _dial_nothing)
-    pair.run(lambda: north._add_peer(south.info))
-    pair.run(lambda: south._add_peer(north.info))
+    monkeypatch.setattr(PeerLinks, "_dial_forever", _dial_nothing)
+    pair.run(lambda: north.peers.add(south.info))
+    pair.run(lambda: south.peers.add(north.info))
     pair.connect()
     return pair
 
