--- a/tests/fakes/gangs.py
+++ b/tests/fakes/gangs.py
@@ -245,6 +245,7 @@
     async def send(self, node: Node, message: AnyMessage) -> AnyMessage:
         """Send a message of the leader."""
         assert node.gangs is not None
+        self.messages.append((self.loop.time(), "leader", node.name, message))
         return await node.gangs.handle(message)
 
     async def start_gang(self, *, work_s: float) -> None:
@@ -268,6 +269,7 @@
         if isinstance(message, GangEnded):
             self.running_at_end = sum(len(node.worker.running()) for node in self.nodes)
         await self.leader_up.wait()
+        self.messages.append((self.loop.time(), "head", "leader", message))
         self.reports.append(message)
 
     async def _call(
