Keep the scenario of a stopped entry from hanging and from depending on speed

Cause: with five test workers a run hung for 8 minutes. The scenario's health watcher loops until the entry stops; a wait before the stop had failed, so the watcher and the load went on for ever and the teardown waited for them. The wait needs requests that overlap, which the fast executor (50 ms) does not guarantee on a busy machine; that this was the failing wait is inferred from the code, its message was not printed. Change: the watcher is bounded by 60 s; the fast executor takes 0.3 s longer in this scenario, so that 20 requests need more than its 8 slots. No check is looser.

--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -27,6 +27,7 @@
 LEAVE_LIMIT_S = 3.0
 CONFIG_LIMIT_S = 6.0
 # Three missed heartbeats of 1.5 s, a new connection and the wait for it.
+WATCH_LIMIT_S = 60.0
 SILENCE_LIMIT_S = 10.0
 
 
@@ -162,11 +163,18 @@
     turned_at: list[float] = []
 
     def watch() -> None:
-        while bench.is_healthy(stopped):
+        # Bounded, or a failure before the stop would leave this thread running for ever.
+        limit = time.time() + WATCH_LIMIT_S
+        while bench.is_healthy(stopped) and time.time() < limit:
             pass
         turned_at.append(time.time())
 
-    with bench.faults(EXECUTORS[1], delay_s=1.5), bench.load(callers=8):
+    # The delay of the fast executor makes the requests overlap on a busy machine as well.
+    slow, fast = (
+        bench.faults(EXECUTORS[1], delay_s=1.5),
+        bench.faults(EXECUTORS[0], delay_s=0.3),
+    )
+    with slow, fast, bench.load(callers=8):
         watcher = bench.threads.submit(watch)
         # More requests than the fast executor has slots, so that long ones run at the stop.
         before = len(bench.record(EXECUTORS[1]))
