--- a/src/chicorycrank_standin/demo/__main__.py
+++ b/src/chicorycrank_standin/demo/__main__.py
@@ -1,5 +1,6 @@
 """``python -m chicorycrank_standin.demo``: runs the demonstration."""
 
+import shutil
 import sys
 import tempfile
 from pathlib import Path
@@ -19,7 +20,7 @@
     description = "Start a deployment on this machine, load it, break it and check every answer."
     options = [  # noqa: RUF012
         option("deployment", None, "bureau or clochan", flag=False, default="bureau"),
-        option("keep", None, "keep the folder with settings and logs"),
+        option("keep", None, "keep the folder with settings and logs, as after a failure"),
     ]
 
     def handle(self) -> int:
@@ -39,6 +40,8 @@
         if problems:
             self.line_error(f"settings and logs: {folder}")
             return 1
+        if not self.option("keep"):
+            shutil.rmtree(folder)
         self.line("\nEvery request and job was answered truthfully and once.")
         return 0
 
