Shorten the listener and the entry's constructor

Change: the handshake of the listening side and the making of the scheduling parts are functions of their own. Conclusion: no behaviour changed.

--- a/src/chicorycrank/adapters/peers.py
+++ b/src/chicorycrank/adapters/peers.py
@@ -85,26 +85,8 @@
     counters = Counter() if counters is None else counters
     links: set[PeerLink] = set()
 
-    async def greet(connection: ServerConnection) -> Hello | None:
-        try:
-            hello = await _read_message(connection)
-            if not isinstance(hello, Hello):
-                raise CodecError("first message is no Hello")
-            problem = check_hello(hello) or _find_namesake(links, hello)
-            answer = Goodbye(problem) if problem else await accept(hello)
-            await _write_message(connection, answer)
-        except (CodecError, ConnectionClosed, TimeoutError) as error:
-            counters["handshake_refused"] += 1
-            logger.warning("event=handshake_refused error=%s", error)
-            return None
-        if isinstance(answer, Goodbye):
-            counters["handshake_refused"] += 1
-            logger.warning("event=handshake_refused peer=%s error=%s", hello.peer_id, answer.reason)
-            return None
-        return hello
-
     async def serve_connection(connection: ServerConnection) -> None:
-        hello = await greet(connection)
+        hello = await _greet(connection, accept, links, counters)
         if hello is None:
             return
         link = PeerLink(connection, hello, handler, clock, heartbeat(hello), counters)
@@ -129,6 +111,28 @@
     )
 
 
+async def _greet(
+    connection: ServerConnection, accept: Accept, links: set[PeerLink], counters: Counter[str]
+) -> Hello | None:
+    """Shake hands with a peer that dialled; nothing is returned if it was refused."""
+    try:
+        hello = await _read_message(connection)
+        if not isinstance(hello, Hello):
+            raise CodecError("first message is no Hello")
+        problem = check_hello(hello) or _find_namesake(links, hello)
+        answer = Goodbye(problem) if problem else await accept(hello)
+        await _write_message(connection, answer)
+    except (CodecError, ConnectionClosed, TimeoutError) as error:
+        counters["handshake_refused"] += 1
+        logger.warning("event=handshake_refused error=%s", error)
+        return None
+    if isinstance(answer, Goodbye):
+        counters["handshake_refused"] += 1
+        logger.warning("event=handshake_refused peer=%s error=%s", hello.peer_id, answer.reason)
+        return None
+    return hello
+
+
 def _find_namesake(links: set[PeerLink], hello: Hello) -> str | None:
     """Refuse a second incarnation of a peer while a connection of the first one lives.
 
--- a/src/chicorycrank/entry/process.py
+++ b/src/chicorycrank/entry/process.py
@@ -101,17 +101,27 @@
             region=settings.region,
             config=lambda: self.config.config,
         )
+        self._build_scheduling()
+        self._membership = Membership(
+            store, clock, self.info, on_entry=self._on_shared, on_list=self._on_shared_list
+        )
+        self._stopping = asyncio.Event()
+        self.is_draining = False
+
+    def _build_scheduling(self) -> None:
+        """Make the scheduler role, its election and the front door of jobs."""
+        settings = self.settings
         self.scheduler = Scheduler(
             cell=settings.cell,
             region=settings.region,
             entry=settings.entry,
             directory=self.directory,
-            records=JobRecords(store, clock, settings.cell),
-            clock=clock,
+            records=JobRecords(self.store, self._clock, settings.cell),
+            clock=self._clock,
         )
         self._election = Election(
-            store,
-            clock,
+            self.store,
+            self._clock,
             cell=settings.cell,
             entry=settings.entry,
             on_elected=self.scheduler.take_role,
@@ -123,15 +133,10 @@
             self.directory,
             self.scheduler,
             self._election.confirm,
-            store=store,
-            clock=clock,
+            store=self.store,
+            clock=self._clock,
             config=lambda: self.config.config,
         )
-        self._membership = Membership(
-            store, clock, self.info, on_entry=self._on_shared, on_list=self._on_shared_list
-        )
-        self._stopping = asyncio.Event()
-        self.is_draining = False
 
     async def run(self) -> None:
         """Serve until :meth:`stop`, then hand roles over and finish what runs."""
