Let two entries race for the cell of one key in the test

Cause: the fake store answers at once, so that the two bindings of the test ran one after the other; the test passed with the re-read after a conflict taken out.

Change: the rival binds its cell while the first entry asks for its lease.

The test now fails when the entry that lost the write keeps its own choice; the choice fails without the rule on guarantees.

Conclusion: a key keeps one cell under a race, too.

--- a/tests/test_cell_choice.py
+++ b/tests/test_cell_choice.py
@@ -1,6 +1,7 @@
 """The cell of a job that names no region."""
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 from tests.scheduler_fakes import FakeStore, ManualClock, make_spec
@@ -11,7 +12,7 @@
 from chicorycrank.model.jobs import GangShape
 from chicorycrank.model.messages import CellLoad
 from chicorycrank.policy.cell_choice import choose_cell
-from chicorycrank.ports.store import StoreError
+from chicorycrank.ports.store import LeaseId, StoreError
 
 Load = tuple[int, int, tuple[str, ...]]
 
@@ -29,8 +30,17 @@
     async def run() -> None:
         assert await bind("k", "north") == await bind("k", "south") == "north"
         assert await bind("lost", "north", lose=True) == await bind("lost", "south") == "north"
-        raced = await asyncio.gather(bind("race", "north"), bind("race", "south"))
-        assert raced[0] == raced[1]
+        grant = store.grant_lease
+        rival: list[str] = []
+
+        async def let_rival_bind(ttl: timedelta) -> LeaseId:
+            if not rival:
+                rival.append("")
+                rival[0] = await bind("race", "south")
+            return await grant(ttl)
+
+        store.grant_lease = let_rival_bind  # type: ignore[method-assign]
+        assert await bind("race", "north") == rival[0] == "south"
         store.down = True
         with pytest.raises(StoreError):
             await bind("k", "south")
