--- a/src/chicorycrank/adapters/logs.py
+++ b/src/chicorycrank/adapters/logs.py
@@ -1,6 +1,9 @@
 """Logs: one event per line with fixed fields, in the format of ``absl.logging``."""
 
+import atexit
 import logging
+import logging.handlers
+import queue
 import re
 import sys
 import time
@@ -18,6 +21,7 @@
 MAX_TEXT_LENGTH = 500
 REPEAT_INTERVAL_S = 10.0
 MAX_KNOWN_FAULTS = 1000
+QUEUED_LINES = 2000
 # A line per closed connection or full pool tells an operator nothing.
 LEVEL_BY_LIBRARY = {"websockets": logging.ERROR, "urllib3": logging.ERROR}
 DATE_FORMAT = "%m%d %H:%M:%S"
@@ -123,6 +127,51 @@
     _set_up(logging.StreamHandler(sys.stderr), level, region)
 
 
+class BoundedHandler(logging.handlers.QueueHandler):
+    """Passes lines to a thread that writes them, and drops lines while too many wait.
+
+    A reader of the output that stops reading must not stop the process.
+    """
+
+    def __init__(self, handler: logging.Handler, capacity: int = QUEUED_LINES) -> None:
+        lines: queue.Queue[logging.LogRecord] = queue.Queue(capacity)
+        super().__init__(lines)
+        self.dropped = 0
+        self._dropped_told = 0
+        self._listener = logging.handlers.QueueListener(lines, handler)
+        self._listener.start()
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Return the record as it is; the writing thread formats it."""
+        return record
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queue a line, or count it as dropped."""
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+            return
+        if self.dropped != self._dropped_told:
+            count, self._dropped_told = self.dropped - self._dropped_told, self.dropped
+            logging.getLogger("absl").warning("event=log_lines_dropped count=%d", count)
+
+    def flush(self) -> None:
+        """Write the queued lines and end the thread."""
+        self._listener.stop()
+
+
+def set_up_bounded_logs(level: str, region: str) -> BoundedHandler:
+    """Write log lines to standard output without ever blocking."""
+    stream = logging.StreamHandler(sys.stdout)
+    stream.setFormatter(EventFormatter(region))
+    stream.addFilter(RepeatFilter())
+    handler = BoundedHandler(stream)
+    _install(handler, level)
+    atexit.register(handler.flush)
+    return handler
+
+
 def set_up_absl_logs(level: str, region: str) -> None:
     """Write log lines to standard error through ``absl.logging``."""
     from absl import flags
@@ -138,6 +187,10 @@
 def _set_up(handler: logging.Handler, level: str, region: str) -> None:
     handler.setFormatter(EventFormatter(region))
     handler.addFilter(RepeatFilter())
+    _install(handler, level)
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
--- /dev/null
+++ b/src/chicorycrank/batch/agent.py
@@ -0,0 +1,451 @@
+"""The agent beside an executor: starts and stops what the leader's order says, and reports."""
+
+import logging
+import threading
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+
+from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
+from chicorycrank.batch.leases import (
+    AUTHORITY_S,
+    CLOCK_ERROR,
+    PRESENCE_LEASE_S,
+    PRESENCE_RENEWAL_S,
+    executor_lease_s,
+)
+from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.runs import Run, RunTable
+from chicorycrank.model.batch import EndKind, WorkerReport, WorkerState, WorkOrder
+from chicorycrank.model.ids import Incarnation, TargetId
+from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.executor import (
+    BatchExecutor,
+    ExecutorStatus,
+    ExecutorUnreachableError,
+    OtherIncarnationError,
+    StartAnswer,
+    StartOrder,
+)
+from chicorycrank.ports.transactions import (
+    ABSENT,
+    Conflict,
+    Item,
+    Lease,
+    LeaseEndedError,
+    Revision,
+    StoreUnavailableError,
+    TransactionalStore,
+    Write,
+)
+
+ORDER_WATCH_S = 3.0
+# Waiting calls hold no thread of the executor's machine for longer than this.
+HOLD_WAIT_S = 1.0
+RETRY_DELAY_S = 0.15
+CALLERS = 8  # calls to the executor at the same time
+# Ends that come within this time are reported in one write.
+GATHER_S = 0.01
+COMMIT_TIMEOUT_S = 0.8
+# Attempts at an executor that says it is not healthy.
+UNHEALTHY_TRIES = 6
+
+logger = logging.getLogger("absl")
+
+
+class BatchAgent:
+    """State of one worker; its threads share one lock.
+
+    :param worker: name of the worker in the store
+    :param max_lease_s: longest lease that the executor grants, in seconds
+    """
+
+    def __init__(
+        self,
+        worker: TargetId,
+        store: TransactionalStore,
+        executor: BatchExecutor,
+        clock: Clock,
+        *,
+        max_lease_s: float,
+    ) -> None:
+        self._worker = worker
+        self._store = store
+        self._executor = executor
+        self._clock = clock
+        self._lease_s = executor_lease_s(max_lease_s)
+        self._lock = threading.Condition()
+        self._stop = threading.Event()
+        self._pool = ThreadPoolExecutor(CALLERS, thread_name_prefix="order")
+        self._orders = Replica(
+            store, order_key(worker), self._put_orders, clock, wait_s=ORDER_WATCH_S
+        )
+        self.table = RunTable()
+        self.report = WorkerReport()
+        self._written: WorkerReport | None = None
+        self._revision = ABSENT
+        self._is_registered = False
+        self._durable_seen = 0
+        self._beat_number = -1
+        self._born_ms = 0
+        self._clock_ms = 0
+        self._clock_read_at = 0.0
+        self._lease = Lease(0)
+        self._presence_confirmed_at = float("-inf")
+        self._lapses_at = float("inf")
+
+    def start(self) -> None:
+        """Start the threads."""
+        self._orders.start()
+        for work in (self._keep_presence, self._hold_forever, self._report_forever):
+            threading.Thread(target=work, name=work.__name__, daemon=True).start()
+
+    def stop(self) -> None:
+        """End the threads; what runs goes on under its lease until the agent is back."""
+        self._stop.set()
+        self._orders.stop()
+        with self._lock:
+            self._lock.notify_all()
+
+    # What the executor says of itself.
+
+    def put_beat(self, report: WorkerReport, *, number: int, born_ms: int, clock_ms: int) -> bool:
+        """Take over a report of the executor; false if a later one is known.
+
+        :param number: order of the reports of one life of the executor
+        """
+        with self._lock:
+            known = self.report
+            if born_ms < self._born_ms:
+                return False
+            is_new = report.incarnation != known.incarnation
+            if not is_new and number <= self._beat_number:
+                return False
+            if is_new:
+                logger.info(
+                    "event=executor_born target=%s incarnation=%s", self._worker, report.incarnation
+                )
+                self.table.forget()
+                self._is_registered = False
+                self._durable_seen = 0
+                self._lapses_at = float("inf")
+            elif report.state is not known.state:
+                logger.info("event=executor_state state=%s number=%d", report.state.name, number)
+            self._beat_number, self._born_ms = number, born_ms
+            self._set_clock(clock_ms)
+            report.fence, report.ends, report.seen = known.fence, known.ends, known.seen
+            self.report = report
+            self._lock.notify_all()
+            return True
+
+    def put_leave(self, executor: str) -> None:
+        """Note that the executor has ended."""
+        with self._lock:
+            if self.report.executor == executor and self.report.state is not WorkerState.GONE:
+                logger.info("event=executor_left target=%s executor=%s", self._worker, executor)
+                self.report.state = WorkerState.GONE
+                self.table.forget()
+                self._lock.notify_all()
+
+    def _set_clock(self, clock_ms: int) -> None:
+        self._clock_ms, self._clock_read_at = clock_ms, self._clock.monotonic()
+
+    def _deadline_ms(self) -> int | None:
+        """Return the lease's end on the executor's clock, or None without the authority to it."""
+        now = self._clock.monotonic()
+        if now - self._presence_confirmed_at >= AUTHORITY_S:
+            return None
+        clock_ms = self._clock_ms + (now - self._clock_read_at) * 1000
+        real_s = self._lease_s * (1 + CLOCK_ERROR)
+        self._lapses_at = now + real_s + 2 * CLOCK_ERROR * (now - self._clock_read_at)
+        return round(clock_ms + self._lease_s * 1000)
+
+    # Orders.
+
+    def _put_orders(self, items: Sequence[Item]) -> None:
+        with self._lock:
+            for item in items:
+                if item.key != order_key(self._worker):
+                    continue
+                try:
+                    order = decode(item.value, WorkOrder) if item.value else None
+                except msgspec.DecodeError as error:
+                    logger.warning("event=order_unreadable error=%s", error)
+                    continue
+                self._apply_order(order or WorkOrder(incarnation=Incarnation("")))
+
+    def _apply_order(self, order: WorkOrder) -> None:
+        logger.info(
+            "event=order incarnation=%s tasks=%s",
+            order.incarnation,
+            ",".join(f"{a.task}/{a.run}{'!' if a.stop else ''}" for a in order.assignments),
+        )
+        self.table.order = order
+        if self._is_registered:
+            self.table.put_order(order, self.report.incarnation)
+            self._drive()
+
+    def _drive(self) -> None:
+        if self._stop.is_set():
+            return
+        for run in self.table.to_drive():
+            self._pool.submit(self._drive_run, run)
+
+    def _drive_run(self, run: Run) -> None:
+        """Send the calls that a run needs until each is answered."""
+        try:
+            while not self._stop.is_set():
+                with self._lock:
+                    is_current = run.incarnation == self.report.incarnation
+                    known = self.table.runs_by_task.get(run.assignment.task) is run
+                    if not is_current or not known or not run.needs_call:
+                        run.is_driven = False
+                        return
+                try:
+                    (self._stop_run if run.wants_stop else self._start_run)(run)
+                except ExecutorUnreachableError as error:
+                    if not run.wants_stop:
+                        run.unanswered += 1
+                    logger.warning(
+                        "event=executor_silent task=%s run=%d stop=%s error=%s",
+                        run.assignment.task,
+                        run.assignment.run,
+                        run.wants_stop,
+                        error,
+                    )
+                    self._stop.wait(RETRY_DELAY_S)
+                except OtherIncarnationError:
+                    self._stop.wait(RETRY_DELAY_S)
+        except Exception:
+            logger.exception("event=run_failed task=%s", run.assignment.task)
+            raise
+
+    def _start_run(self, run: Run) -> None:
+        item = run.assignment
+        if self.report.state is not WorkerState.READY and not run.unanswered:
+            self._reject(run, "the executor drains")
+            return
+        with self._lock:
+            deadline_ms = self._deadline_ms()
+            fence = self.report.fence
+        if deadline_ms is None:
+            self._stop.wait(RETRY_DELAY_S)
+            return
+        answer = self._executor.start(
+            StartOrder(
+                task=item.task,
+                run=item.run,
+                payload=item.payload,
+                checkpoint=item.checkpoint,
+                ticket=item.ticket,
+                deadline_ms=deadline_ms,
+                fence=fence,
+                incarnation=run.incarnation,
+            )
+        )
+        now = self._clock.monotonic()
+        logger.info("event=start task=%s run=%d answer=%s", item.task, item.run, answer.value)
+        with self._lock:
+            if answer is StartAnswer.STARTED:
+                run.started_at = now
+            elif answer is StartAnswer.OUTDATED:
+                run.closed_at = now
+            elif answer is StartAnswer.FENCED:
+                self._is_registered = False
+                self._lock.notify_all()
+        if answer is StartAnswer.UNHEALTHY and run.unanswered < UNHEALTHY_TRIES:
+            run.unanswered += 1
+            self._stop.wait(RETRY_DELAY_S)
+        elif answer not in (StartAnswer.STARTED, StartAnswer.OUTDATED, StartAnswer.FENCED):
+            self._reject(run, answer.value)
+
+    def _reject(self, run: Run, reason: str) -> None:
+        """Report that a run was not started, once no earlier call can start it."""
+        with self._lock:
+            run.rejection = reason
+            if run.unanswered:
+                run.wants_stop = True
+            else:
+                self.table.end(run, EndKind.REJECTED, "", reason)
+                self._lock.notify_all()
+
+    def _stop_run(self, run: Run) -> None:
+        item = run.assignment
+        answered = self._executor.stop(item.task, item.run, self.report.fence, run.incarnation)
+        logger.info("event=stop task=%s run=%d answered=%s", item.task, item.run, answered)
+        with self._lock:
+            if answered:
+                run.closed_at = self._clock.monotonic()
+            else:
+                self._is_registered = False
+                self._lock.notify_all()
+        if not answered:
+            self._stop.wait(RETRY_DELAY_S)
+
+    # The executor's lease and ends.
+
+    def _hold_forever(self) -> None:
+        while not self._stop.is_set():
+            with self._lock:
+                if not self._is_registered or self.report.state is WorkerState.GONE:
+                    self._lock.wait(HOLD_WAIT_S)
+                    continue
+                incarnation, fence = self.report.incarnation, self.report.fence
+                deadline_ms = self._deadline_ms()
+                seen = self._durable_seen
+                closing = any(r.closed_at is not None for r in self.table.runs_by_task.values())
+            sent_at = self._clock.monotonic()
+            try:
+                status = self._executor.hold(
+                    fence=fence,
+                    seen=seen,
+                    deadline_ms=deadline_ms,
+                    wait_s=0.1 if closing else HOLD_WAIT_S,
+                    incarnation=incarnation,
+                )
+                self._take_status(status, sent_at)
+            except PermissionError:
+                logger.warning("event=fenced target=%s fence=%d", self._worker, fence)
+                with self._lock:
+                    self._is_registered = False
+                    self._lock.notify_all()
+                self._stop.wait(RETRY_DELAY_S)
+            except (ExecutorUnreachableError, OtherIncarnationError) as error:
+                self._note_silence(str(error))
+                self._stop.wait(RETRY_DELAY_S)
+
+    def _take_status(self, status: ExecutorStatus, sent_at: float) -> None:
+        with self._lock:
+            if status.incarnation != self.report.incarnation:
+                return
+            self._set_clock(status.clock_ms)
+            if self.table.take_status(status, sent_at):
+                self._lock.notify_all()
+            self._drive()
+
+    def _note_silence(self, reason: str) -> None:
+        """Report the executor as gone once the last lease that it can have has passed."""
+        with self._lock:
+            if self._clock.monotonic() > self._lapses_at and self.report.state != WorkerState.GONE:
+                logger.warning("event=executor_lost target=%s error=%s", self._worker, reason)
+                self.report.state = WorkerState.GONE
+                self._beat_number = -1
+                self.table.forget()
+                self._lock.notify_all()
+
+    # The report in the store.
+
+    def _report_forever(self) -> None:
+        self._orders.is_loaded.wait()
+        while not self._stop.is_set():
+            with self._lock:
+                if not self._has_news():
+                    self._lock.wait(HOLD_WAIT_S)
+                    continue
+            self._stop.wait(GATHER_S)
+            try:
+                if self._is_registered:
+                    self._write_report()
+                else:
+                    self._register()
+            except StoreUnavailableError as error:
+                logger.warning("event=report_failed target=%s error=%s", self._worker, error)
+                self._stop.wait(RETRY_DELAY_S)
+
+    def _has_news(self) -> bool:
+        if not self.report.incarnation:
+            return False
+        return not self._is_registered or self._current_report() != self._written
+
+    def _current_report(self) -> WorkerReport:
+        return msgspec.structs.replace(
+            self.report, ends=list(self.table.ends), seen=self.table.seen
+        )
+
+    def _register(self) -> None:
+        """Take the next fencing token, and go on from what was reported last.
+
+        The token keeps out the calls of an earlier agent, and those that an earlier life of the
+        executor has not received yet.
+        """
+        item = self._store.read(report_key(self._worker))
+        old = WorkerReport()
+        if item is not None and item.value:
+            try:
+                old = decode(item.value, WorkerReport)
+            except msgspec.DecodeError as error:
+                logger.warning("event=report_unreadable target=%s error=%s", self._worker, error)
+        with self._lock:
+            self.report.fence = max(old.fence, self.report.fence) + 1
+            for end in old.ends:
+                if end not in self.table.ends:
+                    self.table.ends.append(end)
+            if old.incarnation == self.report.incarnation:
+                self.table.seen = max(self.table.seen, old.seen)
+            self._revision = item.revision if item is not None else ABSENT
+            incarnation = self.report.incarnation
+        if not self._write_report():
+            return
+        with self._lock:
+            if self.report.incarnation != incarnation:
+                return
+            self._is_registered = True
+            logger.info(
+                "event=registered target=%s incarnation=%s fence=%d",
+                self._worker,
+                incarnation,
+                self.report.fence,
+            )
+            self.table.put_order(self.table.order, incarnation)
+            self._lock.notify_all()
+            self._drive()
+
+    def _write_report(self) -> bool:
+        """Write the report if it is still the one written last by this agent."""
+        with self._lock:
+            report = self._current_report()
+        key = report_key(self._worker)
+        value = encode(report)
+        answer = self._store.commit(
+            Write(expected={key: self._revision}, values={key: value}), timeout_s=COMMIT_TIMEOUT_S
+        )
+        if isinstance(answer, Conflict):
+            item = answer.items.get(key)
+            if item is None or item.value != value:
+                logger.warning("event=report_conflict target=%s", self._worker)
+                with self._lock:
+                    self._revision = ABSENT
+                    self._is_registered = False
+                return False
+            self._revision = item.revision
+        else:
+            self._revision = Revision(answer.revision)
+        with self._lock:
+            self._written = report
+            if report.incarnation == self.report.incarnation:
+                self._durable_seen = report.seen
+        return True
+
+    def _keep_presence(self) -> None:
+        delay_s = 0.0
+        while not self._stop.wait(delay_s):
+            sent_at = self._clock.monotonic()
+            try:
+                if not self._lease or not self._store.renew(self._lease):
+                    self._create_presence()
+                self._presence_confirmed_at = sent_at
+                delay_s = PRESENCE_RENEWAL_S
+            except (StoreUnavailableError, LeaseEndedError) as error:
+                logger.warning("event=presence_failed target=%s error=%s", self._worker, error)
+                delay_s = RETRY_DELAY_S
+
+    def _create_presence(self) -> None:
+        self._lease = Lease(0)
+        lease = self._store.grant(PRESENCE_LEASE_S)
+        key = presence_key(self._worker)
+        self._store.commit(
+            Write(values={key: b"1"}, leases={key: lease}), timeout_s=COMMIT_TIMEOUT_S
+        )
+        self._lease = lease
+        logger.info("event=presence target=%s lease=%d", self._worker, lease)
--- /dev/null
+++ b/src/chicorycrank/batch/intake.py
@@ -0,0 +1,139 @@
+"""Accepts, cancels and shows batch jobs for callers."""
+
+import logging
+import threading
+from dataclasses import dataclass
+from enum import Enum
+
+from chicorycrank.batch.keys import cancel_key, encode, job_key
+from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.view import SharedView
+from chicorycrank.model.batch import FINAL_BATCH_STATES, BatchState, Submission
+from chicorycrank.model.ids import JobId
+from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.transactions import (
+    ABSENT,
+    Conflict,
+    StoreUnavailableError,
+    TransactionalStore,
+    Write,
+)
+
+ATTEMPT_TIMEOUT_S = 0.8
+RETRY_DELAY_S = 0.1
+# A write that the store refuses is repeated this long; the caller is told to come back after it.
+REFUSED_LIMIT_S = 0.5
+# Time kept for the answer to reach the caller before its deadline.
+ANSWER_MARGIN_S = 0.3
+
+logger = logging.getLogger("absl")
+
+
+class Outcome(Enum):
+    """What became of a call."""
+
+    DONE = "done"
+    NOT_DONE = "not-done"  # it had no effect and never will
+    UNKNOWN = "unknown"  # it may have or get an effect
+    ABSENT = "absent"
+
+
+@dataclass(frozen=True, slots=True)
+class StateAnswer:
+    """State of a job; None unless the outcome is ``DONE``."""
+
+    outcome: Outcome
+    state: BatchState | None = None
+
+
+class Intake:
+    """Writes submissions and cancellations to the store before they are acknowledged.
+
+    :param replica: keeps ``view`` current
+    """
+
+    def __init__(
+        self, store: TransactionalStore, view: SharedView, replica: Replica, clock: Clock
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._replica = replica
+        self._clock = clock
+        self._pause = threading.Event()
+
+    def submit(self, job: Submission, deadline_at: float) -> Outcome:
+        """Store a job; a job of the same id is the same job.
+
+        :param deadline_at: monotonic time until which the caller waits
+        """
+        if self._view.state_of(job.job_id) is not None:
+            return Outcome.DONE
+        outcome = self._create(job_key(job.job_id), encode(job), deadline_at)
+        if outcome is Outcome.DONE:
+            with self._view.lock:
+                self._view.jobs_by_id.setdefault(job.job_id, job)
+        logger.info(
+            "event=job_submitted job=%s team=%s queue=%s generation=%s outcome=%s",
+            job.job_id,
+            job.team,
+            job.queue.queue_id,
+            self._view.config.config.version if self._view.config.config else "",
+            outcome.value,
+        )
+        return outcome
+
+    def cancel(self, job_id: JobId, deadline_at: float) -> Outcome:
+        """Store that a job is cancelled."""
+        answer = self.state(job_id)
+        if answer.outcome is not Outcome.DONE or answer.state in FINAL_BATCH_STATES:
+            return answer.outcome
+        outcome = self._create(cancel_key(job_id), b"1", deadline_at)
+        if outcome is Outcome.DONE:
+            with self._view.lock:
+                self._view.cancelled.add(job_id)
+        logger.info("event=job_cancel job=%s outcome=%s", job_id, outcome.value)
+        return outcome
+
+    def state(self, job_id: JobId) -> StateAnswer:
+        """Return the state of a job; the store is asked for one that is not known here."""
+        state = self._view.state_of(job_id)
+        if state is not None:
+            return StateAnswer(Outcome.DONE, state)
+        try:
+            item = self._store.read(job_key(job_id))
+        except StoreUnavailableError as error:
+            logger.warning("event=job_state_unknown job=%s error=%s", job_id, error)
+            return StateAnswer(Outcome.NOT_DONE)
+        if item is None:
+            return StateAnswer(Outcome.ABSENT)
+        self._view.apply([item])
+        return StateAnswer(Outcome.DONE, self._view.state_of(job_id) or BatchState.QUEUED)
+
+    def _create(self, key: str, value: bytes, deadline_at: float) -> Outcome:
+        """Create a key unless it exists.
+
+        An attempt without an answer may still take effect, so only attempts that certainly had
+        none allow ``NOT_DONE``.
+        """
+        started_at = self._clock.monotonic()
+        if self._replica.failed_since is not None:
+            return Outcome.NOT_DONE
+        may_be_done = False
+        while True:
+            left_s = deadline_at - ANSWER_MARGIN_S - self._clock.monotonic()
+            if left_s <= 0:
+                break
+            try:
+                write = Write(expected={key: ABSENT}, values={key: value})
+                answer = self._store.commit(write, timeout_s=min(ATTEMPT_TIMEOUT_S, left_s))
+            except StoreUnavailableError as error:
+                may_be_done = may_be_done or not error.not_done
+            else:
+                if isinstance(answer, Conflict) and key not in answer.items:
+                    logger.warning("event=conflict_without_key key=%s", key)
+                return Outcome.DONE
+            waited_s = self._clock.monotonic() - started_at
+            if not may_be_done and waited_s >= REFUSED_LIMIT_S:
+                break
+            self._pause.wait(RETRY_DELAY_S)
+        return Outcome.UNKNOWN if may_be_done else Outcome.NOT_DONE
--- /dev/null
+++ b/src/chicorycrank/batch/leases.py
@@ -0,0 +1,26 @@
+"""Times that agents and the leader have to agree on, in seconds.
+
+An agent extends the lease of its executor while its own presence in the store was confirmed not
+longer than ``AUTHORITY_S`` ago. The leader therefore knows when nothing can be running on a
+worker that it does not hear of.
+"""
+
+PRESENCE_LEASE_S = 3.0
+PRESENCE_RENEWAL_S = 1.0
+# Outages of the store and cuts of single machines last up to about 12 s; work runs on meanwhile.
+AUTHORITY_S = 14.0
+# An agent that restarts is back within 2 s; the executor ends everything after this time.
+EXECUTOR_LEASE_S = 5.0
+# The executor's clock may be this much slower than real time.
+CLOCK_ERROR = 0.02
+MARGIN_S = 1.0
+
+
+def executor_lease_s(max_lease_s: float) -> float:
+    """Return the lease that agents give, below what the executor allows."""
+    return min(EXECUTOR_LEASE_S, 0.8 * max_lease_s)
+
+
+def lost_after_s(max_lease_s: float) -> float:
+    """Return the time after an agent's presence ended at which its executor runs nothing."""
+    return AUTHORITY_S + executor_lease_s(max_lease_s) * (1 + CLOCK_ERROR) + MARGIN_S
--- /dev/null
+++ b/src/chicorycrank/batch/planner.py
@@ -0,0 +1,507 @@
+"""Plans which units run where: the state of the leader, without calls to anything.
+
+The planner holds the jobs, the workers and the scheduling core's cell. Its caller passes in what
+changed, asks for a plan and writes the changed records.
+"""
+
+import logging
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from chicorycrank.batch.shapes import UnitShapes
+from chicorycrank.batch.units import (
+    ENDED,
+    UnitRef,
+    begin_run,
+    is_complete,
+    next_due_ms,
+    note_end,
+    parse_unit,
+    waiting_units,
+)
+from chicorycrank.model.batch import (
+    FINAL_BATCH_STATES,
+    Assignment,
+    BatchState,
+    BatchTeam,
+    EndKind,
+    Place,
+    Progress,
+    Queue,
+    Step,
+    Submission,
+    TaskEnd,
+    Unit,
+    UnitState,
+    WorkerReport,
+    WorkOrder,
+)
+from chicorycrank.model.batch import WorkerState as ExecutorState
+from chicorycrank.model.config import Team
+from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId, ZoneId
+from chicorycrank.model.jobs import MemberPlacement, WorkKind
+from chicorycrank.policy.cell import Cell, RunningJob, WorkerState
+from chicorycrank.policy.decide import Decision, Evict, Start, decide
+from chicorycrank.policy.placement import placement_of
+from chicorycrank.policy.pool import Spot
+from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
+
+# Jobs here run for seconds, so a worker is tried again after seconds.
+SHORT_JOBS = QuarantineRules(
+    strikes=2, same_job_strikes=2, probe_delay_min_s=3.0, probe_delay_max_s=12.0
+)
+# A worker that refused a start is left alone until its report is likely to be current.
+REJECTED_PAUSE_S = 0.5
+MAX_PASSES = 8  # bounds the time of one plan
+
+logger = logging.getLogger("absl")
+
+
+@dataclass(kw_only=True)
+class Worker:
+    """A worker as its agent reports it.
+
+    :param absent_since: monotonic time at which its agent's presence ended; None if present
+    :param paused_until: monotonic time until which it gets no new work
+    """
+
+    report: WorkerReport
+    absent_since: float | None = None
+    paused_until: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Changes:
+    """Records that a plan has changed."""
+
+    jobs: set[JobId] = field(default_factory=set)
+    workers: set[TargetId] = field(default_factory=set)
+
+    def __bool__(self) -> bool:
+        return bool(self.jobs or self.workers)
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A member of a unit on a worker."""
+
+    ref: UnitRef
+    member: int
+
+
+class Planner:
+    """State and decisions of the leader; one thread at a time.
+
+    :param now_s: monotonic time in seconds at the start of the term
+    """
+
+    def __init__(self, shapes: UnitShapes, now_s: float) -> None:
+        self.cell = Cell()
+        self.shapes = shapes
+        self.now_s = now_s
+        self.now_ms = 0
+        self.changes = Changes()
+        self.jobs_by_id: dict[JobId, Submission] = {}
+        self.progress_by_id: dict[JobId, Progress] = {}
+        self.active: dict[JobId, None] = {}
+        self.cancelled: set[JobId] = set()
+        self.workers_by_id: dict[TargetId, Worker] = {}
+        self.runs_by_worker: dict[TargetId, dict[TaskId, Run]] = {}
+        self.queues_by_id: Mapping[QueueId, Queue] = {}
+        self.quota_by_team: dict[TeamId, int] = {}
+        self.tickets_by_step: dict[str, dict[TargetId, str]] = {}
+        self.fresh_tickets: set[str] = set()
+        self.quarantine = Quarantine(lambda: self.now_s, SHORT_JOBS)
+
+    # What changed.
+
+    def set_time(self, now_s: float, now_ms: int) -> None:
+        """Set monotonic time in seconds and Unix time in milliseconds."""
+        self.now_s, self.now_ms = now_s, now_ms
+
+    def set_config(self, queues: Mapping[QueueId, Queue], teams: Iterable[BatchTeam]) -> None:
+        """Put queues and quotas in force."""
+        self.queues_by_id = queues
+        self.quota_by_team = {team.team: team.quota for team in teams}
+        self.cell.set_config({team: Team() for team in self.quota_by_team}, {})
+
+    def put_job(self, job: Submission, progress: Progress | None) -> None:
+        """Add a job; its running units take their places again."""
+        if job.job_id in self.jobs_by_id:
+            return
+        self.jobs_by_id[job.job_id] = job
+        self.progress_by_id[job.job_id] = progress = progress or Progress()
+        for key, unit in progress.units.items():
+            if unit.places:
+                self._occupy(parse_unit(job.job_id, key), unit)
+        if progress.state not in FINAL_BATCH_STATES:
+            self.active[job.job_id] = None
+
+    def forget_job(self, job_id: JobId) -> None:
+        """Forget a job that has ended and holds nothing."""
+        self.jobs_by_id.pop(job_id, None)
+        self.progress_by_id.pop(job_id, None)
+        self.active.pop(job_id, None)
+        self.cancelled.discard(job_id)
+
+    def cancel(self, job_id: JobId) -> None:
+        """Stop whatever a job runs and start nothing more of it."""
+        self.cancelled.add(job_id)
+        progress = self.progress_by_id.get(job_id)
+        if progress is not None and progress.state not in FINAL_BATCH_STATES:
+            self._end_job(job_id, BatchState.CANCELLED, "cancelled")
+
+    def put_report(self, worker: TargetId, report: WorkerReport) -> None:
+        """Take over a worker's report and the ends in it."""
+        known = self.workers_by_id.get(worker)
+        if known is None:
+            known = self.workers_by_id[worker] = Worker(report=report, absent_since=self.now_s)
+        known.report = report
+        for end in report.ends:
+            self.note_end(worker, end)
+        gone = report.state is ExecutorState.GONE
+        for task, run in list(self.runs_by_worker.get(worker, {}).items()):
+            place = self._unit(run.ref).places[run.member]
+            if gone or place.incarnation != report.incarnation:
+                self._lose(worker, task, run)
+        self._restart_suspects(worker, report)
+        self._put_in_cell(worker)
+        if report.state is ExecutorState.DRAINING:
+            self._evacuate(worker, report)
+
+    def forget_report(self, worker: TargetId) -> None:
+        """Forget a worker whose report is gone; what ran there stays until it is lost."""
+        known = self.workers_by_id.get(worker)
+        if known is not None:
+            known.report.state = ExecutorState.GONE
+            self._put_in_cell(worker)
+
+    def set_present(self, worker: TargetId, present: bool) -> None:
+        """Note that an agent's presence began or ended."""
+        known = self.workers_by_id.get(worker)
+        if known is None:
+            known = self.workers_by_id[worker] = Worker(report=WorkerReport())
+        if present:
+            known.absent_since = None
+        elif known.absent_since is None:
+            known.absent_since = self.now_s
+        self._put_in_cell(worker)
+
+    def lose_worker(self, worker: TargetId) -> None:
+        """Note that nothing can be running on a worker any more."""
+        for task, run in list(self.runs_by_worker.get(worker, {}).items()):
+            self._lose(worker, task, run)
+
+    def note_end(self, worker: TargetId, end: TaskEnd) -> None:
+        """Note the end of a run that the records still hold on a worker.
+
+        Runs of a task have different numbers, so an end of an earlier life of the executor
+        cannot be taken for that of a later run.
+        """
+        run = self.runs_by_worker.get(worker, {}).get(end.task)
+        if run is None:
+            return
+        unit = self._unit(run.ref)
+        if unit.run != end.run:
+            return
+        self._note_end(worker, run, unit, end)
+
+    # Decisions.
+
+    def plan(self) -> None:
+        """Decide what starts and what is stopped; :attr:`changes` says which records changed."""
+        for worker, known in self.workers_by_id.items():
+            if worker in self.cell.workers_by_id:
+                self._set_available(worker, known)
+        for _ in range(MAX_PASSES):
+            refs = list(self._waiting())
+            queue = [self.shapes.queued(self, ref) for ref in refs]
+            self.cell.protected = self.shapes.protected(self)
+            decisions = decide(self.cell, self.shapes.one_per_step(self, queue), self.now_s)
+            refs_by_name = {ref.name: ref for ref in refs}
+            progressed = False
+            for decision in decisions:
+                progressed = self._apply(decision, refs_by_name) or progressed
+            if not progressed:
+                return
+
+    def next_due_ms(self) -> int | None:
+        """Return the Unix time in milliseconds of the next occurrence of a job."""
+        dues = (next_due_ms(self.jobs_by_id[job_id], self.now_ms) for job_id in self.active)
+        return min((due for due in dues if due is not None), default=None)
+
+    def order_for(self, worker: TargetId) -> WorkOrder:
+        """Return all that may run on a worker."""
+        assignments = []
+        incarnation = Incarnation("")
+        for task, run in self.runs_by_worker.get(worker, {}).items():
+            unit = self._unit(run.ref)
+            step = self.step_of(run.ref)
+            incarnation = unit.places[run.member].incarnation
+            stop = unit.state is not UnitState.ASSIGNED
+            ticket = self.tickets_by_step.get(run.ref.step_key, {}).get(worker, "")
+            assignments.append(
+                Assignment(
+                    task=task,
+                    run=unit.run,
+                    payload="" if stop else self.jobs_by_id[run.ref.job_id].payload,
+                    checkpoint=unit.checkpoint,
+                    ticket=ticket,
+                    stop=stop,
+                    long_running=step.long_running,
+                    fills=step.fills,
+                    target_latency_s=step.target_latency_s,
+                )
+            )
+        return WorkOrder(incarnation=incarnation, assignments=tuple(assignments))
+
+    def queue_of(self, job: Submission) -> Queue:
+        """Return a job's queue as it is now, or as it was if it is gone."""
+        return self.queues_by_id.get(job.queue.queue_id, job.queue)
+
+    def step_of(self, ref: UnitRef) -> Step:
+        """Return the step of a unit."""
+        return self.jobs_by_id[ref.job_id].steps[ref.step]
+
+    def running_of_step(self, ref: UnitRef) -> Iterator[tuple[UnitRef, Unit]]:
+        """Yield the units of a unit's step and occurrence that hold places."""
+        step = self.step_of(ref)
+        indexes = (None,) if step.gang else range(step.count)
+        units = self.progress_by_id[ref.job_id].units
+        for index in indexes:
+            other = UnitRef(ref.job_id, ref.occurrence, ref.step, index)
+            unit = units.get(other.key)
+            if unit is not None and unit.places:
+                yield other, unit
+
+    def _waiting(self) -> Iterator[UnitRef]:
+        for job_id in self.active:
+            job = self.jobs_by_id[job_id]
+            yield from waiting_units(job, self.progress_by_id[job_id], self.now_ms)
+
+    def _apply(self, decision: Decision, refs_by_name: Mapping[JobId, UnitRef]) -> bool:
+        """Apply a decision; false if it only waits."""
+        match decision:
+            case Start():
+                ref = refs_by_name[decision.job_id]
+                self._start(ref, decision)
+                return True
+            case Evict():
+                running = self.cell.running_by_id.get(decision.job_id)
+                if running is None:
+                    return False
+                job_id, _, key = decision.job_id.partition(".")
+                ref = parse_unit(JobId(job_id), key)
+                self.stop(ref, f"{decision.cause.value} for {decision.for_job}")
+                return True
+
+    def _start(self, ref: UnitRef, decision: Start) -> None:
+        progress = self.progress_by_id[ref.job_id]
+        unit = progress.units.setdefault(ref.key, Unit())
+        places = [
+            Place(member.worker, self.workers_by_id[member.worker].report.incarnation)
+            for member in decision.placement
+        ]
+        begin_run(unit, places, self.now_ms)
+        progress.state = BatchState.RUNNING
+        self.quarantine.begin(ref.job_id, decision.placement)
+        self.cell.start(
+            RunningJob(
+                job=self.shapes.queued(self, ref),
+                placement=decision.placement,
+                kind=WorkKind.BORROWED,
+                started_s=self.now_s,
+                backfill=decision.backfill,
+            )
+        )
+        self._index(ref, unit)
+        self.changes.jobs.add(ref.job_id)
+        logger.info(
+            "event=unit_started job=%s unit=%s run=%d workers=%s checkpoint=%s",
+            ref.job_id,
+            ref.key,
+            unit.run,
+            ",".join(place.worker for place in places),
+            unit.checkpoint,
+        )
+
+    def stop(self, ref: UnitRef, reason: str) -> None:
+        """Stop a running unit; it waits again once all members have ended."""
+        unit = self._unit(ref)
+        if unit.state is not UnitState.ASSIGNED:
+            return
+        unit.state = UnitState.STOPPING
+        self.cell.mark_stopping(ref.name)
+        self.changes.jobs.add(ref.job_id)
+        self.changes.workers.update(place.worker for place in unit.places if place != ENDED)
+        logger.info(
+            "event=unit_stopped job=%s unit=%s run=%d reason=%s",
+            ref.job_id,
+            ref.key,
+            unit.run,
+            reason,
+        )
+
+    # Places.
+
+    def _unit(self, ref: UnitRef) -> Unit:
+        return self.progress_by_id[ref.job_id].units[ref.key]
+
+    def _index(self, ref: UnitRef, unit: Unit) -> None:
+        tasks = ref.tasks(self.step_of(ref))
+        for member, (task, place) in enumerate(zip(tasks, unit.places, strict=True)):
+            if place != ENDED:
+                self.runs_by_worker.setdefault(place.worker, {})[task] = Run(ref, member)
+                self.changes.workers.add(place.worker)
+
+    def _occupy(self, ref: UnitRef, unit: Unit) -> None:
+        """Give a unit of the records its place in the cell."""
+        self._index(ref, unit)
+        size = self.step_of(ref).accelerators
+        spots: list[Spot] = []
+        taken: dict[TargetId, int] = {}
+        for place in unit.places:
+            if place == ENDED:
+                continue
+            used = taken.get(place.worker, 0)
+            for mask in self.cell.masks_by_worker.get(place.worker, {}).values():
+                used |= mask
+            step = 1 << max(0, size - 1).bit_length()
+            start = 0
+            while used >> start & ((1 << size) - 1):
+                start += step
+            mask = ((1 << size) - 1) << start
+            taken[place.worker] = taken.get(place.worker, 0) | mask
+            spots.append((place.worker, mask))
+        self.cell.start(
+            RunningJob(
+                job=self.shapes.queued(self, ref),
+                placement=placement_of(tuple(spots)),
+                kind=WorkKind.BORROWED,
+                started_s=self.now_s - max(0, self.now_ms - unit.started_at_ms) / 1000,
+                stopping=unit.state is not UnitState.ASSIGNED,
+            )
+        )
+
+    def _lose(self, worker: TargetId, task: TaskId, run: Run) -> None:
+        unit = self._unit(run.ref)
+        end = TaskEnd(task, unit.run, EndKind.LOST)
+        self._note_end(worker, run, unit, end)
+
+    def _note_end(self, worker: TargetId, run: Run, unit: Unit, end: TaskEnd) -> None:
+        ref = run.ref
+        job = self.jobs_by_id[ref.job_id]
+        step = self.step_of(ref)
+        was_stopping = unit.state is UnitState.STOPPING
+        is_over = note_end(unit, run.member, end, step, self.queue_of(job).max_attempts)
+        self.runs_by_worker[worker].pop(end.task, None)
+        self.changes.jobs.add(ref.job_id)
+        self.changes.workers.add(worker)
+        logger.info(
+            "event=task_ended job=%s task=%s run=%d worker=%s how=%s detail=%s state=%s",
+            ref.job_id,
+            end.task,
+            end.run,
+            worker,
+            end.kind.name.lower(),
+            end.detail,
+            unit.state.name.lower(),
+        )
+        self._judge_worker(worker, ref, end)
+        if unit.state is UnitState.DONE and unit.places:
+            # One end of a gang stands for all; the other members are stopped.
+            self.changes.workers.update(p.worker for p in unit.places if p != ENDED)
+        if is_over:
+            ended = EndKind.DONE.name == unit.outcome
+            workers = [spot[0] for spot in self.cell.spots(ref.name)]
+            self.cell.finish(ref.name, completed=ended and not was_stopping, now_s=self.now_s)
+            for name in set(workers):
+                self.cell.compact(name)
+        self._settle_job(ref.job_id)
+
+    def _judge_worker(self, worker: TargetId, ref: UnitRef, end: TaskEnd) -> None:
+        known = self.workers_by_id.get(worker)
+        if end.kind is EndKind.FAILED:
+            self.quarantine.note_failure(worker, ref.job_id, "failed")
+            return
+        place = MemberPlacement(worker, ())
+        self.quarantine.note_end(ref.job_id, [place], ok=end.kind is EndKind.DONE)
+        if end.kind is EndKind.REJECTED and known is not None:
+            known.paused_until = self.now_s + REJECTED_PAUSE_S
+
+    def _settle_job(self, job_id: JobId) -> None:
+        progress = self.progress_by_id[job_id]
+        if progress.state in FINAL_BATCH_STATES:
+            return
+        if any(unit.state is UnitState.FAILED for unit in progress.units.values()):
+            self._end_job(job_id, BatchState.FAILED, "a task failed too often")
+        elif is_complete(self.jobs_by_id[job_id], progress):
+            self._end_job(job_id, BatchState.COMPLETED, "")
+
+    def _end_job(self, job_id: JobId, state: BatchState, reason: str) -> None:
+        progress = self.progress_by_id[job_id]
+        progress.state, progress.reason, progress.ended_at_ms = state, reason, self.now_ms
+        self.active.pop(job_id, None)
+        self.changes.jobs.add(job_id)
+        for key, unit in progress.units.items():
+            if unit.state is UnitState.ASSIGNED:
+                self.stop(parse_unit(job_id, key), state.name.lower())
+        self.quarantine.note_final(job_id, is_faulty=state is BatchState.FAILED)
+        logger.info("event=job_ended job=%s state=%s reason=%s", job_id, state.name, reason)
+
+    # Workers.
+
+    def _put_in_cell(self, worker: TargetId) -> None:
+        known = self.workers_by_id[worker]
+        report = known.report
+        if not report.incarnation:
+            return
+        old = self.cell.workers_by_id.get(worker)
+        if old is None or (old.accelerators, old.cores, old.memory_gb, old.rack) != (
+            report.accelerators,
+            report.cores,
+            report.memory_mb,
+            report.rack,
+        ):
+            self.cell.put_worker(
+                WorkerState(
+                    worker=worker,
+                    rack=report.rack,
+                    zone=ZoneId(report.zone),
+                    accelerators=report.accelerators,
+                    cores=report.cores,
+                    memory_gb=report.memory_mb,
+                )
+            )
+            self.shapes.forget_workers()
+        self._set_available(worker, known)
+
+    def _set_available(self, worker: TargetId, known: Worker) -> None:
+        available = (
+            known.absent_since is None
+            and known.report.state is ExecutorState.READY
+            and known.paused_until <= self.now_s
+            and not self.quarantine.is_closed(worker)
+        )
+        if self.cell.workers_by_id[worker].available != available:
+            self.cell.set_available(worker, available)
+
+    def _evacuate(self, worker: TargetId, report: WorkerReport) -> None:
+        """Stop work that a draining executor would otherwise end, if that saves progress."""
+        for run in list(self.runs_by_worker.get(worker, {}).values()):
+            step = self.step_of(run.ref)
+            unit = self._unit(run.ref)
+            if unit.state is not UnitState.ASSIGNED:
+                continue
+            left_s = step.run_time_s - (self.now_ms - unit.started_at_ms) / 1000
+            fits = left_s * 1000 <= report.remaining_ms and not step.long_running
+            if (step.checkpointing or step.long_running) and not fits:
+                self.stop(run.ref, "the worker drains")
+
+    def _restart_suspects(self, worker: TargetId, report: WorkerReport) -> None:
+        """Stop tasks that make no progress; they go on elsewhere."""
+        for task in report.suspects:
+            run = self.runs_by_worker.get(worker, {}).get(task)
+            if run is not None and self._unit(run.ref).state is UnitState.ASSIGNED:
+                self.quarantine.note_failure(worker, run.ref.job_id, "no progress")
+                self.stop(run.ref, "no progress")
--- /dev/null
+++ b/src/chicorycrank/batch/runs.py
@@ -0,0 +1,148 @@
+"""Runs of tasks on one executor as its agent sees them."""
+
+import logging
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from chicorycrank.model.batch import Assignment, EndKind, TaskEnd, WorkOrder
+from chicorycrank.model.ids import Incarnation, TaskId
+from chicorycrank.ports.executor import ExecutorStatus, RunningTask
+
+# A run that was started has to be listed within this time, otherwise it is taken as lost.
+MISSING_LIMIT_S = 2.0
+
+logger = logging.getLogger("absl")
+
+
+@dataclass(kw_only=True)
+class Run:
+    """A run that the order names or that the executor has.
+
+    :param is_driven: a call for it is under way or about to be made
+    :param unanswered: start calls without an answer; each may still be carried out
+    :param started_at: monotonic time of the answer to its start
+    :param closed_at: monotonic time from which the executor rejects it if it is not there
+    :param rejection: reason of the executor for not starting it
+    """
+
+    assignment: Assignment
+    incarnation: Incarnation
+    wants_stop: bool = False
+    is_driven: bool = False
+    unanswered: int = 0
+    started_at: float | None = None
+    closed_at: float | None = None
+    rejection: str = ""
+    checkpoint: str = ""
+    seen_running: bool = False
+
+    @property
+    def needs_call(self) -> bool:
+        """Whether a start or a stop has to be sent."""
+        if self.closed_at is not None:
+            return False
+        return self.wants_stop or self.started_at is None
+
+
+class RunTable:
+    """Runs of one incarnation of an executor, and the ends that have to be reported."""
+
+    def __init__(self) -> None:
+        self.runs_by_task: dict[TaskId, Run] = {}
+        self.order = WorkOrder(incarnation=Incarnation(""))
+        self.ends: list[TaskEnd] = []
+        self.seen = 0
+
+    def put_order(self, order: WorkOrder, incarnation: Incarnation) -> None:
+        """Take over what may run; ends that the order no longer names are noted and dropped."""
+        self.order = order
+        named = {(item.task, item.run) for item in order.assignments}
+        self.ends = [end for end in self.ends if (end.task, end.run) in named]
+        if order.incarnation != incarnation:
+            return
+        ended = {(end.task, end.run) for end in self.ends}
+        for item in order.assignments:
+            run = self.runs_by_task.get(item.task)
+            if run is None and (item.task, item.run) not in ended:
+                self.runs_by_task[item.task] = Run(
+                    assignment=item, incarnation=incarnation, wants_stop=item.stop
+                )
+            elif run is not None and run.assignment.run == item.run:
+                run.wants_stop = run.wants_stop or item.stop
+        for run in self.runs_by_task.values():
+            if (run.assignment.task, run.assignment.run) not in named:
+                run.wants_stop = True
+
+    def forget(self) -> None:
+        """Forget all runs, as the executor that had them is gone."""
+        self.runs_by_task.clear()
+        self.seen = 0
+
+    def to_drive(self) -> list[Run]:
+        """Return the runs that need a call and have none under way, and mark them."""
+        runs = [run for run in self.runs_by_task.values() if run.needs_call and not run.is_driven]
+        for run in runs:
+            run.is_driven = True
+        return runs
+
+    def end(self, run: Run, kind: EndKind, checkpoint: str, detail: str = "") -> None:
+        """Note that a run has ended."""
+        item = run.assignment
+        if self.runs_by_task.get(item.task) is run:
+            del self.runs_by_task[item.task]
+        self._add(TaskEnd(item.task, item.run, kind, checkpoint, detail))
+
+    def take_status(self, status: ExecutorStatus, sent_at: float) -> bool:
+        """Take over what an executor runs and what has ended.
+
+        :param sent_at: monotonic time at which the call was sent
+        :returns: whether there are new ends
+        """
+        count = len(self.ends)
+        for numbered in status.ends:
+            if numbered.number <= self.seen:
+                continue
+            self.seen = numbered.number
+            end = numbered.end
+            run = self.runs_by_task.get(end.task)
+            if run is not None and run.assignment.run == end.run:
+                del self.runs_by_task[end.task]
+            self._add(end)
+        self._take_running(status.running, status.incarnation)
+        running = {(row.task, row.run) for row in status.running}
+        for run in list(self.runs_by_task.values()):
+            if (run.assignment.task, run.assignment.run) not in running:
+                self._settle_missing(run, sent_at)
+        return len(self.ends) != count
+
+    def _take_running(self, rows: Sequence[RunningTask], incarnation: Incarnation) -> None:
+        named = {(item.task, item.run): item for item in self.order.assignments}
+        for row in rows:
+            run = self.runs_by_task.get(row.task)
+            if run is not None and run.assignment.run == row.run:
+                run.checkpoint = row.checkpoint or run.checkpoint
+                run.seen_running = True
+            elif run is None:
+                item = named.get((row.task, row.run))
+                logger.info(
+                    "event=run_found task=%s run=%d known=%s", row.task, row.run, bool(item)
+                )
+                self.runs_by_task[row.task] = Run(
+                    assignment=item or Assignment(task=row.task, run=row.run),
+                    incarnation=incarnation,
+                    wants_stop=item is None or item.stop,
+                    started_at=0.0,
+                    seen_running=True,
+                )
+
+    def _settle_missing(self, run: Run, sent_at: float) -> None:
+        """End a run that is neither running nor ended and cannot begin any more."""
+        if run.closed_at is not None and run.closed_at < sent_at:
+            kind = EndKind.REJECTED if run.rejection else EndKind.STOPPED
+            self.end(run, kind, run.checkpoint, run.rejection)
+        elif run.started_at is not None and run.started_at + MISSING_LIMIT_S < sent_at:
+            run.wants_stop = True
+
+    def _add(self, end: TaskEnd) -> None:
+        if not any(known.task == end.task and known.run == end.run for known in self.ends):
+            self.ends.append(end)
--- /dev/null
+++ b/src/chicorycrank/batch/shapes.py
@@ -0,0 +1,180 @@
+"""Translates units into the queued jobs of the scheduling core."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from chicorycrank.batch.units import ENDED, UnitRef
+from chicorycrank.model.batch import Queue, Step, Submission, WorkerReport
+from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
+from chicorycrank.model.jobs import Adjacency, GangShape
+from chicorycrank.policy.cell import QueuedJob
+from chicorycrank.policy.placement import PlacementRule
+
+if TYPE_CHECKING:
+    from chicorycrank.batch.planner import Planner
+
+URGENT_PRIORITY = 0
+# Long-running tasks hold their place for longer than anything else takes.
+LONG_RUNNING_S = 3600.0
+# How long a unit waits for the rack of its data, as a share of its declared run time.
+DATA_RACK_WAIT_SHARE = 0.5
+
+
+class UnitShapes:
+    """Shapes and placement rules of units.
+
+    :param checkpoint_s: time between checkpoints in seconds
+    """
+
+    def __init__(self, checkpoint_s: float) -> None:
+        self._checkpoint_s = checkpoint_s
+        self._workers_by_label: dict[tuple[str, str], frozenset[TargetId]] = {}
+
+    def forget_workers(self) -> None:
+        """Forget which workers have which labels, after one was added or changed."""
+        self._workers_by_label.clear()
+
+    def queued(self, planner: Planner, ref: UnitRef) -> QueuedJob:
+        """Return a unit as the core sees it."""
+        job = planner.jobs_by_id[ref.job_id]
+        queue = planner.queue_of(job)
+        step = job.steps[ref.step]
+        waited_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
+        run_time_s = LONG_RUNNING_S if step.long_running else step.run_time_s
+        return QueuedJob(
+            job_id=ref.name,
+            team=job.team,
+            shape=self._shape(planner, step),
+            run_time_s=run_time_s,
+            submitted_s=planner.now_s - waited_s,
+            urgent=queue.priority == URGENT_PRIORITY,
+            checkpointable=step.checkpointing,
+            priority=queue.priority,
+            rule=self._rule(planner, ref, step, queue, waited_s),
+            restart_s=self._checkpoint_s,
+            pinned=step.long_running and step.max_unavailable > 0,
+        )
+
+    def protected(self, planner: Planner) -> frozenset[JobId]:
+        """Return the units of urgent jobs inside the quota of their team."""
+        needs: dict[TeamId, list[tuple[int, JobId, int]]] = {}
+        for job_id in planner.active:
+            job = planner.jobs_by_id[job_id]
+            if planner.queue_of(job).priority == URGENT_PRIORITY:
+                need = max(step.count * step.accelerators for step in job.steps)
+                needs.setdefault(job.team, []).append((job.submitted_at_ms, job_id, need))
+        names: set[JobId] = set()
+        for team, jobs in needs.items():
+            left = planner.quota_by_team.get(team, 0)
+            for _, job_id, need in sorted(jobs):
+                if need <= left:
+                    left -= need
+                    names.update(self._unit_names(planner.jobs_by_id[job_id]))
+        return frozenset(names)
+
+    def one_per_step(self, planner: Planner, queue: list[QueuedJob]) -> list[QueuedJob]:
+        """Leave out units whose step limits its tasks on a worker, but for one of each step.
+
+        The limit of the others depends on where the first is placed.
+        """
+        seen: set[str] = set()
+        kept = []
+        for job in queue:
+            job_id, occurrence, number, *_ = job.job_id.split(".")
+            step = planner.jobs_by_id[JobId(job_id)].steps[int(number)]
+            if step.max_per_worker and not step.gang:
+                key = f"{job_id}.{occurrence}.{number}"
+                if key in seen:
+                    continue
+                seen.add(key)
+            kept.append(job)
+        return kept
+
+    @staticmethod
+    def _unit_names(job: Submission) -> list[JobId]:
+        names = []
+        for occurrence in range(max(1, job.repeat_count)):
+            for number, step in enumerate(job.steps):
+                indexes = (None,) if step.gang else range(step.count)
+                names += [UnitRef(job.job_id, occurrence, number, i).name for i in indexes]
+        return names
+
+    @staticmethod
+    def _shape(planner: Planner, step: Step) -> GangShape:
+        shape = GangShape(
+            members=step.count if step.gang else 1,
+            accelerators=step.accelerators,
+            adjacency=Adjacency.ANY,
+            cores=0 if step.fills else step.cores,
+            memory_gb=step.memory_mb,
+        )
+        if shape.members > 1 and step.same_rack and _fits_a_rack(planner, shape):
+            return GangShape(
+                members=shape.members,
+                accelerators=shape.accelerators,
+                adjacency=Adjacency.RACK,
+                cores=shape.cores,
+                memory_gb=shape.memory_gb,
+            )
+        return shape
+
+    def _rule(
+        self, planner: Planner, ref: UnitRef, step: Step, queue: Queue, waited_s: float
+    ) -> PlacementRule:
+        workers = self._labelled(planner, queue.service, step.label)
+        unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
+        if queue.advice is not None:
+            fresh = ref.step_key in planner.fresh_tickets
+            workers &= frozenset(planner.tickets_by_step[ref.step_key] if fresh else ())
+        if unit is not None and unit.failed_on:
+            sound = workers - set(unit.failed_on)
+            workers = sound or workers
+        if step.max_per_worker and not step.gang:
+            counts = Counter(
+                place.worker
+                for _, other in planner.running_of_step(ref)
+                for place in other.places
+                if place != ENDED
+            )
+            workers -= {name for name, count in counts.items() if count >= step.max_per_worker}
+        if step.data_rack and waited_s < DATA_RACK_WAIT_SHARE * step.run_time_s:
+            near = {
+                name
+                for name in workers
+                if planner.workers_by_id[name].report.rack == step.data_rack
+            }
+            workers = frozenset(near) or workers
+        return PlacementRule(
+            workers=None if len(workers) == len(planner.cell.workers_by_id) else workers,
+            max_members=step.max_per_worker if step.gang else 0,
+        )
+
+    def _labelled(self, planner: Planner, service: str, label: str) -> frozenset[TargetId]:
+        key = (service, label)
+        if key not in self._workers_by_label:
+            self._workers_by_label[key] = frozenset(
+                name
+                for name in planner.cell.workers_by_id
+                if _is_suitable(planner.workers_by_id[name].report, service, label)
+            )
+        return self._workers_by_label[key]
+
+
+def _is_suitable(report: WorkerReport, service: str, label: str) -> bool:
+    return report.service == service and (not label or label in report.labels)
+
+
+def _fits_a_rack(planner: Planner, shape: GangShape) -> bool:
+    full = planner.cell.homes.full_by_worker
+    rooms: dict[RackId, int] = {}
+    for name, state in planner.cell.workers_by_id.items():
+        _, cores, memory = full[name]
+        room = state.accelerators // max(1, shape.accelerators)
+        if shape.cores:
+            room = min(room, cores // shape.cores)
+        if shape.memory_gb:
+            room = min(room, memory // shape.memory_gb)
+        rooms[state.rack] = rooms.get(state.rack, 0) + room
+    return max(rooms.values(), default=0) >= shape.members
--- /dev/null
+++ b/src/chicorycrank/batch/units.py
@@ -0,0 +1,206 @@
+"""Units of a batch job, the order of its steps and the effect of an end."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from chicorycrank.model.batch import (
+    BatchState,
+    EndKind,
+    Place,
+    Progress,
+    Step,
+    Submission,
+    TaskEnd,
+    Unit,
+    UnitState,
+)
+from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId
+
+ENDED = Place(TargetId(""), Incarnation(""))
+# The first of these that a member reports is the outcome of the run.
+OUTCOMES_BY_RANK = (EndKind.DONE, EndKind.FAILED)
+
+
+@dataclass(frozen=True, slots=True)
+class UnitRef:
+    """A unit of a job: a gang, or a task outside of gangs.
+
+    :param index: number of the task in its step; None for a gang
+    """
+
+    job_id: JobId
+    occurrence: int
+    step: int
+    index: int | None
+
+    @property
+    def key(self) -> str:
+        """Key of the unit inside its job."""
+        tail = "" if self.index is None else f".{self.index}"
+        return f"{self.occurrence}.{self.step}{tail}"
+
+    @property
+    def name(self) -> JobId:
+        """Name of the unit among all units, for the scheduling core."""
+        return JobId(f"{self.job_id}.{self.key}")
+
+    @property
+    def step_key(self) -> str:
+        """Name of the step and occurrence among all steps."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}"
+
+    def tasks(self, step: Step) -> list[TaskId]:
+        """Return the names of the unit's tasks."""
+        indexes = range(step.count) if self.index is None else (self.index,)
+        return [TaskId(f"{self.step_key}.{index}") for index in indexes]
+
+
+def parse_unit(job_id: JobId, key: str) -> UnitRef:
+    """Return the unit of a key."""
+    occurrence, step, *index = map(int, key.split("."))
+    return UnitRef(job_id, occurrence, step, index[0] if index else None)
+
+
+def find_unit(submission: Submission, task: TaskId) -> tuple[UnitRef, int]:
+    """Return the unit of a task and the number of the member in it."""
+    _, occurrence, step, index = task.split(".")
+    if submission.steps[int(step)].gang:
+        return UnitRef(submission.job_id, int(occurrence), int(step), None), int(index)
+    return UnitRef(submission.job_id, int(occurrence), int(step), int(index)), 0
+
+
+def units_of_step(submission: Submission, occurrence: int, number: int) -> list[UnitRef]:
+    """Return the units of a step."""
+    step = submission.steps[number]
+    indexes = (None,) if step.gang else range(step.count)
+    return [UnitRef(submission.job_id, occurrence, number, index) for index in indexes]
+
+
+def occurrences(submission: Submission) -> int:
+    """Return how many times the steps run."""
+    return max(1, submission.repeat_count)
+
+
+def due_at_ms(submission: Submission, occurrence: int) -> int:
+    """Return the Unix time in milliseconds before which an occurrence does not start."""
+    if submission.repeat_count <= 0:
+        return 0
+    return submission.first_at_ms + occurrence * submission.interval_ms
+
+
+def due_occurrences(submission: Submission, now_ms: int) -> range:
+    """Return the occurrences whose time has come."""
+    if submission.repeat_count <= 0:
+        return range(1)
+    if now_ms < submission.first_at_ms:
+        return range(0)
+    interval_ms = max(1, submission.interval_ms)
+    passed = (now_ms - submission.first_at_ms) // interval_ms + 1
+    return range(min(submission.repeat_count, passed))
+
+
+def next_due_ms(submission: Submission, now_ms: int) -> int | None:
+    """Return when the next occurrence is due, or None after the last one."""
+    number = len(due_occurrences(submission, now_ms))
+    return due_at_ms(submission, number) if number < occurrences(submission) else None
+
+
+def is_step_done(submission: Submission, progress: Progress, occurrence: int, number: int) -> bool:
+    """Whether all tasks of a step have ended as done."""
+    if submission.steps[number].long_running:
+        return False
+    for ref in units_of_step(submission, occurrence, number):
+        unit = progress.units.get(ref.key)
+        if unit is None or unit.state is not UnitState.DONE:
+            return False
+    return True
+
+
+def open_steps(
+    submission: Submission, progress: Progress, now_ms: int
+) -> Iterator[tuple[int, int]]:
+    """Yield occurrence and number of the steps that may run and are not done."""
+    for occurrence in due_occurrences(submission, now_ms):
+        done = [
+            is_step_done(submission, progress, occurrence, number)
+            for number in range(len(submission.steps))
+        ]
+        for number, step in enumerate(submission.steps):
+            if not done[number] and all(done[other] for other in step.after):
+                yield occurrence, number
+
+
+def waiting_units(submission: Submission, progress: Progress, now_ms: int) -> Iterator[UnitRef]:
+    """Yield the units that may start now."""
+    for occurrence, number in open_steps(submission, progress, now_ms):
+        for ref in units_of_step(submission, occurrence, number):
+            unit = progress.units.get(ref.key)
+            if unit is None or (unit.state is UnitState.WAITING and not unit.places):
+                yield ref
+
+
+def is_complete(submission: Submission, progress: Progress) -> bool:
+    """Whether all tasks of all occurrences have ended as done."""
+    return all(
+        is_step_done(submission, progress, occurrence, number)
+        for occurrence in range(occurrences(submission))
+        for number in range(len(submission.steps))
+    )
+
+
+def begin_run(unit: Unit, places: list[Place], now_ms: int) -> None:
+    """Assign a unit to workers under the next run number."""
+    unit.run += 1
+    unit.state = UnitState.ASSIGNED
+    unit.places = places
+    unit.outcome = ""
+    unit.started_at_ms = now_ms
+
+
+def note_end(unit: Unit, member: int, end: TaskEnd, step: Step, max_attempts: int) -> bool:
+    """Note the end of one member of a unit's current run.
+
+    :returns: true if nothing of the run is left
+    """
+    worker = unit.places[member].worker
+    unit.places[member] = ENDED
+    if end.checkpoint:
+        unit.checkpoint = end.checkpoint
+    _note_outcome(unit, end.kind)
+    if end.kind is EndKind.FAILED and worker not in unit.failed_on:
+        unit.failed_on = [*unit.failed_on, worker]
+    if unit.outcome == EndKind.DONE.name and not step.long_running:
+        unit.state = UnitState.DONE
+    if any(place != ENDED for place in unit.places):
+        return False
+    unit.places = []
+    if unit.state is UnitState.DONE:
+        return True
+    if unit.outcome == EndKind.FAILED.name and not step.long_running:
+        unit.failures += 1
+    failed = unit.failures >= max_attempts and not step.long_running
+    unit.state = UnitState.FAILED if failed else UnitState.WAITING
+    return True
+
+
+def _note_outcome(unit: Unit, kind: EndKind) -> None:
+    ranks = [rank.name for rank in OUTCOMES_BY_RANK]
+    if (
+        kind.name in ranks
+        and (unit.outcome not in ranks or ranks.index(kind.name) < ranks.index(unit.outcome))
+    ) or not unit.outcome:
+        unit.outcome = kind.name
+
+
+def shown_state(progress: Progress, *, cancelled: bool) -> BatchState:
+    """Return the state of a job for its caller."""
+    if progress.state in (BatchState.COMPLETED, BatchState.FAILED):
+        return progress.state
+    if cancelled or progress.state is BatchState.CANCELLED:
+        return BatchState.CANCELLED
+    return BatchState.RUNNING if has_begun(progress) else BatchState.QUEUED
+
+
+def has_begun(progress: Progress) -> bool:
+    """Whether a task of the job has been given to a worker."""
+    return any(unit.run for unit in progress.units.values())
--- /dev/null
+++ b/src/chicorycrank/batch/view.py
@@ -0,0 +1,160 @@
+"""What an entry knows of jobs, configuration and the leader."""
+
+import logging
+import threading
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+import msgspec
+
+from chicorycrank.batch.keys import (
+    CANCELS,
+    JOBS,
+    LEADER,
+    PROGRESS,
+    LeaderRecord,
+    decode,
+)
+from chicorycrank.batch.units import has_begun, shown_state
+from chicorycrank.model.batch import (
+    FINAL_BATCH_STATES,
+    BatchConfig,
+    BatchState,
+    Progress,
+    Queue,
+    Submission,
+)
+from chicorycrank.model.ids import JobId, QueueId, TeamId
+from chicorycrank.ports.transactions import Item, Revision
+
+logger = logging.getLogger("absl")
+
+Record = TypeVar("Record")
+
+NOT_STARTED = Progress()
+NEWS_PREFIXES = (JOBS, CANCELS)  # the leader writes the other records itself
+
+
+class ConfigView:
+    """The configuration in force; an older version never replaces a newer one."""
+
+    def __init__(self) -> None:
+        self.config: BatchConfig | None = None
+        self.queues_by_id: dict[QueueId, Queue] = {}
+        self._queues_by_host: dict[str, list[Queue]] = {}
+        self._team_by_key: dict[str, TeamId] = {}
+
+    def put(self, config: BatchConfig) -> bool:
+        """Put a configuration in force; false if it is not newer."""
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.queues_by_id = {queue.queue_id: queue for queue in config.queues}
+        by_host: dict[str, list[Queue]] = {}
+        for queue in sorted(config.queues, key=lambda queue: -len(queue.prefix)):
+            by_host.setdefault(queue.host, []).append(queue)
+        self._queues_by_host = by_host
+        self._team_by_key = {key: team.team for team in config.teams for key in team.keys}
+        self.config = config
+        logger.info("event=config_in_force generation=%d", config.version)
+        return True
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of a path."""
+        for queue in self._queues_by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+    def find_team(self, key: str) -> TeamId | None:
+        """Return the team of a key."""
+        return self._team_by_key.get(key)
+
+
+class SharedView:
+    """Jobs, configuration and leader as the store has them; safe for several threads.
+
+    :param decode_config: decodes the operator's document; returns None if it is unusable
+    :param config_key: key of the operator's document
+    """
+
+    def __init__(
+        self, config_key: str, decode_config: Callable[[bytes], BatchConfig | None]
+    ) -> None:
+        self._config_key = config_key
+        self._decode_config = decode_config
+        self.lock = threading.Condition()
+        self.config = ConfigView()
+        self.jobs_by_id: dict[JobId, Submission] = {}
+        self.progress_by_id: dict[JobId, Progress] = {}
+        self.cancelled: set[JobId] = set()
+        self.leader: LeaderRecord | None = None
+        self.leader_revision = Revision(0)
+        self._news: list[str] = []
+
+    def apply(self, items: Sequence[Item]) -> None:
+        """Take over changes of the store."""
+        with self.lock:
+            for item in items:
+                try:
+                    self._apply(item)
+                except msgspec.DecodeError as error:
+                    logger.warning("event=record_unreadable key=%s error=%s", item.key, error)
+                if item.key.startswith(NEWS_PREFIXES) or item.key == self._config_key:
+                    self._news.append(item.key)
+            self.lock.notify_all()
+
+    def _apply(self, item: Item) -> None:
+        key, value = item.key, item.value
+        if key == self._config_key:
+            config = self._decode_config(value) if value is not None else None
+            if config is not None:
+                self.config.put(config)
+        elif key.startswith(JOBS):
+            _put(self.jobs_by_id, JobId(key.removeprefix(JOBS)), value, Submission)
+        elif key.startswith(PROGRESS):
+            _put(self.progress_by_id, JobId(key.removeprefix(PROGRESS)), value, Progress)
+        elif key.startswith(CANCELS):
+            job_id = JobId(key.removeprefix(CANCELS))
+            (self.cancelled.discard if value is None else self.cancelled.add)(job_id)
+        elif key == LEADER:
+            self.leader = None if value is None else decode(value, LeaderRecord)
+            self.leader_revision = Revision(0) if value is None else item.revision
+
+    @property
+    def has_news(self) -> bool:
+        """Whether :meth:`take_news` would return something."""
+        return bool(self._news)
+
+    def take_news(self) -> list[str]:
+        """Return the keys that changed since the last call; the caller holds the lock."""
+        news, self._news = self._news, []
+        return news
+
+    def state_of(self, job_id: JobId) -> BatchState | None:
+        """Return the state of a job, or None if it is not known here."""
+        with self.lock:
+            if job_id not in self.jobs_by_id:
+                return None
+            progress = self.progress_by_id.get(job_id, NOT_STARTED)
+            return shown_state(progress, cancelled=job_id in self.cancelled)
+
+    def count_pending(self, queue_id: QueueId) -> int:
+        """Return how many jobs of a queue have not begun."""
+        with self.lock:
+            return sum(
+                1
+                for job_id, job in self.jobs_by_id.items()
+                if job.queue.queue_id == queue_id
+                and job_id not in self.cancelled
+                and not has_begun(self.progress_by_id.get(job_id, NOT_STARTED))
+                and self.progress_by_id.get(job_id, NOT_STARTED).state not in FINAL_BATCH_STATES
+            )
+
+
+def _put(
+    records: dict[JobId, Record], job_id: JobId, value: bytes | None, kind: type[Record]
+) -> None:
+    if value is None:
+        records.pop(job_id, None)
+    else:
+        records[job_id] = decode(value, kind)
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -24,7 +24,6 @@
 from chicorycrank.entry.gang_starts import GangStarts
 from chicorycrank.entry.job_records import DeposedError, JobRecords
 from chicorycrank.entry.occupation import Occupation, describe_worker
-from chicorycrank.entry.quarantine import Quarantine
 from chicorycrank.entry.transitions import Transitions
 from chicorycrank.entry.waiting import wait_at_most
 from chicorycrank.model.config import Config
@@ -41,6 +40,7 @@
 )
 from chicorycrank.policy.cell import Cell, WorkerState
 from chicorycrank.policy.decide import Start, decide
+from chicorycrank.policy.quarantine import Quarantine
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import StoreError
 
@@ -92,7 +92,7 @@
     def _reset(self) -> None:
         """Forget what an earlier term knew."""
         self._occupation = Occupation()
-        self.quarantine = Quarantine(self._clock)
+        self.quarantine = Quarantine(self._clock.monotonic)
         self._jobs = Transitions(
             self._records,
             self._occupation,
--- a/src/chicorycrank/entry/transitions.py
+++ b/src/chicorycrank/entry/transitions.py
@@ -5,10 +5,10 @@
 from chicorycrank.entry.gang_reports import FENCE_S
 from chicorycrank.entry.job_records import JobRecords
 from chicorycrank.entry.occupation import Occupation
-from chicorycrank.entry.quarantine import Quarantine
 from chicorycrank.model.ids import Epoch, Generation, JobId, TargetId
 from chicorycrank.model.jobs import FINAL_STATES, JobRecord, JobState
 from chicorycrank.model.messages import GangEnded, GangOutcome
+from chicorycrank.policy.quarantine import Quarantine
 from chicorycrank.ports.clock import Clock
 
 BACKOFF_MIN_S = 0.5
--- /dev/null
+++ b/src/chicorycrank/platform/advice.py
@@ -0,0 +1,28 @@
+"""The platform's service that says which workers may run a step."""
+
+from collections.abc import Sequence
+
+from chicorycrank.platform.client import NoAnswerError, PlatformClient
+from chicorycrank.ports.advice import AdviceUnavailableError, Allowed
+
+
+class PlatformAdvice:
+    """The service over HTTP, as an :class:`~chicorycrank.ports.advice.AdviceService`."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    def ask(self, step: str, executors: Sequence[str], *, timeout_s: float) -> Allowed:
+        """Return the executors that may run a step."""
+        body = {"step": step, "workers": list(executors)}
+        try:
+            answer = self._client.call("POST", "/-/advise", body, timeout_s=timeout_s)
+        except NoAnswerError as error:
+            raise AdviceUnavailableError(str(error)) from error
+        if answer.status != 200:
+            raise AdviceUnavailableError(f"advice: status {answer.status}")
+        rows = answer.body.get("allowed", ())
+        return Allowed(
+            ticket_by_executor={str(row[0]): str(row[1]) for row in rows},
+            validity_s=float(answer.body.get("validityMs", 0)) / 1000,
+        )
--- /dev/null
+++ b/src/chicorycrank/platform/executor.py
@@ -0,0 +1,156 @@
+"""Calls to the executor of the platform on the agent's own machine."""
+
+from typing import Any
+
+from chicorycrank.model.batch import EndKind, TaskEnd
+from chicorycrank.model.ids import Incarnation, TaskId
+from chicorycrank.platform.client import Answer, NoAnswerError, PlatformClient
+from chicorycrank.ports.executor import (
+    ExecutorStatus,
+    ExecutorUnreachableError,
+    NumberedEnd,
+    OtherIncarnationError,
+    RunningTask,
+    StartAnswer,
+    StartOrder,
+)
+
+# Answers on the same machine take a few milliseconds; an order without an answer is repeated.
+CALL_TIMEOUT_S = 0.6
+HOLD_MARGIN_S = 0.8
+
+END_KIND_BY_WORD = {
+    "done": EndKind.DONE,
+    "failed": EndKind.FAILED,
+    "stopped": EndKind.STOPPED,
+    "lapsed": EndKind.LAPSED,
+    "broken": EndKind.BROKEN,
+    "alone": EndKind.ALONE,
+}
+START_ANSWER_BY_REASON = {
+    "fence": StartAnswer.FENCED,
+    "old": StartAnswer.OUTDATED,
+    "late": StartAnswer.LATE,
+    "room": StartAnswer.NO_ROOM,
+    "ticket": StartAnswer.NO_TICKET,
+}
+
+
+def incarnation_of(executor_id: str, born_ms: int) -> Incarnation:
+    """Return the incarnation of an executor; it may start again under the same id."""
+    return Incarnation(f"{executor_id}:{born_ms}")
+
+
+class PlatformExecutor:
+    """The executor over HTTP, as a :class:`~chicorycrank.ports.executor.BatchExecutor`."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    def start(self, order: StartOrder) -> StartAnswer:
+        """Start a run."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "deadlineMs": order.deadline_ms,
+            "fencingToken": order.fence,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        answer = self._call("/-/run-start", body, order.incarnation)
+        if answer.status == 200:
+            return StartAnswer.STARTED
+        if answer.status == 409:
+            reason = answer.body.get("reason")
+            return START_ANSWER_BY_REASON.get(str(reason), StartAnswer.INVALID)
+        return StartAnswer.INVALID if answer.status == 400 else StartAnswer.UNHEALTHY
+
+    def stop(self, task: TaskId, run: int, fence: int, incarnation: Incarnation) -> bool:
+        """Stop a run, and reject it if it arrives later."""
+        body = {"task": task, "run": run, "fencingToken": fence}
+        return self._order("/-/run-stop", body, incarnation)
+
+    def pace(
+        self, task: TaskId, run: int, percent: int, fence: int, incarnation: Incarnation
+    ) -> bool:
+        """Let a task work at a share of its speed."""
+        body = {"task": task, "run": run, "percent": percent, "fencingToken": fence}
+        return self._order("/-/pace", body, incarnation)
+
+    def hold(
+        self,
+        *,
+        fence: int,
+        seen: int,
+        deadline_ms: int | None,
+        wait_s: float,
+        incarnation: Incarnation,
+    ) -> ExecutorStatus:
+        """Extend the lease of all that runs and list what runs and what has ended."""
+        body: dict[str, Any] = {
+            "fencingToken": fence,
+            "lastSeen": seen,
+            "waitMs": round(wait_s * 1000),
+        }
+        if deadline_ms is not None:
+            body["deadlineMs"] = deadline_ms
+        answer = self._call("/-/hold", body, incarnation, timeout_s=wait_s + HOLD_MARGIN_S)
+        if answer.status == 409:
+            raise PermissionError("the fencing token is outdated")
+        if answer.status != 200:
+            raise ExecutorUnreachableError(f"hold: status {answer.status}")
+        executor_id, _, _ = incarnation.rpartition(":")
+        return _status(executor_id, answer.body)
+
+    def _order(self, path: str, body: dict[str, Any], incarnation: Incarnation) -> bool:
+        answer = self._call(path, body, incarnation)
+        if answer.status not in (200, 409):
+            raise ExecutorUnreachableError(f"{path}: status {answer.status}")
+        return answer.status == 200
+
+    def _call(
+        self,
+        path: str,
+        body: dict[str, Any],
+        incarnation: Incarnation,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Answer:
+        executor_id, _, _ = incarnation.rpartition(":")
+        headers = {"Expect-Instance": executor_id}
+        try:
+            answer = self._client.call("POST", path, body, headers=headers, timeout_s=timeout_s)
+        except NoAnswerError as error:
+            raise ExecutorUnreachableError(str(error)) from error
+        if answer.status == 421:
+            raise OtherIncarnationError(f"{path}: not {executor_id}")
+        return answer
+
+
+def _status(executor_id: str, body: dict[str, Any]) -> ExecutorStatus:
+    """Decode the lists of an executor.
+
+    :raises ExecutorUnreachableError: they cannot be read
+    """
+    try:
+        running = [_running(*row) for row in body["running"]]
+        ends = [
+            NumberedEnd(n, TaskEnd(TaskId(task), run, END_KIND_BY_WORD[how], saved))
+            for n, task, run, how, saved, *_ in body["finished"]
+        ]
+        return ExecutorStatus(
+            incarnation=incarnation_of(executor_id, int(body.get("born", 0))),
+            clock_ms=int(body["clockMs"]),
+            running=running,
+            ends=ends,
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise ExecutorUnreachableError(f"hold: unreadable answer: {error!r}") from error
+
+
+def _running(
+    task: str, run: int, saved: str, percent: int = 100, load: float = 0, *_: object
+) -> RunningTask:
+    return RunningTask(TaskId(task), run, saved, percent, load)
--- /dev/null
+++ b/src/chicorycrank/platform/front.py
@@ -0,0 +1,121 @@
+"""Calls of the platform's clients: submit, look up and cancel jobs, count a queue."""
+
+import re
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+
+from chicorycrank.batch.intake import Intake, Outcome
+from chicorycrank.batch.view import SharedView
+from chicorycrank.model.batch import BatchState, Queue
+from chicorycrank.model.ids import JobId, TeamId
+from chicorycrank.platform.documents import DocumentError, decode_job
+from chicorycrank.platform.server import Request, Response
+from chicorycrank.ports.clock import Clock
+
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+DEFAULT_DEADLINE_S = 3.0
+READY_PATH = "/-/ready"
+STATE_WORDS = {
+    BatchState.QUEUED: "queued",
+    BatchState.RUNNING: "running",
+    BatchState.COMPLETED: "completed",
+    BatchState.FAILED: "failed",
+    BatchState.CANCELLED: "cancelled",
+}
+STATUS_BY_OUTCOME = {
+    Outcome.DONE: HTTPStatus.OK,
+    Outcome.NOT_DONE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Outcome.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    Outcome.ABSENT: HTTPStatus.GONE,
+}
+
+
+class Front:
+    """Translates calls for the intake.
+
+    :param is_current: whether the configuration is known to be that of the store
+    :param is_ready: whether this entry wants new connections
+    :param retry_after_s: when a refused caller is asked to come back
+    """
+
+    def __init__(
+        self,
+        view: SharedView,
+        intake: Intake,
+        clock: Clock,
+        *,
+        is_current: Callable[[], bool],
+        is_ready: Callable[[], bool],
+        retry_after_s: Callable[[], int],
+    ) -> None:
+        self._view = view
+        self._intake = intake
+        self._clock = clock
+        self._is_current = is_current
+        self._is_ready = is_ready
+        self._retry_after_s = retry_after_s
+
+    def handle(self, request: Request) -> Response:
+        """Answer a call."""
+        if request.path == READY_PATH:
+            return Response(HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE)
+        with self._view.lock:
+            queue = self._view.config.find_queue(request.host, request.path)
+            team = self._view.config.find_team(request.headers.get("credential", ""))
+            known = self._view.config.config is not None
+        if not known or not self._is_current():
+            return self._refuse()
+        if queue is None:
+            return Response(HTTPStatus.NOT_FOUND)
+        if team is None and not queue.anonymous:
+            return Response(HTTPStatus.UNAUTHORIZED)
+        return self._handle_queue(request, queue, team or TeamId(""))
+
+    def _handle_queue(self, request: Request, queue: Queue, team: TeamId) -> Response:
+        name = request.path.removeprefix(queue.prefix)
+        if not name and request.method == "GET":
+            return _json({"pending": self._view.count_pending(queue.queue_id)})
+        if not JOB_ID.fullmatch(name):
+            return Response(HTTPStatus.NOT_FOUND)
+        job_id = JobId(name)
+        match request.method:
+            case "POST":
+                return self._submit(request, queue, team, job_id)
+            case "GET":
+                answer = self._intake.state(job_id)
+                if answer.state is not None:
+                    return _json({"state": STATE_WORDS[answer.state]})
+                return self._answer(answer.outcome)
+            case "DELETE":
+                return self._answer(self._intake.cancel(job_id, self._deadline_at(request)))
+        return Response(HTTPStatus.METHOD_NOT_ALLOWED)
+
+    def _submit(self, request: Request, queue: Queue, team: TeamId, job_id: JobId) -> Response:
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        try:
+            job = decode_job(request.body, job_id=job_id, queue=queue, team=team, now_ms=now_ms)
+        except DocumentError as error:
+            return _json({"error": str(error)}, HTTPStatus.BAD_REQUEST)
+        return self._answer(self._intake.submit(job, self._deadline_at(request)))
+
+    def _answer(self, outcome: Outcome) -> Response:
+        if outcome is Outcome.NOT_DONE:
+            return self._refuse()
+        return Response(STATUS_BY_OUTCOME[outcome])
+
+    def _refuse(self) -> Response:
+        headers = {"Retry-After": str(self._retry_after_s())}
+        return Response(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
+
+    def _deadline_at(self, request: Request) -> float:
+        now = self._clock.monotonic()
+        try:
+            return now + float(request.headers["deadline-ms"]) / 1000
+        except (KeyError, ValueError):
+            return now + DEFAULT_DEADLINE_S
+
+
+def _json(document: object, status: HTTPStatus = HTTPStatus.OK) -> Response:
+    return Response(status, msgspec.json.encode(document))
--- /dev/null
+++ b/src/chicorycrank/platform/store.py
@@ -0,0 +1,142 @@
+"""The platform's metadata store."""
+
+import binascii
+from base64 import b64decode, b64encode
+from collections.abc import Set
+from typing import Any
+
+from chicorycrank.platform.client import Answer, NoAnswerError, PlatformClient
+from chicorycrank.ports.transactions import (
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLostError,
+    Item,
+    Lease,
+    LeaseEndedError,
+    Revision,
+    StoreUnavailableError,
+    Write,
+)
+
+CALL_TIMEOUT_S = 1.0
+# Slow answers of the store still have to arrive after the wait of a watch.
+WATCH_MARGIN_S = 1.5
+# Answers with these say that the store has done nothing.
+REFUSALS = frozenset({429, 503})
+
+
+class PlatformStore:
+    """The store over HTTP, as a :class:`~chicorycrank.ports.transactions.TransactionalStore`."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+        self.calls_by_operation: dict[str, int] = {}
+
+    def move_to(self, address: str) -> None:
+        """Use the store at another address from now on."""
+        if address != self._client.address:
+            self._client = PlatformClient(address)
+
+    def read(self, key: str) -> Item | None:
+        """Return a key, or None if it does not exist."""
+        answer = self._call("read", "GET", "/-/kv-key", fields={"key": key}, allowed={404})
+        return None if answer.status == 404 else _item(answer.body)
+
+    def read_all(self, prefix: str) -> Changes:
+        """Return all keys under a prefix and the revision at the first page."""
+        items: list[Item] = []
+        revision: int | None = None
+        fields = {"prefix": prefix}
+        while True:
+            body = self._call("list", "GET", "/-/kv-range", fields=fields).body
+            page = [_item(row) for row in body["items"]]
+            items += page
+            revision = body["currentRev"] if revision is None else revision
+            if not body.get("hasMore") or not page:
+                return Changes(items=items, revision=Revision(revision or 0))
+            fields = {"prefix": prefix, "after": page[-1].key}
+
+    def watch(self, prefix: str, after: Revision, wait_s: float) -> Changes:
+        """Wait for changes under a prefix."""
+        answer = self._call(
+            "watch",
+            "GET",
+            "/-/kv-watch",
+            fields={"prefix": prefix, "after": str(after), "waitMs": str(round(wait_s * 1000))},
+            allowed={410},
+            timeout_s=wait_s + WATCH_MARGIN_S,
+        )
+        if answer.status == 410:
+            raise HistoryLostError(f"changes after {after} are gone")
+        items = [_item(row) for row in answer.body.get("events", ())]
+        return Changes(items=items, revision=Revision(answer.body["currentRev"]))
+
+    def commit(self, write: Write, *, timeout_s: float = CALL_TIMEOUT_S) -> Committed | Conflict:
+        """Apply a write as a whole or not at all."""
+        rows = []
+        for key, value in write.values.items():
+            row: dict[str, Any] = {"key": key, "value": b64encode(value).decode()}
+            if key in write.leases:
+                row["lease"] = write.leases[key]
+            rows.append(row)
+        body = {
+            "expected": [{"key": k, "revision": r} for k, r in write.expected.items()],
+            "setKeys": rows,
+            "remove": list(write.deletes),
+        }
+        answer = self._call(
+            "commit", "POST", "/-/kv-txn", body, allowed={404, 412}, timeout_s=timeout_s
+        )
+        if answer.status == 404:
+            raise LeaseEndedError("a lease of the write has ended")
+        if answer.status == 412:
+            found = [_item(row) for row in answer.body.get("items", ())]
+            return Conflict(items={item.key: item for item in found})
+        return Committed(revision=Revision(answer.body["revision"]))
+
+    def grant(self, ttl_s: float) -> Lease:
+        """Create a lease."""
+        body = {"ttlMs": round(ttl_s * 1000)}
+        return Lease(self._call("grant", "POST", "/-/kv-lease", body).body["lease"])
+
+    def renew(self, lease: Lease) -> bool:
+        """Renew a lease; false if it has ended."""
+        answer = self._call("renew", "POST", f"/-/kv-keep/{lease}", {}, allowed={404})
+        return answer.status != 404
+
+    def revoke(self, lease: Lease) -> None:
+        """End a lease and delete its keys."""
+        self._call("revoke", "DELETE", f"/-/kv-lease-end/{lease}", allowed={404})
+
+    def _call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        *,
+        fields: dict[str, str] | None = None,
+        allowed: Set[int] = frozenset(),
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Answer:
+        self.calls_by_operation[operation] = self.calls_by_operation.get(operation, 0) + 1
+        try:
+            answer = self._client.call(method, path, body, fields=fields, timeout_s=timeout_s)
+        except NoAnswerError as error:
+            raise StoreUnavailableError(str(error), not_done=not error.sent) from error
+        if answer.status != 200 and answer.status not in allowed:
+            text = f"{method} {path}: status {answer.status}"
+            raise StoreUnavailableError(text, not_done=answer.status in REFUSALS)
+        return answer
+
+
+def _item(row: dict[str, Any]) -> Item:
+    """Decode an item or an event; a value that is not base64 counts as empty."""
+    value: bytes | None = None
+    if not row.get("deleted"):
+        try:
+            value = b64decode(row.get("value", ""), validate=True)
+        except (binascii.Error, ValueError, TypeError):
+            value = b""
+    return Item(key=row["key"], value=value, revision=Revision(row.get("revision", 0)))
--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -6,11 +6,16 @@
 from itertools import islice
 from math import inf
 
-from chicorycrank.model.ids import JobId, TargetId
+from chicorycrank.model.ids import JobId, RackId, TargetId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob, Reservation, RunningJob
 from chicorycrank.policy.packing import PIECE_SIZES, blocks, piece_class
-from chicorycrank.policy.placement import cheapest_spots, neighbour_order, open_masks
+from chicorycrank.policy.placement import (
+    PlacementRule,
+    cheapest_spots,
+    neighbour_order,
+    open_masks,
+)
 from chicorycrank.policy.pool import Spot, Spots
 
 RACKS_TRIED = 16  # racks whose expected free time is worked out
@@ -52,12 +57,13 @@
     best: tuple[float, Spots] | None = None
     cost = partial(_cost_s, cell, now_s)
     priced = 0
-    for group in _groups(cell, job.shape):
+    for group in _groups(cell, job.shape, job.rule):
         if priced >= BLOCKS_PRICED:
             break
         priced += sum(len(blocks(mask, job.shape.accelerators)) for _, mask in group)
         # Cores and memory are checked again when the job starts.
-        found = cheapest_spots(group, job.shape, lambda worker: job.shape.members, cost)
+        room = partial(_members_allowed, job)
+        found = cheapest_spots(group, job.shape, room, cost)
         if found is not None and (best is None or max(found[1]) < best[0]):
             best = (max(found[1]), found[0])
     if best is None:
@@ -108,14 +114,29 @@
     return _free_at_s(cell, now_s, worker, block) + HOME_PENALTY_S
 
 
-def _groups(cell: Cell, shape: GangShape) -> Iterable[list[Spot]]:
+def _members_allowed(job: QueuedJob, worker: TargetId) -> int:
+    if job.rule.workers is not None and worker not in job.rule.workers:
+        return 0
+    return min(job.shape.members, job.rule.max_members or job.shape.members)
+
+
+def _groups(cell: Cell, shape: GangShape, rule: PlacementRule) -> Iterable[list[Spot]]:
     """Yield groups of whole workers that a gang may use together, the freest racks first."""
     full = cell.homes.full_by_worker
+    allowed = rule.workers
+
+    def whole_workers(rack: RackId) -> list[Spot]:
+        return [
+            (worker, full[worker][0])
+            for worker, _ in open_masks(cell.free, rack)
+            if allowed is None or worker in allowed
+        ]
+
     buckets = cell.free.racks_by_count[PIECE_SIZES.index(piece_class(shape.accelerators))]
     racks = (rack for count in sorted(buckets, reverse=True) for rack in sorted(buckets[count]))
     fits = False
     for rack in islice(racks, RACKS_TRIED):
-        spots = [(worker, full[worker][0]) for worker, _ in open_masks(cell.free, rack)]
+        spots = whole_workers(rack)
         if shape.adjacency is Adjacency.WORKER and shape.members > 1:
             yield from ([spot] for spot in spots)
         elif spots:
@@ -133,7 +154,7 @@
         for rack in order[start:]:
             if count >= shape.members:
                 break
-            spots = [(worker, full[worker][0]) for worker, _ in open_masks(cell.free, rack)]
+            spots = whole_workers(rack)
             count += sum(mask.bit_count() // shape.accelerators for _, mask in spots)
             window += spots
         if count >= shape.members:
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -8,9 +8,11 @@
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
 from chicorycrank.policy.estimates import Estimates
 from chicorycrank.policy.guarantees import Homes
-from chicorycrank.policy.placement import spots_of
+from chicorycrank.policy.packing import blocks
+from chicorycrank.policy.placement import ANY_WORKER, PlacementRule, placement_of, spots_of
 from chicorycrank.policy.pool import Pool, Spots
 
+RESTART_S = 30.0  # work lost by a checkpoint, its grace and the next start
 PROMOTIONS_TRIED = 4  # bounds the time that the end of a guaranteed job takes
 
 
@@ -36,6 +38,9 @@
 
     :param run_time_s: declared run time that remains, in seconds
     :param submitted_s: time of submission on the clock of ``decide``'s ``now_s``
+    :param priority: jobs of a smaller number come first among those that are not urgent
+    :param restart_s: work in seconds that an eviction loses if the job saves checkpoints
+    :param pinned: it may not be evicted while it runs
     """
 
     job_id: JobId
@@ -45,6 +50,15 @@
     submitted_s: float
     urgent: bool = False
     checkpointable: bool = False
+    priority: int = 0
+    rule: PlacementRule = ANY_WORKER
+    restart_s: float = RESTART_S
+    pinned: bool = False
+
+    @property
+    def is_spared(self) -> bool:
+        """Whether urgent work of another job may not evict this job."""
+        return self.urgent or self.pinned
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -104,6 +118,8 @@
         self.totals = [0, 0, 0]
         self.masks_by_worker: dict[TargetId, dict[JobId, int]] = {}
         self._spots_by_id: dict[JobId, Spots] = {}
+        # Jobs inside an accelerator quota of their team; work outside of one yields to them.
+        self.protected: frozenset[JobId] = frozenset()
 
     def set_config(
         self, teams: dict[TeamId, Team], guarantees: dict[GuaranteeId, Guarantee]
@@ -128,7 +144,7 @@
             pool.add(name, *values)
         for job_id in self.masks_by_worker.get(name, {}):
             self._hold(self.free, job_id, 1, only=name)
-            if job_id not in self.borrowed or self.running_by_id[job_id].job.urgent:
+            if job_id not in self.borrowed or self.running_by_id[job_id].job.is_spared:
                 self._hold(self.reclaimable, job_id, 1, only=name)
         self.homes.forget_fitting(name)
         if not worker.available:
@@ -187,7 +203,7 @@
             self.borrowed[job.job_id] = None
             if guaranteed:
                 self._demote(job.job_id)
-            if job.urgent:
+            if job.is_spared:
                 self._hold(self.reclaimable, job.job_id, 1)
         if running.stopping:
             self.stopping[job.job_id] = None
@@ -225,7 +241,7 @@
         """Undo the start of a job."""
         job = self.running_by_id[job_id].job
         self._hold(self.free, job_id, -1)
-        if job_id not in self.borrowed or job.urgent:
+        if job_id not in self.borrowed or job.is_spared:
             self._hold(self.reclaimable, job_id, -1)
         self._add_usage(job, -1)
         for worker, _ in self._spots_by_id[job_id]:
@@ -257,13 +273,61 @@
         return self._spots_by_id[job_id]
 
     def is_evictable(self, job_id: JobId) -> bool:
-        """Whether a job runs outside its team's guarantee."""
-        return job_id in self.borrowed
+        """Whether a job runs outside its team's guarantee and may be stopped for another."""
+        return (
+            job_id in self.borrowed
+            and job_id not in self.protected
+            and not self.running_by_id[job_id].job.pinned
+        )
+
+    def compact(self, worker: TargetId) -> None:
+        """Renumber the accelerators of a worker so that its free ones form the largest pieces.
+
+        Only for cells whose workers give out accelerators by count, so that a number means nothing
+        outside the cell. Running jobs keep their workers.
+        """
+        if worker not in self.workers_by_id or worker not in self.masks_by_worker:
+            return
+        jobs = list(self.masks_by_worker[worker])
+        members = sorted(
+            (
+                (mask.bit_count(), job_id, index)
+                for job_id in jobs
+                for index, (name, mask) in enumerate(self._spots_by_id[job_id])
+                if name == worker
+            ),
+            reverse=True,
+        )
+        free = (1 << self.workers_by_id[worker].accelerators) - 1
+        moved: dict[JobId, dict[int, int]] = {}
+        for size, job_id, index in members:
+            places = blocks(free, size)
+            if not places:
+                return
+            free &= ~places[0]
+            moved.setdefault(job_id, {})[index] = places[0]
+        self._hold_all(worker, jobs, -1)
+        for job_id, masks in moved.items():
+            spots = tuple(
+                (name, masks.get(index, mask))
+                for index, (name, mask) in enumerate(self._spots_by_id[job_id])
+            )
+            self._spots_by_id[job_id] = spots
+            self.masks_by_worker[worker][job_id] = sum(masks.values())
+            running = self.running_by_id[job_id]
+            self.running_by_id[job_id] = replace(running, placement=placement_of(spots))
+        self._hold_all(worker, jobs, 1)
+
+    def _hold_all(self, worker: TargetId, jobs: list[JobId], sign: int) -> None:
+        for job_id in jobs:
+            self._hold(self.free, job_id, sign, only=worker)
+            if job_id not in self.borrowed or self.running_by_id[job_id].job.is_spared:
+                self._hold(self.reclaimable, job_id, sign, only=worker)
 
     def _set_borrowed(self, job_id: JobId) -> None:
         self.borrowed[job_id] = None
         self._demote(job_id)
-        if not self.running_by_id[job_id].job.urgent:
+        if not self.running_by_id[job_id].job.is_spared:
             self._hold(self.reclaimable, job_id, -1)
 
     def _promote(self, team: TeamId) -> None:
@@ -285,7 +349,7 @@
         self.running_by_id[job_id] = replace(running, kind=WorkKind.GUARANTEED)
         del self.borrowed[job_id]
         self.demoted.pop(job_id, None)
-        if not running.job.urgent:
+        if not running.job.is_spared:
             self._hold(self.reclaimable, job_id, 1)
 
     def _demote(self, job_id: JobId) -> None:
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -11,7 +11,7 @@
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_spots, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
 from chicorycrank.policy.home import Home, fit_home
-from chicorycrank.policy.placement import find_spots, placement_of
+from chicorycrank.policy.placement import PlacementRule, find_spots, placement_of
 from chicorycrank.policy.pool import Spots
 
 MAX_DECISIONS = 16  # bounds the time of a pass when much becomes free at once
@@ -58,6 +58,7 @@
 
 Decision = Start | Evict
 Hold = tuple[TargetId, int, int, int]  # worker, mask, cores and memory kept back
+FitKey = tuple[GangShape, PlacementRule]
 
 
 def decide(cell: Cell, queue: Sequence[QueuedJob], now_s: float) -> list[Decision]:
@@ -92,8 +93,8 @@
         self.reservations: list[Reservation] = []
         self.reservations_tried = 0
         self.reserved: list[Hold] = []
-        self.unfit: set[GangShape] = set()
-        self.unfit_lifted: set[GangShape] = set()
+        self.unfit: set[FitKey] = set()
+        self.unfit_lifted: set[FitKey] = set()
         self.unfit_homes: set[tuple[TeamId, GangShape]] = set()
 
     def run(self, queue: Sequence[QueuedJob]) -> None:
@@ -113,10 +114,12 @@
         normal = within_team_order(self.cell, normal, self.now_s)
         rest = [job for job in normal if self._is_full() or not self._guaranteed(job)]
         self._reserve_oldest(rest)
-        for job in fair_order(self.cell, rest, self.now_s):
-            if self._is_full():
-                break
-            self._borrowed(job)
+        for priority in sorted({job.priority for job in rest}):
+            same = [job for job in rest if job.priority == priority]
+            for job in fair_order(self.cell, same, self.now_s):
+                if self._is_full():
+                    break
+                self._borrowed(job)
         self.cell.evicted_for = self.waiting_for_evictions
         if self._is_full():
             unseen = {job.job_id for job in queue if not self._is_done(job)}
@@ -181,7 +184,7 @@
 
     def _start_elsewhere(self, job: QueuedJob) -> bool:
         """Start a guaranteed job on free accelerators to which a home of its team can move."""
-        spots = self._find(job.shape)
+        spots = self._find(job)
         if spots is None:
             return False
         cell = self.cell
@@ -226,11 +229,11 @@
     # Urgent jobs outside guarantees.
 
     def _urgent(self, job: QueuedJob) -> None:
-        spots = self._find(job.shape)
+        spots = self._find(job)
         if spots is not None:
             self._start(job, spots, WorkKind.BORROWED)
             return
-        spots = self._find_soon(job.shape)
+        spots = self._find_soon(job)
         if spots is not None:
             self._claim(spots, job)
             return
@@ -238,7 +241,7 @@
         if plan is not None and self._is_open_plan(plan):
             self._evict(job, plan, EvictionCause.URGENT)
 
-    def _find_soon(self, shape: GangShape) -> Spots | None:
+    def _find_soon(self, job: QueuedJob) -> Spots | None:
         """Find a place among free accelerators and those of jobs that stop."""
         if not self.cell.stopping:
             return None
@@ -252,7 +255,7 @@
                     values = (worker, mask, job_shape.cores, job_shape.memory_gb)
                     free.give(*values)
                     given.append(values)
-        spots = find_spots(free, shape)
+        spots = find_spots(free, job.shape, job.rule)
         for values in given:
             free.take(*values)
         return spots
@@ -262,14 +265,14 @@
     def _borrowed(self, job: QueuedJob) -> None:
         if job.job_id in self.cell.running_by_id:
             return
-        if job.shape not in self.unfit:
-            spots = self._find(job.shape)
+        if (job.shape, job.rule) not in self.unfit:
+            spots = self._find(job)
             if spots is not None:
                 self._start(job, spots, WorkKind.BORROWED)
                 return
         if len(self.reservations) < MAX_RESERVATIONS:
             self._reserve(job)
-        elif self.reservations and job.shape not in self.unfit_lifted:
+        elif self.reservations and (job.shape, job.rule) not in self.unfit_lifted:
             self._backfill(job)
 
     def _hold_reserved(self, queue: Sequence[QueuedJob]) -> None:
@@ -287,7 +290,7 @@
         for job in sorted(rest, key=lambda job: (job.submitted_s, job.job_id)):
             if self._is_full():
                 return
-            spots = self._find(job.shape)
+            spots = self._find(job)
             if spots is None:
                 self._reserve(job)
                 return
@@ -311,9 +314,9 @@
         if self.now_s + expected_s > min(held.start_s for held in self.reservations):
             return
         self._lift(self.reserved)
-        spots = find_spots(self.cell.free, job.shape)
+        spots = find_spots(self.cell.free, job.shape, job.rule)
         if spots is None:
-            self.unfit_lifted.add(job.shape)
+            self.unfit_lifted.add((job.shape, job.rule))
         else:
             self._start(job, spots, WorkKind.BORROWED, backfill=True)
         for held in self.reservations:
@@ -321,12 +324,13 @@
 
     # Changes to the cell, all undone at the end.
 
-    def _find(self, shape: GangShape) -> Spots | None:
-        if shape in self.unfit:
+    def _find(self, job: QueuedJob) -> Spots | None:
+        key = (job.shape, job.rule)
+        if key in self.unfit:
             return None
-        spots = find_spots(self.cell.free, shape)
+        spots = find_spots(self.cell.free, job.shape, job.rule)
         if spots is None:
-            self.unfit.add(shape)
+            self.unfit.add(key)
         return spots
 
     def _has_room(self, spots: Spots, shape: GangShape) -> bool:
--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -9,10 +9,9 @@
 from chicorycrank.model.ids import JobId, RackId, TargetId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.placement import cheapest_spots, find_spots, open_masks
+from chicorycrank.policy.placement import PlacementRule, cheapest_spots, find_spots, open_masks
 from chicorycrank.policy.pool import Spot, Spots
 
-RESTART_S = 30.0  # work lost by a checkpoint, its grace and the next start
 VICTIMS_TRIED = 64  # bounds the search at any number of workers
 RACKS_TRIED = 24
 
@@ -36,7 +35,7 @@
         return 0.0
     elapsed_s = max(0.0, now_s - running.started_s)
     if running.job.checkpointable:
-        elapsed_s = min(elapsed_s, RESTART_S)
+        elapsed_s = min(elapsed_s, running.job.restart_s)
     shape = running.job.shape
     return (elapsed_s + 1.0) * shape.members * shape.accelerators
 
@@ -77,24 +76,64 @@
     most reclaimable accelerators are compared, so the cost does not grow with the workers.
     """
     shape = job.shape
-    fallback = find_spots(cell.reclaimable, shape)
+    fallback = find_spots(cell.reclaimable, shape, job.rule)
     if fallback is None:
-        return None
+        return plan_for_protected(cell, job, now_s) if job.job_id in cell.protected else None
     plans = [plan_for_spots(cell, fallback, shape, now_s, spare_urgent=True)]
-    for spots in _candidates(cell, shape, now_s):
+    for spots in _candidates(cell, shape, job.rule, now_s):
         plans.append(plan_for_spots(cell, spots, shape, now_s, spare_urgent=True))
     found = [plan for plan in plans if plan is not None]
+    if not found and job.job_id in cell.protected:
+        return plan_for_protected(cell, job, now_s)
     return min(found, key=lambda plan: (plan.lost_s, len(plan.victims)), default=None)
 
 
-def _candidates(cell: Cell, shape: GangShape, now_s: float) -> Iterable[Spots]:
+def plan_for_protected(cell: Cell, job: QueuedJob, now_s: float) -> EvictionPlan | None:
+    """Return the cheapest evictions for a job inside its team's quota.
+
+    Urgent work outside of the quota of its own team is evicted too.
+    """
+    shape = job.shape
+    room = partial(_whole_room, cell, job.rule, shape)
+    cost = partial(_block_cost, cell, now_s, False)
+    full = cell.homes.full_by_worker
+    racks = [
+        [(worker, full[worker][0]) for worker, _ in open_masks(cell.free, rack)]
+        for rack in cell.free.workers_by_rack
+    ]
+    groups = [*racks, [spot for rack in racks for spot in rack]]
+    if shape.adjacency is Adjacency.WORKER and shape.members > 1:
+        groups = [[spot] for rack in racks for spot in rack]
+    elif shape.adjacency is Adjacency.RACK and shape.members > 1:
+        groups = racks
+    plans = []
+    for group in groups:
+        found = cheapest_spots(group, shape, room, cost)
+        plan = found and plan_for_spots(cell, found[0], shape, now_s, spare_urgent=False)
+        if plan:
+            plans.append(plan)
+    return min(plans, key=lambda plan: (plan.lost_s, len(plan.victims)), default=None)
+
+
+def _whole_room(cell: Cell, rule: PlacementRule, shape: GangShape, worker: TargetId) -> int:
+    """Return how many members an empty worker has room for."""
+    if rule.workers is not None and worker not in rule.workers:
+        return 0
+    _, cores, memory_gb = cell.homes.full_by_worker[worker]
+    room = min(shape.members, rule.max_members or shape.members)
+    if shape.cores:
+        room = min(room, cores // shape.cores)
+    return min(room, memory_gb // shape.memory_gb) if shape.memory_gb else room
+
+
+def _candidates(cell: Cell, shape: GangShape, rule: PlacementRule, now_s: float) -> Iterable[Spots]:
     racks: dict[RackId, None] = {}
     for job_id in islice(reversed(cell.borrowed), VICTIMS_TRIED):
         for worker, _ in cell.spots(job_id):
             if cell.reclaimable.is_open(worker):
                 racks[cell.reclaimable.rack_by_worker[worker]] = None
-    room = partial(cell.reclaimable.room, shape=shape)
-    cost = partial(_block_cost, cell, now_s)
+    room = partial(rule.room, cell.reclaimable, shape=shape)
+    cost = partial(_block_cost, cell, now_s, True)
     for rack in islice(racks, RACKS_TRIED):
         spots = open_masks(cell.reclaimable, rack)
         groups: list[list[Spot]] = [spots]
@@ -106,11 +145,14 @@
                 yield found[0]
 
 
-def _block_cost(cell: Cell, now_s: float, worker: TargetId, block: int) -> float:
+def _block_cost(
+    cell: Cell, now_s: float, spare_urgent: bool, worker: TargetId, block: int
+) -> float:
     cost = 0.0
     for job_id, held in cell.masks_by_worker.get(worker, {}).items():
         if held & block:
-            cost += lost_work_s(cell, job_id, now_s) if _may_evict(cell, job_id, True) else inf
+            evictable = _may_evict(cell, job_id, spare_urgent)
+            cost += lost_work_s(cell, job_id, now_s) if evictable else inf
     return cost
 
 
--- a/src/chicorycrank/policy/placement.py
+++ b/src/chicorycrank/policy/placement.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from functools import lru_cache, partial
 from itertools import islice
 from math import inf
@@ -23,6 +24,28 @@
 RACKS_COMPARED = 8  # racks with the best counts whose loss is compared
 
 
+@dataclass(frozen=True, kw_only=True)
+class PlacementRule:
+    """Which workers a job may use.
+
+    :param workers: the only workers allowed; any worker if None
+    :param max_members: members allowed on one worker; 0 for no limit
+    """
+
+    workers: frozenset[TargetId] | None = None
+    max_members: int = 0
+
+    def room(self, pool: Pool, worker: TargetId, shape: GangShape) -> int:
+        """Return how many members may be placed on a worker of a pool."""
+        if self.workers is not None and worker not in self.workers:
+            return 0
+        room = pool.room(worker, shape)
+        return min(room, self.max_members) if self.max_members else room
+
+
+ANY_WORKER = PlacementRule()
+
+
 def spots_of(placement: Iterable[MemberPlacement]) -> Spots:
     """Return a placement as worker and mask per member."""
     return tuple((member.worker, mask_of(member.accelerators)) for member in placement)
@@ -33,16 +56,16 @@
     return tuple(MemberPlacement(worker, numbers_of(mask)) for worker, mask in spots)
 
 
-def find_spots(pool: Pool, shape: GangShape) -> Spots | None:
+def find_spots(pool: Pool, shape: GangShape, rule: PlacementRule = ANY_WORKER) -> Spots | None:
     """Return the best fit of a gang in a pool, or None."""
     index = PIECE_SIZES.index(piece_class(shape.accelerators))
     if pool.totals[index] < shape.members:
         return None
-    spots = _find_in_worker(pool, shape)
+    spots = _find_in_worker(pool, shape, rule)
     if spots is None and shape.adjacency is not Adjacency.WORKER and shape.members > 1:
-        spots = _find_in_rack(pool, shape, index)
+        spots = _find_in_rack(pool, shape, index, rule)
         if spots is None and shape.adjacency is Adjacency.ANY:
-            spots = _find_across_racks(pool, shape, index)
+            spots = _find_across_racks(pool, shape, index, rule)
     return spots
 
 
@@ -147,7 +170,7 @@
     return tuple((int(part), "") if part.isdigit() else (0, part) for part in parts)
 
 
-def _find_in_worker(pool: Pool, shape: GangShape) -> Spots | None:
+def _find_in_worker(pool: Pool, shape: GangShape, rule: PlacementRule) -> Spots | None:
     fits = []
     for mask in pool.workers_by_mask:
         taken = take_blocks(mask, shape.accelerators, shape.members)
@@ -155,16 +178,16 @@
             fits.append((taken[1], mask.bit_count(), mask, taken[0]))
     for _, _, mask, chosen in sorted(fits):
         for worker in pool.pick(mask):
-            if pool.room(worker, shape) >= shape.members:
+            if rule.room(pool, worker, shape) >= shape.members:
                 return tuple((worker, block) for block in chosen)
     return None
 
 
-def _find_in_rack(pool: Pool, shape: GangShape, index: int) -> Spots | None:
+def _find_in_rack(pool: Pool, shape: GangShape, index: int, rule: PlacementRule) -> Spots | None:
     best: tuple[int, Spots] | None = None
     compared = 0
     buckets = pool.racks_by_count[index]
-    room = partial(pool.room, shape=shape)
+    room = partial(rule.room, pool, shape=shape)
     for count in sorted(count for count in buckets if count >= shape.members):
         for rack in sorted(buckets[count]):
             found = fit_group(open_masks(pool, rack), shape, room)
@@ -183,7 +206,9 @@
     return [(w, pool.masks[w]) for w in pool.workers_by_rack[rack] if pool.is_open(w)]
 
 
-def _find_across_racks(pool: Pool, shape: GangShape, index: int) -> Spots | None:
+def _find_across_racks(
+    pool: Pool, shape: GangShape, index: int, rule: PlacementRule
+) -> Spots | None:
     racks = neighbour_order(pool.workers_by_rack)
     counts = [pool.counts_by_rack[rack][index] for rack in racks]
     windows = []
@@ -195,7 +220,7 @@
             start += 1
         if total >= shape.members:
             windows.append((end - start, total, start, end))
-    room = partial(pool.room, shape=shape)
+    room = partial(rule.room, pool, shape=shape)
     for _, _, start, end in islice(sorted(windows), RACKS_COMPARED):
         spots = [spot for rack in racks[start : end + 1] for spot in open_masks(pool, rack)]
         found = fit_group(spots, shape, room)
--- a/src/chicorycrank/entry/quarantine.py
+++ b/src/chicorycrank/policy/quarantine.py
@@ -1,22 +1,34 @@
 """Workers that fail the jobs they are given get no work until a probe succeeds."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.model.jobs import MemberPlacement
-from chicorycrank.ports.clock import Clock
-
-STRIKES = 3
-# A job that returns to the worker on which it failed would otherwise never be tried elsewhere.
-SAME_JOB_STRIKES = 3
-PROBE_DELAY_MIN_S = 30.0
-PROBE_DELAY_MAX_S = 3600.0
 
 logger = logging.getLogger("absl")
 
 
+@dataclass(frozen=True, kw_only=True)
+class QuarantineRules:
+    """When a worker is quarantined, and for how long.
+
+    :param strikes: different jobs that fail in a row
+    :param same_job_strikes: failures of one job; it would otherwise never be tried elsewhere
+    :param probe_delay_min_s: time until the first probe in seconds, doubled after each failed one
+    :param probe_delay_max_s: longest time between probes in seconds
+    """
+
+    strikes: int = 3
+    same_job_strikes: int = 3
+    probe_delay_min_s: float = 30.0
+    probe_delay_max_s: float = 3600.0
+
+
+LONG_JOBS = QuarantineRules()
+
+
 @dataclass(kw_only=True)
 class Held:
     """A quarantined worker.
@@ -35,12 +47,15 @@
 class Quarantine:
     """Failures in a row by worker, and the workers that are quarantined for them.
 
+    :param now_s: monotonic time in seconds
+
     A failure counts only while its job has failed on no other worker, so that a few jobs that
     fail everywhere do not close one worker after the other.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self, now_s: Callable[[], float], rules: QuarantineRules = LONG_JOBS) -> None:
+        self._now_s = now_s
+        self._rules = rules
         self._strikes_by_worker: dict[TargetId, dict[JobId, int]] = {}
         self._workers_by_job: dict[JobId, set[TargetId]] = {}
         self.held_by_worker: dict[TargetId, Held] = {}
@@ -58,7 +73,7 @@
             return True
         strikes = self._strikes_by_worker.setdefault(worker, {})
         strikes[job_id] = strikes.get(job_id, 0) + 1
-        if len(strikes) >= STRIKES or strikes[job_id] >= SAME_JOB_STRIKES:
+        if len(strikes) >= self._rules.strikes or strikes[job_id] >= self._rules.same_job_strikes:
             self._hold(worker, f"{sum(strikes.values())} failures in a row; last: {reason}", 0)
             return False
         return True
@@ -79,8 +94,10 @@
             strikes = self._strikes_by_worker.get(worker, {})
             strikes.pop(job_id, None)
             held = self.held_by_worker.get(worker)
-            is_unproven = len(strikes) < STRIKES and held is not None and held.rounds == 0
-            if is_unproven and max(strikes.values(), default=0) < SAME_JOB_STRIKES:
+            is_unproven = (
+                len(strikes) < self._rules.strikes and held is not None and held.rounds == 0
+            )
+            if is_unproven and max(strikes.values(), default=0) < self._rules.same_job_strikes:
                 self.release(worker)
 
     def release(self, worker: TargetId) -> bool:
@@ -96,7 +113,7 @@
         held = self.held_by_worker.get(worker)
         if held is None:
             return False
-        return held.probe is not None or self._clock.monotonic() < held.probe_at
+        return held.probe is not None or self._now_s() < held.probe_at
 
     def begin(self, job_id: JobId, placement: Iterable[MemberPlacement]) -> bool:
         """Note that a job starts; false if a worker is closed to it."""
@@ -112,7 +129,9 @@
         return {worker: held.reason for worker, held in sorted(self.held_by_worker.items())}
 
     def _hold(self, worker: TargetId, reason: str, rounds: int) -> None:
-        delay_s = min(PROBE_DELAY_MAX_S, PROBE_DELAY_MIN_S * 2.0 ** min(rounds, 10))
-        probe_at = self._clock.monotonic() + delay_s
+        delay_s = min(
+            self._rules.probe_delay_max_s, self._rules.probe_delay_min_s * 2.0 ** min(rounds, 10)
+        )
+        probe_at = self._now_s() + delay_s
         self.held_by_worker[worker] = Held(reason=reason, probe_at=probe_at, rounds=rounds)
         logger.warning("event=quarantined target=%s reason=%s", worker, reason)
--- /dev/null
+++ b/src/chicorycrank/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that run on the users' platform."""
--- /dev/null
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -0,0 +1,113 @@
+"""Entry on the users' platform: takes calls, and plans while it has the leader role."""
+
+import logging
+import time
+
+from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.batch.intake import Intake
+from chicorycrank.batch.keys import SHARED_PREFIX
+from chicorycrank.batch.leader import Leader
+from chicorycrank.batch.leases import lost_after_s
+from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.shapes import UnitShapes
+from chicorycrank.batch.view import SharedView
+from chicorycrank.model.batch import BatchConfig
+from chicorycrank.model.ids import EntryId
+from chicorycrank.platform.advice import PlatformAdvice
+from chicorycrank.platform.client import PlatformClient
+from chicorycrank.platform.documents import CONFIG_KEY, DocumentError, decode_config
+from chicorycrank.platform.front import Front
+from chicorycrank.platform.server import Server
+from chicorycrank.platform.settings import NodeSettings
+from chicorycrank.platform.store import PlatformStore
+from chicorycrank.programs.process import Process
+
+WATCH_S = 1.0
+# A key may have been taken away since the last confirmation; the rest of the bound is for the
+# time between this check and the end of the call.
+KEY_MARGIN_S = 0.8
+READY_LIMIT_S = 3.0
+THREADS = 24
+READY_THREADS = 2
+# The balancer takes an entry out of rotation after two checks of one second each.
+ROTATION_S = 2.6
+STOP_MARGIN_S = 1.0
+POLL_S = 0.05
+RETRY_AFTER_S = 1
+
+logger = logging.getLogger("absl")
+
+
+def main() -> None:
+    """Run until the platform stops the process."""
+    process = Process("entry")
+    settings = process.settings
+    clock = SystemClock()
+    store = PlatformStore(PlatformClient(settings.store))
+    view = SharedView(CONFIG_KEY, _decode_config)
+    replica = Replica(store, SHARED_PREFIX, view.apply, clock, wait_s=WATCH_S)
+    bounds = settings.bounds
+    leader = Leader(
+        store,
+        view,
+        replica,
+        clock,
+        EntryId(settings.name),
+        shapes=lambda: UnitShapes(bounds.checkpoint_s),
+        advice=PlatformAdvice(PlatformClient(settings.advice or settings.store)),
+        lost_after_s=lost_after_s(bounds.max_lease_s),
+        status_s=bounds.status_s,
+    )
+    is_stopping = False
+
+    def age_s() -> float:
+        return clock.monotonic() - replica.confirmed_at
+
+    front = Front(
+        view,
+        Intake(store, view, replica, clock),
+        clock,
+        is_current=lambda: age_s() < bounds.key_revocation_s - KEY_MARGIN_S,
+        is_ready=lambda: not is_stopping and age_s() < READY_LIMIT_S,
+        retry_after_s=lambda: RETRY_AFTER_S,
+    )
+    servers = [Server(settings.front, front.handle, threads=THREADS)]
+    if settings.ready and settings.ready != settings.front:
+        servers.append(Server(settings.ready, front.handle, threads=READY_THREADS))
+    replica.start()
+    leader.start()
+    for server in servers:
+        server.start()
+    process.wait(lambda new: _move_store(store, new))
+    is_stopping = True
+    leader.stop()
+    _drain(servers, bounds.stop_grace_s)
+
+
+def _decode_config(data: bytes) -> BatchConfig | None:
+    try:
+        return decode_config(data)
+    except DocumentError as error:
+        logger.warning("event=config_refused error=%s", error)
+        return None
+
+
+def _move_store(store: PlatformStore, settings: NodeSettings) -> None:
+    store.move_to(settings.store)
+
+
+def _drain(servers: list[Server], grace_s: float) -> None:
+    """Serve until the balancer has taken this entry out, then finish the open calls."""
+    ends_at = time.monotonic() + grace_s - STOP_MARGIN_S
+    for server in servers:
+        server.is_closing = True
+    time.sleep(min(ROTATION_S, grace_s / 2))
+    while time.monotonic() < ends_at and not all(server.is_idle for server in servers):
+        time.sleep(POLL_S)
+    logger.info("event=process_stopped idle=%s", all(server.is_idle for server in servers))
+    for server in servers:
+        server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/chicorycrank/programs/process.py
@@ -0,0 +1,71 @@
+"""What both programs on the platform do: logs, settings and signals."""
+
+import logging
+import os
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+from chicorycrank.adapters.logs import set_up_bounded_logs
+from chicorycrank.platform.settings import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    SettingsError,
+    read_settings,
+)
+
+SETTINGS_CHECK_S = 1.0
+EXIT_SETTINGS = 2
+
+logger = logging.getLogger("absl")
+
+
+class Process:
+    """A running program with its settings.
+
+    :param settings: those in force; unusable new settings leave them as they are
+    """
+
+    def __init__(self, role: str) -> None:
+        self._path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+        try:
+            self.settings = read_settings(self._path)
+        except SettingsError as error:
+            sys.stderr.write(f"{error}\n")
+            raise SystemExit(EXIT_SETTINGS) from error
+        set_up_bounded_logs("INFO", self.settings.region)
+        self._stop = threading.Event()
+        self._reload = threading.Event()
+        self._read_as = self._stamp()
+        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        logger.info("event=process_started role=%s node=%s", role, self.settings.name)
+
+    def wait(self, on_settings: Callable[[NodeSettings], None]) -> None:
+        """Wait for the signal to stop, and pass on new settings meanwhile."""
+        while not self._stop.wait(SETTINGS_CHECK_S):
+            stamp = self._stamp()
+            if not self._reload.is_set() and stamp == self._read_as:
+                continue
+            self._reload.clear()
+            self._read_as = stamp
+            try:
+                settings = read_settings(self._path)
+            except SettingsError as error:
+                logger.error("event=settings_refused error=%s", error)
+                continue
+            logger.info("event=settings_reloaded changed=%s", settings != self.settings)
+            if settings != self.settings:
+                self.settings = settings
+                on_settings(settings)
+        logger.info("event=process_stopping node=%s", self.settings.name)
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            found = self._path.stat()
+        except OSError:
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
