Let urgent units evict in one pass and bound the work they destroy

Cause: each pass planned every urgent unit on the same reclaimable accelerators, so a job of nine units evicted one unit after the other, and a unit outside of its team's quota destroyed any amount of work.

--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -20,6 +20,8 @@
 LONG_RUNNING_S = 3600.0
 # How long a unit waits for the rack of its data, as a share of its declared run time.
 DATA_RACK_WAIT_SHARE = 0.5
+# Work of others that an urgent unit outside of its team's quota may destroy, as a share of its own.
+MAX_LOST_SHARE = 0.5
 
 
 class UnitShapes:
@@ -54,6 +56,7 @@
             priority=queue.priority,
             rule=self._rule(planner, ref, step, queue, waited_s),
             restart_s=self._checkpoint_s,
+            max_lost_s=MAX_LOST_SHARE * _work_s(step, run_time_s),
             pinned=step.long_running and step.max_unavailable > 0,
         )
 
@@ -162,6 +165,11 @@
         return self._workers_by_label[key]
 
 
+def _work_s(step: Step, run_time_s: float) -> float:
+    """Return the accelerator seconds of a unit."""
+    return run_time_s * (step.count if step.gang else 1) * max(1, step.accelerators)
+
+
 def _is_suitable(report: WorkerReport, service: str, label: str) -> bool:
     return report.service == service and (not label or label in report.labels)
 
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from itertools import islice
+from math import inf
 
 from chicorycrank.model.config import Guarantee, Team
 from chicorycrank.model.ids import GuaranteeId, JobId, RackId, TargetId, TeamId, ZoneId
@@ -40,6 +41,8 @@
     :param submitted_s: time of submission on the clock of ``decide``'s ``now_s``
     :param priority: jobs of a smaller number come first among those that are not urgent
     :param restart_s: work in seconds that an eviction loses if the job saves checkpoints
+    :param max_lost_s: accelerator seconds of other work that may be lost for it if it is urgent
+        and outside of its team's quota
     :param pinned: it may not be evicted while it runs
     """
 
@@ -53,6 +56,7 @@
     priority: int = 0
     rule: PlacementRule = ANY_WORKER
     restart_s: float = RESTART_S
+    max_lost_s: float = inf
     pinned: bool = False
 
     @property
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -12,7 +12,7 @@
 from chicorycrank.policy.fairness import fair_order, within_team_order
 from chicorycrank.policy.home import Home, fit_home
 from chicorycrank.policy.placement import PlacementRule, find_spots, placement_of
-from chicorycrank.policy.pool import Spots
+from chicorycrank.policy.pool import Pool, Spots
 
 MAX_DECISIONS = 16  # bounds the time of a pass when much becomes free at once
 MAX_RESERVATIONS = 1
@@ -88,6 +88,8 @@
         self.started: list[JobId] = []
         self.stopped: list[RunningJob] = []
         self.held: list[Hold] = []
+        self.held_reclaimable: list[Hold] = []
+        self.urgent_reservations = 0
         self.waiting_for_evictions: set[JobId] = set()
         self.claimed: dict[TargetId, int] = {}
         self.reservations: list[Reservation] = []
@@ -139,6 +141,7 @@
     def undo(self) -> None:
         """Put the cell back to where it was."""
         self._lift(self.held)
+        self._lift(self.held_reclaimable, self.cell.reclaimable)
         self._lift(self.reserved)
         for job_id in reversed(self.started):
             self.cell.take_back(job_id)
@@ -237,9 +240,22 @@
         if spots is not None:
             self._claim(spots, job)
             return
-        plan = plan_for_urgent(self.cell, job, self.now_s)
-        if plan is not None and self._is_open_plan(plan):
+        plan = plan_for_urgent(self.cell, job, self.now_s, self.claimed)
+        if plan is None or not self._is_open_plan(plan):
+            return
+        if plan.lost_s <= job.max_lost_s or job.job_id in self.cell.protected:
             self._evict(job, plan, EvictionCause.URGENT)
+        else:
+            self._reserve_urgent(job)
+
+    def _reserve_urgent(self, job: QueuedJob) -> None:
+        """Keep the accelerators that are free soonest from jobs that are not urgent."""
+        self.urgent_reservations += 1
+        if self.urgent_reservations > RESERVATIONS_TRIED:
+            return
+        reservation = reserve(self.cell, job, self.now_s)
+        if reservation is not None:
+            self._hold(reservation.spots, job.shape, self.held)
 
     def _find_soon(self, job: QueuedJob) -> Spots | None:
         """Find a place among free accelerators and those of jobs that stop."""
@@ -378,6 +394,7 @@
         """Keep accelerators that evictions free for the job that needs them."""
         self.waiting_for_evictions.add(job.job_id)
         self._hold(spots, job.shape, self.held)
+        self._hold(spots, job.shape, self.held_reclaimable, self.cell.reclaimable)
         for worker, mask in spots:
             self.claimed[worker] = self.claimed.get(worker, 0) | mask
 
@@ -389,9 +406,18 @@
         reason = REASONS[cause].format(team=job.team)
         self.decisions.append(Evict(job_id=victim, for_job=job.job_id, cause=cause, reason=reason))
 
-    def _hold(self, spots: Spots, shape: GangShape | None, holds: list[Hold]) -> None:
-        """Keep accelerators from the jobs that come later in this pass."""
-        free = self.cell.free
+    def _hold(
+        self,
+        spots: Spots,
+        shape: GangShape | None,
+        holds: list[Hold],
+        pool: Pool | None = None,
+    ) -> None:
+        """Keep accelerators from the jobs that come later in this pass.
+
+        :param pool: pool from which they are taken; the free accelerators if None
+        """
+        free = self.cell.free if pool is None else pool
         for worker, mask in spots:
             if worker in free.masks:
                 cores = min(shape.cores, max(0, free.cores[worker])) if shape else 0
@@ -400,9 +426,9 @@
                 free.take(worker, part, cores, memory_gb)
                 holds.append((worker, part, cores, memory_gb))
 
-    def _lift(self, holds: list[Hold]) -> None:
+    def _lift(self, holds: list[Hold], pool: Pool | None = None) -> None:
         for hold in holds:
-            self.cell.free.give(*hold)
+            (self.cell.free if pool is None else pool).give(*hold)
         holds.clear()
 
     def _unclaimed(self, worker: TargetId) -> int:
--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -1,6 +1,6 @@
 """Which borrowed work to evict: the cheapest lost work first."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from itertools import islice
@@ -69,26 +69,34 @@
     return EvictionPlan(spots=spots, victims=fresh, lost_s=lost)
 
 
-def plan_for_urgent(cell: Cell, job: QueuedJob, now_s: float) -> EvictionPlan | None:
+def plan_for_urgent(
+    cell: Cell, job: QueuedJob, now_s: float, claimed: Mapping[TargetId, int]
+) -> EvictionPlan | None:
     """Return the cheapest evictions found that let an urgent job start.
 
     Only the racks of recently started or checkpointable borrowed jobs and the racks with the
     most reclaimable accelerators are compared, so the cost does not grow with the workers.
+
+    :param claimed: accelerators that were freed for other jobs, by worker
     """
     shape = job.shape
     fallback = find_spots(cell.reclaimable, shape, job.rule)
     if fallback is None:
-        return plan_for_protected(cell, job, now_s) if job.job_id in cell.protected else None
+        return (
+            plan_for_protected(cell, job, now_s, claimed) if job.job_id in cell.protected else None
+        )
     plans = [plan_for_spots(cell, fallback, shape, now_s, spare_urgent=True)]
     for spots in _candidates(cell, shape, job.rule, now_s):
         plans.append(plan_for_spots(cell, spots, shape, now_s, spare_urgent=True))
     found = [plan for plan in plans if plan is not None]
     if not found and job.job_id in cell.protected:
-        return plan_for_protected(cell, job, now_s)
+        return plan_for_protected(cell, job, now_s, claimed)
     return min(found, key=lambda plan: (plan.lost_s, len(plan.victims)), default=None)
 
 
-def plan_for_protected(cell: Cell, job: QueuedJob, now_s: float) -> EvictionPlan | None:
+def plan_for_protected(
+    cell: Cell, job: QueuedJob, now_s: float, claimed: Mapping[TargetId, int]
+) -> EvictionPlan | None:
     """Return the cheapest evictions for a job inside its team's quota.
 
     Urgent work outside of the quota of its own team is evicted too.
@@ -98,7 +106,10 @@
     cost = partial(_block_cost, cell, now_s, False)
     full = cell.homes.full_by_worker
     racks = [
-        [(worker, full[worker][0]) for worker, _ in open_masks(cell.free, rack)]
+        [
+            (worker, full[worker][0] & ~claimed.get(worker, 0))
+            for worker, _ in open_masks(cell.free, rack)
+        ]
         for rack in cell.free.workers_by_rack
     ]
     groups = [*racks, [spot for rack in racks for spot in rack]]
