--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -42,6 +42,7 @@
 from chicorycrank.model.jobs import MemberPlacement, WorkKind
 from chicorycrank.policy.cell import Cell, RunningJob, WorkerState
 from chicorycrank.policy.decide import Decision, Evict, Start, decide
+from chicorycrank.policy.eviction import lost_work_s
 from chicorycrank.policy.placement import placement_of
 from chicorycrank.policy.pool import Spot
 from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
@@ -330,15 +331,17 @@
         unit = self._unit(ref)
         if unit.state is not UnitState.ASSIGNED:
             return
+        lost_s = lost_work_s(self.cell, ref.name, self.now_s)
         unit.state = UnitState.STOPPING
         self.cell.mark_stopping(ref.name)
         self.changes.jobs.add(ref.job_id)
         self.changes.workers.update(place.worker for place in unit.places if place != ENDED)
         logger.info(
-            "event=unit_stopped job=%s unit=%s run=%d reason=%s",
+            "event=unit_stopped job=%s unit=%s run=%d lost_s=%.1f reason=%s",
             ref.job_id,
             ref.key,
             unit.run,
+            lost_s,
             reason,
         )
 
@@ -385,6 +388,13 @@
 
     def _lose(self, worker: TargetId, task: TaskId, run: Run) -> None:
         unit = self._unit(run.ref)
+        logger.warning(
+            "event=run_lost task=%s run=%d worker=%s lost_s=%.1f",
+            task,
+            unit.run,
+            worker,
+            lost_work_s(self.cell, run.ref.name, self.now_s),
+        )
         end = TaskEnd(task, unit.run, EndKind.LOST)
         self._note_end(worker, run, unit, end)
 
