--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -53,6 +53,10 @@
 )
 # A worker that refused a start is left alone until its report is likely to be current.
 REJECTED_PAUSE_S = 0.5
+# The users' accounting weighs an accelerator like eight cores; here in thousandths of a core.
+CORES_PER_ACCELERATOR = 8000.0
+# Executors go on for a little longer than they say when they drain.
+DRAIN_MARGIN_S = 2.0
 MAX_PASSES = 8  # bounds the time of one plan
 
 logger = logging.getLogger("absl")
@@ -97,7 +101,7 @@
     """
 
     def __init__(self, shapes: UnitShapes, now_s: float) -> None:
-        self.cell = Cell()
+        self.cell = Cell(cores_per_accelerator=CORES_PER_ACCELERATOR)
         self.shapes = shapes
         self.now_s = now_s
         self.now_ms = 0
@@ -497,15 +501,16 @@
             self.cell.set_available(worker, available)
 
     def _evacuate(self, worker: TargetId, report: WorkerReport) -> None:
-        """Stop work that a draining executor would otherwise end, if that saves progress."""
+        """Stop work that a draining executor would end before it is done."""
         for run in list(self.runs_by_worker.get(worker, {}).values()):
             step = self.step_of(run.ref)
             unit = self._unit(run.ref)
             if unit.state is not UnitState.ASSIGNED:
                 continue
             left_s = step.run_time_s - (self.now_ms - unit.started_at_ms) / 1000
-            fits = left_s * 1000 <= report.remaining_ms and not step.long_running
-            if (step.checkpointing or step.long_running) and not fits:
+            # Work without checkpoints has nothing to gain from a stop, so it may run over a little.
+            margin_s = 0.0 if step.checkpointing else DRAIN_MARGIN_S
+            if step.long_running or left_s > report.remaining_ms / 1000 + margin_s:
                 self.stop(run.ref, "the worker drains")
 
     def _restart_suspects(self, worker: TargetId, report: WorkerReport) -> None:
--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -44,11 +44,12 @@
         queue = planner.queue_of(job)
         step = job.steps[ref.step]
         waited_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
+        shape = self._shape(planner, step)
         run_time_s = LONG_RUNNING_S if step.long_running else step.run_time_s
         return QueuedJob(
             job_id=ref.name,
             team=job.team,
-            shape=self._shape(planner, step),
+            shape=shape,
             run_time_s=run_time_s,
             submitted_s=planner.now_s - waited_s,
             urgent=queue.priority == URGENT_PRIORITY,
@@ -56,7 +57,7 @@
             priority=queue.priority,
             rule=self._rule(planner, ref, step, queue, waited_s),
             restart_s=self._checkpoint_s,
-            max_lost_s=MAX_LOST_SHARE * _work_s(step, run_time_s),
+            max_lost_s=MAX_LOST_SHARE * run_time_s * planner.cell.weight(shape),
             pinned=step.long_running and step.max_unavailable > 0,
         )
 
@@ -165,11 +166,6 @@
         return self._workers_by_label[key]
 
 
-def _work_s(step: Step, run_time_s: float) -> float:
-    """Return the accelerator seconds of a unit."""
-    return run_time_s * (step.count if step.gang else 1) * max(1, step.accelerators)
-
-
 def _is_suitable(report: WorkerReport, service: str, label: str) -> bool:
     return report.service == service and (not label or label in report.labels)
 
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -102,9 +102,12 @@
 
     ``free`` holds the accelerators without a task. ``reclaimable`` holds those that are free or
     run borrowed work that is not urgent.
+
+    :param cores_per_accelerator: cores whose loss weighs as much as that of an accelerator
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, cores_per_accelerator: float = inf) -> None:
+        self.cores_per_accelerator = cores_per_accelerator
         self.workers_by_id: dict[TargetId, WorkerState] = {}
         self.running_by_id: dict[JobId, RunningJob] = {}
         self.teams_by_id: dict[TeamId, Team] = {}
@@ -276,6 +279,10 @@
         """Return the accelerators of a running job."""
         return self._spots_by_id[job_id]
 
+    def weight(self, shape: GangShape) -> float:
+        """Return the accelerators of a gang, with its cores as parts of accelerators."""
+        return shape.members * (shape.accelerators + shape.cores / self.cores_per_accelerator)
+
     def is_evictable(self, job_id: JobId) -> bool:
         """Whether a job runs outside its team's guarantee and may be stopped for another."""
         return (
--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -36,8 +36,7 @@
     elapsed_s = max(0.0, now_s - running.started_s)
     if running.job.checkpointable:
         elapsed_s = min(elapsed_s, running.job.restart_s)
-    shape = running.job.shape
-    return (elapsed_s + 1.0) * shape.members * shape.accelerators
+    return (elapsed_s + 1.0) * cell.weight(running.job.shape)
 
 
 def plan_for_spots(
