Let jobs with the least work left come first; keep idle connections for 75 s

Cause of the order: urgent units started by time of submission, so one job of 17 units held back smaller ones past their objective. Cause of the lost answer in test_gang_failures: an entry that was frozen for longer than the server's idle timeout of 10 s closed a kept-alive connection on which a call had arrived meanwhile.

--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -5,8 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from chicorycrank.batch.units import ENDED, UnitRef
-from chicorycrank.model.batch import Queue, Step, Submission, WorkerReport
+from chicorycrank.batch.units import ENDED, UnitRef, parse_unit
+from chicorycrank.model.batch import Queue, Step, Submission, UnitState, WorkerReport
 from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import QueuedJob
@@ -20,6 +20,8 @@
 LONG_RUNNING_S = 3600.0
 # How long a unit waits for the rack of its data, as a share of its declared run time.
 DATA_RACK_WAIT_SHARE = 0.5
+# A wait of this length halves the work that a job seems to have left.
+AGING_S = 10.0
 # Work of others that an urgent unit outside of its team's quota may destroy, as a share of its own.
 MAX_LOST_SHARE = 0.5
 
@@ -57,6 +59,7 @@
             priority=queue.priority,
             rule=self._rule(planner, ref, step, queue, waited_s),
             restart_s=self._checkpoint_s,
+            precedence=self._precedence(planner, job, waited_s),
             max_lost_s=MAX_LOST_SHARE * run_time_s * planner.cell.weight(shape),
             pinned=step.long_running and step.max_unavailable > 0,
         )
@@ -96,6 +99,25 @@
             kept.append(job)
         return kept
 
+    def _precedence(self, planner: Planner, job: Submission, waited_s: float) -> float:
+        """Return the work that a job has left, discounted by its wait.
+
+        Short jobs come first, as callers gain nothing from a job before its last task; a long
+        job comes nearer to its turn with each second.
+        """
+        progress = planner.progress_by_id[job.job_id]
+        done: Counter[int] = Counter()
+        for key, unit in progress.units.items():
+            if unit.state is UnitState.DONE:
+                done[parse_unit(job.job_id, key).step] += 1
+        left_s = 0.0
+        for number, step in enumerate(job.steps):
+            units = 1 if step.gang else step.count
+            left = units - min(units, done[number])
+            weight = planner.cell.weight(self._shape(planner, step))
+            left_s += left * step.run_time_s * weight
+        return left_s / (1.0 + waited_s / AGING_S)
+
     @staticmethod
     def _unit_names(job: Submission) -> list[JobId]:
         names = []
--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -21,6 +21,9 @@
 # With a shorter queue (CherryPy's default is 5), a burst of callers overflows it and some of them
 # see a reset connection instead of an outcome.
 SOCKET_QUEUE_SIZE = 512
+# A connection that is closed for being idle while a call arrives on it loses the call's answer.
+# Callers and proxies commonly keep idle connections for up to 60 s.
+IDLE_CONNECTION_TIMEOUT_S = 75
 
 
 class HttpApi:
@@ -112,6 +115,7 @@
             "environment": "production",
             "server.socket_host": settings.listen_host,
             "server.socket_port": settings.http_port,
+            "server.socket_timeout": IDLE_CONNECTION_TIMEOUT_S,
             "server.socket_queue_size": SOCKET_QUEUE_SIZE,
             "server.thread_pool": settings.http_threads,
             "server.max_request_body_size": MAX_BODY_BYTES,
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -43,6 +43,7 @@
     :param restart_s: work in seconds that an eviction loses if the job saves checkpoints
     :param max_lost_s: accelerator seconds of other work that may be lost for it if it is urgent
         and outside of its team's quota
+    :param precedence: jobs of a smaller number come first among those of their kind
     :param pinned: it may not be evicted while it runs
     """
 
@@ -57,6 +58,7 @@
     rule: PlacementRule = ANY_WORKER
     restart_s: float = RESTART_S
     max_lost_s: float = inf
+    precedence: float = 0.0
     pinned: bool = False
 
     @property
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -132,8 +132,15 @@
     def _is_full(self) -> bool:
         return len(self.decisions) >= MAX_DECISIONS
 
-    def _turn(self, job: QueuedJob) -> tuple[bool, bool, float, JobId]:
-        return job.job_id not in self.cell.evicted_for, not job.urgent, job.submitted_s, job.job_id
+    def _turn(self, job: QueuedJob) -> tuple[bool, bool, bool, float, float, JobId]:
+        return (
+            job.job_id not in self.cell.evicted_for,
+            not job.urgent,
+            job.job_id not in self.cell.protected,
+            job.precedence,
+            job.submitted_s,
+            job.job_id,
+        )
 
     def _is_done(self, job: QueuedJob) -> bool:
         return job.job_id in self.waiting_for_evictions or job.job_id in self.cell.running_by_id
--- a/src/chicorycrank/policy/fairness.py
+++ b/src/chicorycrank/policy/fairness.py
@@ -34,10 +34,11 @@
 
 
 def within_team_order(cell: Cell, jobs: Sequence[QueuedJob], now_s: float) -> list[QueuedJob]:
-    """Return jobs by falling response ratio, shorter jobs first at equal ratios."""
+    """Return jobs by precedence and falling response ratio, shorter jobs first at equal ratios."""
     return sorted(
         jobs,
         key=lambda job: (
+            job.precedence,
             -response_ratio(cell, job, now_s),
             job.run_time_s,
             job.submitted_s,
