--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -107,23 +107,28 @@
     return send_problem(HTTPStatus(code), outcome, message).decode()
 
 
-def start_http(entry: Entry, loop: asyncio.AbstractEventLoop) -> None:
-    """Start CherryPy in its own threads."""
-    settings = entry.settings
+def configure_server(host: str, port: int, threads: int) -> None:
+    """Set CherryPy's address and limits."""
     cherrypy.config.update(
         {
             "environment": "production",
-            "server.socket_host": settings.listen_host,
-            "server.socket_port": settings.http_port,
+            "server.socket_host": host,
+            "server.socket_port": port,
             "server.socket_timeout": IDLE_CONNECTION_TIMEOUT_S,
             "server.socket_queue_size": SOCKET_QUEUE_SIZE,
-            "server.thread_pool": settings.http_threads,
+            "server.thread_pool": threads,
             "server.max_request_body_size": MAX_BODY_BYTES,
             "server.max_request_header_size": MAX_HEADER_BYTES,
             "log.screen": False,
             "error_page.default": _describe_error,
         }
     )
+
+
+def start_http(entry: Entry, loop: asyncio.AbstractEventLoop) -> None:
+    """Start CherryPy in its own threads."""
+    settings = entry.settings
+    configure_server(settings.listen_host, settings.http_port, settings.http_threads)
     cherrypy.engine.signals.subscribe = lambda: None
     application = cherrypy.tree.mount(HttpApi(entry, loop), "/")
     # A line per call tells an operator nothing that the metrics do not.
--- a/src/chicorycrank/platform/server.py
+++ b/src/chicorycrank/platform/server.py
@@ -9,8 +9,9 @@
 
 from cheroot import wsgi
 
-# Clients of the platform keep idle connections for up to 15 s.
-IDLE_TIMEOUT_S = 30
+# A process that was suspended for longer closes connections on which calls have arrived meanwhile.
+IDLE_TIMEOUT_S = 75
+IDLE_CONNECTIONS = 200
 QUEUE_SIZE = 256
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
@@ -60,6 +61,7 @@
             request_queue_size=QUEUE_SIZE,
             timeout=IDLE_TIMEOUT_S,
         )
+        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS
         self._server.max_request_body_size = MAX_BODY_BYTES
         setattr(self._server, "error_log", _log_error)  # noqa: B010 - it is a method there
 
--- /dev/null
+++ b/tests/batch/fakes.py
@@ -0,0 +1,335 @@
+"""In-memory store and executor for the batch tests."""
+
+import threading
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+
+from chicorycrank.model.batch import (
+    Advice,
+    EndKind,
+    Queue,
+    Step,
+    Submission,
+    TaskEnd,
+    WorkerReport,
+    WorkerState,
+)
+from chicorycrank.model.ids import (
+    Incarnation,
+    JobId,
+    QueueId,
+    RackId,
+    ServiceId,
+    TaskId,
+    TeamId,
+)
+from chicorycrank.ports.executor import (
+    ExecutorStatus,
+    ExecutorUnreachableError,
+    NumberedEnd,
+    OtherIncarnationError,
+    RunningTask,
+    StartAnswer,
+    StartOrder,
+)
+from chicorycrank.ports.transactions import (
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLostError,
+    Item,
+    Lease,
+    LeaseEndedError,
+    Revision,
+    StoreUnavailableError,
+    Write,
+)
+
+SERVICE = ServiceId("service")
+RED = TeamId("red")
+POLL_S = 0.01
+FIRST_LIFE = Incarnation("i-1:1")
+
+
+class ManualClock:
+    """Time that a test sets."""
+
+    def __init__(self) -> None:
+        self.seconds = 1000.0
+
+    def now(self) -> datetime:
+        """Return the set time in UTC."""
+        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=self.seconds)
+
+    def monotonic(self) -> float:
+        """Return the set seconds."""
+        return self.seconds
+
+    async def sleep(self, delay: timedelta) -> None:
+        """Fail, as no test sleeps."""
+        raise NotImplementedError
+
+
+class MemoryStore:
+    """A :class:`TransactionalStore` in memory.
+
+    ``fault`` is asked before each call: "refuse" has no effect, "silence" has none either but
+    looks as if it may have, "lose" applies a write and loses its answer.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.history: list[Item] = []
+        self.revision = 1
+        self.forgotten = 0
+        self.keys_by_lease: dict[int, set[str]] = {}
+        self.fault: Callable[[str], str] = lambda operation: ""
+        self.lock = threading.Condition()
+        self.writes: list[Write] = []
+
+    def read(self, key: str) -> Item | None:
+        """Return a key."""
+        self._fail("read")
+        with self.lock:
+            return self.items.get(key)
+
+    def read_all(self, prefix: str) -> Changes:
+        """Return the keys under a prefix."""
+        self._fail("list")
+        with self.lock:
+            found = [item for key, item in self.items.items() if key.startswith(prefix)]
+            return Changes(items=found, revision=Revision(self.revision))
+
+    def watch(self, prefix: str, after: Revision, wait_s: float) -> Changes:
+        """Wait shortly for changes."""
+        self._fail("watch")
+        with self.lock:
+            if after < self.forgotten:
+                raise HistoryLostError(prefix)
+            self.lock.wait_for(lambda: bool(self._since(prefix, after)), min(wait_s, POLL_S * 5))
+            return Changes(items=self._since(prefix, after), revision=Revision(self.revision))
+
+    def _since(self, prefix: str, after: int) -> list[Item]:
+        return [i for i in self.history if i.revision > after and i.key.startswith(prefix)]
+
+    def commit(self, write: Write, *, timeout_s: float) -> Committed | Conflict:
+        """Apply a write."""
+        fault = self._fail("commit")
+        answer = self.apply(write)
+        if fault == "lose":
+            raise StoreUnavailableError("lost", not_done=False)
+        return answer
+
+    def apply(self, write: Write) -> Committed | Conflict:
+        """Apply a write now, as a late one would be."""
+        with self.lock:
+            for key, revision in write.expected.items():
+                item = self.items.get(key)
+                if (item.revision if item else 0) != revision:
+                    found = {k: self.items[k] for k in write.expected if k in self.items}
+                    return Conflict(items=found)
+            for lease in write.leases.values():
+                if lease and lease not in self.keys_by_lease:
+                    raise LeaseEndedError(str(lease))
+            self.revision += 1
+            self.writes.append(write)
+            for key, value in write.values.items():
+                self._put(Item(key=key, value=value, revision=Revision(self.revision)))
+                if write.leases.get(key):
+                    self.keys_by_lease[write.leases[key]].add(key)
+            for key in write.deletes:
+                self._delete(key)
+            self.lock.notify_all()
+            return Committed(revision=Revision(self.revision))
+
+    def _put(self, item: Item) -> None:
+        self.items[item.key] = item
+        self.history.append(item)
+
+    def _delete(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.history.append(Item(key=key, value=None, revision=Revision(self.revision)))
+
+    def grant(self, ttl_s: float) -> Lease:
+        """Create a lease."""
+        self._fail("grant")
+        with self.lock:
+            lease = Lease(len(self.keys_by_lease) + 1)
+            self.keys_by_lease[lease] = set()
+            return lease
+
+    def renew(self, lease: Lease) -> bool:
+        """Tell whether a lease exists."""
+        self._fail("renew")
+        return lease in self.keys_by_lease
+
+    def revoke(self, lease: Lease) -> None:
+        """End a lease."""
+        self._fail("revoke")
+        self.lapse(lease)
+
+    def lapse(self, lease: Lease) -> None:
+        """End a lease as if it had not been renewed."""
+        with self.lock:
+            self.revision += 1
+            for key in self.keys_by_lease.pop(lease, set()):
+                self._delete(key)
+            self.lock.notify_all()
+
+    def forget_history(self) -> None:
+        """Forget all changes so far."""
+        with self.lock:
+            self.history.clear()
+            self.forgotten = self.revision
+
+    def _fail(self, operation: str) -> str:
+        fault = self.fault(operation)
+        if fault == "refuse":
+            raise StoreUnavailableError("refused", not_done=True)
+        if fault == "silence":
+            raise StoreUnavailableError("silent", not_done=False)
+        return fault
+
+
+@dataclass(kw_only=True)
+class FakeExecutor:
+    """An executor that runs tasks until a test ends them.
+
+    :param fault: "silence" for no answer, "late" for a start that is kept and carried out later
+    """
+
+    incarnation: Incarnation = FIRST_LIFE
+    fence: int = 0
+    clock_ms: int = 1000
+    runs: dict[TaskId, StartOrder] = field(default_factory=dict)
+    closed: dict[TaskId, int] = field(default_factory=dict)
+    ends: list[NumberedEnd] = field(default_factory=list)
+    late: list[StartOrder] = field(default_factory=list)
+    started: list[tuple[str, int]] = field(default_factory=list)
+    count: int = 0
+    fault: str = ""
+    answer: StartAnswer | None = None
+    finish_at_once: bool = False
+
+    def start(self, order: StartOrder) -> StartAnswer:
+        """Start a run, or behave as ``fault`` says."""
+        if self.fault == "late":
+            self.late.append(order)
+        if self.fault:
+            raise ExecutorUnreachableError(self.fault)
+        return self.answer or self.carry_out(order)
+
+    def carry_out(self, order: StartOrder) -> StartAnswer:
+        """Start a run now, as a late order would be."""
+        if order.incarnation != self.incarnation:
+            raise OtherIncarnationError(order.incarnation)
+        if order.fence < self.fence:
+            return StartAnswer.FENCED
+        self.fence = order.fence
+        if order.run <= self.closed.get(order.task, 0):
+            return StartAnswer.OUTDATED
+        if order.task not in self.runs:
+            self.runs[order.task] = order
+            self.started.append((order.task, order.run))
+            if self.finish_at_once:
+                self.end(order.task, EndKind.DONE)
+        return StartAnswer.STARTED
+
+    def stop(self, task: TaskId, run: int, fence: int, incarnation: Incarnation) -> bool:
+        """Stop a run."""
+        if self.fault:
+            raise ExecutorUnreachableError(self.fault)
+        if fence < self.fence:
+            return False
+        self.closed[task] = max(run, self.closed.get(task, 0))
+        if task in self.runs:
+            self.end(task, EndKind.STOPPED, "saved")
+        return True
+
+    def pace(
+        self, task: TaskId, run: int, percent: int, fence: int, incarnation: Incarnation
+    ) -> bool:
+        """Accept any pace."""
+        return True
+
+    def hold(
+        self,
+        *,
+        fence: int,
+        seen: int,
+        deadline_ms: int | None,
+        wait_s: float,
+        incarnation: Incarnation,
+    ) -> ExecutorStatus:
+        """List runs and ends."""
+        if self.fault:
+            raise ExecutorUnreachableError(self.fault)
+        if fence < self.fence:
+            raise PermissionError
+        self.fence = fence
+        self.ends = [end for end in self.ends if end.number > seen]
+        rows = [RunningTask(o.task, o.run, "", 100, 0.0) for o in self.runs.values()]
+        return ExecutorStatus(
+            incarnation=self.incarnation,
+            clock_ms=self.clock_ms,
+            running=rows,
+            ends=list(self.ends),
+        )
+
+    def end(self, task: TaskId, kind: EndKind, checkpoint: str = "") -> None:
+        """End a run."""
+        order = self.runs.pop(task)
+        self.count += 1
+        self.closed[task] = max(order.run, self.closed.get(task, 0))
+        self.ends.append(NumberedEnd(self.count, TaskEnd(task, order.run, kind, checkpoint)))
+
+
+def make_queue(
+    priority: int = 1, max_attempts: int = 3, advice: Advice | None = None, name: str = "q"
+) -> Queue:
+    return Queue(
+        queue_id=QueueId(name),
+        host="host",
+        prefix=f"/{name}/",
+        service=SERVICE,
+        priority=priority,
+        max_attempts=max_attempts,
+        advice=advice,
+    )
+
+
+def make_job(
+    steps: Sequence[Step],
+    *,
+    name: str = "aaaaaaaaaaaaaaaa",
+    queue: Queue | None = None,
+    team: TeamId = RED,
+    **changes: int,
+) -> Submission:
+    return Submission(
+        job_id=JobId(name),
+        queue=queue or make_queue(),
+        team=team,
+        payload="text",
+        steps=tuple(steps),
+        submitted_at_ms=0,
+        **changes,
+    )
+
+
+def make_report(incarnation: str = "i-1:1", **changes: object) -> WorkerReport:
+    report = WorkerReport(
+        incarnation=Incarnation(incarnation),
+        executor=incarnation.partition(":")[0],
+        service=SERVICE,
+        state=WorkerState.READY,
+        accelerators=8,
+        cores=64000,
+        memory_mb=256000,
+        labels=("a", "r1"),
+        rack=RackId("r1"),
+    )
+    for name, value in changes.items():
+        setattr(report, name, value)
+    return report
--- /dev/null
+++ b/tests/batch/test_intake.py
@@ -0,0 +1,103 @@
+"""Outcomes of calls under faults of the store."""
+
+import pytest
+from tests.batch.fakes import ManualClock, MemoryStore, make_job
+
+from chicorycrank.batch.intake import Intake, Outcome
+from chicorycrank.batch.keys import cancel_key, job_key
+from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.view import SharedView
+from chicorycrank.model.batch import BatchState, Step
+
+JOB = make_job([Step(count=1)])
+
+
+class World:
+    """An intake over a store whose calls take 0.3 s each."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryStore()
+        self.view = SharedView("op/config", lambda data: None)
+        self.replica = Replica(self.store, "o", self.view.apply, self.clock, wait_s=0.0)
+        self.intake = Intake(self.store, self.view, self.replica, self.clock)
+
+    def set_faults(self, *names: str, then: str = "") -> None:
+        """Let the writes fail in this way, one after the other."""
+        left = list(names)
+
+        def fault(operation: str) -> str:
+            if operation != "commit":
+                return ""
+            self.clock.seconds += 0.3
+            return left.pop(0) if left else then
+
+        self.store.fault = fault
+
+    def submit(self) -> Outcome:
+        """Submit the job with a deadline of 3 s."""
+        return self.intake.submit(JOB, self.clock.monotonic() + 3.0)
+
+
+@pytest.mark.parametrize(
+    ("names", "then", "outcome", "stored"),
+    [
+        ((), "", Outcome.DONE, True),
+        (("refuse",), "", Outcome.DONE, True),
+        ((), "refuse", Outcome.NOT_DONE, False),
+        (("lose",), "", Outcome.DONE, True),
+        (("lose",), "refuse", Outcome.UNKNOWN, True),
+        (("silence",), "refuse", Outcome.UNKNOWN, False),
+        (("silence",), "", Outcome.DONE, True),
+    ],
+)
+def test_a_submission_is_refused_only_if_it_is_certainly_not_stored(
+    names: tuple[str, ...], then: str, outcome: Outcome, stored: bool
+) -> None:
+    """Guards against a job that runs although its caller was told that it has not."""
+    world = World()
+    world.set_faults(*names, then=then)
+    assert world.submit() is outcome
+    assert (job_key(JOB.job_id) in world.store.items) is stored
+
+
+def test_a_submission_is_refused_at_once_while_the_store_is_away() -> None:
+    """Guards against a caller that waits for its deadline although the answer is known."""
+    world = World()
+    world.replica.failed_since = world.clock.monotonic()
+    before = world.clock.monotonic()
+    assert (world.submit(), world.clock.monotonic()) == (Outcome.NOT_DONE, before)
+
+
+def test_the_same_job_again_is_the_same_job() -> None:
+    """Guards against a job that a repeated call replaces."""
+    world = World()
+    assert [world.submit(), world.submit()] == [Outcome.DONE, Outcome.DONE]
+    assert len(world.store.writes) == 1
+    other = World()
+    other.store.items = world.store.items
+    assert other.submit() is Outcome.DONE
+
+
+@pytest.mark.parametrize(
+    ("known", "outcome", "stored"), [(True, Outcome.DONE, True), (False, Outcome.ABSENT, False)]
+)
+def test_a_cancellation_is_stored_for_a_known_job(
+    known: bool, outcome: Outcome, stored: bool
+) -> None:
+    """Guards against a cancellation that is acknowledged and lost."""
+    world = World()
+    if known:
+        world.submit()
+    assert world.intake.cancel(JOB.job_id, world.clock.monotonic() + 3.0) is outcome
+    assert (cancel_key(JOB.job_id) in world.store.items) is stored
+    if known:
+        assert world.intake.state(JOB.job_id).state is BatchState.CANCELLED
+
+
+def test_a_job_that_another_entry_took_is_found_in_the_store() -> None:
+    """Guards against a job that is called unknown because the watch lags."""
+    world, other = World(), World()
+    world.submit()
+    other.store.items = world.store.items
+    assert other.intake.state(JOB.job_id).state is BatchState.QUEUED
--- /dev/null
+++ b/tests/batch/test_leader_role.py
@@ -0,0 +1,68 @@
+"""The leader's record, and what a lost or late answer of the store does to it."""
+
+import pytest
+from tests.batch.fakes import MemoryStore
+
+from chicorycrank.batch.keys import LEADER
+from chicorycrank.batch.leader import DeposedError, Role
+from chicorycrank.model.ids import EntryId
+from chicorycrank.ports.transactions import Committed, Conflict, StoreUnavailableError
+
+
+def faults(store: MemoryStore, *names: str) -> None:
+    left = list(names)
+    store.fault = lambda operation: left.pop(0) if operation == "commit" and left else ""
+
+
+def take(store: MemoryStore, name: str = "one") -> Role:
+    role = Role(store, EntryId(name))
+    assert role.take()
+    return role
+
+
+def test_only_one_entry_takes_the_role() -> None:
+    """Guards against two leaders."""
+    store = MemoryStore()
+    take(store)
+    assert not Role(store, EntryId("two")).take()
+
+
+@pytest.mark.parametrize("names", [("lose",), ("silence",), ("lose", "silence", "lose")])
+def test_a_write_without_an_answer_is_applied_once(names: tuple[str, ...]) -> None:
+    """Guards against a leader that gives up, or writes twice, after an answer is lost."""
+    store = MemoryStore()
+    role = take(store)
+    faults(store, *names)
+    for _ in names:
+        with pytest.raises(StoreUnavailableError):
+            role.write({"key": b"1"}, ())
+    role.write({"key": b"1"}, ())
+    assert len([write for write in store.writes if "key" in write.values]) == 1
+    role.write({"key": b"2"}, ())
+    assert store.items["key"].value == b"2"
+
+
+def test_a_late_write_changes_nothing() -> None:
+    """Guards against an old value that the store writes after a newer one."""
+    store = MemoryStore()
+    role = take(store)
+    role.write({"key": b"old"}, ())
+    late = store.writes[-1]
+    role.write({"key": b"new"}, ())
+    assert isinstance(store.apply(late), Conflict)
+    assert store.items["key"].value == b"new"
+
+
+def test_a_leader_whose_lease_has_ended_writes_nothing() -> None:
+    """Guards against a leader that was frozen and goes on beside its successor."""
+    store = MemoryStore()
+    role = take(store)
+    for lease in list(store.keys_by_lease):
+        store.lapse(lease)  # type: ignore[arg-type]
+    successor = take(store, "two")
+    with pytest.raises(DeposedError):
+        role.write({"key": b"1"}, ())
+    successor.write({"key": b"2"}, ())
+    assert store.items["key"].value == b"2"
+    assert isinstance(store.apply(store.writes[-1]), Conflict | Committed)
+    assert LEADER in store.items
--- /dev/null
+++ b/tests/batch/test_planner.py
@@ -0,0 +1,258 @@
+"""Plans of the leader, from reports to orders."""
+
+from collections.abc import Sequence
+
+import pytest
+from tests.batch.fakes import RED, make_job, make_queue, make_report
+
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.shapes import UnitShapes
+from chicorycrank.model.batch import (
+    BatchState,
+    BatchTeam,
+    EndKind,
+    Progress,
+    Queue,
+    Step,
+    Submission,
+    TaskEnd,
+    UnitState,
+    WorkerState,
+)
+from chicorycrank.model.ids import TargetId, TaskId, TeamId
+
+WORKERS = [TargetId(f"w{n}") for n in range(3)]
+WHOLE = Step(count=1, accelerators=8, cores=1000, run_time_s=5.0)
+
+
+def make_planner(workers: Sequence[TargetId] = WORKERS, quota: int = 0) -> Planner:
+    planner = Planner(UnitShapes(1.0), 1000.0)
+    planner.set_config({}, [BatchTeam(team=RED, quota=quota)])
+    for worker in workers:
+        planner.put_report(worker, make_report(f"i-{worker}:1"))
+        planner.set_present(worker, True)
+    return planner
+
+
+def submit(planner: Planner, job: Submission) -> Submission:
+    planner.put_job(job, None)
+    planner.plan()
+    return job
+
+
+def tasks_by_worker(planner: Planner) -> dict[str, list[tuple[str, int, bool]]]:
+    return {
+        worker: [(a.task, a.run, a.stop) for a in planner.order_for(worker).assignments]
+        for worker in planner.workers_by_id
+        if planner.order_for(worker).assignments
+    }
+
+
+def end(planner: Planner, task: str, kind: EndKind, run: int = 1, checkpoint: str = "") -> None:
+    for worker, runs in list(planner.runs_by_worker.items()):
+        if TaskId(task) in runs:
+            report = planner.workers_by_id[worker].report
+            report.ends = [TaskEnd(TaskId(task), run, kind, checkpoint)]
+            planner.put_report(worker, report)
+            report.ends = []
+            break
+    planner.plan()
+
+
+def progress_of(planner: Planner, job: Submission) -> Progress:
+    return planner.progress_by_id[job.job_id]
+
+
+def test_a_job_runs_through_its_steps() -> None:
+    """Guards against a job that is not shown as completed after its last end."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE, Step(count=1, accelerators=1, after=(0,))]))
+    assert list(tasks_by_worker(planner).values()) == [[(f"{job.job_id}.0.0.0", 1, False)]]
+    end(planner, f"{job.job_id}.0.0.0", EndKind.DONE)
+    assert progress_of(planner, job).state is BatchState.RUNNING
+    end(planner, f"{job.job_id}.0.1.0", EndKind.DONE)
+    assert progress_of(planner, job).state is BatchState.COMPLETED
+    assert tasks_by_worker(planner) == {}
+
+
+@pytest.mark.parametrize(
+    ("kind", "checkpoint"), [(EndKind.STOPPED, "c1"), (EndKind.LAPSED, ""), (EndKind.REJECTED, "")]
+)
+def test_an_interrupted_task_runs_again_from_its_checkpoint(kind: EndKind, checkpoint: str) -> None:
+    """Guards against a run number that is used twice and a checkpoint that is dropped."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE]))
+    end(planner, f"{job.job_id}.0.0.0", kind, checkpoint=checkpoint)
+    orders = [planner.order_for(worker).assignments for worker in WORKERS]
+    (assignment,) = [item for items in orders for item in items]
+    assert (assignment.run, assignment.checkpoint) == (2, checkpoint)
+
+
+def test_an_end_of_an_earlier_run_changes_nothing() -> None:
+    """Guards against a late report that ends the run that followed."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE]))
+    end(planner, f"{job.job_id}.0.0.0", EndKind.STOPPED)
+    end(planner, f"{job.job_id}.0.0.0", EndKind.DONE, run=1)
+    assert progress_of(planner, job).units["0.0.0"].state is UnitState.ASSIGNED
+
+
+def test_a_failing_task_avoids_the_worker_and_then_fails_its_job() -> None:
+    """Guards against a job that is tried again on the worker that fails everything."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE, WHOLE], queue=make_queue(max_attempts=2)))
+    first = next(iter(tasks_by_worker(planner)))
+    task = tasks_by_worker(planner)[first][0][0]
+    end(planner, task, EndKind.FAILED)
+    second = next(w for w, rows in tasks_by_worker(planner).items() if rows[0][0] == task)
+    assert second != first
+    end(planner, task, EndKind.FAILED, run=2)
+    assert progress_of(planner, job).state is BatchState.FAILED
+    assert all(stop for rows in tasks_by_worker(planner).values() for _, _, stop in rows)
+
+
+def test_one_end_of_a_gang_completes_it_and_stops_the_others() -> None:
+    """Guards against members that go on after their gang is done."""
+    planner = make_planner()
+    job = submit(planner, make_job([Step(count=2, accelerators=8, gang=True)]))
+    end(planner, f"{job.job_id}.0.0.0", EndKind.DONE)
+    assert progress_of(planner, job).state is BatchState.COMPLETED
+    assert list(tasks_by_worker(planner).values()) == [[(f"{job.job_id}.0.0.1", 1, True)]]
+    # The place of a gang is given out once all of its members have ended.
+    other = submit(planner, make_job([WHOLE, WHOLE, WHOLE], name="b" * 16))
+    assert len(progress_of(planner, other).units) == 1
+    end(planner, f"{job.job_id}.0.0.1", EndKind.STOPPED)
+    assert len(progress_of(planner, other).units) == 3
+
+
+@pytest.mark.parametrize("is_new_leader", [False, True])
+def test_a_cancelled_job_is_stopped(is_new_leader: bool) -> None:
+    """Guards against a cancellation that a change of the leader forgets."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE]))
+    if is_new_leader:
+        records = progress_of(planner, job)
+        planner = make_planner()
+        planner.put_job(job, records)
+    planner.cancel(job.job_id)
+    planner.plan()
+    assert [row[2] for rows in tasks_by_worker(planner).values() for row in rows] == [True]
+    assert progress_of(planner, job).state is BatchState.CANCELLED
+
+
+def test_a_new_leader_gives_out_the_same_orders() -> None:
+    """Guards against a takeover that starts again what runs, or fills its place."""
+    planner = make_planner()
+    job = submit(planner, make_job([Step(count=2, accelerators=8, gang=True), WHOLE]))
+    before = tasks_by_worker(planner)
+    successor = make_planner()
+    successor.put_job(job, progress_of(planner, job))
+    successor.plan()
+    assert tasks_by_worker(successor) == before
+    other = submit(successor, make_job([WHOLE], name="b" * 16))
+    assert "0.0.0" not in progress_of(successor, other).units
+
+
+@pytest.mark.parametrize(
+    ("report", "expected"),
+    [
+        ({"incarnation": "i-w0:2"}, 2),
+        ({"state": WorkerState.GONE}, 2),
+        ({"state": WorkerState.DRAINING, "remaining_ms": 9000}, 1),
+    ],
+)
+def test_work_of_an_executor_that_is_gone_runs_elsewhere(
+    report: dict[str, object], expected: int
+) -> None:
+    """Guards against a task that waits for an executor that will never end it."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE]))
+    worker = TargetId(next(iter(tasks_by_worker(planner))))
+    incarnation = planner.workers_by_id[worker].report.incarnation
+    planner.put_report(worker, make_report(**{"incarnation": incarnation, **report}))  # type: ignore[arg-type]
+    planner.plan()
+    assert progress_of(planner, job).units["0.0.0"].run == expected
+
+
+@pytest.mark.parametrize(("checkpointing", "stopped"), [(True, True), (False, True)])
+def test_a_draining_worker_is_evacuated_in_time(checkpointing: bool, stopped: bool) -> None:
+    """Guards against work that runs until the executor ends it unsaved."""
+    planner = make_planner()
+    step = Step(count=1, accelerators=8, run_time_s=20.0, checkpointing=checkpointing)
+    submit(planner, make_job([step]))
+    worker = TargetId(next(iter(tasks_by_worker(planner))))
+    report = planner.workers_by_id[worker].report
+    changed = make_report(report.incarnation, state=WorkerState.DRAINING, remaining_ms=2500)
+    planner.put_report(worker, changed)
+    assert [a.stop for a in planner.order_for(worker).assignments] == [stopped]
+
+
+def test_an_absent_worker_gets_no_work_but_keeps_what_it_has() -> None:
+    """Guards against a second run of a task whose worker is only cut off."""
+    planner = make_planner(WORKERS[:1])
+    job = submit(planner, make_job([Step(count=2, accelerators=4)]))
+    planner.set_present(WORKERS[0], False)
+    end(planner, f"{job.job_id}.0.0.0", EndKind.STOPPED)
+    units = progress_of(planner, job).units
+    assert (units["0.0.0"].state, units["0.0.1"].state) == (UnitState.WAITING, UnitState.ASSIGNED)
+    planner.lose_worker(WORKERS[0])
+    assert units["0.0.1"].state is UnitState.WAITING
+
+
+def test_urgent_work_of_a_team_inside_its_quota_takes_the_place_of_other_work() -> None:
+    """Guards against a guarantee that waits until lent accelerators come back by themselves."""
+    planner = make_planner(quota=24)
+    borrower = make_job([Step(count=3, accelerators=8, run_time_s=60.0)], team=TeamId("blue"))
+    submit(planner, borrower)
+    urgent = make_job([WHOLE, WHOLE], name="b" * 16, queue=make_queue(priority=0, name="u"))
+    submit(planner, urgent)
+    stops = [row for rows in tasks_by_worker(planner).values() for row in rows if row[2]]
+    assert len(stops) == 2
+    for task, run, _ in stops:
+        end(planner, task, EndKind.STOPPED, run=run)
+    states = [unit.state for unit in progress_of(planner, urgent).units.values()]
+    assert states == [UnitState.ASSIGNED, UnitState.ASSIGNED]
+
+
+@pytest.mark.parametrize(
+    ("steps", "expected"),
+    [
+        ([Step(count=4, accelerators=1, max_per_worker=1)], [1, 1, 1]),
+        ([Step(count=4, accelerators=1, max_per_worker=2)], [2, 2]),
+        ([Step(count=2, accelerators=1, label="r1")], [2]),
+        ([Step(count=2, accelerators=1, label="other")], []),
+    ],
+)
+def test_labels_and_limits_per_worker_hold(steps: list[Step], expected: list[int]) -> None:
+    """Guards against a task on a worker without its label or beyond the limit of its step."""
+    planner = make_planner()
+    submit(planner, make_job(steps))
+    counts = sorted((len(rows) for rows in tasks_by_worker(planner).values()), reverse=True)
+    assert counts == expected
+
+
+@pytest.mark.parametrize(
+    ("queues", "expected"), [({}, 1), ({"q": "service"}, 1), ({"q": "elsewhere"}, 0)]
+)
+def test_only_workers_of_the_queues_service_are_used(queues: dict[str, str], expected: int) -> None:
+    """Guards against a start at a service to which no configuration sends the queue."""
+    planner = make_planner()
+    by_id: dict[str, Queue] = {
+        name: Queue(queue_id=make_queue().queue_id, host="", prefix="", service=service)  # type: ignore[arg-type]
+        for name, service in queues.items()
+    }
+    planner.set_config(by_id, [])  # type: ignore[arg-type]
+    submit(planner, make_job([WHOLE]))
+    assert len(tasks_by_worker(planner)) == expected
+
+
+def test_a_suspect_task_is_stopped_and_its_worker_rested() -> None:
+    """Guards against a task that stands still for as long as its executor does."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE]))
+    worker = TargetId(next(iter(tasks_by_worker(planner))))
+    report = planner.workers_by_id[worker].report
+    planner.put_report(
+        worker, make_report(report.incarnation, suspects=[TaskId(f"{job.job_id}.0.0.0")])
+    )
+    assert [a.stop for a in planner.order_for(worker).assignments] == [True]
--- /dev/null
+++ b/tests/batch/test_runs.py
@@ -0,0 +1,109 @@
+"""Runs of an executor as its agent sees them."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from chicorycrank.batch.runs import MISSING_LIMIT_S, RunTable
+from chicorycrank.model.batch import Assignment, EndKind, TaskEnd, WorkOrder
+from chicorycrank.model.ids import Incarnation, TaskId
+from chicorycrank.ports.executor import ExecutorStatus, NumberedEnd, RunningTask
+
+LIFE = Incarnation("i-1:1")
+TASK = TaskId("a.0.0.0")
+
+
+def order(*rows: tuple[str, int, bool], incarnation: Incarnation = LIFE) -> WorkOrder:
+    return WorkOrder(
+        incarnation=incarnation,
+        assignments=tuple(Assignment(task=TaskId(t), run=r, stop=s) for t, r, s in rows),
+    )
+
+
+def status(
+    running: Sequence[tuple[str, int]] = (), ends: Sequence[tuple[int, str, int, EndKind]] = ()
+) -> ExecutorStatus:
+    return ExecutorStatus(
+        incarnation=LIFE,
+        clock_ms=0,
+        running=[RunningTask(TaskId(t), r, "", 100, 0.0) for t, r in running],
+        ends=[NumberedEnd(n, TaskEnd(TaskId(t), r, k)) for n, t, r, k in ends],
+    )
+
+
+def kinds(table: RunTable) -> list[EndKind]:
+    return [end.kind for end in table.ends]
+
+
+def test_an_end_is_reported_until_the_order_no_longer_names_its_run() -> None:
+    """Guards against an end that is dropped before the leader has taken note of it."""
+    table = RunTable()
+    table.put_order(order((TASK, 1, False)), LIFE)
+    table.take_status(status(ends=[(1, TASK, 1, EndKind.DONE)]), 1.0)
+    table.put_order(order((TASK, 1, False)), LIFE)
+    assert (kinds(table), table.to_drive()) == ([EndKind.DONE], [])
+    table.put_order(order(), LIFE)
+    assert kinds(table) == []
+
+
+def test_an_end_is_taken_once() -> None:
+    """Guards against ends that are reported again after the executor lists them again."""
+    table = RunTable()
+    table.put_order(order((TASK, 1, False)), LIFE)
+    for _ in range(2):
+        table.take_status(status(ends=[(1, TASK, 1, EndKind.DONE)]), 1.0)
+    assert kinds(table) == [EndKind.DONE]
+
+
+@pytest.mark.parametrize(
+    ("closed_at", "rejection", "sent_at", "expected"),
+    [
+        (None, "", 50.0, []),
+        (10.0, "", 9.0, []),
+        (10.0, "", 11.0, [EndKind.STOPPED]),
+        (10.0, "no-room", 11.0, [EndKind.REJECTED]),
+    ],
+)
+def test_a_run_that_is_not_there_ends_only_once_it_cannot_begin(
+    closed_at: float | None, rejection: str, sent_at: float, expected: list[EndKind]
+) -> None:
+    """Guards against an end of a run whose start may still be carried out."""
+    table = RunTable()
+    table.put_order(order((TASK, 1, False)), LIFE)
+    run = table.runs_by_task[TASK]
+    run.closed_at, run.rejection = closed_at, rejection
+    table.take_status(status(), sent_at)
+    assert kinds(table) == expected
+
+
+@pytest.mark.parametrize(
+    ("rows", "stops"),
+    [([], [True]), ([(TASK, 2, False)], [True]), ([(TASK, 1, False)], [False])],
+)
+def test_a_run_that_the_order_does_not_name_is_stopped(
+    rows: list[tuple[str, int, bool]], stops: list[bool]
+) -> None:
+    """Guards against work that goes on after the leader has given it to another worker."""
+    table = RunTable()
+    table.put_order(order(*rows), LIFE)
+    table.runs_by_task.clear()
+    table.take_status(status(running=[(TASK, 1)]), 1.0)
+    assert [run.wants_stop for run in table.runs_by_task.values()] == stops
+
+
+@pytest.mark.parametrize(("late_s", "asks"), [(1.0, False), (MISSING_LIMIT_S + 1, True)])
+def test_a_started_run_that_disappears_is_closed(late_s: float, asks: bool) -> None:
+    """Guards against a run that was started, is listed nowhere and holds its place for good."""
+    table = RunTable()
+    table.put_order(order((TASK, 1, False)), LIFE)
+    run = table.runs_by_task[TASK]
+    run.started_at = 10.0
+    table.take_status(status(), 10.0 + late_s)
+    assert run.wants_stop is asks
+
+
+def test_an_order_for_another_incarnation_starts_nothing() -> None:
+    """Guards against a start on an executor that the leader did not mean."""
+    table = RunTable()
+    table.put_order(order((TASK, 1, False), incarnation=Incarnation("i-1:2")), LIFE)
+    assert table.to_drive() == []
--- /dev/null
+++ b/tests/batch/test_units.py
@@ -0,0 +1,125 @@
+"""Order of steps, occurrences and the effect of ends."""
+
+import pytest
+from tests.batch.fakes import make_job
+
+from chicorycrank.batch.units import (
+    begin_run,
+    due_occurrences,
+    is_complete,
+    next_due_ms,
+    note_end,
+    parse_unit,
+    shown_state,
+    waiting_units,
+)
+from chicorycrank.model.batch import (
+    BatchState,
+    EndKind,
+    Place,
+    Progress,
+    Step,
+    TaskEnd,
+    Unit,
+    UnitState,
+)
+from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId
+
+JOB = JobId("aaaaaaaaaaaaaaaa")
+CHAIN = [Step(count=2), Step(count=1, after=(0,)), Step(count=3, gang=True)]
+
+
+def done(*keys: str) -> Progress:
+    return Progress(units={key: Unit(state=UnitState.DONE, run=1) for key in keys})
+
+
+@pytest.mark.parametrize(
+    ("finished", "expected"),
+    [
+        ((), {"0.0.0", "0.0.1", "0.2"}),
+        (("0.0.0",), {"0.0.1", "0.2"}),
+        (("0.0.0", "0.0.1"), {"0.1.0", "0.2"}),
+        (("0.0.0", "0.0.1", "0.1.0", "0.2"), set()),
+    ],
+)
+def test_a_step_waits_for_the_steps_before_it(
+    finished: tuple[str, ...], expected: set[str]
+) -> None:
+    """Guards against a start before all tasks of an earlier step are done."""
+    progress = done(*finished)
+    found = {ref.key for ref in waiting_units(make_job(CHAIN), progress, 0)}
+    assert found == expected
+    assert is_complete(make_job(CHAIN), progress) is not bool(expected)
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "due", "next_ms"),
+    [(999, 0, 1000), (1000, 1, 1500), (1499, 1, 1500), (2100, 3, None), (9000, 3, None)],
+)
+def test_occurrences_are_due_at_their_time(now_ms: int, due: int, next_ms: int | None) -> None:
+    """Guards against a start before its time and against an occurrence left out."""
+    job = make_job([Step(count=1)], repeat_count=3, first_at_ms=1000, interval_ms=500)
+    assert len(due_occurrences(job, now_ms)) == due
+    assert next_due_ms(job, now_ms) == next_ms
+
+
+@pytest.mark.parametrize(
+    ("kinds", "state", "failures"),
+    [
+        ([EndKind.DONE, EndKind.BROKEN], UnitState.DONE, 0),
+        ([EndKind.BROKEN, EndKind.DONE], UnitState.DONE, 0),
+        ([EndKind.FAILED, EndKind.BROKEN], UnitState.WAITING, 1),
+        ([EndKind.BROKEN, EndKind.FAILED], UnitState.WAITING, 1),
+        ([EndKind.FAILED, EndKind.FAILED], UnitState.WAITING, 1),
+        ([EndKind.STOPPED, EndKind.STOPPED], UnitState.WAITING, 0),
+        ([EndKind.LOST, EndKind.LAPSED], UnitState.WAITING, 0),
+        ([EndKind.LOST, EndKind.DONE], UnitState.DONE, 0),
+    ],
+)
+def test_a_gang_ends_as_one(kinds: list[EndKind], state: UnitState, failures: int) -> None:
+    """Guards against a failure counted for each member, and a done gang that runs again."""
+    unit = Unit()
+    place = Place(TargetId("w"), Incarnation("i"))
+    begin_run(unit, [place, place], 0)
+    step = Step(count=2, gang=True)
+    overs = [
+        note_end(unit, member, TaskEnd(TaskId("t"), 1, kind), step, 2)
+        for member, kind in enumerate(kinds)
+    ]
+    assert (overs, unit.state, unit.failures) == ([False, True], state, failures)
+
+
+@pytest.mark.parametrize(
+    ("long_running", "attempts", "state"),
+    [(False, 2, UnitState.FAILED), (False, 3, UnitState.WAITING), (True, 1, UnitState.WAITING)],
+)
+def test_failures_use_up_the_attempts(long_running: bool, attempts: int, state: UnitState) -> None:
+    """Guards against a start after the last attempt, and a lasting task that is given up."""
+    unit = Unit()
+    step = Step(count=1, long_running=long_running)
+    for run in (1, 2):
+        begin_run(unit, [Place(TargetId("w"), Incarnation("i"))], 0)
+        note_end(unit, 0, TaskEnd(TaskId("t"), run, EndKind.FAILED), step, attempts)
+        if unit.state is UnitState.FAILED:
+            break
+    assert unit.state is state
+
+
+@pytest.mark.parametrize(
+    ("progress", "cancelled", "expected"),
+    [
+        (Progress(), False, BatchState.QUEUED),
+        (Progress(units={"0.0.0": Unit(run=1)}), False, BatchState.RUNNING),
+        (Progress(), True, BatchState.CANCELLED),
+        (Progress(state=BatchState.COMPLETED), True, BatchState.COMPLETED),
+    ],
+)
+def test_shown_state(progress: Progress, cancelled: bool, expected: BatchState) -> None:
+    """Guards against a completed job that a late cancellation hides."""
+    assert shown_state(progress, cancelled=cancelled) is expected
+
+
+@pytest.mark.parametrize("key", ["0.0", "3.1", "0.0.0", "2.1.17"])
+def test_unit_keys_round_trip(key: str) -> None:
+    """Guards against a record whose units a new leader cannot read."""
+    assert parse_unit(JOB, key).key == key
--- /dev/null
+++ b/tests/batch/test_whole_path.py
@@ -0,0 +1,226 @@
+"""Intake, leader and agents together over one store, in threads of this process."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+from tests.batch.fakes import (
+    RED,
+    FakeExecutor,
+    MemoryStore,
+    make_job,
+    make_queue,
+    make_report,
+)
+
+from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.batch.agent import BatchAgent
+from chicorycrank.batch.intake import Intake, Outcome
+from chicorycrank.batch.keys import SHARED_PREFIX
+from chicorycrank.batch.leader import Leader
+from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.shapes import UnitShapes
+from chicorycrank.batch.view import SharedView
+from chicorycrank.model.batch import BatchConfig, BatchState, BatchTeam, EndKind, Step
+from chicorycrank.model.ids import EntryId, Incarnation, TargetId, TaskId
+from chicorycrank.ports.advice import AdviceUnavailableError, Allowed
+from chicorycrank.ports.transactions import Write
+
+CONFIG_KEY = "op/config"
+LIMIT_S = 15.0
+MAX_LEASE_S = 10.0
+LOST_AFTER_S = 20.0
+STATUS_S = 60.0
+STEP = Step(count=1, accelerators=8, run_time_s=1.0)
+
+
+class NoAdvice:
+    """A service that nobody should ask."""
+
+    def ask(self, step: str, executors: object, *, timeout_s: float) -> Allowed:
+        """Fail."""
+        raise AdviceUnavailableError(step)
+
+
+class Entry:
+    """An entry without its HTTP server."""
+
+    def __init__(self, store: MemoryStore, name: str) -> None:
+        clock = SystemClock()
+        config = BatchConfig(version=1, queues=(make_queue(),), teams=(BatchTeam(team=RED),))
+        self.view = SharedView(CONFIG_KEY, lambda data: config)
+        self.replica = Replica(store, SHARED_PREFIX, self.view.apply, clock, wait_s=0.1)
+        self.intake = Intake(store, self.view, self.replica, clock)
+        self.leader = Leader(
+            store,
+            self.view,
+            self.replica,
+            clock,
+            EntryId(name),
+            shapes=lambda: UnitShapes(1.0),
+            advice=NoAdvice(),
+            lost_after_s=LOST_AFTER_S,
+            status_s=STATUS_S,
+        )
+        self.replica.start()
+        self.leader.start()
+
+    def stop(self) -> None:
+        """End the threads."""
+        self.leader.stop()
+        self.replica.stop()
+
+
+class World:
+    """Two entries and one worker."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.store.apply(Write(values={CONFIG_KEY: b"1"}))
+        self.executor = FakeExecutor()
+        self.agent = self.start_agent()
+        self.entries = [Entry(self.store, "one"), Entry(self.store, "two")]
+
+    def start_agent(self) -> BatchAgent:
+        """Start an agent beside the executor, which reports to it."""
+        agent = BatchAgent(
+            TargetId("w"), self.store, self.executor, SystemClock(), max_lease_s=MAX_LEASE_S
+        )
+        agent.start()
+        self.beat(agent)
+        return agent
+
+    def beat(self, agent: BatchAgent, incarnation: str = "i-1:1") -> None:
+        """Report the executor as ready."""
+        born_ms = int(incarnation.rpartition(":")[2])
+        agent.put_beat(make_report(incarnation), number=1, born_ms=born_ms, clock_ms=1000)
+
+    def submit(self, name: str = "a" * 16) -> str:
+        """Submit a job of one task and return the task's name."""
+        job = make_job([STEP], name=name)
+        deadline_at = time.monotonic() + 3.0
+        assert self.entries[1].intake.submit(job, deadline_at) is Outcome.DONE
+        return f"{name}.0.0.0"
+
+    def state(self, task: str, entry: int = 1) -> BatchState | None:
+        """Return the state of a task's job as an entry shows it."""
+        return self.entries[entry].intake.state(make_job([STEP], name=task[:16]).job_id).state
+
+    def wait(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        ends_at = time.monotonic() + LIMIT_S
+        while not condition():
+            assert time.monotonic() < ends_at, "the condition did not come about in time"
+            time.sleep(0.01)
+
+    def wait_completed(self, task: str, entry: int = 1) -> None:
+        """Wait until an entry shows a task's job as completed."""
+        self.wait(lambda: self.state(task, entry) is BatchState.COMPLETED)
+
+    def stop(self) -> None:
+        """End all threads."""
+        self.agent.stop()
+        for entry in self.entries:
+            entry.stop()
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    world = World()
+    yield world
+    world.stop()
+
+
+def test_a_job_runs_and_is_shown_as_completed_at_both_entries(world: World) -> None:
+    """Guards against a path that is broken anywhere between a submission and its end."""
+    task = world.submit()
+    world.wait(lambda: task in world.executor.runs)
+    world.wait(lambda: world.state(task) is BatchState.RUNNING)
+    world.executor.end(TaskId(task), EndKind.DONE)
+    for entry in (0, 1):
+        world.wait_completed(task, entry)
+    world.wait(lambda: not world.executor.ends)
+
+
+def test_a_job_goes_on_when_its_leader_is_gone(world: World) -> None:
+    """Guards against a job that a takeover starts twice or forgets."""
+    task = world.submit()
+    world.wait(lambda: task in world.executor.runs)
+    leader = next(entry for entry in world.entries if entry.leader.planner is not None)
+    leader.stop()
+    world.executor.end(TaskId(task), EndKind.DONE)
+    other = next(index for index, entry in enumerate(world.entries) if entry is not leader)
+    world.wait_completed(task, other)
+    assert world.executor.started == [(task, 1)]
+
+
+def test_work_runs_on_during_an_outage_of_the_store(world: World) -> None:
+    """Guards against an end during an outage that is lost, or acknowledged before it is stored."""
+    task = world.submit()
+    world.wait(lambda: task in world.executor.runs)
+    world.store.fault = lambda operation: "silence"
+    world.executor.end(TaskId(task), EndKind.DONE)
+    time.sleep(0.5)
+    assert world.executor.ends
+    world.store.fault = lambda operation: ""
+    world.wait_completed(task)
+    assert world.executor.started == [(task, 1)]
+
+
+def test_lost_answers_of_the_store_start_nothing_twice(world: World) -> None:
+    """Guards against a second run after a write whose answer was lost."""
+    lock = threading.Lock()
+    calls = {"commit": 0}
+
+    def lose_every_other(operation: str) -> str:
+        with lock:
+            calls[operation] = calls.get(operation, 0) + 1
+            return "lose" if operation == "commit" and calls[operation] % 2 else ""
+
+    world.store.fault = lose_every_other
+    world.executor.finish_at_once = True
+    tasks = [world.submit(f"{number:016x}") for number in range(5)]
+    for task in tasks:
+        world.wait_completed(task)
+    assert sorted(world.executor.started) == sorted((task, 1) for task in tasks)
+
+
+def test_an_agent_that_restarts_takes_over_what_runs(world: World) -> None:
+    """Guards against a restart of the agent that stops its tasks or starts them again."""
+    task = world.submit()
+    world.wait(lambda: task in world.executor.runs)
+    fence = world.executor.fence
+    world.agent.stop()
+    world.agent = world.start_agent()
+    world.wait(lambda: world.executor.fence > fence)
+    world.executor.end(TaskId(task), EndKind.DONE)
+    world.wait_completed(task)
+    assert world.executor.started == [(task, 1)]
+
+
+def test_a_late_start_after_a_rebirth_is_fenced(world: World) -> None:
+    """Guards against an order for an earlier life that a later one carries out."""
+    world.executor.fault = "late"
+    task = world.submit()
+    world.wait(lambda: bool(world.executor.late))
+    late = world.executor.late[0]
+    world.executor.fault = ""
+    world.executor.incarnation = Incarnation("i-1:2")
+    world.executor.fence = 0
+    world.beat(world.agent, "i-1:2")
+    world.wait(lambda: (task, 2) in world.executor.started)
+    # An order names the executor by its id alone, which the two lives share.
+    object.__setattr__(late, "incarnation", Incarnation("i-1:2"))
+    world.executor.carry_out(late)
+    assert world.executor.started == [(task, 2)]
+
+
+def test_a_failed_task_runs_again(world: World) -> None:
+    """Guards against a task that is left after one failure."""
+    task = world.submit()
+    world.wait(lambda: task in world.executor.runs)
+    world.executor.end(TaskId(task), EndKind.FAILED)
+    world.wait(lambda: (task, 2) in world.executor.started)
+    world.executor.end(TaskId(task), EndKind.DONE)
+    world.wait_completed(task)
--- /dev/null
+++ b/tests/platform_adapter/test_documents.py
@@ -0,0 +1,187 @@
+"""Documents of the platform as the adapter decodes them."""
+
+import json
+from typing import Any
+
+import pytest
+
+from chicorycrank.model.batch import Advice, Step, WorkerState
+from chicorycrank.model.ids import JobId, TeamId
+from chicorycrank.platform.documents import (
+    DocumentError,
+    decode_beat,
+    decode_config,
+    decode_job,
+    decode_machines,
+)
+from chicorycrank.platform.settings import SettingsError, decode_settings
+
+ROUTE: dict[str, Any] = {
+    "name": "r-1",
+    "host": "h.example",
+    "prefix": "/p/",
+    "service": "s",
+    "priority": 0,
+    "maxAttempts": 4,
+    "targetLatencyMs": 500,
+    "slackFactor": 1.5,
+}
+CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [ROUTE],
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "guaranteed": {"gpus": 16}}],
+    "limits": {"maxBodyBytes": 1000},
+    "later": 1,
+}
+BEAT: dict[str, Any] = {
+    "service": "s",
+    "state": "ready",
+    "seq": 4,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpus": 8},
+    "labels": ["a", "r1-3"],
+    "born": 12345,
+    "clockMs": 99,
+}
+SETTINGS: dict[str, Any] = {
+    "node": "edge-1",
+    "ip": "10.1.0.19",
+    "zone": "z",
+    "region": "r",
+    "bindAddresses": {"front": "10.1.0.19:1", "ready": "10.1.0.19:2"},
+    "internalPorts": [7000, 7015],
+    "platform": {"address": "10.2.0.1:3"},
+    "bounds": {"revokeMs": 5000, "graceS": 6, "maxHoldMs": 10000, "unknown": True},
+}
+
+
+def encode(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def test_a_configuration_is_decoded_into_queues_and_teams() -> None:
+    """Guards against a field of the platform that lands in the wrong place or unit."""
+    advised = {**ROUTE, "recommendation": {"decisionMs": 50, "periodMs": 5, "validityMs": 3000}}
+    config = decode_config(encode({**CONFIG, "routes": [advised]}))
+    (queue,), (team,) = config.queues, config.teams
+    assert (config.version, config.max_body_bytes) == (7, 1000)
+    assert (queue.priority, queue.max_attempts, queue.target_latency_s) == (0, 4, 0.5)
+    assert queue.advice == Advice(decision_s=0.05, per_worker_s=0.005, validity_s=3.0)
+    assert (team.keys, team.quota) == (("k1", "k2"), 16)
+
+
+def test_a_job_is_decoded_into_steps() -> None:
+    """Guards against a need of a task that is dropped on the way."""
+    step = {
+        "count": 2,
+        "cpu": 500,
+        "memMb": 256,
+        "gpus": 4,
+        "estimatedMs": 900,
+        "affinity": "r1-3",
+        "constraints": "a",
+        "antiAffinity": 1,
+        "gang": True,
+        "sameRack": True,
+        "checkpointing": True,
+        "targetMs": 40,
+        "maxUnavailable": 1,
+    }
+    queue = decode_config(encode(CONFIG)).queues[0]
+    body = {"spec": "x", "steps": [step], "repeatCount": 3, "startAtMs": 10, "intervalMs": 20}
+    job = decode_job(encode(body), job_id=JobId("a" * 16), queue=queue, team=TeamId("t"), now_ms=5)
+    assert job.steps == (
+        Step(
+            count=2,
+            accelerators=4,
+            cores=500,
+            memory_mb=256,
+            run_time_s=0.9,
+            gang=True,
+            same_rack=True,
+            label="a",
+            data_rack="r1-3",
+            max_per_worker=1,
+            checkpointing=True,
+            target_latency_s=0.04,
+            max_unavailable=1,
+        ),
+    )
+    assert (job.repeat_count, job.first_at_ms, job.interval_ms) == (3, 10, 20)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"{",
+        encode({"spec": "x"}),
+        encode({"spec": "x" * 4001, "steps": [{"count": 1}]}),
+        encode({"spec": 3, "steps": [{"count": 1}]}),
+        encode({"spec": "x", "steps": [{"count": 0}]}),
+        encode({"spec": "x", "steps": [{"count": 1, "after": [0]}]}),
+        encode({"spec": "x", "steps": [{"count": "many"}]}),
+    ],
+)
+def test_a_job_that_cannot_be_read_is_refused(body: bytes) -> None:
+    """Guards against a job that is accepted and can never be run."""
+    queue = decode_config(encode(CONFIG)).queues[0]
+    with pytest.raises(DocumentError):
+        decode_job(body, job_id=JobId("a" * 16), queue=queue, team=TeamId("t"), now_ms=0)
+
+
+def test_a_report_of_an_executor_names_its_life_and_rack() -> None:
+    """Guards against two lives of an executor that are taken for one."""
+    beat = decode_beat("i-7", encode(BEAT))
+    assert (beat.report.incarnation, beat.report.rack) == ("i-7:12345", "r1-3")
+    assert (beat.report.accelerators, beat.report.cores) == (8, 16000)
+    assert beat.report.state is WorkerState.READY
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "dreaming"}, {"capacity": None}, {"seq": "4"}, {"labels": "a"}, {"service": None}],
+)
+def test_a_foreign_report_is_refused(change: dict[str, Any]) -> None:
+    """Guards against a worker that exists only in a foreign writer's report."""
+    with pytest.raises(DocumentError):
+        decode_beat("i-7", encode({**BEAT, **change}))
+    with pytest.raises(DocumentError):
+        decode_beat("i-7", b"\xff\x00")
+
+
+def test_rows_of_machines_that_cannot_be_read_are_left_out() -> None:
+    """Guards against a list that one bad row makes useless."""
+    rows = [{"machine": "m-1", "state": "up", "id": "i-1"}, {"machine": 3}, "text", None]
+    assert [row.machine for row in decode_machines(rows)] == ["m-1"]
+
+
+def test_settings_are_decoded_with_their_bounds() -> None:
+    """Guards against a bound that is read in the wrong unit."""
+    settings = decode_settings(SETTINGS)
+    assert (settings.name, settings.front, settings.store) == (
+        "edge-1",
+        "10.1.0.19:1",
+        "10.2.0.1:3",
+    )
+    bounds = settings.bounds
+    assert (bounds.key_revocation_s, bounds.stop_grace_s, bounds.max_lease_s) == (5.0, 6.0, 10.0)
+
+
+@pytest.mark.parametrize(
+    ("change", "place"),
+    [
+        ({"node": None}, "node"),
+        ({"platform": {}}, "platform.address"),
+        ({"platform": "x"}, "platform.address"),
+        ({"bounds": {"revokeMs": "soon"}}, "revokeMs"),
+        ({"heartbeatMs": True}, "heartbeatMs"),
+    ],
+)
+def test_unusable_settings_give_findings_with_their_place(
+    change: dict[str, Any], place: str
+) -> None:
+    """Guards against a process that starts with settings it has misread."""
+    with pytest.raises(SettingsError) as caught:
+        decode_settings({**SETTINGS, **change})
+    assert any(place in finding for finding in caught.value.findings)
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -269,6 +269,8 @@
         # The peer goes on with a delivered message when the sender dies, so it is not cancelled.
         await asyncio.wait({reply, timer}, return_when=asyncio.FIRST_COMPLETED)
         if not reply.done():
+            # Its late failure concerns nobody any more.
+            reply.add_done_callback(lambda late: late.cancelled() or late.exception())
             raise LinkError("no reply in time")
         result: AnyMessage = reply.result()
         if fault == "foreign answer":
@@ -278,7 +280,9 @@
 
     async def _deliver(self, message: AnyMessage, fault: str) -> AnyMessage:
         if fault == "reply lost at once":
-            self._tasks.add(asyncio.ensure_future(self._handle(message)))
+            late = asyncio.ensure_future(self._handle(message))
+            late.add_done_callback(lambda task: task.cancelled() or task.exception())
+            self._tasks.add(late)
             raise LinkError("connection went silent")
         if fault == "request late":
             self._tasks.add(asyncio.ensure_future(self._deliver_late(message)))
