--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,8 @@
     -r deploy/requirements.txt
   cp deploy/requirements.txt "$stamp"
 fi
-rm -rf target/deps/chicorycrank
-cp -r src/chicorycrank target/deps/
-python3 -m compileall -q target/deps
+if ! diff -rq -x __pycache__ src/chicorycrank target/deps/chicorycrank >/dev/null 2>&1; then
+  rm -rf target/deps/chicorycrank
+  cp -r src/chicorycrank target/deps/
+  python3 -m compileall -q target/deps
+fi
--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -15,6 +15,8 @@
     PRESENCE_RENEWAL_S,
     executor_lease_s,
 )
+from chicorycrank.batch.metrics import REPORTS_WRITTEN
+from chicorycrank.batch.pacing import Pace, Pacer
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.runs import Run, RunTable
 from chicorycrank.batch.threads import keep_running
@@ -91,6 +93,7 @@
             store, order_key(worker), self._put_orders, clock, wait_s=ORDER_WATCH_S
         )
         self.table = RunTable()
+        self._pacer = Pacer()
         self.report = WorkerReport()
         self._written: WorkerReport | None = None
         self._revision = ABSENT
@@ -119,6 +122,18 @@
         with self._lock:
             self._lock.notify_all()
 
+    def dump(self) -> dict[str, object]:
+        """Return what this agent believes, for its operators."""
+        with self._lock:
+            return {
+                "worker": self._worker,
+                "registered": self._is_registered,
+                "presence_confirmed_s_ago": self._clock.monotonic() - self._presence_confirmed_at,
+                "report": self._current_report(),
+                "order": self.table.order,
+                "running": sorted(self.table.runs_by_task),
+            }
+
     # What the executor says of itself.
 
     def put_beat(self, report: WorkerReport, *, number: int, born_ms: int, clock_ms: int) -> bool:
@@ -343,6 +358,28 @@
             if self.table.take_status(status, sent_at):
                 self._lock.notify_all()
             self._drive()
+            paces = self._pacer.update(list(self.table.runs_by_task.values()), sent_at)
+        for pace in paces:
+            self._set_pace(pace)
+
+    def _set_pace(self, pace: Pace) -> None:
+        """Change the pace of a filling task; a call that fails is made again after the next look.
+
+        :raises ExecutorUnreachableError: the executor did not answer
+        """
+        item = pace.run.assignment
+        accepted = self._executor.pace(
+            item.task, item.run, pace.percent, self.report.fence, pace.run.incarnation
+        )
+        logger.info(
+            "event=pace task=%s run=%d percent=%d accepted=%s",
+            item.task,
+            item.run,
+            pace.percent,
+            accepted,
+        )
+        if accepted:
+            self._pacer.note(pace)
 
     def _note_silence(self, error: ExecutorUnreachableError | OtherIncarnationError) -> None:
         """Report the executor as gone once nothing can be running there any more."""
@@ -454,6 +491,7 @@
             self._revision = item.revision
         else:
             self._revision = Revision(answer.revision)
+        REPORTS_WRITTEN.inc()
         with self._lock:
             self._written = report
             if report.incarnation == self.report.incarnation:
--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -23,6 +23,7 @@
     order_key,
     progress_key,
 )
+from chicorycrank.batch.metrics import IS_LEADER
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.shapes import UnitShapes
@@ -207,6 +208,7 @@
 
     def _serve_term(self) -> None:
         logger.info("event=leader_elected entry=%s", self._role.entry)
+        IS_LEADER.set(1)
         self._deposed = False
         reports = Replica(
             self._store, REPORTS_PREFIX, self._put_reports, self._clock, wait_s=REPORT_WATCH_S
@@ -227,6 +229,7 @@
             logger.warning("event=leader_deposed reason=%s", error)
         finally:
             self._deposed = True
+            IS_LEADER.set(0)
             self.planner = None
             reports.stop()
             book.stop()
--- /dev/null
+++ b/src/chicorycrank/batch/metrics.py
@@ -0,0 +1,34 @@
+"""Counters and histograms of the programs for batch jobs."""
+
+from prometheus_client import Counter, Gauge, Histogram, generate_latest
+
+# Calls on one machine take about a millisecond, across regions 40, under a slow store 500.
+CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+WAIT_BUCKETS_S = (0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+
+CALLS = Counter("chicorycrank_calls", "Calls of callers", ["operation", "outcome"])
+CALL_SECONDS = Histogram(
+    "chicorycrank_call_seconds", "Time of a caller's call", ["operation"], buckets=CALL_BUCKETS_S
+)
+STORE_CALLS = Counter("chicorycrank_store_calls", "Calls to the store", ["operation", "result"])
+STORE_SECONDS = Histogram(
+    "chicorycrank_store_seconds", "Time of a store call", ["operation"], buckets=CALL_BUCKETS_S
+)
+UNITS_STARTED = Counter("chicorycrank_units_started", "Units given to workers")
+UNITS_STOPPED = Counter("chicorycrank_units_stopped", "Units stopped before their end", ["cause"])
+TASKS_ENDED = Counter("chicorycrank_tasks_ended", "Ends of runs", ["kind"])
+JOBS_ENDED = Counter("chicorycrank_jobs_ended", "Jobs that ended", ["state"])
+WAIT_SECONDS = Histogram(
+    "chicorycrank_job_wait_seconds",
+    "Time from acceptance to the first start",
+    buckets=WAIT_BUCKETS_S,
+)
+IS_LEADER = Gauge("chicorycrank_is_leader", "1 while this entry has the leader role")
+CONFIG_VERSION = Gauge("chicorycrank_config_version", "Version of the configuration in force")
+REPORTS_WRITTEN = Counter("chicorycrank_reports_written", "Reports that an agent has written")
+LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
+
+
+def render() -> bytes:
+    """Return all metrics as text."""
+    return generate_latest()
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -8,6 +8,13 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from chicorycrank.batch.metrics import (
+    JOBS_ENDED,
+    TASKS_ENDED,
+    UNITS_STARTED,
+    UNITS_STOPPED,
+    WAIT_SECONDS,
+)
 from chicorycrank.batch.shapes import UnitShapes
 from chicorycrank.batch.units import (
     ENDED,
@@ -327,6 +334,11 @@
         )
         self._index(ref, unit)
         self.changes.jobs.add(ref.job_id)
+        UNITS_STARTED.inc()
+        if unit.run == 1 and len(progress.units) == 1:
+            WAIT_SECONDS.observe(
+                max(0, self.now_ms - self.jobs_by_id[ref.job_id].submitted_at_ms) / 1000
+            )
         logger.info(
             "event=unit_started job=%s unit=%s run=%d workers=%s checkpoint=%s",
             ref.job_id,
@@ -342,6 +354,7 @@
         if unit.state is not UnitState.ASSIGNED:
             return
         lost_s = lost_work_s(self.cell, ref.name, self.now_s)
+        UNITS_STOPPED.labels(reason.split()[0]).inc()
         unit.state = UnitState.STOPPING
         self.cell.mark_stopping(ref.name)
         self.changes.jobs.add(ref.job_id)
@@ -429,6 +442,7 @@
             end.detail,
             unit.state.name.lower(),
         )
+        TASKS_ENDED.labels(end.kind.name.lower()).inc()
         self._judge_worker(worker, ref, end)
         if unit.state is UnitState.DONE and unit.places:
             # One end of a gang stands for all; the other members are stopped.
@@ -468,6 +482,7 @@
         for key, unit in progress.units.items():
             if unit.state is UnitState.ASSIGNED:
                 self.stop(parse_unit(job_id, key), state.name.lower())
+        JOBS_ENDED.labels(state.name.lower()).inc()
         self.quarantine.note_final(job_id, is_faulty=state is BatchState.FAILED)
         logger.info("event=job_ended job=%s state=%s reason=%s", job_id, state.name, reason)
 
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -28,6 +28,7 @@
     :param unanswered: start calls without an answer; each may still be carried out
     :param started_at: monotonic time of the answer to its start
     :param closed_at: monotonic time from which the executor rejects it if it is not there
+    :param load: tail latency in milliseconds if it serves users, otherwise cores in use
     :param rejection: reason of the executor for not starting it
     """
 
@@ -41,6 +42,7 @@
     rejection: str = ""
     checkpoint: str = ""
     percent: int = -1
+    load: float = 0.0
     advanced_at: float = 0.0
 
     @property
@@ -156,6 +158,7 @@
             run = self.runs_by_task.get(row.task)
             if run is not None and run.assignment.run == row.run:
                 run.checkpoint = row.checkpoint or run.checkpoint
+                run.load = row.load
                 if row.percent != run.percent:
                     run.percent, run.advanced_at = row.percent, now
             elif run is None:
--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -15,6 +15,7 @@
     LeaderRecord,
     decode,
 )
+from chicorycrank.batch.metrics import CONFIG_VERSION
 from chicorycrank.batch.units import has_begun, shown_state
 from chicorycrank.model.batch import (
     FINAL_BATCH_STATES,
@@ -55,6 +56,7 @@
         self._queues_by_host = by_host
         self._team_by_key = {key: team.team for team in config.teams for key in team.keys}
         self.config = config
+        CONFIG_VERSION.set(config.version)
         logger.info("event=config_in_force generation=%d", config.version)
         return True
 
--- a/src/chicorycrank/cli/commands.py
+++ b/src/chicorycrank/cli/commands.py
@@ -14,6 +14,7 @@
 from chicorycrank.cli.client import Client
 from chicorycrank.cli.completions import Completions
 from chicorycrank.cli.job_commands import JOB_COMMANDS
+from chicorycrank.cli.platform_commands import NodeCheck, Trace
 from chicorycrank.cli.release_diff import ReleaseDiff
 from chicorycrank.cli.request_commands import REQUEST_COMMANDS
 from chicorycrank.settings.agent import AgentSettings, check_agent
@@ -210,6 +211,8 @@
 
 COMMANDS: tuple[type[Command], ...] = (
     SettingsCheck,
+    NodeCheck,
+    Trace,
     *JOB_COMMANDS,
     *REQUEST_COMMANDS,
     ReleaseDiff,
--- a/src/chicorycrank/platform/front.py
+++ b/src/chicorycrank/platform/front.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chicorycrank.batch.intake import Intake, Outcome
+from chicorycrank.batch.metrics import CALL_SECONDS, CALLS
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.batch import BatchState, Queue
 from chicorycrank.model.ids import JobId, TeamId
@@ -17,6 +18,7 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 DEFAULT_DEADLINE_S = 3.0
 READY_PATH = "/-/ready"
+OPERATIONS = {"POST": "submit", "GET": "state", "DELETE": "cancel"}
 STATE_WORDS = {
     BatchState.QUEUED: "queued",
     BatchState.RUNNING: "running",
@@ -59,6 +61,15 @@
 
     def handle(self, request: Request) -> Response:
         """Answer a call."""
+        operation = OPERATIONS.get(request.method, "other")
+        if request.path == READY_PATH:
+            operation = "ready"
+        with CALL_SECONDS.labels(operation).time():
+            response = self._handle(request)
+        CALLS.labels(operation, str(response.status.value)).inc()
+        return response
+
+    def _handle(self, request: Request) -> Response:
         if request.path == READY_PATH:
             return Response(HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE)
         with self._view.lock:
--- a/src/chicorycrank/platform/store.py
+++ b/src/chicorycrank/platform/store.py
@@ -5,6 +5,7 @@
 from collections.abc import Set
 from typing import Any
 
+from chicorycrank.batch.metrics import STORE_CALLS, STORE_SECONDS
 from chicorycrank.platform.client import Answer, NoAnswerError, PlatformClient
 from chicorycrank.ports.transactions import (
     Changes,
@@ -31,7 +32,6 @@
 
     def __init__(self, client: PlatformClient) -> None:
         self._client = client
-        self.calls_by_operation: dict[str, int] = {}
 
     def move_to(self, address: str) -> None:
         """Use the store at another address from now on."""
@@ -120,11 +120,13 @@
         allowed: Set[int] = frozenset(),
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Answer:
-        self.calls_by_operation[operation] = self.calls_by_operation.get(operation, 0) + 1
         try:
-            answer = self._client.call(method, path, body, fields=fields, timeout_s=timeout_s)
+            with STORE_SECONDS.labels(operation).time():
+                answer = self._client.call(method, path, body, fields=fields, timeout_s=timeout_s)
         except NoAnswerError as error:
+            STORE_CALLS.labels(operation, "no-answer").inc()
             raise StoreUnavailableError(str(error), not_done=not error.sent) from error
+        STORE_CALLS.labels(operation, str(answer.status)).inc()
         if answer.status != 200 and answer.status not in allowed:
             text = f"{method} {path}: status {answer.status}"
             raise StoreUnavailableError(text, not_done=answer.status in REFUSALS)
--- a/src/chicorycrank/programs/batch_agent.py
+++ b/src/chicorycrank/programs/batch_agent.py
@@ -33,6 +33,7 @@
     server = Server(settings.control, Control(agent).handle, threads=THREADS)
     agent.start()
     server.start()
+    process.serve_metrics(agent.dump)
     process.wait(lambda new: store.move_to(new.store))
     agent.stop()
     logger.info("event=process_stopped node=%s", settings.name)
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -78,12 +78,27 @@
     leader.start()
     for server in servers:
         server.start()
+    process.serve_metrics(lambda: _dump(view, leader, age_s()))
     process.wait(lambda new: _move_store(store, new))
     is_stopping = True
     leader.stop()
     _drain(servers, bounds.stop_grace_s)
 
 
+def _dump(view: SharedView, leader: Leader, age_s: float) -> dict[str, object]:
+    """Return what this entry believes, for its operators."""
+    with view.lock:
+        config = view.config.config
+        return {
+            "config_version": config.version if config else None,
+            "confirmed_s_ago": age_s,
+            "leader": view.leader.entry if view.leader else None,
+            "is_leader": leader.planner is not None,
+            "cancelled": sorted(view.cancelled),
+            "progress": dict(view.progress_by_id),
+        }
+
+
 def _decode_config(data: bytes) -> BatchConfig | None:
     try:
         return decode_config(data)
--- a/src/chicorycrank/programs/process.py
+++ b/src/chicorycrank/programs/process.py
@@ -6,9 +6,14 @@
 import sys
 import threading
 from collections.abc import Callable
+from http import HTTPStatus
 from pathlib import Path
 
+import msgspec
+
 from chicorycrank.adapters.logs import set_up_bounded_logs
+from chicorycrank.batch.metrics import LOG_LINES_DROPPED, render
+from chicorycrank.platform.server import Request, Response, Server
 from chicorycrank.platform.settings import (
     SETTINGS_VARIABLE,
     NodeSettings,
@@ -18,6 +23,9 @@
 
 SETTINGS_CHECK_S = 1.0
 EXIT_SETTINGS = 2
+METRICS_PATH = "/metrics"
+STATE_PATH = "/state"
+METRICS_THREADS = 1
 
 logger = logging.getLogger("absl")
 
@@ -35,7 +43,8 @@
         except SettingsError as error:
             sys.stderr.write(f"{error}\n")
             raise SystemExit(EXIT_SETTINGS) from error
-        set_up_bounded_logs("INFO", self.settings.region)
+        log = set_up_bounded_logs("INFO", self.settings.region)
+        LOG_LINES_DROPPED.set_function(lambda: log.dropped)
         self._stop = threading.Event()
         self._reload = threading.Event()
         self._read_as = self._stamp()
@@ -44,6 +53,24 @@
         signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
         logger.info("event=process_started role=%s node=%s", role, self.settings.name)
 
+    def serve_metrics(self, dump: Callable[[], object]) -> None:
+        """Serve metrics and the state of the process at the first internal port.
+
+        :param dump: returns the state as a JSON document
+        """
+        if not self.settings.metrics_port:
+            return
+
+        def handle(request: Request) -> Response:
+            if request.path == METRICS_PATH:
+                return Response(HTTPStatus.OK, render(), {"Content-Type": "text/plain"})
+            if request.path == STATE_PATH:
+                return Response(HTTPStatus.OK, msgspec.json.encode(dump()))
+            return Response(HTTPStatus.NOT_FOUND)
+
+        address = f"{self.settings.host}:{self.settings.metrics_port}"
+        Server(address, handle, threads=METRICS_THREADS).start()
+
     def wait(self, on_settings: Callable[[NodeSettings], None]) -> None:
         """Wait for the signal to stop, and pass on new settings meanwhile."""
         while not self._stop.wait(SETTINGS_CHECK_S):
--- /dev/null
+++ b/tests/batch/test_pacing.py
@@ -0,0 +1,65 @@
+"""Pace of tasks that fill an executor beside tasks that serve users."""
+
+import pytest
+
+from chicorycrank.batch.pacing import SETTLE_S, Pacer
+from chicorycrank.batch.runs import Run
+from chicorycrank.model.batch import Assignment
+from chicorycrank.model.ids import Incarnation, TaskId
+
+LIFE = Incarnation("i-1:1")
+
+
+def make_runs(latency_ms: float, target_s: float = 0.1) -> list[Run]:
+    serving = Assignment(
+        task=TaskId("a.0.0.0"), run=1, long_running=True, target_latency_s=target_s
+    )
+    filling = Assignment(task=TaskId("b.0.0.0"), run=1, fills=True)
+    return [
+        Run(assignment=serving, incarnation=LIFE, load=latency_ms),
+        Run(assignment=filling, incarnation=LIFE),
+    ]
+
+
+def play(latencies_ms: list[float]) -> list[int]:
+    pacer = Pacer()
+    percents = []
+    for number, latency_ms in enumerate(latencies_ms):
+        for pace in pacer.update(make_runs(latency_ms), number * (SETTLE_S + 0.1)):
+            pacer.note(pace)
+        percents.append(pacer.percent)
+    return percents
+
+
+@pytest.mark.parametrize(
+    ("latencies_ms", "expected"),
+    [
+        ([50, 50], [100, 100]),
+        ([120, 120, 120, 120], [40, 16, 0, 0]),
+        ([120, 120, 120, 40, 40], [40, 16, 0, 15, 30]),
+        ([120, 70, 70], [40, 40, 40]),
+    ],
+)
+def test_filling_work_yields_while_a_serving_task_is_slow(
+    latencies_ms: list[float], expected: list[int]
+) -> None:
+    """Guards against filling work that keeps a serving task over its bound."""
+    assert play(latencies_ms) == expected
+
+
+def test_a_pace_that_was_not_accepted_is_sent_again() -> None:
+    """Guards against a lost call that leaves filling work at full speed."""
+    pacer = Pacer()
+    assert [pace.percent for pace in pacer.update(make_runs(120), 0.0)] == [40]
+    assert [pace.percent for pace in pacer.update(make_runs(120), 0.1)] == [40]
+
+
+def test_without_a_serving_task_filling_work_runs_at_full_speed() -> None:
+    """Guards against work that stays slowed for nobody."""
+    pacer = Pacer()
+    pacer.percent = 0
+    filling = make_runs(0)[1:]
+    for number in range(10):
+        for pace in pacer.update(filling, 10.0 + number):
+            pacer.note(pace)
+    assert pacer.percent == 100
--- /dev/null
+++ b/tests/test_platform_commands.py
@@ -0,0 +1,58 @@
+"""Commands for deployments on the users' platform."""
+
+from pathlib import Path
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from chicorycrank.cli.app import make_application
+
+JOB = "5c0e7a21d94b36f8"
+ENTRY_LOG = f"""I0101 10:00:00.500000 7 leader.py:1] event=unit_started job={JOB} run=1
+I0101 10:00:00.100000 7 intake.py:1] event=job_submitted job={JOB} outcome=done
+I0101 10:00:00.200000 7 intake.py:1] event=job_submitted job=aaaaaaaaaaaaaaaa outcome=done
+"""
+AGENT_LOG = f"""I0101 10:00:00.300000 9 agent.py:1] event=start task={JOB}.0.0.0 answer=started
+no time stamp, {JOB}
+"""
+SETTINGS = """node: "edge-1"
+ip: "10.1.0.19"
+platform:
+  address: "10.2.0.1:3"
+"""
+
+
+def run(command: str, arguments: str) -> tuple[int, str, str]:
+    tester = CommandTester(make_application().find(command))
+    code = tester.execute(arguments)
+    return code, tester.io.fetch_output(), tester.io.fetch_error()
+
+
+def test_trace_orders_the_lines_of_one_job(tmp_path: Path) -> None:
+    """Guards against a trace that leaves out a process or mixes in another job."""
+    (tmp_path / "entry.log").write_text(ENTRY_LOG)
+    (tmp_path / "agent.log").write_text(AGENT_LOG)
+    code, output, _ = run("trace", f"{JOB} {tmp_path}/entry.log {tmp_path}/agent.log")
+    events = [line.split("event=")[1].split()[0] for line in output.splitlines()]
+    assert (code, events) == (0, ["job_submitted", "start", "unit_started"])
+    assert run("trace", f"ffff {tmp_path}/entry.log")[0] == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "code", "expected"),
+    [
+        (SETTINGS, 0, "no findings"),
+        (SETTINGS.replace("node:", "name:"), 2, "node"),
+        ("- a", 2, "not a table"),
+        ("a: [", 2, "settings.yaml"),
+    ],
+)
+def test_node_check_names_what_is_wrong(
+    tmp_path: Path, text: str, code: int, expected: str
+) -> None:
+    """Guards against settings whose fault shows only when a process does not start."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(text)
+    found, output, error = run("node check", str(path))
+    assert found == code
+    assert expected in output + error
