--- a/src/chicorycrank/programs/batch_agent.py
+++ b/src/chicorycrank/programs/batch_agent.py
@@ -1,7 +1,5 @@
 """Agent on the users' platform, beside an executor."""
 
-import logging
-
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.model.ids import TargetId
@@ -14,8 +12,6 @@
 
 THREADS = 3
 
-logger = logging.getLogger("absl")
-
 
 def main() -> None:
     """Run until the platform stops the process."""
@@ -35,8 +31,9 @@
     server.start()
     process.serve_metrics(agent.dump)
     process.wait(lambda new: store.move_to(new.store))
+    # What runs goes on under its lease; the sooner the next agent starts, the better.
     agent.stop()
-    logger.info("event=process_stopped node=%s", settings.name)
+    process.exit()
 
 
 if __name__ == "__main__":
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -83,6 +83,7 @@
     is_stopping = True
     leader.stop()
     _drain(servers, bounds.stop_grace_s)
+    process.exit()
 
 
 def _dump(view: SharedView, leader: Leader, age_s: float) -> dict[str, object]:
@@ -119,9 +120,7 @@
     time.sleep(min(ROTATION_S, grace_s / 2))
     while time.monotonic() < ends_at and not all(server.is_idle for server in servers):
         time.sleep(POLL_S)
-    logger.info("event=process_stopped idle=%s", all(server.is_idle for server in servers))
-    for server in servers:
-        server.stop()
+    logger.info("event=calls_finished idle=%s", all(server.is_idle for server in servers))
 
 
 if __name__ == "__main__":
--- a/src/chicorycrank/programs/process.py
+++ b/src/chicorycrank/programs/process.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from pathlib import Path
+from typing import NoReturn
 
 import msgspec
 
@@ -43,7 +44,7 @@
         except SettingsError as error:
             sys.stderr.write(f"{error}\n")
             raise SystemExit(EXIT_SETTINGS) from error
-        log = set_up_bounded_logs("INFO", self.settings.region)
+        self._log = log = set_up_bounded_logs("INFO", self.settings.region)
         LOG_LINES_DROPPED.set_function(lambda: log.dropped)
         self._stop = threading.Event()
         self._reload = threading.Event()
@@ -90,6 +91,12 @@
                 on_settings(settings)
         logger.info("event=process_stopping node=%s", self.settings.name)
 
+    def exit(self) -> NoReturn:
+        """End the process at once, whatever its threads wait for."""
+        logger.info("event=process_stopped node=%s", self.settings.name)
+        self._log.flush()
+        os._exit(0)
+
     def _stamp(self) -> tuple[int, int]:
         try:
             found = self._path.stat()
--- /dev/null
+++ b/tests/platform_adapter/test_programs.py
@@ -0,0 +1,81 @@
+"""The programs as processes: they start, answer and stop in time."""
+
+import http.client
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+START_LIMIT_S = 30.0
+# The platform kills a process six seconds after it has asked it to stop.
+GRACE_S = 6
+PROGRAMS = ["batch_entry", "batch_agent"]
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Program:
+    """A program whose store and executor do not answer."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        self.port = free_port()
+        closed, metrics = free_port(), free_port()
+        path = folder / "settings.yaml"
+        path.write_text(
+            f'node: "node-1"\nip: "127.0.0.1"\ninternalPorts: [{metrics}, {metrics}]\n'
+            f'bindAddresses:\n  front: "127.0.0.1:{self.port}"\n'
+            f'  control: "127.0.0.1:{self.port}"\n'
+            f'app: "127.0.0.1:{closed}"\nplatform:\n  address: "127.0.0.1:{closed}"\n'
+            f"bounds:\n  graceS: {GRACE_S}\n"
+        )
+        environment = {
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(sys.path),
+            "CHICORYCRANK_NODE_FILE": str(path),
+        }
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", f"chicorycrank.programs.{name}"],
+            env=environment,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    def call(self, method: str, path: str, body: str = "") -> int:
+        """Call the program once it listens, and return the status."""
+        ends_at = time.monotonic() + START_LIMIT_S
+        while True:
+            connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=START_LIMIT_S)
+            try:
+                connection.request(method, path, body)
+                return connection.getresponse().status
+            except ConnectionRefusedError:
+                assert time.monotonic() < ends_at
+                time.sleep(0.1)
+
+
+@pytest.fixture(params=PROGRAMS)
+def program(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Program]:
+    program = Program(request.param, tmp_path)
+    yield program
+    program.process.kill()
+    program.process.wait()
+
+
+def test_a_program_stops_within_its_grace_time(program: Program) -> None:
+    """Guards against threads that keep a stopped process until the platform kills it."""
+    assert program.call("GET", "/-/other") in (404, 503)
+    program.process.send_signal(signal.SIGTERM)
+    output, _ = program.process.communicate(timeout=GRACE_S)
+    assert program.process.returncode == 0
+    assert "event=process_started" in output
+    assert "event=process_stopped" in output
