--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -22,8 +22,12 @@
 DATA_RACK_WAIT_SHARE = 0.5
 # A wait of this length halves the work that a job seems to have left.
 AGING_S = 10.0
-# Work of others that an urgent unit outside of its team's quota may destroy, as a share of its own.
-MAX_LOST_SHARE = 0.5
+# Accelerator seconds of other work that an urgent unit outside of its team's quota may destroy:
+# a job's value has a part that does not depend on its size and one that grows with its work.
+MAX_LOST_BASE_S = 25.0
+MAX_LOST_SHARE = 0.6
+# A job that is late already comes after those that can still be in time.
+LATE_FACTOR = 4.0
 
 
 class UnitShapes:
@@ -48,6 +52,7 @@
         waited_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
         shape = self._shape(planner, step)
         run_time_s = LONG_RUNNING_S if step.long_running else step.run_time_s
+        in_time = waited_s <= (queue.slack - 1.0) * run_time_s + queue.target_latency_s
         return QueuedJob(
             job_id=ref.name,
             team=job.team,
@@ -59,8 +64,10 @@
             priority=queue.priority,
             rule=self._rule(planner, ref, step, queue, waited_s),
             restart_s=self._checkpoint_s,
-            precedence=self._precedence(planner, job, waited_s),
-            max_lost_s=MAX_LOST_SHARE * run_time_s * planner.cell.weight(shape),
+            precedence=self._precedence(planner, job, waited_s) * (1.0 if in_time else LATE_FACTOR),
+            max_lost_s=MAX_LOST_BASE_S + MAX_LOST_SHARE * run_time_s * planner.cell.weight(shape)
+            if in_time
+            else 0.0,
             pinned=step.long_running and step.max_unavailable > 0,
         )
 
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 from chicorycrank.model.ids import JobId, TargetId, TeamId
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
@@ -248,9 +249,8 @@
             self._claim(spots, job)
             return
         plan = plan_for_urgent(self.cell, job, self.now_s, self.claimed)
-        if plan is None or not self._is_open_plan(plan):
-            return
-        if plan.lost_s <= job.max_lost_s or job.job_id in self.cell.protected:
+        may_lose = inf if job.job_id in self.cell.protected else job.max_lost_s
+        if plan is not None and plan.lost_s <= may_lose and self._is_open_plan(plan):
             self._evict(job, plan, EvictionCause.URGENT)
         else:
             self._reserve_urgent(job)
