Let gangs wider than a rack evict the cheapest work of all racks

Cause: only racks were compared for their cheapest work, so such a gang had one plan, from the place of the best fit, whatever it destroyed.

--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
-from itertools import islice
+from itertools import chain, islice
 from math import inf
 
 from chicorycrank.model.ids import JobId, RackId, TargetId
@@ -14,6 +14,7 @@
 
 VICTIMS_TRIED = 64  # bounds the search at any number of workers
 RACKS_TRIED = 24
+WORKERS_PRICED = 128  # workers among which a gang wider than a rack is placed
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -153,6 +154,13 @@
             found = cheapest_spots(group, shape, room, cost)
             if found is not None:
                 yield found[0]
+    if shape.adjacency is Adjacency.ANY and shape.members > 1:
+        workers = chain.from_iterable(
+            open_masks(cell.reclaimable, rack) for rack in cell.reclaimable.workers_by_rack
+        )
+        found = cheapest_spots(list(islice(workers, WORKERS_PRICED)), shape, room, cost)
+        if found is not None:
+            yield found[0]
 
 
 def _block_cost(
--- a/tests/policy/test_urgent_evictions.py
+++ b/tests/policy/test_urgent_evictions.py
@@ -103,3 +103,20 @@
     cell.compact(TargetId("w0"))
     decisions = decide(cell, [job], NOW_S)
     assert [type(decision) for decision in decisions] == [Start]
+
+
+@pytest.mark.parametrize(("cheap", "max_lost_s"), [({"w3", "w4", "w5"}, 200.0)])
+def test_a_gang_across_racks_evicts_the_cheapest_work_of_all_racks(
+    cheap: set[str], max_lost_s: float
+) -> None:
+    """Guards against a gang wider than a rack that waits beside work that loses little."""
+    cell = Cell()
+    cell.set_config(TEAMS, {})
+    for worker in make_workers("a a a b b c c c", 8):
+        cell.put_worker(worker)
+    for number in range(8):
+        job = make_job(f"{number}", "blue", 1, 8)
+        run_job(cell, job, number, WHOLE, age_s=5.0 if f"w{number}" in cheap else 900.0)
+    gang = replace(make_job("gang", "red", 3, 8, urgent=True), max_lost_s=max_lost_s)
+    expected = {JobId(name.removeprefix("w")) for name in cheap}
+    assert victims(decide(cell, [gang], NOW_S)) == expected
