--- a/src/chicorycrank/batch/leases.py
+++ b/src/chicorycrank/batch/leases.py
@@ -5,8 +5,9 @@
 worker that it does not hear of.
 """
 
-PRESENCE_LEASE_S = 3.0
-PRESENCE_RENEWAL_S = 1.0
+# Work that is given to a worker whose agent was just cut off waits until the presence has ended.
+PRESENCE_LEASE_S = 2.0
+PRESENCE_RENEWAL_S = 0.7
 # Outages of the store and cuts of single machines last up to about 12 s; work runs on meanwhile.
 AUTHORITY_S = 14.0
 # An agent that restarts is back within 2 s; the executor ends everything after this time.
