--- a/src/chicorycrank/batch/advice.py
+++ b/src/chicorycrank/batch/advice.py
@@ -81,7 +81,7 @@
     def _ask(self, planner: Planner, step: str, advice: Advice) -> None:
         workers = {
             known.report.executor: name
-            for name, known in planner.workers_by_id.items()
+            for name, known in planner.workers.by_id.items()
             if known.report.state is ExecutorState.READY and known.absent_since is None
         }
         if not workers:
--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -7,16 +7,12 @@
 
 import msgspec
 
+from chicorycrank.batch.executor_clock import ExecutorClock
 from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
-from chicorycrank.batch.leases import (
-    AUTHORITY_S,
-    CLOCK_ERROR,
-    PRESENCE_LEASE_S,
-    PRESENCE_RENEWAL_S,
-    executor_lease_s,
-)
+from chicorycrank.batch.leases import AUTHORITY_S, executor_lease_s
 from chicorycrank.batch.metrics import REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pace, Pacer
+from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.runs import Run, RunTable
 from chicorycrank.batch.threads import keep_running
@@ -35,8 +31,6 @@
     ABSENT,
     Conflict,
     Item,
-    Lease,
-    LeaseEndedError,
     Revision,
     StoreUnavailableError,
     TransactionalStore,
@@ -49,10 +43,6 @@
 # A run that was stopped before it began ends without an entry in the executor's list.
 CLOSING_WAIT_S = 0.1
 RETRY_DELAY_S = 0.15
-# A silent executor is given no longer lease, so that its end can be told from a pause.
-SILENCE_LIMIT_S = 2.5
-# An executor at whose address nothing listens for so long has crashed.
-REFUSED_LIMIT_S = 1.0
 # Ends that the store has not taken yet are listed again after this time.
 UNWRITTEN_WAIT_S = 0.5
 CALLERS = 8  # calls to the executor at the same time
@@ -85,7 +75,7 @@
         self._store = store
         self._executor = executor
         self._clock = clock
-        self._lease_s = executor_lease_s(max_lease_s)
+        self._executor_clock = ExecutorClock(clock, executor_lease_s(max_lease_s))
         self._lock = threading.Condition()
         self._stop = threading.Event()
         self._pool = ThreadPoolExecutor(CALLERS, thread_name_prefix="order")
@@ -101,18 +91,12 @@
         self._durable_seen = 0
         self._beat_number = -1
         self._born_ms = 0
-        self._clock_ms = 0
-        self._clock_read_at = 0.0
-        self._lease = Lease(0)
-        self._presence_confirmed_at = float("-inf")
-        self._lapses_at = float("inf")
-        self._answered_at = float("-inf")
-        self._refused_since: float | None = None
+        self._presence = Presence(store, presence_key(worker), clock, self._stop)
 
     def start(self) -> None:
         """Start the threads."""
         self._orders.start()
-        for work in (self._keep_presence, self._hold_forever, self._report_forever):
+        for work in (self._presence.keep, self._hold_forever, self._report_forever):
             keep_running(work, work.__name__.strip("_"), self._stop)
 
     def stop(self) -> None:
@@ -128,7 +112,7 @@
             return {
                 "worker": self._worker,
                 "registered": self._is_registered,
-                "presence_confirmed_s_ago": self._clock.monotonic() - self._presence_confirmed_at,
+                "presence_confirmed_s_ago": self._clock.monotonic() - self._presence.confirmed_at,
                 "report": self._current_report(),
                 "order": self.table.order,
                 "running": sorted(self.table.runs_by_task),
@@ -155,11 +139,11 @@
                 self.table.forget()
                 self._is_registered = False
                 self._durable_seen = 0
-                self._lapses_at = float("inf")
+                self._executor_clock.reset()
             elif report.state is not known.state:
                 logger.info("event=executor_state state=%s number=%d", report.state.name, number)
             self._beat_number, self._born_ms = number, born_ms
-            self._set_clock(clock_ms)
+            self._executor_clock.read(clock_ms)
             report.fence, report.ends, report.seen = known.fence, known.ends, known.seen
             self.report = report
             self._lock.notify_all()
@@ -174,23 +158,11 @@
                 self.table.forget()
                 self._lock.notify_all()
 
-    def _set_clock(self, clock_ms: int) -> None:
-        self._clock_ms, self._clock_read_at = clock_ms, self._clock.monotonic()
-
     def _deadline_ms(self) -> int | None:
-        """Return the lease's end on the executor's clock, or None if it is not to be extended.
-
-        It is not without the authority to it, nor while the executor is silent: after a while
-        nothing can be running there then.
-        """
-        now = self._clock.monotonic()
-        is_silent = now - max(self._answered_at, self._clock_read_at) > SILENCE_LIMIT_S
-        if is_silent or now - self._presence_confirmed_at >= AUTHORITY_S:
+        """Return the lease's end on the executor's clock, or None if it is not to be extended."""
+        if self._clock.monotonic() - self._presence.confirmed_at >= AUTHORITY_S:
             return None
-        clock_ms = self._clock_ms + (now - self._clock_read_at) * 1000
-        real_s = self._lease_s * (1 + CLOCK_ERROR)
-        self._lapses_at = now + real_s + 2 * CLOCK_ERROR * (now - self._clock_read_at)
-        return round(clock_ms + self._lease_s * 1000)
+        return self._executor_clock.deadline_ms()
 
     # Orders.
 
@@ -353,8 +325,7 @@
         with self._lock:
             if status.incarnation != self.report.incarnation:
                 return
-            self._set_clock(status.clock_ms)
-            self._answered_at, self._refused_since = self._clock.monotonic(), None
+            self._executor_clock.read(status.clock_ms)
             if self.table.take_status(status, sent_at):
                 self._lock.notify_all()
             self._drive()
@@ -383,16 +354,10 @@
 
     def _note_silence(self, error: ExecutorUnreachableError | OtherIncarnationError) -> None:
         """Report the executor as gone once nothing can be running there any more."""
-        now = self._clock.monotonic()
+        refused = isinstance(error, ExecutorUnreachableError) and error.refused
         with self._lock:
-            if not isinstance(error, ExecutorUnreachableError) or not error.refused:
-                self._refused_since = None
-            elif self._refused_since is None:
-                self._refused_since = now
-            is_down = self._refused_since is not None and (
-                now - self._refused_since >= REFUSED_LIMIT_S
-            )
-            if (is_down or now > self._lapses_at) and self.report.state is not WorkerState.GONE:
+            is_over = self._executor_clock.note_silence(refused=refused)
+            if is_over and self.report.state is not WorkerState.GONE:
                 logger.warning("event=executor_lost target=%s error=%s", self._worker, error)
                 self.report.state = WorkerState.GONE
                 self._beat_number = -1
@@ -498,26 +463,3 @@
                 self._durable_seen = report.seen
             self._lock.notify_all()
         return True
-
-    def _keep_presence(self) -> None:
-        delay_s = 0.0
-        while not self._stop.wait(delay_s):
-            sent_at = self._clock.monotonic()
-            try:
-                if not self._lease or not self._store.renew(self._lease):
-                    self._create_presence()
-                self._presence_confirmed_at = sent_at
-                delay_s = PRESENCE_RENEWAL_S
-            except (StoreUnavailableError, LeaseEndedError) as error:
-                logger.warning("event=presence_failed target=%s error=%s", self._worker, error)
-                delay_s = RETRY_DELAY_S
-
-    def _create_presence(self) -> None:
-        self._lease = Lease(0)
-        lease = self._store.grant(PRESENCE_LEASE_S)
-        key = presence_key(self._worker)
-        self._store.commit(
-            Write(values={key: b"1"}, leases={key: lease}), timeout_s=COMMIT_TIMEOUT_S
-        )
-        self._lease = lease
-        logger.info("event=presence target=%s lease=%d", self._worker, lease)
--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -316,11 +316,11 @@
     def _put_report(self, planner: Planner, item: Item) -> None:
         if item.key.startswith(PRESENCE):
             worker = TargetId(item.key.removeprefix(PRESENCE))
-            planner.set_present(worker, item.value is not None)
+            planner.workers.set_present(worker, item.value is not None)
         elif item.key.startswith(REPORTS):
             worker = TargetId(item.key.removeprefix(REPORTS))
             if item.value is None:
-                planner.forget_report(worker)
+                planner.workers.forget_report(worker)
                 return
             try:
                 planner.put_report(worker, decode(item.value, WorkerReport))
@@ -328,7 +328,7 @@
                 logger.warning("event=report_unreadable target=%s error=%s", worker, error)
 
     def _lose_absent(self, planner: Planner) -> None:
-        for worker, known in planner.workers_by_id.items():
+        for worker, known in planner.workers.by_id.items():
             if known.absent_since is None or not planner.runs_by_worker.get(worker):
                 continue
             absent_s = planner.now_s - known.absent_since
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -26,6 +26,7 @@
     parse_unit,
     waiting_units,
 )
+from chicorycrank.batch.workers import Workers
 from chicorycrank.model.batch import (
     FINAL_BATCH_STATES,
     Assignment,
@@ -45,21 +46,14 @@
 )
 from chicorycrank.model.batch import WorkerState as ExecutorState
 from chicorycrank.model.config import Team
-from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId, ZoneId
-from chicorycrank.model.jobs import MemberPlacement, WorkKind
-from chicorycrank.policy.cell import Cell, RunningJob, WorkerState
+from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId
+from chicorycrank.model.jobs import WorkKind
+from chicorycrank.policy.cell import Cell, RunningJob
 from chicorycrank.policy.decide import Decision, Evict, Start, decide
 from chicorycrank.policy.eviction import lost_work_s
 from chicorycrank.policy.placement import placement_of
 from chicorycrank.policy.pool import Spot
-from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
 
-# Jobs here run for seconds, so a worker is tried again after seconds.
-SHORT_JOBS = QuarantineRules(
-    strikes=2, same_job_strikes=2, probe_delay_min_s=3.0, probe_delay_max_s=12.0
-)
-# A worker that refused a start is left alone until its report is likely to be current.
-REJECTED_PAUSE_S = 0.5
 # The users' accounting weighs an accelerator like eight cores; here in thousandths of a core.
 CORES_PER_ACCELERATOR = 8000.0
 # Executors go on for a little longer than they say when they drain.
@@ -71,21 +65,6 @@
 logger = logging.getLogger("absl")
 
 
-@dataclass(kw_only=True)
-class Worker:
-    """A worker as its agent reports it.
-
-    :param absent_since: monotonic time at which its agent's presence ended; None if present
-    :param paused_until: monotonic time until which it gets no new work
-    :param checkpoints: run and saved progress of its tasks
-    """
-
-    report: WorkerReport
-    absent_since: float | None = None
-    paused_until: float = 0.0
-    checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
-
-
 @dataclass(kw_only=True)
 class Changes:
     """Records that a plan has changed."""
@@ -121,19 +100,19 @@
         self.progress_by_id: dict[JobId, Progress] = {}
         self.active: dict[JobId, None] = {}
         self.cancelled: set[JobId] = set()
-        self.workers_by_id: dict[TargetId, Worker] = {}
+        self.workers = Workers(self.cell, now_s, shapes.forget_workers)
         self.runs_by_worker: dict[TargetId, dict[TaskId, Run]] = {}
         self.queues_by_id: Mapping[QueueId, Queue] = {}
         self.quota_by_team: dict[TeamId, int] = {}
         self.tickets_by_step: dict[str, dict[TargetId, str]] = {}
         self.fresh_tickets: set[str] = set()
-        self.quarantine = Quarantine(lambda: self.now_s, SHORT_JOBS)
 
     # What changed.
 
     def set_time(self, now_s: float, now_ms: int) -> None:
         """Set monotonic time in seconds and Unix time in milliseconds."""
         self.now_s, self.now_ms = now_s, now_ms
+        self.workers.now_s = now_s
 
     def set_config(self, queues: Mapping[QueueId, Queue], teams: Iterable[BatchTeam]) -> None:
         """Put queues and quotas in force."""
@@ -169,12 +148,7 @@
 
     def put_report(self, worker: TargetId, report: WorkerReport) -> None:
         """Take over a worker's report and the ends in it."""
-        known = self.workers_by_id.get(worker)
-        if known is None:
-            known = self.workers_by_id[worker] = Worker(report=report, absent_since=self.now_s)
-        saved = {**known.report.checkpoints, **report.checkpoints}
-        known.report = report
-        known.checkpoints = saved
+        self.workers.put_report(worker, report)
         for end in report.ends:
             self.note_end(worker, end)
         gone = report.state is ExecutorState.GONE
@@ -183,28 +157,10 @@
             if gone or place.incarnation != report.incarnation:
                 self._lose(worker, task, run)
         self._restart_suspects(worker, report)
-        self._put_in_cell(worker)
+        self.workers.refresh(worker)
         if report.state is ExecutorState.DRAINING:
             self._evacuate(worker, report)
 
-    def forget_report(self, worker: TargetId) -> None:
-        """Forget a worker whose report is gone; what ran there stays until it is lost."""
-        known = self.workers_by_id.get(worker)
-        if known is not None:
-            known.report.state = ExecutorState.GONE
-            self._put_in_cell(worker)
-
-    def set_present(self, worker: TargetId, present: bool) -> None:
-        """Note that an agent's presence began or ended."""
-        known = self.workers_by_id.get(worker)
-        if known is None:
-            known = self.workers_by_id[worker] = Worker(report=WorkerReport())
-        if present:
-            known.absent_since = None
-        elif known.absent_since is None:
-            known.absent_since = self.now_s
-        self._put_in_cell(worker)
-
     def lose_worker(self, worker: TargetId) -> None:
         """Note that nothing can be running on a worker any more."""
         for task, run in list(self.runs_by_worker.get(worker, {}).items()):
@@ -228,9 +184,7 @@
 
     def plan(self) -> None:
         """Decide what starts and what is stopped; :attr:`changes` says which records changed."""
-        for worker, known in self.workers_by_id.items():
-            if worker in self.cell.workers_by_id:
-                self._set_available(worker, known)
+        self.workers.refresh_all()
         for _ in range(MAX_PASSES):
             refs = list(self._waiting())
             queue = [self.shapes.queued(self, ref) for ref in refs]
@@ -317,12 +271,12 @@
         progress = self.progress_by_id[ref.job_id]
         unit = progress.units.setdefault(ref.key, Unit())
         places = [
-            Place(member.worker, self.workers_by_id[member.worker].report.incarnation)
+            Place(member.worker, self.workers.by_id[member.worker].report.incarnation)
             for member in decision.placement
         ]
         begin_run(unit, places, self.now_ms)
         progress.state = BatchState.RUNNING
-        self.quarantine.begin(ref.job_id, decision.placement)
+        self.workers.quarantine.begin(ref.job_id, decision.placement)
         self.cell.start(
             RunningJob(
                 job=self.shapes.queued(self, ref),
@@ -418,8 +372,7 @@
             worker,
             lost_work_s(self.cell, run.ref.name, self.now_s),
         )
-        run_number, checkpoint = self.workers_by_id[worker].checkpoints.get(task, (0, ""))
-        saved = checkpoint if run_number == unit.run else ""
+        saved = self.workers.saved(worker, task, unit.run)
         end = TaskEnd(task, unit.run, EndKind.LOST, saved)
         self._note_end(worker, run, unit, end)
 
@@ -443,7 +396,7 @@
             unit.state.name.lower(),
         )
         TASKS_ENDED.labels(end.kind.name.lower()).inc()
-        self._judge_worker(worker, ref, end)
+        self.workers.judge(worker, ref.job_id, end)
         if unit.state is UnitState.DONE and unit.places:
             # One end of a gang stands for all; the other members are stopped.
             self.changes.workers.update(p.worker for p in unit.places if p != ENDED)
@@ -455,16 +408,6 @@
                 self.cell.compact(name)
         self._settle_job(ref.job_id)
 
-    def _judge_worker(self, worker: TargetId, ref: UnitRef, end: TaskEnd) -> None:
-        known = self.workers_by_id.get(worker)
-        if end.kind is EndKind.FAILED:
-            self.quarantine.note_failure(worker, ref.job_id, "failed")
-            return
-        place = MemberPlacement(worker, ())
-        self.quarantine.note_end(ref.job_id, [place], ok=end.kind is EndKind.DONE)
-        if end.kind is EndKind.REJECTED and known is not None:
-            known.paused_until = self.now_s + REJECTED_PAUSE_S
-
     def _settle_job(self, job_id: JobId) -> None:
         progress = self.progress_by_id[job_id]
         if progress.state in FINAL_BATCH_STATES:
@@ -483,47 +426,11 @@
             if unit.state is UnitState.ASSIGNED:
                 self.stop(parse_unit(job_id, key), state.name.lower())
         JOBS_ENDED.labels(state.name.lower()).inc()
-        self.quarantine.note_final(job_id, is_faulty=state is BatchState.FAILED)
+        self.workers.quarantine.note_final(job_id, is_faulty=state is BatchState.FAILED)
         logger.info("event=job_ended job=%s state=%s reason=%s", job_id, state.name, reason)
 
     # Workers.
 
-    def _put_in_cell(self, worker: TargetId) -> None:
-        known = self.workers_by_id[worker]
-        report = known.report
-        if not report.incarnation:
-            return
-        old = self.cell.workers_by_id.get(worker)
-        if old is None or (old.accelerators, old.cores, old.memory_gb, old.rack) != (
-            report.accelerators,
-            report.cores,
-            report.memory_mb,
-            report.rack,
-        ):
-            self.cell.put_worker(
-                WorkerState(
-                    worker=worker,
-                    rack=report.rack,
-                    zone=ZoneId(report.zone),
-                    accelerators=report.accelerators,
-                    cores=report.cores,
-                    memory_gb=report.memory_mb,
-                )
-            )
-            self.shapes.forget_workers()
-        self._set_available(worker, known)
-
-    def _set_available(self, worker: TargetId, known: Worker) -> None:
-        available = (
-            known.absent_since is None
-            and known.report.state is ExecutorState.READY
-            and known.paused_until <= self.now_s
-            and not known.report.suspects
-            and not self.quarantine.is_closed(worker)
-        )
-        if self.cell.workers_by_id[worker].available != available:
-            self.cell.set_available(worker, available)
-
     def _evacuate(self, worker: TargetId, report: WorkerReport) -> None:
         """Stop work that a draining executor would end before it is done."""
         for run in list(self.runs_by_worker.get(worker, {}).values()):
--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -176,7 +176,7 @@
             near = {
                 name
                 for name in workers
-                if planner.workers_by_id[name].report.rack == step.data_rack
+                if planner.workers.by_id[name].report.rack == step.data_rack
             }
             workers = frozenset(near) or workers
         return PlacementRule(
@@ -190,7 +190,7 @@
             self._workers_by_label[key] = frozenset(
                 name
                 for name in planner.cell.workers_by_id
-                if _is_suitable(planner.workers_by_id[name].report, service, label)
+                if _is_suitable(planner.workers.by_id[name].report, service, label)
             )
         return self._workers_by_label[key]
 
--- /dev/null
+++ b/src/chicorycrank/batch/workers.py
@@ -0,0 +1,131 @@
+"""Workers as their agents report them, and which of them take new work."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from chicorycrank.model.batch import EndKind, TaskEnd, WorkerReport
+from chicorycrank.model.batch import WorkerState as ExecutorState
+from chicorycrank.model.ids import JobId, TargetId, TaskId, ZoneId
+from chicorycrank.model.jobs import MemberPlacement
+from chicorycrank.policy.cell import Cell, WorkerState
+from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
+
+# Jobs here run for seconds, so a worker is tried again after seconds.
+SHORT_JOBS = QuarantineRules(
+    strikes=2, same_job_strikes=2, probe_delay_min_s=3.0, probe_delay_max_s=12.0
+)
+# A worker that refused a start is left alone until its report is likely to be current.
+REJECTED_PAUSE_S = 0.5
+
+
+@dataclass(kw_only=True)
+class Worker:
+    """A worker as its agent reports it.
+
+    :param absent_since: monotonic time at which its agent's presence ended; None if present
+    :param paused_until: monotonic time until which it gets no new work
+    :param checkpoints: run and saved progress of its tasks
+    """
+
+    report: WorkerReport
+    absent_since: float | None = None
+    paused_until: float = 0.0
+    checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
+
+
+class Workers:
+    """All workers of the leader, kept in step with the cell.
+
+    :param on_change: called when a worker was added or has changed its capacity
+    """
+
+    def __init__(self, cell: Cell, now_s: float, on_change: Callable[[], None]) -> None:
+        self.by_id: dict[TargetId, Worker] = {}
+        self.now_s = now_s
+        self.quarantine = Quarantine(lambda: self.now_s, SHORT_JOBS)
+        self._cell = cell
+        self._on_change = on_change
+
+    def put_report(self, worker: TargetId, report: WorkerReport) -> None:
+        """Take over a report; the worker is opened or closed by :meth:`refresh`."""
+        known = self.by_id.get(worker)
+        if known is None:
+            known = self.by_id[worker] = Worker(report=report, absent_since=self.now_s)
+        # An agent carries on the checkpoints of the executor's earlier life until they are used.
+        known.checkpoints = {**known.report.checkpoints, **report.checkpoints}
+        known.report = report
+
+    def forget_report(self, worker: TargetId) -> None:
+        """Close a worker whose report is gone."""
+        known = self.by_id.get(worker)
+        if known is not None:
+            known.report.state = ExecutorState.GONE
+            self.refresh(worker)
+
+    def set_present(self, worker: TargetId, present: bool) -> None:
+        """Note that an agent's presence began or ended."""
+        known = self.by_id.get(worker)
+        if known is None:
+            known = self.by_id[worker] = Worker(report=WorkerReport())
+        if present:
+            known.absent_since = None
+        elif known.absent_since is None:
+            known.absent_since = self.now_s
+        self.refresh(worker)
+
+    def saved(self, worker: TargetId, task: TaskId, run: int) -> str:
+        """Return the checkpoint that was reported for a run, or an empty text."""
+        number, checkpoint = self.by_id[worker].checkpoints.get(task, (0, ""))
+        return checkpoint if number == run else ""
+
+    def judge(self, worker: TargetId, job_id: JobId, end: TaskEnd) -> None:
+        """Learn from the end of a run whether its worker is sound."""
+        if end.kind is EndKind.FAILED:
+            self.quarantine.note_failure(worker, job_id, "failed")
+            return
+        place = MemberPlacement(worker, ())
+        self.quarantine.note_end(job_id, [place], ok=end.kind is EndKind.DONE)
+        known = self.by_id.get(worker)
+        if end.kind is EndKind.REJECTED and known is not None:
+            known.paused_until = self.now_s + REJECTED_PAUSE_S
+
+    def refresh_all(self) -> None:
+        """Open and close all workers as it is due now."""
+        for worker in self.by_id:
+            if worker in self._cell.workers_by_id:
+                self._set_available(worker)
+
+    def refresh(self, worker: TargetId) -> None:
+        """Put a worker into the cell with its capacity, and open or close it."""
+        report = self.by_id[worker].report
+        if not report.incarnation:
+            return
+        state = WorkerState(
+            worker=worker,
+            rack=report.rack,
+            zone=ZoneId(report.zone),
+            accelerators=report.accelerators,
+            cores=report.cores,
+            memory_gb=report.memory_mb,
+        )
+        old = self._cell.workers_by_id.get(worker)
+        if old is None or _capacity(old) != _capacity(state):
+            self._cell.put_worker(state)
+            self._on_change()
+        self._set_available(worker)
+
+    def _set_available(self, worker: TargetId) -> None:
+        known = self.by_id[worker]
+        available = (
+            known.absent_since is None
+            and known.report.state is ExecutorState.READY
+            and known.paused_until <= self.now_s
+            and not known.report.suspects
+            and not self.quarantine.is_closed(worker)
+        )
+        if self._cell.workers_by_id[worker].available != available:
+            self._cell.set_available(worker, available)
+
+
+def _capacity(state: WorkerState) -> tuple[str, int, int, int]:
+    return state.rack, state.accelerators, state.cores, state.memory_gb
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -30,7 +30,7 @@
     planner.set_config({}, [BatchTeam(team=RED, quota=quota)])
     for worker in workers:
         planner.put_report(worker, make_report(f"i-{worker}:1"))
-        planner.set_present(worker, True)
+        planner.workers.set_present(worker, True)
     return planner
 
 
@@ -43,7 +43,7 @@
 def tasks_by_worker(planner: Planner) -> dict[str, list[tuple[str, int, bool]]]:
     return {
         worker: [(a.task, a.run, a.stop) for a in planner.order_for(worker).assignments]
-        for worker in planner.workers_by_id
+        for worker in planner.workers.by_id
         if planner.order_for(worker).assignments
     }
 
@@ -51,7 +51,7 @@
 def end(planner: Planner, task: str, kind: EndKind, run: int = 1, checkpoint: str = "") -> None:
     for worker, runs in list(planner.runs_by_worker.items()):
         if TaskId(task) in runs:
-            report = planner.workers_by_id[worker].report
+            report = planner.workers.by_id[worker].report
             report.ends = [TaskEnd(TaskId(task), run, kind, checkpoint)]
             planner.put_report(worker, report)
             report.ends = []
@@ -168,7 +168,7 @@
     planner = make_planner()
     job = submit(planner, make_job([WHOLE]))
     worker = TargetId(next(iter(tasks_by_worker(planner))))
-    incarnation = planner.workers_by_id[worker].report.incarnation
+    incarnation = planner.workers.by_id[worker].report.incarnation
     planner.put_report(worker, make_report(**{"incarnation": incarnation, **report}))  # type: ignore[arg-type]
     planner.plan()
     assert progress_of(planner, job).units["0.0.0"].run == expected
@@ -181,7 +181,7 @@
     step = Step(count=1, accelerators=8, run_time_s=20.0, checkpointing=checkpointing)
     submit(planner, make_job([step]))
     worker = TargetId(next(iter(tasks_by_worker(planner))))
-    report = planner.workers_by_id[worker].report
+    report = planner.workers.by_id[worker].report
     changed = make_report(report.incarnation, state=WorkerState.DRAINING, remaining_ms=2500)
     planner.put_report(worker, changed)
     assert [a.stop for a in planner.order_for(worker).assignments] == [stopped]
@@ -191,7 +191,7 @@
     """Guards against a second run of a task whose worker is only cut off."""
     planner = make_planner(WORKERS[:1])
     job = submit(planner, make_job([Step(count=2, accelerators=4)]))
-    planner.set_present(WORKERS[0], False)
+    planner.workers.set_present(WORKERS[0], False)
     end(planner, f"{job.job_id}.0.0.0", EndKind.STOPPED)
     units = progress_of(planner, job).units
     assert (units["0.0.0"].state, units["0.0.1"].state) == (UnitState.WAITING, UnitState.ASSIGNED)
@@ -258,7 +258,7 @@
     step = Step(count=1, accelerators=4, checkpointing=checkpointing)
     job = submit(planner, make_job([step]))
     worker = TargetId(next(iter(tasks_by_worker(planner))))
-    incarnation = planner.workers_by_id[worker].report.incarnation
+    incarnation = planner.workers.by_id[worker].report.incarnation
     suspects = {TaskId(f"{job.job_id}.0.0.0"): percent}
     planner.put_report(worker, make_report(incarnation, suspects=suspects))
     assert [a.stop for a in planner.order_for(worker).assignments] == [stopped]
@@ -270,7 +270,7 @@
     planner = make_planner()
     job = submit(planner, make_job([WHOLE]))
     worker = TargetId(next(iter(tasks_by_worker(planner))))
-    incarnation = planner.workers_by_id[worker].report.incarnation
+    incarnation = planner.workers.by_id[worker].report.incarnation
     task = TaskId(f"{job.job_id}.0.0.0")
     planner.put_report(worker, make_report(incarnation, checkpoints={task: (1, "saved")}))
     planner.put_report(worker, make_report("i-new:9"))
