Let leases and keys grow old while a machine is suspended

Cause, found by reading: the steady clock does not count a suspension, so an agent that wakes took its authority for fresh and could start work that the leader had given to another worker, and an entry could serve a revoked key.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -221,8 +221,9 @@
                 except OtherIncarnationError:
                     self._stop.wait(RETRY_DELAY_S)
         except Exception:
+            # The next look at the executor makes the call again.
             logger.exception("event=run_failed task=%s", run.assignment.task)
-            raise
+            run.is_driven = False
 
     def _start_run(self, run: Run) -> None:
         item = run.assignment
--- a/src/chicorycrank/programs/batch_agent.py
+++ b/src/chicorycrank/programs/batch_agent.py
@@ -1,6 +1,6 @@
 """Agent on the users' platform, beside an executor."""
 
-from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.adapters.clock import SuspendAwareClock
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.model.ids import TargetId
 from chicorycrank.platform.client import PlatformClient
@@ -23,7 +23,7 @@
         TargetId(f"{settings.name}@{settings.host}"),
         store,
         PlatformExecutor(PlatformClient(settings.executor)),
-        SystemClock(),
+        SuspendAwareClock(),
         max_lease_s=settings.bounds.max_lease_s,
     )
     server = Server(settings.control, Control(agent).handle, threads=THREADS)
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -3,7 +3,7 @@
 import logging
 import time
 
-from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.adapters.clock import SuspendAwareClock
 from chicorycrank.batch.intake import Intake
 from chicorycrank.batch.keys import SHARED_PREFIX
 from chicorycrank.batch.leader import Leader
@@ -42,7 +42,7 @@
     """Run until the platform stops the process."""
     process = Process("entry")
     settings = process.settings
-    clock = SystemClock()
+    clock = SuspendAwareClock()
     store = PlatformStore(PlatformClient(settings.store))
     view = SharedView(CONFIG_KEY, _decode_config)
     replica = Replica(store, SHARED_PREFIX, view.apply, clock, wait_s=WATCH_S)
