--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from chicorycrank.batch.absences import Absences
 from chicorycrank.batch.advice import AdviceBook
 from chicorycrank.batch.keys import (
     CANCELS,
@@ -150,7 +151,7 @@
 class Leader:
     """Takes the role when it is free, and plans while it has it.
 
-    :param lost_after_s: time after which an absent worker can run nothing any more
+    :param absences: makes what finds the absent workers of a term
     :param status_s: how long the state of an ended job is kept
     """
 
@@ -164,7 +165,7 @@
         *,
         shapes: Callable[[], UnitShapes],
         advice: AdviceService,
-        lost_after_s: float,
+        absences: Callable[[], Absences],
         status_s: float,
     ) -> None:
         self._store = store
@@ -174,7 +175,8 @@
         self._role = Role(store, entry)
         self._shapes = shapes
         self._advice = advice
-        self._lost_after_s = lost_after_s
+        self._make_absences = absences
+        self._absences = absences()
         self._status_s = status_s
         self._stop = threading.Event()
         self._deposed = False
@@ -221,6 +223,7 @@
             while not reports.is_loaded.wait(IDLE_WAIT_S):
                 if self._deposed or self._stop.is_set():
                     return
+            self._absences = self._make_absences()
             self.planner = self._make_planner()
             while not self._stop.is_set():
                 self._step(self.planner, book)
@@ -328,13 +331,9 @@
                 logger.warning("event=report_unreadable target=%s error=%s", worker, error)
 
     def _lose_absent(self, planner: Planner) -> None:
-        for worker, known in planner.workers.by_id.items():
-            if known.absent_since is None or not planner.runs_by_worker.get(worker):
-                continue
-            absent_s = planner.now_s - known.absent_since
-            if absent_s >= self._lost_after_s:
-                logger.warning("event=worker_lost target=%s absent_s=%.1f", worker, absent_s)
-                planner.lose_worker(worker)
+        busy = {worker for worker, runs in planner.runs_by_worker.items() if runs}
+        for worker in self._absences.find_lost(planner.workers, busy):
+            planner.lose_worker(worker)
 
     def _commit(self, planner: Planner) -> None:
         changes = planner.changes
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -4,6 +4,7 @@
 import time
 
 from chicorycrank.adapters.clock import SuspendAwareClock
+from chicorycrank.batch.absences import Absences
 from chicorycrank.batch.intake import Intake
 from chicorycrank.batch.keys import SHARED_PREFIX
 from chicorycrank.batch.leader import Leader
@@ -17,6 +18,7 @@
 from chicorycrank.platform.client import PlatformClient
 from chicorycrank.platform.documents import CONFIG_KEY, DocumentError, decode_config
 from chicorycrank.platform.front import Front
+from chicorycrank.platform.machines import PlatformMachines
 from chicorycrank.platform.server import Server
 from chicorycrank.platform.settings import NodeSettings
 from chicorycrank.platform.store import PlatformStore
@@ -47,6 +49,7 @@
     view = SharedView(CONFIG_KEY, _decode_config)
     replica = Replica(store, SHARED_PREFIX, view.apply, clock, wait_s=WATCH_S)
     bounds = settings.bounds
+    machines = PlatformMachines(PlatformClient(settings.machines or settings.store))
     leader = Leader(
         store,
         view,
@@ -55,7 +58,7 @@
         EntryId(settings.name),
         shapes=lambda: UnitShapes(bounds.checkpoint_s),
         advice=PlatformAdvice(PlatformClient(settings.advice or settings.store)),
-        lost_after_s=lost_after_s(bounds.max_lease_s),
+        absences=lambda: Absences(machines, lost_after_s(bounds.max_lease_s)),
         status_s=bounds.status_s,
     )
     is_stopping = False
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -15,6 +15,7 @@
 )
 
 from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.batch.absences import Absences
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.batch.intake import Intake, Outcome
 from chicorycrank.batch.keys import SHARED_PREFIX, decode, encode, order_key, report_key
@@ -61,6 +62,14 @@
         raise AdviceUnavailableError(step)
 
 
+class NoMachines:
+    """A list that shows no machine."""
+
+    def running_executors(self) -> frozenset[str]:
+        """Return nothing."""
+        return frozenset()
+
+
 class Entry:
     """An entry without its HTTP server."""
 
@@ -78,7 +87,7 @@
             EntryId(name),
             shapes=lambda: UnitShapes(1.0),
             advice=NoAdvice(),
-            lost_after_s=LOST_AFTER_S,
+            absences=lambda: Absences(NoMachines(), LOST_AFTER_S),
             status_s=STATUS_S,
         )
         self.replica.start()
