--- a/src/chicorycrank/batch/presence.py
+++ b/src/chicorycrank/batch/presence.py
@@ -6,6 +6,8 @@
 from chicorycrank.batch.leases import PRESENCE_LEASE_S, PRESENCE_RENEWAL_S, RESUME_GRACE_S
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import (
+    ABSENT,
+    Conflict,
     Lease,
     LeaseEndedError,
     StoreUnavailableError,
@@ -42,23 +44,41 @@
         """Renew the lease until the process ends."""
         delay_s = 0.0
         while not self._stop.wait(delay_s):
-            sent_at = self._clock.monotonic()
             try:
-                if not self._lease or not self._store.renew(self._lease):
-                    self._create()
-                self.confirmed_at = sent_at
+                self.renew()
                 delay_s = PRESENCE_RENEWAL_S
             except (StoreUnavailableError, LeaseEndedError) as error:
                 logger.warning("event=presence_failed key=%s error=%s", self._key, error)
                 delay_s = RETRY_DELAY_S
 
-    def _create(self) -> None:
+    def renew(self) -> None:
+        """Renew the lease, or create the key under a new one.
+
+        :raises StoreUnavailableError: the store did not answer
+        """
+        sent_at = self._clock.monotonic()
+        if (self._lease and self._store.renew(self._lease)) or self._create():
+            self.confirmed_at = sent_at
+
+    def _create(self) -> bool:
+        """Put the key under a new lease; false if another write of it came first.
+
+        A write that the store carries out late would move the key to a lease that nobody renews,
+        so each is conditional.
+        """
         self._lease = Lease(0)
         lease = self._store.grant(PRESENCE_LEASE_S)
-        has_lapsed = self._store.read(self._key) is None
-        write = Write(values={self._key: b"1"}, leases={self._key: lease})
-        self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S)
+        known = self._store.read(self._key)
+        write = Write(
+            expected={self._key: ABSENT if known is None else known.revision},
+            values={self._key: b"1"},
+            leases={self._key: lease},
+        )
+        if isinstance(self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S), Conflict):
+            logger.warning("event=presence_conflict key=%s", self._key)
+            return False
         self._lease = lease
-        if has_lapsed:
+        if known is None:
             self.resumed_at = self._clock.monotonic() + RESUME_GRACE_S
         logger.info("event=presence key=%s lease=%d", self._key, lease)
+        return True
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -83,6 +83,7 @@
         self.history: list[Item] = []
         self.revision = 1
         self.forgotten = 0
+        self.leases = 0
         self.keys_by_lease: dict[int, set[str]] = {}
         self.fault: Callable[[str], str] = lambda operation: ""
         self.lock = threading.Condition()
@@ -136,6 +137,8 @@
             self.writes.append(write)
             for key, value in write.values.items():
                 self._put(Item(key=key, value=value, revision=Revision(self.revision)))
+                for keys in self.keys_by_lease.values():
+                    keys.discard(key)
                 if write.leases.get(key):
                     self.keys_by_lease[write.leases[key]].add(key)
             for key in write.deletes:
@@ -155,7 +158,8 @@
         """Create a lease."""
         self._fail("grant")
         with self.lock:
-            lease = Lease(len(self.keys_by_lease) + 1)
+            self.leases += 1
+            lease = Lease(self.leases)
             self.keys_by_lease[lease] = set()
             return lease
 
