Let the worker stand-in count work up to the call for a checkpoint

Cause of test_reclaim (borrower-yes) failing once beside load: the stand-in counted work only at the ticks of its thread, so a job that was evicted before the first tick had saved nothing. With ticks of 6 s both reclaim scenarios failed in the same way; with this change they pass with such ticks.

--- a/src/chicorycrank_standin/worker.py
+++ b/src/chicorycrank_standin/worker.py
@@ -17,6 +17,7 @@
 
     :param meta: opaque document of the caller, returned with the task
     :param work_s: work until completion in seconds of full speed
+    :param advanced_at: monotonic time up to which ``progress_s`` counts
     """
 
     task_id: str
@@ -27,6 +28,7 @@
     reported_s: float
     checkpoint_s: float
     expires_at: float
+    advanced_at: float
     throttle: float = 0.0
     state: str = "running"
     detail: str = ""
@@ -71,21 +73,20 @@
 
     def run_forever(self) -> None:
         """Advance all tasks until the process ends."""
-        last = time.monotonic()
-        last_report = last
+        last_report = time.monotonic()
         while True:
             time.sleep(TICK_S)
             now = time.monotonic()
             with self._lock:
                 for task in self._task_by_id.values():
-                    self._advance(task, now, now - last)
+                    self._advance(task, now)
                 if now - last_report >= REPORT_DELAY_S:
                     last_report = now
                     for task in self._task_by_id.values():
                         task.reported_s = task.progress_s
-            last = now
 
-    def _advance(self, task: Task, now: float, elapsed_s: float) -> None:
+    def _advance(self, task: Task, now: float) -> None:
+        elapsed_s, task.advanced_at = now - task.advanced_at, now
         if task.state != "running":
             return
         if now > task.expires_at:
@@ -121,6 +122,7 @@
             if busy & set(wanted) or any(a >= self._accelerators for a in wanted):
                 return json_reply({"error": "accelerators are in use"}, status=409)
             progress_s = float(document["progress_s"])
+            now = time.monotonic()
             task = Task(
                 task_id=task_id,
                 accelerators=wanted,
@@ -129,7 +131,8 @@
                 progress_s=progress_s,
                 reported_s=progress_s,
                 checkpoint_s=progress_s,
-                expires_at=time.monotonic() + float(document["lease_s"]),
+                expires_at=now + float(document["lease_s"]),
+                advanced_at=now,
             )
             self._task_by_id[task_id] = task
             self._note(task, "started")
@@ -159,6 +162,7 @@
             task = self._task_by_id.get(call.arguments[0])
             if task is None or task.state != "running":
                 return json_reply({"error": "no such running task"}, status=404)
+            self._advance(task, time.monotonic())
             if task.throttle == 0:
                 self._note(task, "working")
             task.throttle = float(call.json()["share"])
@@ -169,6 +173,8 @@
             task = self._task_by_id.get(call.arguments[0])
             if task is None:
                 return json_reply({"error": "no such task"}, status=404)
+            # Work since the last tick counts too, however late the next one is.
+            self._advance(task, time.monotonic())
             task.checkpoint_s = task.progress_s
             return json_reply({"checkpoint_s": task.checkpoint_s})
 
