Give each term of the leader its own state

Cause, found by reading: a watch of an earlier term that ended late added its news to the term that followed, which could take an old life of an executor for the present one and give its runs away. Role, term and leader are files of their own now; the test fails on the old code.

--- /dev/null
+++ b/src/chicorycrank/batch/role.py
@@ -0,0 +1,107 @@
+"""The leader's record in the store, which decides who may write."""
+
+import secrets
+from collections.abc import Sequence
+
+import msgspec
+
+from chicorycrank.batch.keys import LEADER, LeaderRecord, decode, encode
+from chicorycrank.model.ids import EntryId
+from chicorycrank.ports.transactions import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Lease,
+    LeaseEndedError,
+    Revision,
+    TransactionalStore,
+    Write,
+)
+
+# A leader that stops is replaced after this time; below the store's answer time times ten under
+# a slow store, the role would move without need.
+LEASE_S = 2.0
+RENEWAL_S = 0.5
+COMMIT_TIMEOUT_S = 0.8
+
+
+class DeposedError(Exception):
+    """Another entry has the role, or it is free."""
+
+
+class Role:
+    """The leader's record in the store, which makes every write of the leader conditional.
+
+    Each write replaces the record, so writes of a term take effect in their order and at most
+    once, also those that the store carries out late.
+    """
+
+    def __init__(self, store: TransactionalStore, entry: EntryId) -> None:
+        self._store = store
+        self._lease = Lease(0)
+        self._record = LeaderRecord(entry=entry, term="")
+        self._revision = ABSENT
+
+    @property
+    def entry(self) -> EntryId:
+        """The entry that competes for the role."""
+        return self._record.entry
+
+    def take(self) -> bool:
+        """Take the role if it is free.
+
+        :raises StoreUnavailableError: the store did not answer
+        """
+        self._lease = self._store.grant(LEASE_S)
+        entry = self._record.entry
+        self._record = LeaderRecord(entry=entry, term=secrets.token_hex(4))
+        self._revision = ABSENT
+        return self._write({}, ()) is not None
+
+    def renew(self) -> bool:
+        """Renew the lease of the role; false if it has ended."""
+        return self._store.renew(self._lease)
+
+    def release(self) -> None:
+        """Give the role up at once."""
+        self._store.revoke(self._lease)
+
+    def write(self, values: dict[str, bytes], deletes: Sequence[str]) -> None:
+        """Apply a write of the leader.
+
+        :raises DeposedError: another entry has the role, or it is free
+        :raises StoreUnavailableError: the store did not answer; call again with the same values
+        """
+        if self._write(values, deletes) is None:
+            raise DeposedError("the leader's record has changed")
+
+    def _write(self, values: dict[str, bytes], deletes: Sequence[str]) -> Revision | None:
+        record = msgspec.structs.replace(self._record, writes=self._record.writes + 1)
+        write = Write(
+            expected={LEADER: self._revision},
+            values={LEADER: encode(record), **values},
+            leases={LEADER: self._lease},
+            deletes=deletes,
+        )
+        try:
+            answer = self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S)
+        except LeaseEndedError:
+            return None
+        revision = _revision_of(answer, record)
+        if revision is not None:
+            self._record, self._revision = record, revision
+        return revision
+
+
+def _revision_of(answer: Committed | Conflict, record: LeaderRecord) -> Revision | None:
+    """Return the revision of a write that was applied now or by an earlier attempt."""
+    if isinstance(answer, Committed):
+        return answer.revision
+    item = answer.items.get(LEADER)
+    if item is None or not item.value:
+        return None
+    try:
+        found = decode(item.value, LeaderRecord)
+    except msgspec.DecodeError:
+        return None
+    return item.revision if found == record else None
--- /dev/null
+++ b/src/chicorycrank/batch/term.py
@@ -0,0 +1,272 @@
+"""One term of the leader: news of the store in, progress and orders out."""
+
+import logging
+import threading
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from chicorycrank.batch.absences import Absences
+from chicorycrank.batch.advice import AdviceBook
+from chicorycrank.batch.keys import (
+    JOBS,
+    PRESENCE,
+    REPORTS,
+    REPORTS_PREFIX,
+    cancel_key,
+    decode,
+    encode,
+    job_key,
+    order_key,
+    progress_key,
+)
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.role import RENEWAL_S, DeposedError, Role
+from chicorycrank.batch.shapes import UnitShapes
+from chicorycrank.batch.threads import keep_running
+from chicorycrank.batch.view import SharedView
+from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
+from chicorycrank.model.ids import JobId, TargetId
+from chicorycrank.ports.advice import AdviceService
+from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.machines import MachineList
+from chicorycrank.ports.transactions import Item, StoreUnavailableError, TransactionalStore
+
+# Changes that arrive within this time are planned together.
+GATHER_S = 0.02
+IDLE_WAIT_S = 0.5
+COMMIT_RETRY_S = 0.1
+# The store takes 32 entries in a write; one is the leader's record and one its condition.
+KEYS_PER_WRITE = 29
+REPORT_WATCH_S = 5.0
+# Callers may ask for the state of a job this much longer than they were promised.
+FORGET_MARGIN_S = 30.0
+
+logger = logging.getLogger("absl")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Surroundings:
+    """What a term needs beside the store.
+
+    :param checkpoint_s: time between checkpoints of a task in seconds
+    :param lost_after_s: time in seconds after which the leases of an absent worker have ended
+    :param status_s: how long the state of an ended job is kept, in seconds
+    """
+
+    advice: AdviceService
+    machines: MachineList
+    checkpoint_s: float
+    lost_after_s: float
+    status_s: float
+
+
+class Term:
+    """State of one term; nothing of it outlives the term.
+
+    :param stop: set when the process ends
+    """
+
+    def __init__(
+        self,
+        store: TransactionalStore,
+        view: SharedView,
+        clock: Clock,
+        role: Role,
+        surroundings: Surroundings,
+        stop: threading.Event,
+    ) -> None:
+        self._view = view
+        self._clock = clock
+        self._role = role
+        self._status_s = surroundings.status_s
+        self._stop = stop
+        self._over = threading.Event()
+        self._report_news: list[Item] = []
+        self._reports = Replica(
+            store, REPORTS_PREFIX, self._put_reports, clock, wait_s=REPORT_WATCH_S
+        )
+        self._book = AdviceBook(surroundings.advice, clock, self._wake)
+        self._absences = Absences(surroundings.machines, surroundings.lost_after_s)
+        self._planner = Planner(UnitShapes(surroundings.checkpoint_s), clock.monotonic())
+
+    def serve(self) -> None:
+        """Plan until the role is lost or the process ends.
+
+        :raises DeposedError: the role is lost
+        """
+        self._reports.start()
+        keep_running(self._renew, "leader-lease", self._over)
+        try:
+            while not self._reports.is_loaded.wait(IDLE_WAIT_S):
+                self._check()
+            self._load()
+            while not self._stop.is_set():
+                self._step()
+                self._wait()
+        finally:
+            self._over.set()
+            self._reports.stop()
+            self._book.stop()
+
+    def _check(self) -> None:
+        if self._over.is_set():
+            raise DeposedError("the lease of the role has ended")
+        if self._stop.is_set():
+            raise DeposedError("the entry stops")
+
+    def _renew(self) -> None:
+        while not self._over.wait(RENEWAL_S):
+            try:
+                if not self._role.renew():
+                    self._over.set()
+                    self._wake()
+            except StoreUnavailableError as error:
+                logger.warning("event=leader_renewal_failed error=%s", error)
+
+    def _put_reports(self, items: Sequence[Item]) -> None:
+        with self._view.lock:
+            self._report_news += items
+            self._view.lock.notify_all()
+
+    def _wake(self) -> None:
+        with self._view.lock:
+            self._view.lock.notify_all()
+
+    def _load(self) -> None:
+        """Build the state of the planner from the store's records alone."""
+        planner = self._planner
+        self._set_time()
+        with self._view.lock:
+            self._view.take_news()
+            self._put_config()
+            for job_id, job in self._view.jobs_by_id.items():
+                progress = self._view.progress_by_id.get(job_id)
+                planner.put_job(job, _copy(progress) if progress is not None else None)
+            for job_id in self._view.cancelled:
+                planner.cancel(job_id)
+        # Orders that a former leader had not written yet are written now.
+        planner.changes.workers.update(planner.runs_by_worker)
+
+    def _step(self) -> None:
+        """Take over the news, plan, and write what has changed."""
+        self._set_time()
+        with self._view.lock:
+            news = self._view.take_news()
+            reports, self._report_news = self._report_news, []
+            self._put_news(news)
+        for item in reports:
+            self._put_report(item)
+        self._lose_absent()
+        self._book.update(self._planner)
+        self._planner.plan()
+        self._commit()
+
+    def _put_news(self, keys: list[str]) -> None:
+        """Take over new jobs, cancellations and the configuration."""
+        self._put_config()
+        for key in keys:
+            job_id = JobId(key.removeprefix(JOBS))
+            job = self._view.jobs_by_id.get(job_id) if key.startswith(JOBS) else None
+            if job is not None:
+                self._planner.put_job(job, None)
+        for job_id in self._view.cancelled - self._planner.cancelled:
+            self._planner.cancel(job_id)
+
+    def _put_config(self) -> None:
+        planner = self._planner
+        config = self._view.config.config
+        if config is not None and planner.queues_by_id is not self._view.config.queues_by_id:
+            planner.set_config(self._view.config.queues_by_id, config.teams)
+
+    def _put_report(self, item: Item) -> None:
+        planner = self._planner
+        if item.key.startswith(PRESENCE):
+            worker = TargetId(item.key.removeprefix(PRESENCE))
+            planner.workers.set_present(worker, item.value is not None)
+        elif item.key.startswith(REPORTS):
+            worker = TargetId(item.key.removeprefix(REPORTS))
+            if item.value is None:
+                planner.workers.forget_report(worker)
+                return
+            try:
+                planner.put_report(worker, decode(item.value, WorkerReport))
+            except msgspec.DecodeError as error:
+                logger.warning("event=report_unreadable target=%s error=%s", worker, error)
+
+    def _lose_absent(self) -> None:
+        planner = self._planner
+        busy = {worker for worker, runs in planner.runs_by_worker.items() if runs}
+        for worker in self._absences.find_lost(planner.workers, busy):
+            planner.lose_worker(worker)
+
+    def _commit(self) -> None:
+        planner = self._planner
+        changes = planner.changes
+        deletes = self._forget_old()
+        if not changes and not deletes:
+            return
+        values = {
+            progress_key(job_id): encode(planner.progress_by_id[job_id])
+            for job_id in changes.jobs
+            if job_id in planner.progress_by_id
+        }
+        for worker in changes.workers:
+            values[order_key(worker)] = encode(planner.order_for(worker))
+        keys = list(values)
+        while keys or deletes:
+            part, keys = keys[:KEYS_PER_WRITE], keys[KEYS_PER_WRITE:]
+            room = KEYS_PER_WRITE - len(part)
+            gone, deletes = deletes[:room], deletes[room:]
+            self._write_until_known({key: values[key] for key in part}, gone)
+        with self._view.lock:
+            for job_id in changes.jobs & planner.progress_by_id.keys():
+                self._view.progress_by_id[job_id] = _copy(planner.progress_by_id[job_id])
+        changes.jobs.clear()
+        changes.workers.clear()
+
+    def _write_until_known(self, values: dict[str, bytes], deletes: list[str]) -> None:
+        while True:
+            self._check()
+            try:
+                self._role.write(values, deletes)
+                return
+            except StoreUnavailableError as error:
+                logger.warning("event=leader_write_failed error=%s", error)
+                self._stop.wait(COMMIT_RETRY_S)
+
+    def _forget_old(self) -> list[str]:
+        """Forget jobs whose state is not promised any more, and return their keys."""
+        planner = self._planner
+        limit_ms = planner.now_ms - round((self._status_s + FORGET_MARGIN_S) * 1000)
+        deletes: list[str] = []
+        for job_id, progress in list(planner.progress_by_id.items()):
+            is_over = progress.state in FINAL_BATCH_STATES and progress.ended_at_ms < limit_ms
+            if is_over and not any(unit.places for unit in progress.units.values()):
+                planner.forget_job(job_id)
+                deletes += [job_key(job_id), progress_key(job_id), cancel_key(job_id)]
+        return deletes
+
+    def _wait(self) -> None:
+        """Wait for news, the next occurrence of a job or the next look at absent workers."""
+        due_ms = self._planner.next_due_ms()
+        wait_s = IDLE_WAIT_S
+        if due_ms is not None:
+            wait_s = min(wait_s, max(0.0, due_ms / 1000 - self._clock.now().timestamp()))
+        with self._view.lock:
+            if not self._view.has_news and not self._report_news and not self._over.is_set():
+                self._view.lock.wait(wait_s)
+        if self._over.is_set():
+            raise DeposedError("the lease of the role has ended")
+        self._stop.wait(GATHER_S)
+
+    def _set_time(self) -> None:
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        self._planner.set_time(self._clock.monotonic(), now_ms)
+
+
+def _copy(progress: Progress) -> Progress:
+    """Return a copy that later plans do not change."""
+    return decode(encode(progress), Progress)
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -4,13 +4,12 @@
 import time
 
 from chicorycrank.adapters.clock import SuspendAwareClock
-from chicorycrank.batch.absences import Absences
 from chicorycrank.batch.intake import Intake
 from chicorycrank.batch.keys import SHARED_PREFIX
 from chicorycrank.batch.leader import Leader
 from chicorycrank.batch.leases import lost_after_s
 from chicorycrank.batch.replica import Replica
-from chicorycrank.batch.shapes import UnitShapes
+from chicorycrank.batch.term import Surroundings
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.batch import BatchConfig
 from chicorycrank.model.ids import EntryId
@@ -22,6 +21,7 @@
 from chicorycrank.platform.server import Server
 from chicorycrank.platform.settings import NodeSettings
 from chicorycrank.platform.store import PlatformStore
+from chicorycrank.ports.clock import Clock
 from chicorycrank.programs.process import Process
 
 WATCH_S = 1.0
@@ -49,18 +49,14 @@
     view = SharedView(CONFIG_KEY, _decode_config)
     replica = Replica(store, SHARED_PREFIX, view.apply, clock, wait_s=WATCH_S)
     bounds = settings.bounds
-    machines = PlatformMachines(PlatformClient(settings.machines or settings.store))
-    leader = Leader(
-        store,
-        view,
-        replica,
-        clock,
-        EntryId(settings.name),
-        shapes=lambda: UnitShapes(bounds.checkpoint_s),
+    surroundings = Surroundings(
         advice=PlatformAdvice(PlatformClient(settings.advice or settings.store)),
-        absences=lambda: Absences(machines, lost_after_s(bounds.max_lease_s)),
+        machines=PlatformMachines(PlatformClient(settings.machines or settings.store)),
+        checkpoint_s=bounds.checkpoint_s,
+        lost_after_s=lost_after_s(bounds.max_lease_s),
         status_s=bounds.status_s,
     )
+    leader = Leader(store, view, replica, clock, EntryId(settings.name), surroundings)
     is_stopping = False
 
     def age_s() -> float:
@@ -85,7 +81,7 @@
     process.wait(lambda new: _move_store(store, new))
     is_stopping = True
     leader.stop()
-    _drain(servers, bounds.stop_grace_s)
+    _drain(servers, clock, bounds.stop_grace_s)
     process.exit()
 
 
@@ -97,7 +93,7 @@
             "config_version": config.version if config else None,
             "confirmed_s_ago": age_s,
             "leader": view.leader.entry if view.leader else None,
-            "is_leader": leader.planner is not None,
+            "is_leader": leader.is_leading,
             "cancelled": sorted(view.cancelled),
             "progress": dict(view.progress_by_id),
         }
@@ -115,13 +111,13 @@
     store.move_to(settings.store)
 
 
-def _drain(servers: list[Server], grace_s: float) -> None:
+def _drain(servers: list[Server], clock: Clock, grace_s: float) -> None:
     """Serve until the balancer has taken this entry out, then finish the open calls."""
-    ends_at = time.monotonic() + grace_s - STOP_MARGIN_S
+    ends_at = clock.monotonic() + grace_s - STOP_MARGIN_S
     for server in servers:
         server.is_closing = True
     time.sleep(min(ROTATION_S, grace_s / 2))
-    while time.monotonic() < ends_at and not all(server.is_idle for server in servers):
+    while clock.monotonic() < ends_at and not all(server.is_idle for server in servers):
         time.sleep(POLL_S)
     logger.info("event=calls_finished idle=%s", all(server.is_idle for server in servers))
 
--- a/tests/batch/test_leader_role.py
+++ b/tests/batch/test_leader_role.py
@@ -4,7 +4,7 @@
 from tests.batch.fakes import MemoryStore
 
 from chicorycrank.batch.keys import LEADER
-from chicorycrank.batch.leader import DeposedError, Role
+from chicorycrank.batch.role import DeposedError, Role
 from chicorycrank.model.ids import EntryId
 from chicorycrank.ports.transactions import Committed, Conflict, StoreUnavailableError
 
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 import pytest
 from tests.batch.fakes import (
@@ -15,13 +16,19 @@
 )
 
 from chicorycrank.adapters.clock import SystemClock
-from chicorycrank.batch.absences import Absences
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.batch.intake import Intake, Outcome
-from chicorycrank.batch.keys import SHARED_PREFIX, decode, encode, order_key, report_key
+from chicorycrank.batch.keys import (
+    REPORTS_PREFIX,
+    SHARED_PREFIX,
+    decode,
+    encode,
+    order_key,
+    report_key,
+)
 from chicorycrank.batch.leader import Leader
 from chicorycrank.batch.replica import Replica
-from chicorycrank.batch.shapes import UnitShapes
+from chicorycrank.batch.term import Surroundings
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.batch import (
     BatchConfig,
@@ -35,7 +42,7 @@
 )
 from chicorycrank.model.ids import EntryId, Incarnation, TargetId, TaskId
 from chicorycrank.ports.advice import AdviceUnavailableError, Allowed
-from chicorycrank.ports.transactions import Write
+from chicorycrank.ports.transactions import Changes, Revision, Write
 
 CONFIG_KEY = "op/config"
 LIMIT_S = 15.0
@@ -46,6 +53,11 @@
 STEP = Step(count=1, accelerators=8, run_time_s=1.0)
 
 
+def is_leading(entry: "Entry") -> bool:
+    """Whether an entry has the leader role."""
+    return entry.leader.is_leading
+
+
 def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds."""
     ends_at = time.monotonic() + LIMIT_S
@@ -85,10 +97,13 @@
             self.replica,
             clock,
             EntryId(name),
-            shapes=lambda: UnitShapes(1.0),
-            advice=NoAdvice(),
-            absences=lambda: Absences(NoMachines(), LOST_AFTER_S),
-            status_s=STATUS_S,
+            Surroundings(
+                advice=NoAdvice(),
+                machines=NoMachines(),
+                checkpoint_s=1.0,
+                lost_after_s=LOST_AFTER_S,
+                status_s=STATUS_S,
+            ),
         )
         self.replica.start()
         self.leader.start()
@@ -171,7 +186,7 @@
     """Guards against a job that a takeover starts twice or forgets."""
     task = world.submit()
     world.wait(lambda: task in world.executor.runs)
-    leader = next(entry for entry in world.entries if entry.leader.planner is not None)
+    leader = next(entry for entry in world.entries if is_leading(entry))
     leader.stop()
     world.executor.end(TaskId(task), EndKind.DONE)
     other = next(index for index, entry in enumerate(world.entries) if entry is not leader)
@@ -293,3 +308,38 @@
     wait_until(lambda: not world.agent.table.order.assignments)
     time.sleep(1.5)
     assert world.executor.started == []
+
+
+def test_a_report_that_an_earlier_term_hears_late_changes_nothing(world: World) -> None:
+    """Guards against a term that plans with news of a watch from before it began."""
+    for entry in world.entries[1:]:
+        entry.stop()
+    world.wait(lambda: is_leading(world.entries[0]))
+    held, release = threading.Event(), threading.Event()
+    watch = world.store.watch
+    world.wait(lambda: report_key(TargetId("w")) in world.store.items)
+    known = world.store.items[report_key(TargetId("w"))]
+    # A change of the report between the load of the first term and that of the second.
+    stale = replace(known, revision=Revision(known.revision + 1))
+
+    def hold_first(prefix: str, after: Revision, wait_s: float) -> Changes:
+        if prefix == REPORTS_PREFIX and not held.is_set():
+            held.set()
+            release.wait(LIMIT_S)
+            return Changes(items=[stale], revision=after)
+        return watch(prefix, after, wait_s)
+
+    world.store.watch = hold_first  # type: ignore[method-assign]
+    world.wait(held.is_set)
+    world.executor.incarnation = Incarnation("i-1:2")
+    world.executor.fence = 0
+    world.beat(world.agent, "i-1:2")
+    for lease in list(world.store.keys_by_lease):
+        world.store.lapse(lease)  # type: ignore[arg-type]
+    task = world.submit()
+    world.wait(lambda: (task, 1) in world.executor.started)
+    release.set()
+    time.sleep(1.0)
+    (progress,) = world.entries[0].view.progress_by_id.values()
+    assert [unit.run for unit in progress.units.values()] == [1]
+    assert list(world.executor.runs) == [task]
