--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -3,7 +3,6 @@
 import logging
 import threading
 from collections.abc import Sequence
-from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 
@@ -14,9 +13,10 @@
 from chicorycrank.batch.pacing import Pace, Pacer
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
-from chicorycrank.batch.runs import Run, RunTable
+from chicorycrank.batch.run_driver import RunDriver, Standing
+from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import keep_running
-from chicorycrank.model.batch import EndKind, WorkerReport, WorkerState, WorkOrder
+from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
 from chicorycrank.model.ids import Incarnation, TargetId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import (
@@ -24,8 +24,6 @@
     ExecutorStatus,
     ExecutorUnreachableError,
     OtherIncarnationError,
-    StartAnswer,
-    StartOrder,
 )
 from chicorycrank.ports.transactions import (
     ABSENT,
@@ -45,12 +43,9 @@
 RETRY_DELAY_S = 0.15
 # Ends that the store has not taken yet are listed again after this time.
 UNWRITTEN_WAIT_S = 0.5
-CALLERS = 8  # calls to the executor at the same time
 # Ends that come within this time are reported in one write.
 GATHER_S = 0.01
 COMMIT_TIMEOUT_S = 0.8
-# Attempts at an executor that says it is not healthy.
-UNHEALTHY_TRIES = 6
 
 logger = logging.getLogger("absl")
 
@@ -78,17 +73,24 @@
         self._executor_clock = ExecutorClock(clock, executor_lease_s(max_lease_s))
         self._lock = threading.Condition()
         self._stop = threading.Event()
-        self._pool = ThreadPoolExecutor(CALLERS, thread_name_prefix="order")
         self._orders = Replica(
             store, order_key(worker), self._put_orders, clock, wait_s=ORDER_WATCH_S
         )
         self.table = RunTable()
         self._pacer = Pacer()
+        self._driver = RunDriver(
+            executor,
+            clock,
+            self.table,
+            self._lock,
+            self._stop,
+            standing=self._standing,
+            on_fenced=self._register_again,
+        )
         self.report = WorkerReport()
         self._written: WorkerReport | None = None
         self._revision = ABSENT
         self._is_registered = False
-        self._durable_seen = 0
         self._beat_number = -1
         self._born_ms = 0
         self._presence = Presence(store, presence_key(worker), clock, self._stop)
@@ -138,13 +140,12 @@
                 )
                 self.table.forget()
                 self._is_registered = False
-                self._durable_seen = 0
                 self._executor_clock.reset()
             elif report.state is not known.state:
                 logger.info("event=executor_state state=%s number=%d", report.state.name, number)
             self._beat_number, self._born_ms = number, born_ms
             self._executor_clock.read(clock_ms)
-            report.fence, report.ends, report.seen = known.fence, known.ends, known.seen
+            report.fence = known.fence
             self.report = report
             self._lock.notify_all()
             return True
@@ -170,6 +171,22 @@
             return None
         return self._executor_clock.deadline_ms()
 
+    def _standing(self) -> Standing:
+        """Return what calls to the executor need; the caller holds the lock."""
+        return Standing(
+            incarnation=self.report.incarnation,
+            is_ready=self.report.state is WorkerState.READY,
+            fence=self.report.fence,
+            deadline_ms=self._deadline_ms(),
+        )
+
+    def _register_again(self) -> None:
+        """Take a new fencing token, as the executor knows a higher one."""
+        logger.warning("event=fenced target=%s fence=%d", self._worker, self.report.fence)
+        with self._lock:
+            self._is_registered = False
+            self._lock.notify_all()
+
     # Orders.
 
     def _put_orders(self, items: Sequence[Item]) -> None:
@@ -193,105 +210,7 @@
         self.table.order = order
         if self._is_registered:
             self.table.put_order(order, self.report.incarnation)
-            self._drive()
-
-    def _drive(self) -> None:
-        if self._stop.is_set():
-            return
-        for run in self.table.to_drive():
-            self._pool.submit(self._drive_run, run)
-
-    def _drive_run(self, run: Run) -> None:
-        """Send the calls that a run needs until each is answered."""
-        try:
-            while not self._stop.is_set():
-                with self._lock:
-                    is_current = run.incarnation == self.report.incarnation
-                    known = self.table.runs_by_task.get(run.assignment.task) is run
-                    if not is_current or not known or not run.needs_call:
-                        run.is_driven = False
-                        return
-                try:
-                    (self._stop_run if run.wants_stop else self._start_run)(run)
-                except ExecutorUnreachableError as error:
-                    if not run.wants_stop:
-                        run.unanswered += 1
-                    logger.warning(
-                        "event=executor_silent task=%s run=%d stop=%s error=%s",
-                        run.assignment.task,
-                        run.assignment.run,
-                        run.wants_stop,
-                        error,
-                    )
-                    self._stop.wait(RETRY_DELAY_S)
-                except OtherIncarnationError:
-                    self._stop.wait(RETRY_DELAY_S)
-        except Exception:
-            # The next look at the executor makes the call again.
-            logger.exception("event=run_failed task=%s", run.assignment.task)
-            run.is_driven = False
-
-    def _start_run(self, run: Run) -> None:
-        item = run.assignment
-        if self.report.state is not WorkerState.READY and not run.unanswered:
-            self._reject(run, "the executor drains")
-            return
-        with self._lock:
-            deadline_ms = self._deadline_ms()
-            fence = self.report.fence
-        if deadline_ms is None:
-            self._stop.wait(RETRY_DELAY_S)
-            return
-        answer = self._executor.start(
-            StartOrder(
-                task=item.task,
-                run=item.run,
-                payload=item.payload,
-                checkpoint=item.checkpoint,
-                ticket=item.ticket,
-                deadline_ms=deadline_ms,
-                fence=fence,
-                incarnation=run.incarnation,
-            )
-        )
-        now = self._clock.monotonic()
-        logger.info("event=start task=%s run=%d answer=%s", item.task, item.run, answer.value)
-        with self._lock:
-            if answer is StartAnswer.STARTED:
-                run.started_at = now
-            elif answer is StartAnswer.OUTDATED:
-                run.closed_at = now
-            elif answer is StartAnswer.FENCED:
-                self._is_registered = False
-                self._lock.notify_all()
-        if answer is StartAnswer.UNHEALTHY and run.unanswered < UNHEALTHY_TRIES:
-            run.unanswered += 1
-            self._stop.wait(RETRY_DELAY_S)
-        elif answer not in (StartAnswer.STARTED, StartAnswer.OUTDATED, StartAnswer.FENCED):
-            self._reject(run, answer.value)
-
-    def _reject(self, run: Run, reason: str) -> None:
-        """Report that a run was not started, once no earlier call can start it."""
-        with self._lock:
-            run.rejection = reason
-            if run.unanswered:
-                run.wants_stop = True
-            else:
-                self.table.end(run, EndKind.REJECTED, "", reason)
-                self._lock.notify_all()
-
-    def _stop_run(self, run: Run) -> None:
-        item = run.assignment
-        answered = self._executor.stop(item.task, item.run, self.report.fence, run.incarnation)
-        logger.info("event=stop task=%s run=%d answered=%s", item.task, item.run, answered)
-        with self._lock:
-            if answered:
-                run.closed_at = self._clock.monotonic()
-            else:
-                self._is_registered = False
-                self._lock.notify_all()
-        if not answered:
-            self._stop.wait(RETRY_DELAY_S)
+            self._driver.drive()
 
     # The executor's lease and ends.
 
@@ -301,28 +220,24 @@
                 if not self._is_registered or self.report.state is WorkerState.GONE:
                     self._lock.wait(HOLD_WAIT_S)
                     continue
-                if self._durable_seen < self.table.seen:
+                if self._durable_seen() < self.table.seen:
                     # The executor answers at once while it lists ends that are not acknowledged.
                     self._lock.wait(UNWRITTEN_WAIT_S)
-                incarnation, fence = self.report.incarnation, self.report.fence
-                deadline_ms = self._deadline_ms()
-                seen = self._durable_seen
+                standing = self._standing()
+                seen = self._durable_seen()
                 closing = any(r.closed_at is not None for r in self.table.runs_by_task.values())
             sent_at = self._clock.monotonic()
             try:
                 status = self._executor.hold(
-                    fence=fence,
+                    fence=standing.fence,
                     seen=seen,
-                    deadline_ms=deadline_ms,
+                    deadline_ms=standing.deadline_ms,
                     wait_s=CLOSING_WAIT_S if closing else HOLD_WAIT_S,
-                    incarnation=incarnation,
+                    incarnation=standing.incarnation,
                 )
                 self._take_status(status, sent_at)
             except PermissionError:
-                logger.warning("event=fenced target=%s fence=%d", self._worker, fence)
-                with self._lock:
-                    self._is_registered = False
-                    self._lock.notify_all()
+                self._register_again()
                 self._stop.wait(RETRY_DELAY_S)
             except (ExecutorUnreachableError, OtherIncarnationError) as error:
                 self._note_silence(error)
@@ -335,7 +250,7 @@
             self._executor_clock.read(status.clock_ms)
             if self.table.take_status(status, sent_at):
                 self._lock.notify_all()
-            self._drive()
+            self._driver.drive()
             paces = self._pacer.update(list(self.table.runs_by_task.values()), sent_at)
         for pace in paces:
             self._set_pace(pace)
@@ -390,6 +305,13 @@
                 logger.warning("event=report_failed target=%s error=%s", self._worker, error)
                 self._stop.wait(RETRY_DELAY_S)
 
+    def _durable_seen(self) -> int:
+        """Return the number of the last end that the store has, for this life of the executor."""
+        written = self._written
+        if written is None or written.incarnation != self.report.incarnation:
+            return 0
+        return written.seen
+
     def _has_news(self) -> bool:
         if not self.report.incarnation:
             return False
@@ -441,7 +363,7 @@
             )
             self.table.put_order(self.table.order, incarnation)
             self._lock.notify_all()
-            self._drive()
+            self._driver.drive()
 
     def _write_report(self) -> bool:
         """Write the report if it is still the one written last by this agent."""
@@ -466,7 +388,5 @@
         REPORTS_WRITTEN.inc()
         with self._lock:
             self._written = report
-            if report.incarnation == self.report.incarnation:
-                self._durable_seen = report.seen
             self._lock.notify_all()
         return True
--- /dev/null
+++ b/src/chicorycrank/batch/orders.py
@@ -0,0 +1,49 @@
+"""Orders for workers, and the places of units that are read from the records."""
+
+from collections.abc import Sequence
+
+from chicorycrank.batch.units import UnitRef
+from chicorycrank.model.batch import Assignment, Submission, Unit, UnitState
+from chicorycrank.model.ids import TargetId, TaskId
+from chicorycrank.policy.cell import Cell
+from chicorycrank.policy.pool import Spot, Spots
+
+
+def assignment_of(
+    job: Submission, ref: UnitRef, unit: Unit, task: TaskId, ticket: str
+) -> Assignment:
+    """Return a task of a unit's current run as its worker's order names it."""
+    step = job.steps[ref.step]
+    stop = unit.state is not UnitState.ASSIGNED
+    return Assignment(
+        task=task,
+        run=unit.run,
+        payload="" if stop else job.payload,
+        checkpoint=unit.checkpoint,
+        ticket=ticket,
+        stop=stop,
+        long_running=step.long_running,
+        fills=step.fills,
+        target_latency_s=step.target_latency_s,
+    )
+
+
+def number_accelerators(cell: Cell, workers: Sequence[TargetId], size: int) -> Spots:
+    """Return free accelerators for members of a unit, one spot for each worker named.
+
+    The records say on which workers a unit runs, not on which accelerators.
+    """
+    block = (1 << size) - 1
+    step = 1 << max(0, size - 1).bit_length()
+    spots: list[Spot] = []
+    taken: dict[TargetId, int] = {}
+    for worker in workers:
+        used = taken.get(worker, 0)
+        for mask in cell.masks_by_worker.get(worker, {}).values():
+            used |= mask
+        start = 0
+        while used >> start & block:
+            start += step
+        taken[worker] = taken.get(worker, 0) | block << start
+        spots.append((worker, block << start))
+    return tuple(spots)
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from chicorycrank.batch.interruptions import fits_in, is_worth_moving
 from chicorycrank.batch.metrics import (
     JOBS_ENDED,
     TASKS_ENDED,
@@ -15,6 +16,7 @@
     UNITS_STOPPED,
     WAIT_SECONDS,
 )
+from chicorycrank.batch.orders import assignment_of, number_accelerators
 from chicorycrank.batch.shapes import UnitShapes
 from chicorycrank.batch.units import (
     ENDED,
@@ -29,7 +31,6 @@
 from chicorycrank.batch.workers import Workers
 from chicorycrank.model.batch import (
     FINAL_BATCH_STATES,
-    Assignment,
     BatchState,
     BatchTeam,
     EndKind,
@@ -49,17 +50,13 @@
 from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId
 from chicorycrank.model.jobs import WorkKind
 from chicorycrank.policy.cell import Cell, RunningJob
-from chicorycrank.policy.decide import Decision, Evict, Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Decision, Evict, Start
 from chicorycrank.policy.eviction import lost_work_s
 from chicorycrank.policy.placement import placement_of
-from chicorycrank.policy.pool import Spot
 
 # The users' accounting weighs an accelerator like eight cores; here in thousandths of a core.
 CORES_PER_ACCELERATOR = 8000.0
-# Executors go on for a little longer than they say when they drain.
-DRAIN_MARGIN_S = 2.0
-# A stall of some seconds ends by itself; only little unsaved work is given up for it.
-RESTART_PERCENT = 25
 MAX_PASSES = 8  # bounds the time of one plan
 
 logger = logging.getLogger("absl")
@@ -156,10 +153,8 @@
             place = self._unit(run.ref).places[run.member]
             if gone or place.incarnation != report.incarnation:
                 self._lose(worker, task, run)
-        self._restart_suspects(worker, report)
+        self._interrupt(worker, report)
         self.workers.refresh(worker)
-        if report.state is ExecutorState.DRAINING:
-            self._evacuate(worker, report)
 
     def lose_worker(self, worker: TargetId) -> None:
         """Note that nothing can be running on a worker any more."""
@@ -208,23 +203,10 @@
         incarnation = Incarnation("")
         for task, run in self.runs_by_worker.get(worker, {}).items():
             unit = self._unit(run.ref)
-            step = self.step_of(run.ref)
             incarnation = unit.places[run.member].incarnation
-            stop = unit.state is not UnitState.ASSIGNED
             ticket = self.tickets_by_step.get(run.ref.step_key, {}).get(worker, "")
-            assignments.append(
-                Assignment(
-                    task=task,
-                    run=unit.run,
-                    payload="" if stop else self.jobs_by_id[run.ref.job_id].payload,
-                    checkpoint=unit.checkpoint,
-                    ticket=ticket,
-                    stop=stop,
-                    long_running=step.long_running,
-                    fills=step.fills,
-                    target_latency_s=step.target_latency_s,
-                )
-            )
+            job = self.jobs_by_id[run.ref.job_id]
+            assignments.append(assignment_of(job, run.ref, unit, task, ticket))
         return WorkOrder(incarnation=incarnation, assignments=tuple(assignments))
 
     def queue_of(self, job: Submission) -> Queue:
@@ -337,26 +319,12 @@
     def _occupy(self, ref: UnitRef, unit: Unit) -> None:
         """Give a unit of the records its place in the cell."""
         self._index(ref, unit)
-        size = self.step_of(ref).accelerators
-        spots: list[Spot] = []
-        taken: dict[TargetId, int] = {}
-        for place in unit.places:
-            if place == ENDED:
-                continue
-            used = taken.get(place.worker, 0)
-            for mask in self.cell.masks_by_worker.get(place.worker, {}).values():
-                used |= mask
-            step = 1 << max(0, size - 1).bit_length()
-            start = 0
-            while used >> start & ((1 << size) - 1):
-                start += step
-            mask = ((1 << size) - 1) << start
-            taken[place.worker] = taken.get(place.worker, 0) | mask
-            spots.append((place.worker, mask))
+        workers = [place.worker for place in unit.places if place != ENDED]
+        spots = number_accelerators(self.cell, workers, self.step_of(ref).accelerators)
         self.cell.start(
             RunningJob(
                 job=self.shapes.queued(self, ref),
-                placement=placement_of(tuple(spots)),
+                placement=placement_of(spots),
                 kind=WorkKind.BORROWED,
                 started_s=self.now_s - max(0, self.now_ms - unit.started_at_ms) / 1000,
                 stopping=unit.state is not UnitState.ASSIGNED,
@@ -431,25 +399,16 @@
 
     # Workers.
 
-    def _evacuate(self, worker: TargetId, report: WorkerReport) -> None:
-        """Stop work that a draining executor would end before it is done."""
-        for run in list(self.runs_by_worker.get(worker, {}).values()):
-            step = self.step_of(run.ref)
-            unit = self._unit(run.ref)
+    def _interrupt(self, worker: TargetId, report: WorkerReport) -> None:
+        """Stop work that would not end, or not in time, on this worker."""
+        for task, run in list(self.runs_by_worker.get(worker, {}).items()):
+            step, unit = self.step_of(run.ref), self._unit(run.ref)
             if unit.state is not UnitState.ASSIGNED:
                 continue
-            left_s = step.run_time_s - (self.now_ms - unit.started_at_ms) / 1000
-            # Work without checkpoints has nothing to gain from a stop, so it may run over a little.
-            margin_s = 0.0 if step.checkpointing else DRAIN_MARGIN_S
-            if step.long_running or left_s > report.remaining_ms / 1000 + margin_s:
-                self.stop(run.ref, "the worker drains")
-
-    def _restart_suspects(self, worker: TargetId, report: WorkerReport) -> None:
-        """Stop tasks that make no progress, if they lose little by going on elsewhere."""
-        for task, percent in report.suspects.items():
-            run = self.runs_by_worker.get(worker, {}).get(task)
-            if run is None or self._unit(run.ref).state is not UnitState.ASSIGNED:
-                continue
-            step = self.step_of(run.ref)
-            if step.checkpointing or percent <= RESTART_PERCENT:
+            percent = report.suspects.get(task)
+            if percent is not None and is_worth_moving(step, percent):
                 self.stop(run.ref, "no progress")
+            elif report.state is ExecutorState.DRAINING and not fits_in(
+                step, unit, self.now_ms, report.remaining_ms
+            ):
+                self.stop(run.ref, "the worker drains")
--- /dev/null
+++ b/src/chicorycrank/batch/run_driver.py
@@ -0,0 +1,171 @@
+"""Sends the calls that the runs of an executor need until each is answered."""
+
+import logging
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from chicorycrank.batch.runs import Run, RunTable
+from chicorycrank.model.batch import EndKind
+from chicorycrank.model.ids import Incarnation
+from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.executor import (
+    BatchExecutor,
+    ExecutorUnreachableError,
+    OtherIncarnationError,
+    StartAnswer,
+    StartOrder,
+)
+
+CALLERS = 8  # calls to the executor at the same time
+RETRY_DELAY_S = 0.15
+# Attempts at an executor that says it is not healthy.
+UNHEALTHY_TRIES = 6
+ANSWERED = (StartAnswer.STARTED, StartAnswer.OUTDATED, StartAnswer.FENCED)
+
+logger = logging.getLogger("absl")
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What an agent may ask of its executor now.
+
+    :param is_ready: the executor takes new work
+    :param deadline_ms: end of a new lease on the executor's clock; None if none may be given
+    """
+
+    incarnation: Incarnation
+    is_ready: bool
+    fence: int
+    deadline_ms: int | None
+
+
+class RunDriver:
+    """Starts and stops the runs of a table, each in a call of its own.
+
+    :param lock: guards ``table``; also held while ``standing`` is called
+    :param stop: set when the process ends
+    :param on_fenced: called when the executor knows a higher fencing token
+    """
+
+    def __init__(
+        self,
+        executor: BatchExecutor,
+        clock: Clock,
+        table: RunTable,
+        lock: threading.Condition,
+        stop: threading.Event,
+        *,
+        standing: Callable[[], Standing],
+        on_fenced: Callable[[], None],
+    ) -> None:
+        self._executor = executor
+        self._clock = clock
+        self._table = table
+        self._lock = lock
+        self._stop = stop
+        self._standing = standing
+        self._on_fenced = on_fenced
+        self._pool = ThreadPoolExecutor(CALLERS, thread_name_prefix="order")
+
+    def drive(self) -> None:
+        """Begin the calls that are needed and not under way; the caller holds the lock."""
+        if self._stop.is_set():
+            return
+        for run in self._table.to_drive():
+            self._pool.submit(self._drive_run, run)
+
+    def _drive_run(self, run: Run) -> None:
+        item = run.assignment
+        try:
+            while not self._stop.is_set():
+                with self._lock:
+                    standing = self._standing()
+                    known = self._table.runs_by_task.get(item.task) is run
+                    if run.incarnation != standing.incarnation or not known or not run.needs_call:
+                        run.is_driven = False
+                        return
+                self._call(run, standing)
+        except Exception:
+            # The next look at the executor makes the call again.
+            logger.exception("event=run_failed task=%s", item.task)
+            run.is_driven = False
+
+    def _call(self, run: Run, standing: Standing) -> None:
+        """Make one call for a run, and pause if it has to be made again."""
+        is_stop = run.wants_stop
+        try:
+            is_done = self._stop_run(run, standing) if is_stop else self._start_run(run, standing)
+        except ExecutorUnreachableError as error:
+            is_done = False
+            run.unanswered += not is_stop
+            logger.warning(
+                "event=executor_silent task=%s run=%d stop=%s error=%s",
+                run.assignment.task,
+                run.assignment.run,
+                is_stop,
+                error,
+            )
+        except OtherIncarnationError:
+            is_done = False
+        if not is_done:
+            self._stop.wait(RETRY_DELAY_S)
+
+    def _start_run(self, run: Run, standing: Standing) -> bool:
+        """Start a run; false if the call has to be made again."""
+        item = run.assignment
+        if not standing.is_ready and not run.unanswered:
+            self._reject(run, "the executor drains")
+            return True
+        if standing.deadline_ms is None:
+            return False
+        answer = self._executor.start(
+            StartOrder(
+                task=item.task,
+                run=item.run,
+                payload=item.payload,
+                checkpoint=item.checkpoint,
+                ticket=item.ticket,
+                deadline_ms=standing.deadline_ms,
+                fence=standing.fence,
+                incarnation=run.incarnation,
+            )
+        )
+        logger.info("event=start task=%s run=%d answer=%s", item.task, item.run, answer.value)
+        if answer is StartAnswer.UNHEALTHY and run.unanswered < UNHEALTHY_TRIES:
+            run.unanswered += 1
+            return False
+        if answer not in ANSWERED:
+            self._reject(run, answer.value)
+            return True
+        with self._lock:
+            if answer is StartAnswer.STARTED:
+                run.started_at = self._clock.monotonic()
+            elif answer is StartAnswer.OUTDATED:
+                run.closed_at = self._clock.monotonic()
+        if answer is StartAnswer.FENCED:
+            self._on_fenced()
+        return answer is not StartAnswer.FENCED
+
+    def _reject(self, run: Run, reason: str) -> None:
+        """Report that a run was not started, once no earlier call can start it."""
+        with self._lock:
+            run.rejection = reason
+            if run.unanswered:
+                run.wants_stop = True
+            else:
+                self._table.end(run, EndKind.REJECTED, "", reason)
+                self._lock.notify_all()
+
+    def _stop_run(self, run: Run, standing: Standing) -> bool:
+        """Stop a run; false if the call has to be made again."""
+        item = run.assignment
+        answered = self._executor.stop(item.task, item.run, standing.fence, run.incarnation)
+        logger.info("event=stop task=%s run=%d answered=%s", item.task, item.run, answered)
+        if not answered:
+            self._on_fenced()
+            return False
+        with self._lock:
+            run.closed_at = self._clock.monotonic()
+        return True
--- a/src/chicorycrank/bench/baselines.py
+++ b/src/chicorycrank/bench/baselines.py
@@ -7,7 +7,7 @@
 from chicorycrank.model.ids import RackId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape, WorkKind
 from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob
-from chicorycrank.policy.decide import Decision, Start
+from chicorycrank.policy.decisions import Decision, Start
 from chicorycrank.policy.placement import placement_of
 from chicorycrank.policy.pool import Spots
 
--- a/src/chicorycrank/bench/decision.py
+++ b/src/chicorycrank/bench/decision.py
@@ -24,7 +24,8 @@
 )
 from chicorycrank.model.ids import JobId
 from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob
-from chicorycrank.policy.decide import Decision, Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Decision, Start
 
 SIZES = (10, 100, 300, 950)
 FREE_PER_WORKER = 0.3  # accelerators; the cell is full to 96%
--- a/src/chicorycrank/bench/replay.py
+++ b/src/chicorycrank/bench/replay.py
@@ -11,7 +11,7 @@
 from chicorycrank.model.jobs import GangShape, JobSpec, WorkKind
 from chicorycrank.policy.admission import check_job
 from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob
-from chicorycrank.policy.decide import Evict, EvictionCause, Start
+from chicorycrank.policy.decisions import Evict, EvictionCause, Start
 from chicorycrank.policy.packing import PIECE_SIZES
 
 STOP_S = 5.0  # checkpoint and stop of an evicted job
--- a/src/chicorycrank/entry/gang_starts.py
+++ b/src/chicorycrank/entry/gang_starts.py
@@ -9,7 +9,7 @@
 from chicorycrank.entry.transitions import Transitions
 from chicorycrank.model.ids import Epoch, JobId
 from chicorycrank.model.jobs import JobRecord, JobState
-from chicorycrank.policy.decide import Evict, Start
+from chicorycrank.policy.decisions import Evict, Start
 from chicorycrank.ports.clock import Clock
 
 EVICTION_GRACE_S = 5.0
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -39,7 +39,8 @@
     Refused,
 )
 from chicorycrank.policy.cell import Cell, WorkerState
-from chicorycrank.policy.decide import Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Start
 from chicorycrank.policy.quarantine import Quarantine
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import StoreError
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -1,14 +1,13 @@
 """Decides which queued jobs start where and which running jobs are evicted."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
-from enum import Enum
 from math import inf
 
 from chicorycrank.model.ids import JobId, TargetId, TeamId
-from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
+from chicorycrank.model.jobs import GangShape, WorkKind
 from chicorycrank.policy.backfill import overrun_victims, reserve
 from chicorycrank.policy.cell import Cell, QueuedJob, Reservation, RunningJob
+from chicorycrank.policy.decisions import REASONS, Decision, Evict, EvictionCause, Start
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_spots, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
 from chicorycrank.policy.home import Home, fit_home
@@ -20,44 +19,6 @@
 RESERVATIONS_TRIED = 2  # bounds the time if the oldest jobs fit nowhere
 
 
-@dataclass(frozen=True, kw_only=True)
-class Start:
-    """Start a queued job.
-
-    :param backfill: it starts on accelerators reserved for another job
-    """
-
-    job_id: JobId
-    placement: tuple[MemberPlacement, ...]
-    kind: WorkKind
-    backfill: bool = False
-
-
-class EvictionCause(Enum):
-    """Why a job is evicted."""
-
-    GUARANTEE = "guarantee"
-    URGENT = "urgent"
-    OVERRUN = "overrun"
-
-
-@dataclass(frozen=True, kw_only=True)
-class Evict:
-    """Stop a running job so that ``for_job`` can start."""
-
-    job_id: JobId
-    for_job: JobId
-    cause: EvictionCause
-    reason: str
-
-
-REASONS = {
-    EvictionCause.GUARANTEE: "borrowed the guaranteed shape of team {team}",
-    EvictionCause.URGENT: "borrowed what urgent work of team {team} needs",
-    EvictionCause.OVERRUN: "overran its expected run time on accelerators reserved for team {team}",
-}
-
-Decision = Start | Evict
 Hold = tuple[TargetId, int, int, int]  # worker, mask, cores and memory kept back
 FitKey = tuple[GangShape, PlacementRule]
 
--- a/src/chicorycrank/policy/explain.py
+++ b/src/chicorycrank/policy/explain.py
@@ -10,7 +10,8 @@
 from chicorycrank.model.jobs import GangShape
 from chicorycrank.policy.backfill import expected_end_s
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.decide import Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Start
 from chicorycrank.policy.placement import find_spots
 
 
--- a/tests/policy/test_golden_session.py
+++ b/tests/policy/test_golden_session.py
@@ -9,7 +9,8 @@
 from chicorycrank.model.ids import GuaranteeId, JobId, RegionId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob
-from chicorycrank.policy.decide import Decision, Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Decision, Start
 from chicorycrank.policy.explain import degraded_guarantees, explain_wait
 
 
--- a/tests/policy/test_policy_scenarios.py
+++ b/tests/policy/test_policy_scenarios.py
@@ -8,7 +8,8 @@
 from chicorycrank.model.jobs import Adjacency, GangShape, JobSpec, WorkKind
 from chicorycrank.policy.admission import check_guarantees, check_job
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.decide import Decision, Evict, Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Decision, Evict, Start
 
 scenarios(
     "../features/placement.feature",
--- a/tests/policy/test_reclaim_rule.py
+++ b/tests/policy/test_reclaim_rule.py
@@ -14,7 +14,8 @@
 from chicorycrank.model.jobs import Adjacency, GangShape, WorkKind
 from chicorycrank.policy.admission import check_guarantees
 from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob, WorkerState
-from chicorycrank.policy.decide import Evict, Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Evict, Start
 from chicorycrank.policy.explain import degraded_guarantees
 from chicorycrank.policy.packing import piece_counts
 from chicorycrank.policy.pool import Pool
--- a/tests/policy/test_urgent_evictions.py
+++ b/tests/policy/test_urgent_evictions.py
@@ -7,7 +7,8 @@
 
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.decide import Decision, Evict, Start, decide
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Decision, Evict, Start
 from chicorycrank.policy.placement import PlacementRule
 
 WHOLE = tuple(range(8))
