--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -1,14 +1,26 @@
-"""Orders for workers, and the places of units that are read from the records."""
+"""Changed records, orders for workers, and the places of units that are read from the records."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 from chicorycrank.batch.units import UnitRef
 from chicorycrank.model.batch import Assignment, Submission, Unit, UnitState
-from chicorycrank.model.ids import TargetId, TaskId
+from chicorycrank.model.ids import JobId, TargetId, TaskId
 from chicorycrank.policy.cell import Cell
 from chicorycrank.policy.pool import Spot, Spots
 
 
+@dataclass(kw_only=True)
+class Changes:
+    """Records that a plan has changed."""
+
+    jobs: set[JobId] = field(default_factory=set)
+    workers: set[TargetId] = field(default_factory=set)
+
+    def __bool__(self) -> bool:
+        return bool(self.jobs or self.workers)
+
+
 def assignment_of(
     job: Submission, ref: UnitRef, unit: Unit, task: TaskId, ticket: str
 ) -> Assignment:
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -6,7 +6,6 @@
 
 import logging
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 
 from chicorycrank.batch.interruptions import fits_in, is_worth_moving
 from chicorycrank.batch.metrics import (
@@ -16,10 +15,11 @@
     UNITS_STOPPED,
     WAIT_SECONDS,
 )
-from chicorycrank.batch.orders import assignment_of, number_accelerators
+from chicorycrank.batch.orders import Changes, assignment_of, number_accelerators
 from chicorycrank.batch.shapes import UnitShapes
 from chicorycrank.batch.units import (
     ENDED,
+    Member,
     UnitRef,
     begin_run,
     is_complete,
@@ -62,25 +62,6 @@
 logger = logging.getLogger("absl")
 
 
-@dataclass(kw_only=True)
-class Changes:
-    """Records that a plan has changed."""
-
-    jobs: set[JobId] = field(default_factory=set)
-    workers: set[TargetId] = field(default_factory=set)
-
-    def __bool__(self) -> bool:
-        return bool(self.jobs or self.workers)
-
-
-@dataclass(frozen=True, slots=True)
-class Run:
-    """A member of a unit on a worker."""
-
-    ref: UnitRef
-    member: int
-
-
 class Planner:
     """State and decisions of the leader; one thread at a time.
 
@@ -98,7 +79,7 @@
         self.active: dict[JobId, None] = {}
         self.cancelled: set[JobId] = set()
         self.workers = Workers(self.cell, now_s, shapes.forget_workers)
-        self.runs_by_worker: dict[TargetId, dict[TaskId, Run]] = {}
+        self.runs_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         self.queues_by_id: Mapping[QueueId, Queue] = {}
         self.quota_by_team: dict[TeamId, int] = {}
         self.tickets_by_step: dict[str, dict[TargetId, str]] = {}
@@ -150,7 +131,7 @@
             self.note_end(worker, end)
         gone = report.state is ExecutorState.GONE
         for task, run in list(self.runs_by_worker.get(worker, {}).items()):
-            place = self._unit(run.ref).places[run.member]
+            place = self._unit(run.ref).places[run.number]
             if gone or place.incarnation != report.incarnation:
                 self._lose(worker, task, run)
         self._interrupt(worker, report)
@@ -203,7 +184,7 @@
         incarnation = Incarnation("")
         for task, run in self.runs_by_worker.get(worker, {}).items():
             unit = self._unit(run.ref)
-            incarnation = unit.places[run.member].incarnation
+            incarnation = unit.places[run.number].incarnation
             ticket = self.tickets_by_step.get(run.ref.step_key, {}).get(worker, "")
             job = self.jobs_by_id[run.ref.job_id]
             assignments.append(assignment_of(job, run.ref, unit, task, ticket))
@@ -313,7 +294,7 @@
         tasks = ref.tasks(self.step_of(ref))
         for member, (task, place) in enumerate(zip(tasks, unit.places, strict=True)):
             if place != ENDED:
-                self.runs_by_worker.setdefault(place.worker, {})[task] = Run(ref, member)
+                self.runs_by_worker.setdefault(place.worker, {})[task] = Member(ref, member)
                 self.changes.workers.add(place.worker)
 
     def _occupy(self, ref: UnitRef, unit: Unit) -> None:
@@ -331,7 +312,7 @@
             )
         )
 
-    def _lose(self, worker: TargetId, task: TaskId, run: Run) -> None:
+    def _lose(self, worker: TargetId, task: TaskId, run: Member) -> None:
         unit = self._unit(run.ref)
         logger.warning(
             "event=run_lost task=%s run=%d worker=%s lost_s=%.1f",
@@ -344,12 +325,12 @@
         end = TaskEnd(task, unit.run, EndKind.LOST, saved)
         self._note_end(worker, run, unit, end)
 
-    def _note_end(self, worker: TargetId, run: Run, unit: Unit, end: TaskEnd) -> None:
+    def _note_end(self, worker: TargetId, run: Member, unit: Unit, end: TaskEnd) -> None:
         ref = run.ref
         job = self.jobs_by_id[ref.job_id]
         step = self.step_of(ref)
         was_stopping = unit.state is UnitState.STOPPING
-        is_over = note_end(unit, run.member, end, step, self.queue_of(job).max_attempts)
+        is_over = note_end(unit, run.number, end, step, self.queue_of(job).max_attempts)
         self.runs_by_worker[worker].pop(end.task, None)
         self.changes.jobs.add(ref.job_id)
         self.changes.workers.add(worker)
--- a/src/chicorycrank/batch/units.py
+++ b/src/chicorycrank/batch/units.py
@@ -55,20 +55,23 @@
         return [TaskId(f"{self.step_key}.{index}") for index in indexes]
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A task of a unit.
+
+    :param number: its number among the places of the unit
+    """
+
+    ref: UnitRef
+    number: int
+
+
 def parse_unit(job_id: JobId, key: str) -> UnitRef:
     """Return the unit of a key."""
     occurrence, step, *index = map(int, key.split("."))
     return UnitRef(job_id, occurrence, step, index[0] if index else None)
 
 
-def find_unit(submission: Submission, task: TaskId) -> tuple[UnitRef, int]:
-    """Return the unit of a task and the number of the member in it."""
-    _, occurrence, step, index = task.split(".")
-    if submission.steps[int(step)].gang:
-        return UnitRef(submission.job_id, int(occurrence), int(step), None), int(index)
-    return UnitRef(submission.job_id, int(occurrence), int(step), int(index)), 0
-
-
 def units_of_step(submission: Submission, occurrence: int, number: int) -> list[UnitRef]:
     """Return the units of a step."""
     step = submission.steps[number]
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -10,16 +10,16 @@
 from chicorycrank.policy.decisions import REASONS, Decision, Evict, EvictionCause, Start
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_spots, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
+from chicorycrank.policy.holds import Holds
 from chicorycrank.policy.home import Home, fit_home
 from chicorycrank.policy.placement import PlacementRule, find_spots, placement_of
-from chicorycrank.policy.pool import Pool, Spots
+from chicorycrank.policy.pool import Spots
 
 MAX_DECISIONS = 16  # bounds the time of a pass when much becomes free at once
 MAX_RESERVATIONS = 1
 RESERVATIONS_TRIED = 2  # bounds the time if the oldest jobs fit nowhere
 
 
-Hold = tuple[TargetId, int, int, int]  # worker, mask, cores and memory kept back
 FitKey = tuple[GangShape, PlacementRule]
 
 
@@ -49,14 +49,14 @@
         self.decisions: list[Decision] = []
         self.started: list[JobId] = []
         self.stopped: list[RunningJob] = []
-        self.held: list[Hold] = []
-        self.held_reclaimable: list[Hold] = []
+        self.held = Holds(cell.free)
+        self.held_reclaimable = Holds(cell.reclaimable)
         self.urgent_reservations = 0
         self.waiting_for_evictions: set[JobId] = set()
         self.claimed: dict[TargetId, int] = {}
         self.reservations: list[Reservation] = []
         self.reservations_tried = 0
-        self.reserved: list[Hold] = []
+        self.reserved = Holds(cell.free)
         self.unfit: set[FitKey] = set()
         self.unfit_lifted: set[FitKey] = set()
         self.unfit_homes: set[tuple[TeamId, GangShape]] = set()
@@ -71,7 +71,7 @@
             if self._is_full() or (job.job_id not in self.cell.evicted_for and not job.urgent):
                 break
             if not self._guaranteed(job) and job.urgent:
-                self._lift(self.reserved)
+                self.reserved.lift()
                 self._urgent(job)
         self._hold_reserved(queue)
         normal = [job for job in queue if not job.urgent and not self._is_done(job)]
@@ -109,9 +109,9 @@
 
     def undo(self) -> None:
         """Put the cell back to where it was."""
-        self._lift(self.held)
-        self._lift(self.held_reclaimable, self.cell.reclaimable)
-        self._lift(self.reserved)
+        self.held.lift()
+        self.held_reclaimable.lift()
+        self.reserved.lift()
         for job_id in reversed(self.started):
             self.cell.take_back(job_id)
         self.cell.homes.undo_moves()
@@ -135,7 +135,7 @@
         if any(not home.jobs for home in inside) and self._start_elsewhere(job):
             return True
         if self.reserved:
-            self._lift(self.reserved)
+            self.reserved.lift()
             if self._start_at_home(job, inside):
                 return True
         plan = self._plan_at_home(job, inside)
@@ -223,13 +223,13 @@
             return
         reservation = reserve(self.cell, job, self.now_s)
         if reservation is not None:
-            self._hold(reservation.spots, job.shape, self.held)
+            self.held.add(reservation.spots, job.shape)
 
     def _find_soon(self, job: QueuedJob) -> Spots | None:
         """Find a place among free accelerators and those of jobs that stop."""
         if not self.cell.stopping:
             return None
-        given: list[Hold] = []
+        given: list[tuple[TargetId, int, int, int]] = []
         free = self.cell.free
         for job_id in self.cell.stopping:
             job_shape = self.cell.running_by_id[job_id].job.shape
@@ -266,11 +266,11 @@
         waiting = {job.job_id for job in queue}
         for reservation in self.cell.reservations_by_id.values():
             if reservation.job_id in waiting:
-                self._hold(reservation.spots, None, self.reserved)
+                self.reserved.add(reservation.spots, None)
 
     def _reserve_oldest(self, rest: Sequence[QueuedJob]) -> None:
         """Start the oldest jobs, or reserve accelerators for the first that does not fit."""
-        self._lift(self.reserved)
+        self.reserved.lift()
         for job in sorted(rest, key=lambda job: (job.submitted_s, job.job_id)):
             if self._is_full():
                 return
@@ -290,21 +290,21 @@
         self.reservations.append(reservation)
         for victim in overrun_victims(self.cell, reservation, self.now_s):
             self._stop(victim, job, EvictionCause.OVERRUN)
-        self._hold(reservation.spots, job.shape, self.reserved)
+        self.reserved.add(reservation.spots, job.shape)
 
     def _backfill(self, job: QueuedJob) -> None:
         """Start a job on reserved accelerators if it is expected to end in time."""
         expected_s = self.cell.estimates.correct(job.team, job.run_time_s)
         if self.now_s + expected_s > min(held.start_s for held in self.reservations):
             return
-        self._lift(self.reserved)
+        self.reserved.lift()
         spots = find_spots(self.cell.free, job.shape, job.rule)
         if spots is None:
             self.unfit_lifted.add((job.shape, job.rule))
         else:
             self._start(job, spots, WorkKind.BORROWED, backfill=True)
         for held in self.reservations:
-            self._hold(held.spots, None, self.reserved)
+            self.reserved.add(held.spots, None)
 
     # Changes to the cell, all undone at the end.
 
@@ -361,8 +361,8 @@
     def _claim(self, spots: Spots, job: QueuedJob) -> None:
         """Keep accelerators that evictions free for the job that needs them."""
         self.waiting_for_evictions.add(job.job_id)
-        self._hold(spots, job.shape, self.held)
-        self._hold(spots, job.shape, self.held_reclaimable, self.cell.reclaimable)
+        self.held.add(spots, job.shape)
+        self.held_reclaimable.add(spots, job.shape)
         for worker, mask in spots:
             self.claimed[worker] = self.claimed.get(worker, 0) | mask
 
@@ -374,31 +374,6 @@
         reason = REASONS[cause].format(team=job.team)
         self.decisions.append(Evict(job_id=victim, for_job=job.job_id, cause=cause, reason=reason))
 
-    def _hold(
-        self,
-        spots: Spots,
-        shape: GangShape | None,
-        holds: list[Hold],
-        pool: Pool | None = None,
-    ) -> None:
-        """Keep accelerators from the jobs that come later in this pass.
-
-        :param pool: pool from which they are taken; the free accelerators if None
-        """
-        free = self.cell.free if pool is None else pool
-        for worker, mask in spots:
-            if worker in free.masks:
-                cores = min(shape.cores, max(0, free.cores[worker])) if shape else 0
-                memory_gb = min(shape.memory_gb, max(0, free.memory_gb[worker])) if shape else 0
-                part = free.masks[worker] & mask
-                free.take(worker, part, cores, memory_gb)
-                holds.append((worker, part, cores, memory_gb))
-
-    def _lift(self, holds: list[Hold], pool: Pool | None = None) -> None:
-        for hold in holds:
-            (self.cell.free if pool is None else pool).give(*hold)
-        holds.clear()
-
     def _unclaimed(self, worker: TargetId) -> int:
         return ~self.claimed.get(worker, 0)
 
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -1,13 +1,13 @@
 """In-memory store, links and executors' agents for the request path, on a manual clock."""
 
 import asyncio
-import heapq
-import itertools
-from collections.abc import Awaitable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import Any, TypeVar, cast
 
+from tests.jumping_clock import ManualClock, start_task
+
 from chicorycrank.adapters.peers import PeerLink
 from chicorycrank.entry.claims import ClaimLog
 from chicorycrank.entry.directory import Directory, Peer
@@ -47,52 +47,9 @@
 
 T = TypeVar("T")
 
-# Rounds of the event loop after which all tasks wait for the clock.
-SETTLE_ROUNDS = 30
 STORE_DELAY_S = 0.002
 
 
-class ManualClock:
-    """A clock that jumps to the next sleeper once all tasks wait."""
-
-    def __init__(self) -> None:
-        self._now = 1000.0
-        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
-        self._order = itertools.count()
-
-    def now(self) -> datetime:
-        """Return the time as a date."""
-        return datetime.fromtimestamp(self._now, UTC)
-
-    def monotonic(self) -> float:
-        """Return the time in seconds."""
-        return self._now
-
-    async def sleep(self, delay: timedelta) -> None:
-        """Wait until the clock has been advanced by ``delay``."""
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        wake = self._now + max(0.0, delay.total_seconds())
-        heapq.heappush(self._sleepers, (wake, next(self._order), future))
-        await future
-
-    async def run(self, work: Awaitable[T], *, limit_s: float = 600.0) -> T:
-        """Advance the clock until ``work`` is done."""
-        task = asyncio.ensure_future(work)
-        end = self._now + limit_s
-        while not task.done():
-            for _ in range(SETTLE_ROUNDS):
-                await asyncio.sleep(0)
-            if task.done():
-                break
-            assert self._sleepers, "all tasks wait and no one sleeps"
-            wake, _, future = heapq.heappop(self._sleepers)
-            assert wake <= end, "work takes longer than its limit"
-            self._now = max(self._now, wake)
-            if not future.done():
-                future.set_result(None)
-        return task.result()
-
-
 class FakeStore:
     """Compare-and-swap store whose replies can be lost."""
 
@@ -263,14 +220,12 @@
         self.sent.append(message)
         if fault == "request lost":
             raise LinkError("request lost")
-        reply = asyncio.ensure_future(self._deliver(message, fault))
+        reply = start_task(self._deliver(message, fault))
         timer = asyncio.ensure_future(self._clock.sleep(timeout))
         self._tasks |= {reply, timer}
         # The peer goes on with a delivered message when the sender dies, so it is not cancelled.
         await asyncio.wait({reply, timer}, return_when=asyncio.FIRST_COMPLETED)
         if not reply.done():
-            # Its late failure concerns nobody any more.
-            reply.add_done_callback(lambda late: late.cancelled() or late.exception())
             raise LinkError("no reply in time")
         result: AnyMessage = reply.result()
         if fault == "foreign answer":
@@ -280,12 +235,10 @@
 
     async def _deliver(self, message: AnyMessage, fault: str) -> AnyMessage:
         if fault == "reply lost at once":
-            late = asyncio.ensure_future(self._handle(message))
-            late.add_done_callback(lambda task: task.cancelled() or task.exception())
-            self._tasks.add(late)
+            self._tasks.add(start_task(self._handle(message)))
             raise LinkError("connection went silent")
         if fault == "request late":
-            self._tasks.add(asyncio.ensure_future(self._deliver_late(message)))
+            self._tasks.add(start_task(self._deliver_late(message)))
             raise LinkError("connection went silent")
         reply = await self._handle(message)
         if fault == "reply lost":
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -4,7 +4,8 @@
 import json
 
 import pytest
-from tests.request_fakes import FakeLink, ManualClock, World, make_request, run_world
+from tests.jumping_clock import ManualClock
+from tests.request_fakes import FakeLink, World, make_request, run_world
 
 from chicorycrank.entry.request_check import check_request
 from chicorycrank.model.config import Config, Service, Team
--- a/tests/test_request_session.py
+++ b/tests/test_request_session.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from syrupy.assertion import SnapshotAssertion
-from tests.request_fakes import ManualClock, World, make_request, run_world
+from tests.jumping_clock import ManualClock
+from tests.request_fakes import World, make_request, run_world
 
 from chicorycrank.adapters.codec import decode
 from chicorycrank.model.requests import Answer, Claim
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -7,7 +7,8 @@
 from typing import Any, cast
 
 from pytest_bdd import given, parsers, scenarios, then, when
-from tests.request_fakes import ManualClock, World, make_request, run_world
+from tests.jumping_clock import ManualClock
+from tests.request_fakes import World, make_request, run_world
 
 from chicorycrank.adapters.codec import decode, encode
 from chicorycrank.entry.claims import SHARDS, ClaimLog
--- a/tests/test_requests_property.py
+++ b/tests/test_requests_property.py
@@ -7,7 +7,8 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tests.request_fakes import ManualClock, World, make_request, run_world
+from tests.jumping_clock import ManualClock
+from tests.request_fakes import World, make_request, run_world
 
 from chicorycrank.model.requests import Answer, Outcome
 
