--- a/src/chicorycrank/cli/platform_commands.py
+++ b/src/chicorycrank/cli/platform_commands.py
@@ -10,7 +10,8 @@
 from cleo.io.inputs.argument import Argument
 
 from chicorycrank.cli.base import EXIT_USAGE, help_text
-from chicorycrank.platform.settings import SettingsError, read_settings
+from chicorycrank.platform.settings import read_settings
+from chicorycrank.settings.reader import SettingsError
 
 EXIT_NOTHING_FOUND = 1
 # Letter of the level, month and day, time: the stamp of a log line, wherever it stands in a line.
@@ -31,8 +32,7 @@
         try:
             settings = read_settings(path)
         except SettingsError as error:
-            for finding in error.findings:
-                self.line_error(finding)
+            self.line_error(str(error))
             return EXIT_USAGE
         self.line(f"{path}: no findings; node {settings.name}, store {settings.store}")
         return 0
--- a/src/chicorycrank/platform/settings.py
+++ b/src/chicorycrank/platform/settings.py
@@ -6,21 +6,12 @@
 
 import yaml
 
+from chicorycrank.settings.reader import SettingsError
+
 SETTINGS_VARIABLE = "CHICORYCRANK_NODE_FILE"
 LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
-class SettingsError(Exception):
-    """The settings file cannot be used.
-
-    :param findings: one text for each problem
-    """
-
-    def __init__(self, findings: list[str]) -> None:
-        super().__init__("; ".join(findings))
-        self.findings = findings
-
-
 @dataclass(frozen=True, kw_only=True)
 class Bounds:
     """Time limits of the platform's rules, in seconds."""
@@ -88,7 +79,7 @@
     try:
         document = yaml.load(path.read_text("utf-8"), Loader=LOADER)
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        raise SettingsError([f"{path}: {error}"]) from error
+        raise SettingsError(f"{path}: {error}") from error
     return decode_settings(document)
 
 
@@ -98,7 +89,7 @@
     :raises SettingsError: values that are needed are missing or of another type
     """
     if not isinstance(document, dict):
-        raise SettingsError(["the settings are not a table"])
+        raise SettingsError("the settings are not a table")
     findings: list[str] = []
 
     def text(place: str, *, needed: bool = False) -> str:
@@ -129,7 +120,7 @@
         bounds=_decode_bounds(document.get("bounds"), findings),
     )
     if findings:
-        raise SettingsError(findings)
+        raise SettingsError("\n".join(findings))
     return settings
 
 
--- a/src/chicorycrank/programs/process.py
+++ b/src/chicorycrank/programs/process.py
@@ -18,9 +18,9 @@
 from chicorycrank.platform.settings import (
     SETTINGS_VARIABLE,
     NodeSettings,
-    SettingsError,
     read_settings,
 )
+from chicorycrank.settings.reader import SettingsError
 
 SETTINGS_CHECK_S = 1.0
 EXIT_SETTINGS = 2
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -14,7 +14,8 @@
     decode_job,
     decode_machines,
 )
-from chicorycrank.platform.settings import SettingsError, decode_settings
+from chicorycrank.platform.settings import decode_settings
+from chicorycrank.settings.reader import SettingsError
 
 ROUTE: dict[str, Any] = {
     "name": "r-1",
@@ -184,4 +185,4 @@
     """Guards against a process that starts with settings it has misread."""
     with pytest.raises(SettingsError) as caught:
         decode_settings({**SETTINGS, **change})
-    assert any(place in finding for finding in caught.value.findings)
+    assert place in str(caught.value)
