Take work back from agents that have not accepted it

An agent now accepts runs by a write that depends on the revision of its order before its first call, and the leader takes work back by a write that depends on the revision of the report. Members of a gang are stopped once one of them has ended.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -90,6 +90,7 @@
         self.report = WorkerReport()
         self._written: WorkerReport | None = None
         self._revision = ABSENT
+        self._order_revision = ABSENT
         self._is_registered = False
         self._beat_number = -1
         self._born_ms = 0
@@ -192,8 +193,9 @@
     def _put_orders(self, items: Sequence[Item]) -> None:
         with self._lock:
             for item in items:
-                if item.key != order_key(self._worker):
+                if item.key != order_key(self._worker) or item.revision < self._order_revision:
                     continue
+                self._order_revision = item.revision
                 try:
                     order = decode(item.value, WorkOrder) if item.value else None
                 except msgspec.DecodeError as error:
@@ -324,6 +326,7 @@
             seen=self.table.seen,
             suspects=dict(self.table.suspects),
             checkpoints=dict(self.table.checkpoints),
+            accepted=self.table.to_accept(),
         )
 
     def _register(self) -> None:
@@ -347,6 +350,7 @@
             self.table.checkpoints = {**old.checkpoints, **self.table.checkpoints}
             if old.incarnation == self.report.incarnation:
                 self.table.seen = max(self.table.seen, old.seen)
+                self.table.accepted = {**old.accepted, **self.table.accepted}
             self._revision = item.revision if item is not None else ABSENT
             incarnation = self.report.incarnation
         if not self._write_report():
@@ -366,16 +370,27 @@
             self._driver.drive()
 
     def _write_report(self) -> bool:
-        """Write the report if it is still the one written last by this agent."""
+        """Write the report if it is still the one written last by this agent.
+
+        Runs are accepted under the condition that the order that names them is still in force, so
+        the leader can withdraw what has not been accepted.
+        """
+        key = report_key(self._worker)
         with self._lock:
             report = self._current_report()
-        key = report_key(self._worker)
+            expected = {key: self._revision}
+            if report.accepted.items() - self.table.accepted.items():
+                expected[order_key(self._worker)] = self._order_revision
         value = encode(report)
         answer = self._store.commit(
-            Write(expected={key: self._revision}, values={key: value}), timeout_s=COMMIT_TIMEOUT_S
+            Write(expected=expected, values={key: value}), timeout_s=COMMIT_TIMEOUT_S
         )
         if isinstance(answer, Conflict):
             item = answer.items.get(key)
+            if item is not None and item.revision == self._revision:
+                logger.info("event=order_changed target=%s", self._worker)
+                self._put_orders(list(answer.items.values()))
+                return False
             if item is None or item.value != value:
                 logger.warning("event=report_conflict target=%s", self._worker)
                 with self._lock:
@@ -388,5 +403,8 @@
         REPORTS_WRITTEN.inc()
         with self._lock:
             self._written = report
+            if report.incarnation == self.report.incarnation:
+                self.table.note_accepted(report.accepted)
+                self._driver.drive()
             self._lock.notify_all()
         return True
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from chicorycrank.batch.interruptions import fits_in, is_worth_moving
 from chicorycrank.batch.metrics import (
@@ -178,11 +178,17 @@
         dues = (next_due_ms(self.jobs_by_id[job_id], self.now_ms) for job_id in self.active)
         return min((due for due in dues if due is not None), default=None)
 
-    def order_for(self, worker: TargetId) -> WorkOrder:
-        """Return all that may run on a worker."""
+    def run_of(self, member: Member) -> int:
+        """Return the number of the current run of a member's unit."""
+        return self._unit(member.ref).run
+
+    def order_for(self, worker: TargetId, *, without: Collection[TaskId] = ()) -> WorkOrder:
+        """Return all that may run on a worker, but for some tasks."""
         assignments = []
         incarnation = Incarnation("")
         for task, run in self.runs_by_worker.get(worker, {}).items():
+            if task in without:
+                continue
             unit = self._unit(run.ref)
             incarnation = unit.places[run.number].incarnation
             ticket = self.tickets_by_step.get(run.ref.step_key, {}).get(worker, "")
@@ -349,6 +355,8 @@
         if unit.state is UnitState.DONE and unit.places:
             # One end of a gang stands for all; the other members are stopped.
             self.changes.workers.update(p.worker for p in unit.places if p != ENDED)
+        elif step.gang and unit.state is UnitState.ASSIGNED and not is_over:
+            self.stop(ref, "a member has ended")
         if is_over:
             ended = EndKind.DONE.name == unit.outcome
             workers = [spot[0] for spot in self.cell.spots(ref.name)]
--- a/src/chicorycrank/batch/role.py
+++ b/src/chicorycrank/batch/role.py
@@ -1,7 +1,7 @@
 """The leader's record in the store, which decides who may write."""
 
 import secrets
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -23,6 +23,7 @@
 LEASE_S = 2.0
 RENEWAL_S = 0.5
 COMMIT_TIMEOUT_S = 0.8
+NO_CONDITIONS: Mapping[str, Revision] = {}
 
 
 class DeposedError(Exception):
@@ -66,19 +67,34 @@
         """Give the role up at once."""
         self._store.revoke(self._lease)
 
-    def write(self, values: dict[str, bytes], deletes: Sequence[str]) -> None:
-        """Apply a write of the leader.
+    def write(
+        self,
+        values: dict[str, bytes],
+        deletes: Sequence[str],
+        expected: Mapping[str, Revision] = NO_CONDITIONS,
+    ) -> bool:
+        """Apply a write of the leader; false if an expected revision has passed.
 
+        :param expected: revisions of keys of other writers on which the write depends
         :raises DeposedError: another entry has the role, or it is free
         :raises StoreUnavailableError: the store did not answer; call again with the same values
         """
-        if self._write(values, deletes) is None:
+        before = self._revision
+        revision = self._write(values, deletes, expected)
+        if revision is None:
             raise DeposedError("the leader's record has changed")
-
-    def _write(self, values: dict[str, bytes], deletes: Sequence[str]) -> Revision | None:
+        return revision != before
+
+    def _write(
+        self,
+        values: dict[str, bytes],
+        deletes: Sequence[str],
+        expected: Mapping[str, Revision] = NO_CONDITIONS,
+    ) -> Revision | None:
+        """Return the revision of the leader's record, or None if another one is in its place."""
         record = msgspec.structs.replace(self._record, writes=self._record.writes + 1)
         write = Write(
-            expected={LEADER: self._revision},
+            expected={LEADER: self._revision, **expected},
             values={LEADER: encode(record), **values},
             leases={LEADER: self._lease},
             deletes=deletes,
@@ -87,11 +103,18 @@
             answer = self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S)
         except LeaseEndedError:
             return None
+        if expected and self._is_unchanged(answer):
+            return self._revision
         revision = _revision_of(answer, record)
         if revision is not None:
             self._record, self._revision = record, revision
         return revision
 
+    def _is_unchanged(self, answer: Committed | Conflict) -> bool:
+        """Whether a write failed by a condition other than the leader's record."""
+        item = answer.items.get(LEADER) if isinstance(answer, Conflict) else None
+        return item is not None and item.revision == self._revision
+
 
 def _revision_of(answer: Committed | Conflict, record: LeaderRecord) -> Revision | None:
     """Return the revision of a write that was applied now or by an earlier attempt."""
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -24,6 +24,7 @@
 class Run:
     """A run that the order names or that the executor has.
 
+    :param is_accepted: the store says that it may have begun, so the leader waits for its end
     :param is_driven: a call for it is under way or about to be made
     :param unanswered: start calls without an answer; each may still be carried out
     :param started_at: monotonic time of the answer to its start
@@ -35,6 +36,7 @@
     assignment: Assignment
     incarnation: Incarnation
     wants_stop: bool = False
+    is_accepted: bool = False
     is_driven: bool = False
     unanswered: int = 0
     started_at: float | None = None
@@ -50,7 +52,7 @@
         """Whether a start or a stop has to be sent."""
         if self.closed_at is not None:
             return False
-        return self.wants_stop or self.started_at is None
+        return self.wants_stop or (self.started_at is None and self.is_accepted)
 
 
 class RunTable:
@@ -61,6 +63,7 @@
         self.order = WorkOrder(incarnation=Incarnation(""))
         self.ends: list[TaskEnd] = []
         self.seen = 0
+        self.accepted: dict[TaskId, int] = {}
         self.suspects: dict[TaskId, int] = {}
         self.checkpoints: dict[TaskId, tuple[int, str]] = {}
         self._checkpoints_at = float("-inf")
@@ -73,6 +76,11 @@
         self.checkpoints = {
             task: saved for task, saved in self.checkpoints.items() if (task, saved[0]) in named
         }
+        self.accepted = {
+            task: run
+            for task, run in self.accepted.items()
+            if (task, run) in named or task in self.runs_by_task
+        }
         if order.incarnation != incarnation:
             return
         ended = {(end.task, end.run) for end in self.ends}
@@ -80,18 +88,39 @@
             run = self.runs_by_task.get(item.task)
             if run is None and (item.task, item.run) not in ended:
                 self.runs_by_task[item.task] = Run(
-                    assignment=item, incarnation=incarnation, wants_stop=item.stop
+                    assignment=item,
+                    incarnation=incarnation,
+                    wants_stop=item.stop,
+                    is_accepted=self.accepted.get(item.task) == item.run,
                 )
             elif run is not None and run.assignment.run == item.run:
                 run.wants_stop = run.wants_stop or item.stop
-        for run in self.runs_by_task.values():
+        for run in list(self.runs_by_task.values()):
             if (run.assignment.task, run.assignment.run) not in named:
                 run.wants_stop = True
+            if run.wants_stop and not run.is_accepted:
+                self.end(run, EndKind.STOPPED, "")
+
+    def to_accept(self) -> dict[TaskId, int]:
+        """Return the runs that have been accepted or are to be started."""
+        wanted = {
+            task: run.assignment.run
+            for task, run in self.runs_by_task.items()
+            if run.is_accepted or not run.wants_stop
+        }
+        return {**self.accepted, **wanted}
+
+    def note_accepted(self, accepted: dict[TaskId, int]) -> None:
+        """Note that the store has a set of runs as accepted."""
+        self.accepted = dict(accepted)
+        for task, run in self.runs_by_task.items():
+            run.is_accepted = run.is_accepted or accepted.get(task) == run.assignment.run
 
     def forget(self) -> None:
         """Forget all runs, as the executor that had them is gone."""
         self.runs_by_task.clear()
         self.suspects.clear()
+        self.accepted.clear()
         self.seen = 0
 
     def to_drive(self) -> list[Run]:
@@ -159,6 +188,7 @@
             if run is not None and run.assignment.run == row.run:
                 run.checkpoint = row.checkpoint or run.checkpoint
                 run.load = row.load
+                run.is_accepted = True
                 if row.percent != run.percent:
                     run.percent, run.advanced_at = row.percent, now
             elif run is None:
@@ -170,6 +200,7 @@
                     assignment=item or Assignment(task=row.task, run=row.run),
                     incarnation=incarnation,
                     wants_stop=item is None or item.stop,
+                    is_accepted=True,
                     started_at=0.0,
                 )
 
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -23,16 +23,22 @@
 )
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.replica import Replica
-from chicorycrank.batch.role import RENEWAL_S, DeposedError, Role
+from chicorycrank.batch.role import NO_CONDITIONS, RENEWAL_S, DeposedError, Role
 from chicorycrank.batch.shapes import UnitShapes
 from chicorycrank.batch.threads import keep_running
 from chicorycrank.batch.view import SharedView
+from chicorycrank.batch.withdrawals import withdraw
 from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.ports.advice import AdviceService
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.machines import MachineList
-from chicorycrank.ports.transactions import Item, StoreUnavailableError, TransactionalStore
+from chicorycrank.ports.transactions import (
+    Item,
+    Revision,
+    StoreUnavailableError,
+    TransactionalStore,
+)
 
 # Changes that arrive within this time are planned together.
 GATHER_S = 0.02
@@ -160,6 +166,7 @@
         for item in reports:
             self._put_report(item)
         self._lose_absent()
+        withdraw(self._planner, self._write_if)
         self._book.update(self._planner)
         self._planner.plan()
         self._commit()
@@ -192,9 +199,12 @@
                 planner.workers.forget_report(worker)
                 return
             try:
-                planner.put_report(worker, decode(item.value, WorkerReport))
+                report = decode(item.value, WorkerReport)
             except msgspec.DecodeError as error:
                 logger.warning("event=report_unreadable target=%s error=%s", worker, error)
+                return
+            planner.put_report(worker, report)
+            planner.workers.by_id[worker].revision = item.revision
 
     def _lose_absent(self) -> None:
         planner = self._planner
@@ -224,15 +234,24 @@
         with self._view.lock:
             for job_id in changes.jobs & planner.progress_by_id.keys():
                 self._view.progress_by_id[job_id] = _copy(planner.progress_by_id[job_id])
+        for worker in changes.workers & planner.workers.by_id.keys():
+            planner.workers.by_id[worker].ordered_at = self._clock.monotonic()
         changes.jobs.clear()
         changes.workers.clear()
 
-    def _write_until_known(self, values: dict[str, bytes], deletes: list[str]) -> None:
+    def _write_if(self, values: dict[str, bytes], expected: Mapping[str, Revision]) -> bool:
+        return self._write_until_known(values, [], expected)
+
+    def _write_until_known(
+        self,
+        values: dict[str, bytes],
+        deletes: list[str],
+        expected: Mapping[str, Revision] = NO_CONDITIONS,
+    ) -> bool:
         while True:
             self._check()
             try:
-                self._role.write(values, deletes)
-                return
+                return self._role.write(values, deletes, expected)
             except StoreUnavailableError as error:
                 logger.warning("event=leader_write_failed error=%s", error)
                 self._stop.wait(COMMIT_RETRY_S)
--- /dev/null
+++ b/src/chicorycrank/batch/withdrawals.py
@@ -0,0 +1,76 @@
+"""Takes work back from agents that have not accepted it.
+
+An agent accepts a run by a write that depends on the revision of its order, before it makes the
+first call for it. The leader takes a run back by a write that depends on the revision of the
+agent's report. One of the two writes fails, so work that is taken back has never begun, and may
+start elsewhere without waiting for any lease.
+"""
+
+import logging
+from collections.abc import Callable, Mapping
+
+from chicorycrank.batch.keys import encode, order_key, report_key
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.units import Member
+from chicorycrank.model.batch import EndKind, TaskEnd
+from chicorycrank.model.ids import TargetId, TaskId
+from chicorycrank.ports.transactions import Revision
+
+# A store that is sixty times slower than usual takes 0.25 s for an answer; the order and its
+# acceptance take three.
+ACCEPTANCE_LIMIT_S = 1.5
+# Work of an agent whose presence has lapsed is taken back after this time.
+ABSENCE_LIMIT_S = 0.5
+
+logger = logging.getLogger("absl")
+
+# Writes values under conditions; false if a condition does not hold.
+ConditionalWrite = Callable[[dict[str, bytes], Mapping[str, Revision]], bool]
+
+
+def withdraw(planner: Planner, write: ConditionalWrite) -> None:
+    """Take back work that was not accepted in time."""
+    for worker in list(planner.runs_by_worker):
+        if not _is_late(planner, worker):
+            continue
+        runs = _not_accepted(planner, worker)
+        if runs:
+            _withdraw_from(planner, worker, runs, write)
+
+
+def _is_late(planner: Planner, worker: TargetId) -> bool:
+    known = planner.workers.by_id.get(worker)
+    if known is None:
+        return False
+    ordered_s = planner.now_s - known.ordered_at
+    if known.absent_since is not None:
+        return min(ordered_s, planner.now_s - known.absent_since) >= ABSENCE_LIMIT_S
+    return ordered_s >= ACCEPTANCE_LIMIT_S
+
+
+def _not_accepted(planner: Planner, worker: TargetId) -> dict[TaskId, Member]:
+    report = planner.workers.by_id[worker].report
+    return {
+        task: run
+        for task, run in planner.runs_by_worker[worker].items()
+        if report.accepted.get(task) != planner.run_of(run)
+    }
+
+
+def _withdraw_from(
+    planner: Planner, worker: TargetId, runs: Mapping[TaskId, Member], write: ConditionalWrite
+) -> None:
+    revision = planner.workers.by_id[worker].revision
+    order = planner.order_for(worker, without=runs.keys())
+    is_done = write({order_key(worker): encode(order)}, {report_key(worker): revision})
+    logger.warning(
+        "event=work_withdrawn target=%s tasks=%s report_revision=%d done=%s",
+        worker,
+        ",".join(runs),
+        revision,
+        is_done,
+    )
+    if not is_done:
+        return
+    for task, run in runs.items():
+        planner.note_end(worker, TaskEnd(task, planner.run_of(run), EndKind.WITHDRAWN))
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -9,6 +9,7 @@
 from chicorycrank.model.jobs import MemberPlacement
 from chicorycrank.policy.cell import Cell, WorkerState
 from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
+from chicorycrank.ports.transactions import ABSENT, Revision
 
 # Jobs here run for seconds, so a worker is tried again after seconds.
 SHORT_JOBS = QuarantineRules(
@@ -16,6 +17,8 @@
 )
 # A worker that refused a start is left alone until its report is likely to be current.
 REJECTED_PAUSE_S = 0.5
+# An agent that did not accept its work in time gets none until it is likely to be listed absent.
+WITHDRAWN_PAUSE_S = 1.5
 
 
 @dataclass(kw_only=True)
@@ -25,12 +28,16 @@
     :param absent_since: monotonic time at which its agent's presence ended; None if present
     :param paused_until: monotonic time until which it gets no new work
     :param checkpoints: run and saved progress of its tasks
+    :param revision: revision of its report in the store
+    :param ordered_at: monotonic time at which its order was last written
     """
 
     report: WorkerReport
     absent_since: float | None = None
     paused_until: float = 0.0
     checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
+    revision: Revision = ABSENT
+    ordered_at: float = float("inf")
 
 
 class Workers:
@@ -88,6 +95,8 @@
         known = self.by_id.get(worker)
         if end.kind is EndKind.REJECTED and known is not None:
             known.paused_until = self.now_s + REJECTED_PAUSE_S
+        if end.kind is EndKind.WITHDRAWN and known is not None:
+            known.paused_until = self.now_s + WITHDRAWN_PAUSE_S
 
     def refresh_all(self) -> None:
         """Open and close all workers as it is due now."""
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -189,6 +189,7 @@
     ALONE = 5  # the other members of the gang did not appear
     REJECTED = 6  # the executor refused to start it
     LOST = 7  # the executor that ran it is gone
+    WITHDRAWN = 8  # its agent had not accepted it
 
 
 class TaskEnd(Struct, frozen=True, array_like=True):
@@ -249,6 +250,7 @@
     :param ends: ends that the leader has not taken note of yet
     :param suspects: tasks that make no progress, with the percent of their work that is done
     :param checkpoints: run and saved progress of tasks, refreshed now and then
+    :param accepted: runs that the agent may have begun to start, by task
     """
 
     fence: int = 0
@@ -267,6 +269,7 @@
     ends: list[TaskEnd] = field(default_factory=list)
     suspects: dict[TaskId, int] = field(default_factory=dict)
     checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
+    accepted: dict[TaskId, int] = field(default_factory=dict)
 
 
 class BatchTeam(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- /dev/null
+++ b/tests/batch/test_withdrawals.py
@@ -0,0 +1,179 @@
+"""Work that an agent has not accepted is taken back; work that it has accepted never is."""
+
+from collections.abc import Mapping
+
+import pytest
+from tests.batch.fakes import FakeExecutor, ManualClock, MemoryStore, make_job
+from tests.batch.test_planner import WHOLE, make_planner, submit, tasks_by_worker
+
+from chicorycrank.batch.agent import BatchAgent
+from chicorycrank.batch.keys import decode, encode, order_key, report_key
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.role import Role
+from chicorycrank.batch.runs import RunTable
+from chicorycrank.batch.withdrawals import ABSENCE_LIMIT_S, ACCEPTANCE_LIMIT_S, withdraw
+from chicorycrank.model.batch import (
+    Assignment,
+    EndKind,
+    Step,
+    UnitState,
+    WorkerReport,
+    WorkOrder,
+)
+from chicorycrank.model.ids import EntryId, Incarnation, TargetId, TaskId
+from chicorycrank.ports.transactions import ABSENT, Conflict, Revision, Write
+
+LIFE = Incarnation("i-1:1")
+TASK = TaskId("a.0.0.0")
+GANG = Step(count=2, accelerators=8, cores=1000, run_time_s=5.0, gang=True)
+
+
+def order(*rows: tuple[str, int], incarnation: Incarnation = LIFE) -> WorkOrder:
+    return WorkOrder(
+        incarnation=incarnation,
+        assignments=tuple(Assignment(task=TaskId(t), run=r) for t, r in rows),
+    )
+
+
+class Writes:
+    """Records conditional writes and answers as told."""
+
+    def __init__(self, *, is_done: bool = True) -> None:
+        self.is_done = is_done
+        self.conditions: list[Mapping[str, Revision]] = []
+
+    def __call__(self, values: dict[str, bytes], expected: Mapping[str, Revision]) -> bool:
+        """Record a write."""
+        self.conditions.append(expected)
+        return self.is_done
+
+
+def assigned(step: Step = WHOLE) -> tuple[Planner, str, list[str]]:
+    """Return a planner with a job whose order was just written, the job and its workers."""
+    planner = make_planner()
+    job = submit(planner, make_job([step]))
+    names = list(tasks_by_worker(planner))
+    for name in names:
+        planner.workers.by_id[TargetId(name)].ordered_at = planner.now_s
+        planner.workers.by_id[TargetId(name)].revision = Revision(7)
+    return planner, job.job_id, names
+
+
+def accept(planner: Planner, worker: str) -> None:
+    runs = planner.runs_by_worker[TargetId(worker)]
+    report = planner.workers.by_id[TargetId(worker)].report
+    report.accepted = {task: planner.run_of(run) for task, run in runs.items()}
+
+
+@pytest.mark.parametrize(
+    ("is_present", "waited_s", "is_withdrawn"),
+    [
+        (True, ACCEPTANCE_LIMIT_S - 0.1, False),
+        (True, ACCEPTANCE_LIMIT_S, True),
+        (False, ABSENCE_LIMIT_S - 0.1, False),
+        (False, ABSENCE_LIMIT_S, True),
+    ],
+)
+def test_work_that_is_not_accepted_starts_elsewhere(
+    is_present: bool, waited_s: float, is_withdrawn: bool
+) -> None:
+    """Guards against a job that waits for a suspended machine that never saw its order."""
+    planner, _, (worker,) = assigned()
+    planner.workers.set_present(TargetId(worker), is_present)
+    planner.set_time(planner.now_s + waited_s, 0)
+    writes = Writes()
+    withdraw(planner, writes)
+    planner.plan()
+    others = [name for name in tasks_by_worker(planner) if name != worker]
+    assert bool(others) is is_withdrawn
+    assert writes.conditions == ([{report_key(TargetId(worker)): 7}] if is_withdrawn else [])
+
+
+def test_accepted_work_is_not_taken_back() -> None:
+    """Guards against a second run beside one that an absent agent has started."""
+    planner, _, (worker,) = assigned()
+    accept(planner, worker)
+    planner.workers.set_present(TargetId(worker), False)
+    planner.set_time(planner.now_s + 10.0, 0)
+    writes = Writes()
+    withdraw(planner, writes)
+    assert writes.conditions == []
+
+
+def test_work_that_is_accepted_meanwhile_stays() -> None:
+    """Guards against an acceptance that reaches the store before the leader hears of it."""
+    planner, _, (worker,) = assigned()
+    planner.set_time(planner.now_s + ACCEPTANCE_LIMIT_S, 0)
+    withdraw(planner, Writes(is_done=False))
+    planner.plan()
+    assert list(tasks_by_worker(planner)) == [worker]
+
+
+def test_the_other_members_of_a_gang_are_stopped() -> None:
+    """Guards against members that hold their workers until they give up waiting."""
+    planner, job_id, names = assigned(GANG)
+    accept(planner, names[1])
+    planner.set_time(planner.now_s + ACCEPTANCE_LIMIT_S, 0)
+    withdraw(planner, Writes())
+    (unit,) = next(iter(planner.progress_by_id.values())).units.values()
+    assert unit.state is UnitState.STOPPING
+    assert tasks_by_worker(planner) == {names[1]: [(f"{job_id}.0.0.1", 1, True)]}
+
+
+@pytest.mark.parametrize("is_first", [True, False], ids=["accepted-first", "withdrawn-first"])
+def test_only_one_of_acceptance_and_withdrawal_succeeds(is_first: bool) -> None:
+    """Guards against a start after the leader has given the work to another worker."""
+    store = MemoryStore()
+    worker = TargetId("w")
+    role = Role(store, EntryId("one"))
+    assert role.take()
+    store.apply(Write(values={report_key(worker): encode(WorkerReport())}))
+    role.write({order_key(worker): encode(order((TASK, 1)))}, ())
+    report, named = store.items[report_key(worker)], store.items[order_key(worker)]
+    acceptance = Write(
+        expected={report.key: report.revision, named.key: named.revision},
+        values={report.key: encode(WorkerReport(accepted={TASK: 1}))},
+    )
+    if is_first:
+        store.apply(acceptance)
+    is_withdrawn = role.write(
+        {order_key(worker): encode(order())}, (), {report.key: report.revision}
+    )
+    assert is_withdrawn is not is_first
+    if not is_first:
+        assert isinstance(store.apply(acceptance), Conflict)
+    # The leader goes on writing after a condition that did not hold.
+    assert role.write({"key": b"1"}, ())
+
+
+def test_a_run_is_started_only_once_it_is_accepted() -> None:
+    """Guards against a start call before the store knows that the run may have begun."""
+    table = RunTable()
+    table.put_order(order((TASK, 1)), LIFE)
+    assert table.to_drive() == []
+    table.note_accepted(table.to_accept())
+    assert [run.assignment.task for run in table.to_drive()] == [TASK]
+
+
+def test_a_run_that_is_withdrawn_before_its_acceptance_ends_without_a_call() -> None:
+    """Guards against a start of a run that the order no longer names."""
+    table = RunTable()
+    table.put_order(order((TASK, 1)), LIFE)
+    table.put_order(order(), LIFE)
+    table.note_accepted({TASK: 1})
+    assert (table.to_drive(), [end.kind for end in table.ends]) == ([], [EndKind.STOPPED])
+
+
+def test_an_agent_that_restarts_remembers_what_was_accepted() -> None:
+    """Guards against accepted runs that look as if they had never begun after a restart."""
+    store, clock, worker = MemoryStore(), ManualClock(), TargetId("w")
+    old = WorkerReport(incarnation=LIFE, fence=1, accepted={TASK: 1})
+    store.apply(Write(values={report_key(worker): encode(old)}))
+    store.apply(Write(values={order_key(worker): encode(order((TASK, 1)))}))
+    agent = BatchAgent(worker, store, FakeExecutor(), clock, max_lease_s=10.0)
+    agent.put_beat(WorkerReport(incarnation=LIFE), number=1, born_ms=1, clock_ms=1)
+    agent._register()
+    item = store.items[report_key(worker)]
+    assert item.value is not None
+    assert decode(item.value, WorkerReport).accepted == {TASK: 1}
+    assert store.items[report_key(worker)].revision != ABSENT
