Accept a new order at once

Cause: the thread that writes the report was not woken by an order, so a run waited up to a second for its acceptance. Runs that wait for it are written without the delay that gathers ends.

What is left is a write to the store, up to 50 ms from another region.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -17,7 +17,7 @@
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import keep_running
 from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
-from chicorycrank.model.ids import Incarnation, TargetId
+from chicorycrank.model.ids import Incarnation, TargetId, TaskId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import (
     BatchExecutor,
@@ -213,6 +213,7 @@
         if self._is_registered:
             self.table.put_order(order, self.report.incarnation)
             self._driver.drive()
+            self._lock.notify_all()
 
     # The executor's lease and ends.
 
@@ -297,7 +298,9 @@
                 if not self._has_news():
                     self._lock.wait(HOLD_WAIT_S)
                     continue
-            self._stop.wait(GATHER_S)
+                is_urgent = bool(self._new_runs())
+            if not is_urgent:
+                self._stop.wait(GATHER_S)
             try:
                 if self._is_registered:
                     self._write_report()
@@ -319,6 +322,13 @@
             return False
         return not self._is_registered or self._current_report() != self._written
 
+    def _new_runs(self) -> dict[TaskId, int]:
+        """Return the runs that wait for their acceptance."""
+        accepted = self.table.accepted
+        return {
+            task: run for task, run in self.table.to_accept().items() if accepted.get(task) != run
+        }
+
     def _current_report(self) -> WorkerReport:
         return msgspec.structs.replace(
             self.report,
@@ -379,7 +389,7 @@
         with self._lock:
             report = self._current_report()
             expected = {key: self._revision}
-            if report.accepted.items() - self.table.accepted.items():
+            if self._new_runs():
                 expected[order_key(self._worker)] = self._order_revision
         value = encode(report)
         answer = self._store.commit(
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -1,6 +1,7 @@
 """In-memory store and executor for the batch tests."""
 
 import threading
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
@@ -266,7 +267,8 @@
         wait_s: float,
         incarnation: Incarnation,
     ) -> ExecutorStatus:
-        """List runs and ends."""
+        """List runs and ends after a short wait."""
+        time.sleep(min(wait_s, POLL_S))
         if self.fault:
             raise ExecutorUnreachableError(self.fault, refused=self.fault == "refused")
         if fence < self.fence:
--- a/tests/batch/test_withdrawals.py
+++ b/tests/batch/test_withdrawals.py
@@ -1,13 +1,17 @@
 """Work that an agent has not accepted is taken back; work that it has accepted never is."""
 
+import time
 from collections.abc import Mapping
 
 import pytest
-from tests.batch.fakes import FakeExecutor, ManualClock, MemoryStore, make_job
+from tests.batch.fakes import FakeExecutor, ManualClock, MemoryStore, make_job, make_report
 from tests.batch.test_planner import WHOLE, make_planner, submit, tasks_by_worker
+from tests.batch.test_whole_path import wait_until
 
-from chicorycrank.batch.agent import BatchAgent
+from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.batch.agent import HOLD_WAIT_S, BatchAgent
 from chicorycrank.batch.keys import decode, encode, order_key, report_key
+from chicorycrank.batch.leases import RESUME_GRACE_S
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.role import Role
 from chicorycrank.batch.runs import RunTable
@@ -25,6 +29,8 @@
 
 LIFE = Incarnation("i-1:1")
 TASK = TaskId("a.0.0.0")
+# An agent starts nothing until the leader knows of its presence.
+SETTLED_S = RESUME_GRACE_S + 0.3
 GANG = Step(count=2, accelerators=8, cores=1000, run_time_s=5.0, gang=True)
 
 
@@ -177,3 +183,21 @@
     assert item.value is not None
     assert decode(item.value, WorkerReport).accepted == {TASK: 1}
     assert store.items[report_key(worker)].revision != ABSENT
+
+
+def test_a_new_order_is_accepted_at_once() -> None:
+    """Guards against an order that waits for the next periodic look at the report."""
+    store, worker = MemoryStore(), TargetId("w")
+    executor = FakeExecutor()
+    agent = BatchAgent(worker, store, executor, SystemClock(), max_lease_s=10.0)
+    agent.put_beat(make_report(), number=1, born_ms=1, clock_ms=1)
+    agent.start()
+    try:
+        wait_until(lambda: agent.table.order.incarnation == "" and agent._is_registered)
+        time.sleep(SETTLED_S)
+        written_at = time.monotonic()
+        store.apply(Write(values={order_key(worker): encode(order((TASK, 1)))}))
+        wait_until(lambda: bool(executor.started))
+        assert time.monotonic() - written_at < HOLD_WAIT_S / 2
+    finally:
+        agent.stop()
