Keep empty workers for the next urgent job while other work can wait

Cause: jobs that could start later and still end in time filled the fleet, so urgent gangs, which may lose only 3 s, evicted work or waited for it. The headroom follows the largest urgent job of the last minute, up to 0.3 of the workers; a job that has used 0.6 of its slack ignores it.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -165,6 +165,7 @@
             refs = list(self._waiting())
             queue = [self.shapes.queued(self, ref) for ref in refs]
             self.cell.protected = self.shapes.protected(self)
+            self.cell.headroom = self.shapes.headroom(self)
             decisions = decide(self.cell, self.shapes.one_per_step(self, queue), self.now_s)
             refs_by_name = {ref.name: ref for ref in refs}
             progressed = False
--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -10,6 +10,7 @@
 from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import QueuedJob
+from chicorycrank.policy.headroom import used_share, workers_needed
 from chicorycrank.policy.placement import PlacementRule
 
 if TYPE_CHECKING:
@@ -28,6 +29,13 @@
 MAX_LOST_SHARE = 0.6
 # A job that is late already comes after those that can still be in time.
 LATE_FACTOR = 4.0
+# A job that is not urgent leaves headroom for this share of the wait that it can afford.
+PATIENCE_SHARE = 0.6
+# The headroom follows the largest urgent job of this time, up to a share of the workers.
+HEADROOM_WINDOW_S = 60.0
+MAX_HEADROOM_SHARE = 0.3
+# With less of the fleet in use, there is room for urgent jobs anyway.
+HEADROOM_MIN_USE = 0.5
 
 
 class UnitShapes:
@@ -52,7 +60,8 @@
         waited_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
         shape = self._shape(planner, step)
         run_time_s = LONG_RUNNING_S if step.long_running else step.run_time_s
-        in_time = waited_s <= (queue.slack - 1.0) * run_time_s + queue.target_latency_s
+        slack_s = (queue.slack - 1.0) * run_time_s + queue.target_latency_s
+        in_time = waited_s <= slack_s
         return QueuedJob(
             job_id=ref.name,
             team=job.team,
@@ -69,6 +78,7 @@
             if in_time
             else 0.0,
             pinned=step.long_running and step.max_unavailable > 0,
+            can_wait=not step.long_running and waited_s < PATIENCE_SHARE * slack_s,
         )
 
     def protected(self, planner: Planner) -> frozenset[JobId]:
@@ -88,6 +98,19 @@
                     names.update(self._unit_names(planner.jobs_by_id[job_id]))
         return frozenset(names)
 
+    def headroom(self, planner: Planner) -> int:
+        """Return how many empty workers to keep for the next urgent job."""
+        cell = planner.cell
+        if used_share(cell) < HEADROOM_MIN_USE:
+            return 0
+        since_ms = planner.now_ms - HEADROOM_WINDOW_S * 1000
+        needed = 0
+        for job in planner.jobs_by_id.values():
+            if job.submitted_at_ms >= since_ms and job.queue.priority == URGENT_PRIORITY:
+                for step in job.steps:
+                    needed = max(needed, workers_needed(cell, self._shape(planner, step)))
+        return min(needed, int(MAX_HEADROOM_SHARE * len(cell.workers_by_id)))
+
     def one_per_step(self, planner: Planner, queue: list[QueuedJob]) -> list[QueuedJob]:
         """Leave out units whose step limits its tasks on a worker, but for one of each step.
 
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -45,6 +45,7 @@
         and outside of its team's quota
     :param precedence: jobs of a smaller number come first among those of their kind
     :param pinned: it may not be evicted while it runs
+    :param can_wait: it ends in time even if it starts later, so it leaves headroom to urgent jobs
     """
 
     job_id: JobId
@@ -60,6 +61,7 @@
     max_lost_s: float = inf
     precedence: float = 0.0
     pinned: bool = False
+    can_wait: bool = False
 
     @property
     def is_spared(self) -> bool:
@@ -129,6 +131,7 @@
         self._spots_by_id: dict[JobId, Spots] = {}
         # Jobs inside an accelerator quota of their team; work outside of one yields to them.
         self.protected: frozenset[JobId] = frozenset()
+        self.headroom = 0  # empty workers kept for urgent jobs to come
 
     def set_config(
         self, teams: dict[TeamId, Team], guarantees: dict[GuaranteeId, Guarantee]
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -10,6 +10,7 @@
 from chicorycrank.policy.decisions import REASONS, Decision, Evict, EvictionCause, Start
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_spots, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
+from chicorycrank.policy.headroom import empty_workers
 from chicorycrank.policy.holds import Holds
 from chicorycrank.policy.home import Home, fit_home
 from chicorycrank.policy.placement import PlacementRule, find_spots, placement_of
@@ -20,7 +21,7 @@
 RESERVATIONS_TRIED = 2  # bounds the time if the oldest jobs fit nowhere
 
 
-FitKey = tuple[GangShape, PlacementRule]
+FitKey = tuple[GangShape, PlacementRule, bool]
 
 
 def decide(cell: Cell, queue: Sequence[QueuedJob], now_s: float) -> list[Decision]:
@@ -57,6 +58,8 @@
         self.reservations: list[Reservation] = []
         self.reservations_tried = 0
         self.reserved = Holds(cell.free)
+        self.headroom = Holds(cell.free)
+        self.headroom_spots: Spots = ()
         self.unfit: set[FitKey] = set()
         self.unfit_lifted: set[FitKey] = set()
         self.unfit_homes: set[tuple[TeamId, GangShape]] = set()
@@ -73,6 +76,8 @@
             if not self._guaranteed(job) and job.urgent:
                 self.reserved.lift()
                 self._urgent(job)
+        self.reserved.lift()
+        self._hold_headroom()
         self._hold_reserved(queue)
         normal = [job for job in queue if not job.urgent and not self._is_done(job)]
         normal = within_team_order(self.cell, normal, self.now_s)
@@ -112,6 +117,7 @@
         self.held.lift()
         self.held_reclaimable.lift()
         self.reserved.lift()
+        self.headroom.lift()
         for job_id in reversed(self.started):
             self.cell.take_back(job_id)
         self.cell.homes.undo_moves()
@@ -249,14 +255,14 @@
     def _borrowed(self, job: QueuedJob) -> None:
         if job.job_id in self.cell.running_by_id:
             return
-        if (job.shape, job.rule) not in self.unfit:
+        if _fit_key(job) not in self.unfit:
             spots = self._find(job)
             if spots is not None:
                 self._start(job, spots, WorkKind.BORROWED)
                 return
         if len(self.reservations) < MAX_RESERVATIONS:
             self._reserve(job)
-        elif self.reservations and (job.shape, job.rule) not in self.unfit_lifted:
+        elif self.reservations and _fit_key(job) not in self.unfit_lifted:
             self._backfill(job)
 
     def _hold_reserved(self, queue: Sequence[QueuedJob]) -> None:
@@ -268,6 +274,14 @@
             if reservation.job_id in waiting:
                 self.reserved.add(reservation.spots, None)
 
+    def _hold_headroom(self) -> None:
+        """Keep empty workers for urgent jobs to come."""
+        if self.cell.headroom and not self.headroom:
+            self.headroom_spots = self.headroom_spots or empty_workers(
+                self.cell, self.cell.headroom
+            )
+            self.headroom.add(self.headroom_spots, None)
+
     def _reserve_oldest(self, rest: Sequence[QueuedJob]) -> None:
         """Start the oldest jobs, or reserve accelerators for the first that does not fit."""
         self.reserved.lift()
@@ -298,9 +312,9 @@
         if self.now_s + expected_s > min(held.start_s for held in self.reservations):
             return
         self.reserved.lift()
-        spots = find_spots(self.cell.free, job.shape, job.rule)
+        spots = self._find_outside_headroom(job)
         if spots is None:
-            self.unfit_lifted.add((job.shape, job.rule))
+            self.unfit_lifted.add(_fit_key(job))
         else:
             self._start(job, spots, WorkKind.BORROWED, backfill=True)
         for held in self.reservations:
@@ -309,14 +323,24 @@
     # Changes to the cell, all undone at the end.
 
     def _find(self, job: QueuedJob) -> Spots | None:
-        key = (job.shape, job.rule)
+        key = _fit_key(job)
         if key in self.unfit:
             return None
-        spots = find_spots(self.cell.free, job.shape, job.rule)
+        spots = self._find_outside_headroom(job)
         if spots is None:
             self.unfit.add(key)
         return spots
 
+    def _find_outside_headroom(self, job: QueuedJob) -> Spots | None:
+        """Find a place; only urgent jobs and those that can wait no longer use the headroom."""
+        if not self.headroom or job.can_wait:
+            return find_spots(self.cell.free, job.shape, job.rule)
+        self.headroom.lift()
+        spots = find_spots(self.cell.free, job.shape, job.rule)
+        if spots is None:
+            self._hold_headroom()
+        return spots
+
     def _has_room(self, spots: Spots, shape: GangShape) -> bool:
         workers = [worker for worker, _ in spots]
         return all(
@@ -340,6 +364,8 @@
         running = self._running(job, spots, kind, backfill)
         self.cell.start(running)
         self._record(running)
+        if not job.urgent:
+            self._hold_headroom()
 
     def _record(self, running: RunningJob) -> None:
         job_id = running.job.job_id
@@ -382,3 +408,7 @@
         if any(victim in self.started for victim in plan.victims):
             return False
         return not any(mask & ~self._unclaimed(worker) for worker, mask in plan.spots)
+
+
+def _fit_key(job: QueuedJob) -> FitKey:
+    return job.shape, job.rule, job.can_wait
