Drop withdrawn runs also when the order names no work

Cause: an order without work names no incarnation, so an agent that had been cut off took it for an order of another life of its executor, kept the runs that the leader had withdrawn and accepted them under the new order.

--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -82,6 +82,8 @@
             if (task, run) in named or task in self.runs_by_task
         }
         if order.incarnation != incarnation:
+            # An order without work names no incarnation.
+            self._drop_withdrawn(set() if order.assignments else named)
             return
         ended = {(end.task, end.run) for end in self.ends}
         for item in order.assignments:
@@ -95,10 +97,16 @@
                 )
             elif run is not None and run.assignment.run == item.run:
                 run.wants_stop = run.wants_stop or item.stop
-        for run in list(self.runs_by_task.values()):
+        for run in self.runs_by_task.values():
             if (run.assignment.task, run.assignment.run) not in named:
                 run.wants_stop = True
-            if run.wants_stop and not run.is_accepted:
+        self._drop_withdrawn(named)
+
+    def _drop_withdrawn(self, named: set[tuple[TaskId, int]]) -> None:
+        """End the runs that have not been accepted and that no order wants started any more."""
+        for run in list(self.runs_by_task.values()):
+            is_named = (run.assignment.task, run.assignment.run) in named
+            if not run.is_accepted and (run.wants_stop or not is_named):
                 self.end(run, EndKind.STOPPED, "")
 
     def to_accept(self) -> dict[TaskId, int]:
--- a/tests/batch/test_withdrawals.py
+++ b/tests/batch/test_withdrawals.py
@@ -161,11 +161,27 @@
     assert [run.assignment.task for run in table.to_drive()] == [TASK]
 
 
-def test_a_run_that_is_withdrawn_before_its_acceptance_ends_without_a_call() -> None:
-    """Guards against a start of a run that the order no longer names."""
+@pytest.mark.parametrize(
+    "later",
+    [
+        order(),
+        order(incarnation=Incarnation("")),
+        order(("b.0.0.0", 1), incarnation=Incarnation("i-2:2")),
+    ],
+    ids=["other-work", "no-work", "other-life"],
+)
+def test_a_run_that_is_withdrawn_before_its_acceptance_ends_without_a_call(
+    later: WorkOrder,
+) -> None:
+    """Guards against an acceptance and a start of a run that the order no longer names.
+
+    An order without work names no incarnation; seed 5 of the soak ran two tasks twice, as an agent
+    that had been cut off took it for an order of another life.
+    """
     table = RunTable()
     table.put_order(order((TASK, 1)), LIFE)
-    table.put_order(order(), LIFE)
+    table.put_order(later, LIFE)
+    assert table.to_accept() == {}
     table.note_accepted({TASK: 1})
     assert (table.to_drive(), [end.kind for end in table.ends]) == ([], [EndKind.STOPPED])
 
