--- a/src/chicorycrank_standin/forwarder.py
+++ b/src/chicorycrank_standin/forwarder.py
@@ -53,7 +53,7 @@
 
     def stop(self) -> None:
         """Close every connection and end the thread."""
-        self._call(self._set_mode(Mode.CUT))
+        self._call(self._end())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(CALL_TIMEOUT_S)
         self._loop.close()
@@ -78,6 +78,13 @@
         elif self._server is None:
             await self._listen()
 
+    async def _end(self) -> None:
+        await self._set_mode(Mode.CUT)
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             there, here = await asyncio.open_connection(HOST, self._target_port)
--- /dev/null
+++ b/src/chicorycrank_standin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform, by its published protocol."""
--- /dev/null
+++ b/src/chicorycrank_standin/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the batch programs: real processes, faults from outside, checked promises."""
