--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -57,7 +57,7 @@
         """End everything and start again under another id."""
         with self._lock:
             for row in self._runs.values():
-                self._ledger.end(row)
+                self._ledger.end(row, "crashed")
             self._reset()
             self._lock.notify_all()
 
@@ -175,7 +175,7 @@
 
     def _end(self, row: RunRow, how: str) -> None:
         self._runs.pop(row.task, None)
-        self._ledger.end(row)
+        self._ledger.end(row, how)
         self._closed[row.task] = max(row.run, self._closed.get(row.task, 0))
         self._last_end += 1
         self._ends.append([self._last_end, row.task, row.run, how, ""])
--- a/src/chicorycrank_standin/platform/ledger.py
+++ b/src/chicorycrank_standin/platform/ledger.py
@@ -28,6 +28,7 @@
 
     lock: threading.RLock = field(default_factory=threading.RLock)
     running: dict[tuple[str, str], RunRow] = field(default_factory=dict)
+    done: set[str] = field(default_factory=set)
     noted_done: set[str] = field(default_factory=set)
     starts: list[tuple[float, str, int]] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
@@ -61,9 +62,11 @@
             for mate in mates:
                 mate.ends_at = time.monotonic() + mate.seconds
 
-    def end(self, row: RunRow) -> None:
+    def end(self, row: RunRow, how: str) -> None:
         """Note that a run has ended."""
         with self.lock:
+            if how == "done":
+                self.done.add(row.task)
             self.running.pop((row.task, row.executor), None)
 
     def note_done(self, task: str) -> None:
--- a/src/chicorycrank_standin/soak/callers.py
+++ b/src/chicorycrank_standin/soak/callers.py
@@ -34,11 +34,13 @@
 class JobRecord:
     """What a caller knows of a job.
 
+    :param is_gang: the end of one task stands for all
     :param is_unknown: an attempt had no answer, so the job may have been accepted
     """
 
     path: str
-    members: int
+    tasks: int
+    is_gang: bool
     accepted_at: float | None = None
     cancelled_at: float | None = None
     is_unknown: bool = False
@@ -91,7 +93,7 @@
         if is_gang:
             step["gang"] = True
         name = f"{chance.getrandbits(64):016x}"
-        job = JobRecord(path=f"/{chance.choice(QUEUES)}/{name}", members=count)
+        job = JobRecord(path=f"/{chance.choice(QUEUES)}/{name}", tasks=count, is_gang=is_gang)
         self.jobs.append(job)
         body = json.dumps({"spec": json.dumps(work), "steps": [step]}).encode()
         for _ in range(ATTEMPTS):
--- a/src/chicorycrank_standin/soak/session.py
+++ b/src/chicorycrank_standin/soak/session.py
@@ -103,6 +103,7 @@
         if any(at > limit for at in starts):
             ledger.report(f"cancelled job started: {job.path}")
     if job.state == "completed":
-        done = [task for task in ledger.noted_done if task.startswith(name)]
-        if not done:
-            ledger.report(f"completed without an end: {job.path}")
+        # An end that was listed counts, also if its executor crashed before it was told so.
+        done = sum(task.startswith(name) for task in ledger.done)
+        if done < (1 if job.is_gang else job.tasks):
+            ledger.report(f"completed with {done} of {job.tasks} ends: {job.path}")
