--- a/src/chicorycrank/adapters/logs.py
+++ b/src/chicorycrank/adapters/logs.py
@@ -22,6 +22,9 @@
 REPEAT_INTERVAL_S = 10.0
 MAX_KNOWN_FAULTS = 1000
 QUEUED_LINES = 2000
+# A process that ends does not wait longer for a reader of its output.
+FLUSH_LIMIT_S = 0.5
+FLUSH_POLL_S = 0.01
 # A line per closed connection or full pool tells an operator nothing.
 LEVEL_BY_LIBRARY = {"websockets": logging.ERROR, "urllib3": logging.ERROR}
 DATE_FORMAT = "%m%d %H:%M:%S"
@@ -136,6 +139,7 @@
     def __init__(self, handler: logging.Handler, capacity: int = QUEUED_LINES) -> None:
         lines: queue.Queue[logging.LogRecord] = queue.Queue(capacity)
         super().__init__(lines)
+        self._lines = lines
         self.dropped = 0
         self._dropped_told = 0
         self._listener = logging.handlers.QueueListener(lines, handler)
@@ -157,8 +161,10 @@
             logging.getLogger("absl").warning("event=log_lines_dropped count=%d", count)
 
     def flush(self) -> None:
-        """Write the queued lines and end the thread."""
-        self._listener.stop()
+        """Wait until the queued lines are written, for as long as a process that ends may wait."""
+        ends_at = time.monotonic() + FLUSH_LIMIT_S
+        while self._lines.unfinished_tasks and time.monotonic() < ends_at:
+            time.sleep(FLUSH_POLL_S)
 
 
 def set_up_bounded_logs(level: str, region: str) -> BoundedHandler:
--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -11,7 +11,7 @@
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.ids import EntryId
 from chicorycrank.ports.clock import Clock
-from chicorycrank.ports.transactions import StoreUnavailableError, TransactionalStore
+from chicorycrank.ports.transactions import ABSENT, StoreUnavailableError, TransactionalStore
 
 IDLE_WAIT_S = 0.5
 ELECTION_RETRY_S = 0.2
@@ -58,12 +58,15 @@
         self._replica.is_loaded.wait()
         while not self._stop.is_set():
             with self._view.lock:
-                if self._view.leader is not None:
+                leader = self._view.leader
+                # An entry that was killed is back before its lease ends; nothing else uses its id.
+                if leader is not None and leader.entry != self._entry:
                     self._view.lock.wait(IDLE_WAIT_S)
                     continue
+                replaced = ABSENT if leader is None else self._view.leader_revision
             role = Role(self._store, self._entry)
             try:
-                if role.take():
+                if role.take(replaced):
                     self._serve_term(role)
                 else:
                     self._stop.wait(ELECTION_RETRY_S)
--- a/src/chicorycrank/batch/role.py
+++ b/src/chicorycrank/batch/role.py
@@ -48,15 +48,16 @@
         """The entry that competes for the role."""
         return self._record.entry
 
-    def take(self) -> bool:
-        """Take the role if it is free.
+    def take(self, replaced: Revision = ABSENT) -> bool:
+        """Take the role if it is free, or if its record is still the one to replace.
 
+        :param replaced: revision of the record that an earlier process of this entry has left
         :raises StoreUnavailableError: the store did not answer
         """
         self._lease = self._store.grant(LEASE_S)
         entry = self._record.entry
         self._record = LeaderRecord(entry=entry, term=secrets.token_hex(4))
-        self._revision = ABSENT
+        self._revision = replaced
         return self._write({}, ()) is not None
 
     def renew(self) -> bool:
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -56,7 +56,9 @@
         lost_after_s=lost_after_s(bounds.max_lease_s),
         status_s=bounds.status_s,
     )
-    leader = Leader(store, view, replica, clock, EntryId(settings.name), surroundings)
+    # A machine that replaces another may have its name, but not its address.
+    entry = EntryId(f"{settings.name}@{settings.host}")
+    leader = Leader(store, view, replica, clock, entry, surroundings)
     is_stopping = False
 
     def age_s() -> float:
--- a/src/chicorycrank/programs/process.py
+++ b/src/chicorycrank/programs/process.py
@@ -2,9 +2,9 @@
 
 import logging
 import os
+import queue
 import signal
 import sys
-import threading
 from collections.abc import Callable
 from http import HTTPStatus
 from pathlib import Path
@@ -46,12 +46,12 @@
             raise SystemExit(EXIT_SETTINGS) from error
         self._log = log = set_up_bounded_logs("INFO", self.settings.region)
         LOG_LINES_DROPPED.set_function(lambda: log.dropped)
-        self._stop = threading.Event()
-        self._reload = threading.Event()
+        # Its put may be interrupted by itself; an event's lock would be taken twice by the main
+        # thread if a signal arrived while it waits.
+        self._signals: queue.SimpleQueue[int] = queue.SimpleQueue()
         self._read_as = self._stamp()
-        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
-        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda number, _: self._signals.put(number))
         logger.info("event=process_started role=%s node=%s", role, self.settings.name)
 
     def serve_metrics(self, dump: Callable[[], object]) -> None:
@@ -74,11 +74,10 @@
 
     def wait(self, on_settings: Callable[[NodeSettings], None]) -> None:
         """Wait for the signal to stop, and pass on new settings meanwhile."""
-        while not self._stop.wait(SETTINGS_CHECK_S):
+        while (number := self._next_signal()) in (None, signal.SIGHUP):
             stamp = self._stamp()
-            if not self._reload.is_set() and stamp == self._read_as:
+            if number is None and stamp == self._read_as:
                 continue
-            self._reload.clear()
             self._read_as = stamp
             try:
                 settings = read_settings(self._path)
@@ -91,6 +90,13 @@
                 on_settings(settings)
         logger.info("event=process_stopping node=%s", self.settings.name)
 
+    def _next_signal(self) -> int | None:
+        """Return the next signal, or None if none arrives until the settings are looked at."""
+        try:
+            return self._signals.get(timeout=SETTINGS_CHECK_S)
+        except queue.Empty:
+            return None
+
     def exit(self) -> NoReturn:
         """End the process at once, whatever its threads wait for."""
         logger.info("event=process_stopped node=%s", self.settings.name)
--- a/src/chicorycrank_standin/soak/faults.py
+++ b/src/chicorycrank_standin/soak/faults.py
@@ -100,12 +100,12 @@
         deployment.store.mode = StoreMode.NORMAL
         deployment.note_harm()
     elif fault.kind in (Kind.KILL, Kind.PAUSE, Kind.TERMINATE, Kind.RELOAD):
-        _signal(fault, program)
+        _signal(fault, program, deployment)
     else:
         _harm_platform(fault, deployment)
 
 
-def _signal(fault: Fault, program: Program) -> None:
+def _signal(fault: Fault, program: Program, deployment: Deployment) -> None:
     match fault.kind:
         case Kind.KILL:
             program.harmed_at = time.monotonic()
@@ -123,6 +123,8 @@
             program.stopped_at = time.monotonic()
             program.signal(signal.SIGTERM)
             if not program.wait(GRACE_S):
+                if program.harmed_at < program.stopped_at:
+                    deployment.ledger.report(f"{program.name} outlived its grace time")
                 program.signal(signal.SIGKILL)
                 program.wait(GRACE_S)
             time.sleep(RESTART_S)
--- a/tests/batch/test_leader_role.py
+++ b/tests/batch/test_leader_role.py
@@ -6,7 +6,7 @@
 from chicorycrank.batch.keys import LEADER
 from chicorycrank.batch.role import DeposedError, Role
 from chicorycrank.model.ids import EntryId
-from chicorycrank.ports.transactions import Committed, Conflict, StoreUnavailableError
+from chicorycrank.ports.transactions import Committed, Conflict, Lease, StoreUnavailableError
 
 
 def faults(store: MemoryStore, *names: str) -> None:
@@ -66,3 +66,28 @@
     assert store.items["key"].value == b"2"
     assert isinstance(store.apply(store.writes[-1]), Conflict | Committed)
     assert LEADER in store.items
+
+
+def test_an_entry_that_was_killed_takes_its_role_back() -> None:
+    """Guards against a fleet without a leader until the lease of a dead process has ended."""
+    store = MemoryStore()
+    killed = take(store)
+    killed.write({"key": b"1"}, ())
+    back = Role(store, EntryId("one"))
+    assert back.take(store.items[LEADER].revision)
+    back.write({"key": b"2"}, ())
+    with pytest.raises(DeposedError):
+        killed.write({"key": b"3"}, ())
+    store.lapse(Lease(1))  # of the killed process
+    back.write({"key": b"4"}, ())
+    assert store.items["key"].value == b"4"
+
+
+def test_a_record_that_has_changed_is_not_replaced() -> None:
+    """Guards against two leaders after a write that the entry had not heard of."""
+    store = MemoryStore()
+    leader = take(store)
+    seen = store.items[LEADER].revision
+    leader.write({"key": b"1"}, ())
+    assert not Role(store, EntryId("one")).take(seen)
+    leader.write({"key": b"2"}, ())
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -28,6 +28,7 @@
 )
 from chicorycrank.batch.leader import Leader
 from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.role import Role
 from chicorycrank.batch.term import Surroundings
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.batch import (
@@ -343,3 +344,19 @@
     (progress,) = world.entries[0].view.progress_by_id.values()
     assert [unit.run for unit in progress.units.values()] == [1]
     assert list(world.executor.runs) == [task]
+
+
+@pytest.mark.parametrize(("name", "leads"), [("killed", True), ("other", False)])
+def test_only_the_entry_that_was_killed_replaces_its_record(name: str, leads: bool) -> None:
+    """Guards against an entry that takes the role of another one whose lease goes on."""
+    store = MemoryStore()
+    store.apply(Write(values={CONFIG_KEY: b"1"}))
+    assert Role(store, EntryId("killed")).take()
+    entry = Entry(store, name)
+    try:
+        if leads:
+            wait_until(lambda: is_leading(entry))
+        time.sleep(0.5)
+        assert is_leading(entry) is leads
+    finally:
+        entry.stop()
--- a/tests/platform_adapter/test_programs.py
+++ b/tests/platform_adapter/test_programs.py
@@ -15,6 +15,9 @@
 START_LIMIT_S = 30.0
 # The platform kills a process six seconds after it has asked it to stop.
 GRACE_S = 6
+# Each signal has a small chance to arrive while the program takes or gives back a lock.
+SIGNALS = 4000
+SIGNAL_GAP_S = 0.0005
 PROGRAMS = ["batch_entry", "batch_agent"]
 
 
@@ -79,3 +82,16 @@
     assert program.process.returncode == 0
     assert "event=process_started" in output
     assert "event=process_stopped" in output
+
+
+def test_a_burst_of_signals_does_not_keep_a_program_from_stopping(program: Program) -> None:
+    """Guards against a signal that arrives inside the lock of what its handler uses.
+
+    Nobody reads the output meanwhile, so the queue of log lines is full at the end.
+    """
+    assert program.call("GET", "/-/other") in (404, 503)
+    for _ in range(SIGNALS):
+        program.process.send_signal(signal.SIGHUP)
+        time.sleep(SIGNAL_GAP_S)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(timeout=GRACE_S) == 0
