--- a/src/chicorycrank_standin/soak/session.py
+++ b/src/chicorycrank_standin/soak/session.py
@@ -96,8 +96,10 @@
     starts = [at for at, task, _ in ledger.starts if task.startswith(name)]
     if job.accepted_at is None and not job.is_unknown and starts:
         ledger.report(f"refused job has run: {job.path}")
-    if job.state in ("failed", "cancelled") and job.cancelled_at is None and not job.is_unknown:
-        ledger.report(f"{job.state} without cause: {job.path}")
+    if job.state == "failed":
+        ledger.report(f"failed without cause: {job.path}")
+    if job.state == "cancelled" and job.cancelled_at is None and not job.is_cancel_unknown:
+        ledger.report(f"cancelled without cause: {job.path}")
     if job.cancelled_at is not None:
         limit = job.cancelled_at + CANCEL_LIMIT_S + LATE_LIMIT_S + FINISH_LIMIT_S
         if any(at > limit for at in starts):
