--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -8,8 +8,8 @@
 
 import urllib3
 
+from chicorycrank_standin.background import in_background
 from chicorycrank_standin.http import Call, Reply, Route, json_reply
-from chicorycrank_standin.platform.kv_store import in_background
 from chicorycrank_standin.platform.ledger import Ledger, RunRow
 
 STEP_S = 0.02
--- a/src/chicorycrank_standin/platform/kv_store.py
+++ b/src/chicorycrank_standin/platform/kv_store.py
@@ -3,11 +3,11 @@
 import random
 import threading
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
+from chicorycrank_standin.background import in_background
 from chicorycrank_standin.http import Call, Reply, Route, json_reply
 
 SWEEP_S = 0.05
@@ -47,7 +47,7 @@
         self._forgotten = 0
         self._leases: dict[int, _Lease] = {}
         self._last_lease = 0
-        threading.Thread(target=self._sweep_forever, daemon=True).start()
+        in_background(self._sweep_forever, "sweep")
 
     def routes(self) -> dict[str, Route]:
         """Return the calls of the store."""
@@ -188,10 +188,3 @@
                 for number, lease in list(self._leases.items()):
                     if lease.ends_at <= now:
                         self._drop_lease(number)
-
-
-def in_background(work: Callable[[], None], name: str) -> threading.Thread:
-    """Start a daemon thread."""
-    thread = threading.Thread(target=work, name=name, daemon=True)
-    thread.start()
-    return thread
--- a/src/chicorycrank_standin/soak/callers.py
+++ b/src/chicorycrank_standin/soak/callers.py
@@ -11,8 +11,7 @@
 
 import urllib3
 
-from chicorycrank_standin.forwarder import HOST
-from chicorycrank_standin.platform.kv_store import in_background
+from chicorycrank_standin.background import HOST, in_background
 from chicorycrank_standin.platform.ledger import Ledger
 from chicorycrank_standin.soak.deployment import ACCELERATORS, KEY, QUEUES, Deployment, Program
 
--- a/src/chicorycrank_standin/soak/deployment.py
+++ b/src/chicorycrank_standin/soak/deployment.py
@@ -4,7 +4,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,10 +14,11 @@
 import yaml
 from cheroot.wsgi import Server
 
-from chicorycrank_standin.forwarder import HOST, Forwarder
-from chicorycrank_standin.http import Route, serve_routes
+from chicorycrank_standin.background import HOST, free_port, serve_in_background
+from chicorycrank_standin.forwarder import Forwarder
+from chicorycrank_standin.http import Route
 from chicorycrank_standin.platform.executor import BatchExecutorStandIn
-from chicorycrank_standin.platform.kv_store import KvStoreStandIn, in_background
+from chicorycrank_standin.platform.kv_store import KvStoreStandIn
 from chicorycrank_standin.platform.ledger import Ledger
 
 ENTRIES = 2
@@ -30,13 +30,6 @@
 PROXY_DELAY_S = 0.15
 
 
-def free_port() -> int:
-    """Return a port that nothing listens at."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 class Program:
     """A program of the product as a process that is started, signalled and restarted.
 
@@ -116,7 +109,7 @@
         self.ledger = Ledger()
         self.store = KvStoreStandIn(random.Random(seed))
         self._servers: list[Server] = []
-        store_port = self._serve(self.store.routes())
+        store_port = int(self._serve(self.store.routes()).rpartition(":")[2])
         self.store.put("op/config", b64encode(json.dumps(_config()).encode()).decode())
         self.entries = [
             Program(f"entry-{n}", "batch_entry", store_port, folder) for n in range(ENTRIES)
@@ -137,7 +130,7 @@
                 random.Random(seed + number),
                 accelerators=ACCELERATORS,
             )
-            app = f"{HOST}:{self._serve(executor.routes())}"
+            app = self._serve(executor.routes())
             agent.configure(bindAddresses={"control": control}, app=app)
             self.executors.append(executor)
 
@@ -163,13 +156,10 @@
         for program in self.programs:
             program.harmed_at = time.monotonic()
 
-    def _serve(self, routes: dict[str, Route]) -> int:
-        port = free_port()
-        server = serve_routes(HOST, port, routes)
-        server.prepare()
+    def _serve(self, routes: dict[str, Route]) -> str:
+        server, address = serve_in_background(routes)
         self._servers.append(server)
-        in_background(server.serve, f"server-{port}")
-        return port
+        return address
 
 
 def _config() -> dict[str, Any]:
--- a/src/chicorycrank_standin/soak/faults.py
+++ b/src/chicorycrank_standin/soak/faults.py
@@ -7,8 +7,9 @@
 from enum import Enum
 from functools import partial
 
+from chicorycrank_standin.background import in_background
 from chicorycrank_standin.forwarder import Mode
-from chicorycrank_standin.platform.kv_store import StoreMode, in_background
+from chicorycrank_standin.platform.kv_store import StoreMode
 from chicorycrank_standin.soak.deployment import GRACE_S, Deployment, Program
 
 MEAN_GAP_S = 1.5
--- /dev/null
+++ b/tests/platform_adapter/test_protocol.py
@@ -0,0 +1,176 @@
+"""The adapter's calls over HTTP, against the stand-ins of the store and an executor."""
+
+import json
+import random
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from chicorycrank.model.batch import EndKind
+from chicorycrank.model.ids import Incarnation, TaskId
+from chicorycrank.platform.client import PlatformClient
+from chicorycrank.platform.executor import PlatformExecutor
+from chicorycrank.platform.store import PlatformStore
+from chicorycrank.ports.executor import OtherIncarnationError, StartAnswer, StartOrder
+from chicorycrank.ports.transactions import (
+    ABSENT,
+    Committed,
+    Conflict,
+    HistoryLostError,
+    Lease,
+    LeaseEndedError,
+    Revision,
+    StoreUnavailableError,
+    Write,
+)
+from chicorycrank_standin.background import HOST, free_port, serve_in_background
+from chicorycrank_standin.http import Route
+from chicorycrank_standin.platform.executor import BatchExecutorStandIn
+from chicorycrank_standin.platform.kv_store import KvStoreStandIn, StoreMode
+from chicorycrank_standin.platform.ledger import Ledger
+
+TIMEOUT_S = 2.0
+TASK = TaskId("00000000000000aa.0.0.0")
+FAR_MS = 9_000
+
+Serve = Callable[[dict[str, Route]], str]
+
+
+@pytest.fixture
+def serve() -> Iterator[Serve]:
+    servers = []
+
+    def start(routes: dict[str, Route]) -> str:
+        server, address = serve_in_background(routes)
+        servers.append(server)
+        return address
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+@pytest.fixture
+def standin() -> KvStoreStandIn:
+    return KvStoreStandIn(random.Random(1))
+
+
+@pytest.fixture
+def store(standin: KvStoreStandIn, serve: Serve) -> PlatformStore:
+    return PlatformStore(PlatformClient(serve(standin.routes())))
+
+
+def put(store: PlatformStore, key: str, value: bytes, revision: Revision = ABSENT) -> Revision:
+    answer = store.commit(Write(expected={key: revision}, values={key: value}))
+    assert isinstance(answer, Committed)
+    return answer.revision
+
+
+def test_a_write_depends_on_the_revision_that_it_expects(store: PlatformStore) -> None:
+    """Guards against a conflict whose present items are not decoded."""
+    revision = put(store, "own/a", b"\x00one")
+    answer = store.commit(Write(expected={"own/a": ABSENT}, values={"own/a": b"two"}))
+    assert isinstance(answer, Conflict)
+    assert (answer.items["own/a"].value, answer.items["own/a"].revision) == (b"\x00one", revision)
+    put(store, "own/a", b"two", revision)
+    item = store.read("own/a")
+    assert item is not None
+    assert item.value == b"two"
+    assert store.read("own/b") is None
+
+
+def test_a_watch_goes_on_from_the_revision_of_the_list(store: PlatformStore) -> None:
+    """Guards against changes that are missed between the list and the watch."""
+    put(store, "own/a", b"1")
+    listed = store.read_all("own/")
+    assert [item.key for item in listed.items] == ["own/a"]
+    put(store, "own/b", b"2")
+    store.commit(Write(deletes=["own/a"]))
+    put(store, "other", b"3")
+    changes = store.watch("own/", listed.revision, TIMEOUT_S)
+    assert [(item.key, item.value) for item in changes.items] == [("own/b", b"2"), ("own/a", None)]
+    assert store.watch("own/", changes.revision, 0.0).items == []
+
+
+def test_a_forgotten_history_is_told_from_an_outage(
+    store: PlatformStore, standin: KvStoreStandIn
+) -> None:
+    """Guards against a watch that is repeated for ever after its history is gone."""
+    put(store, "own/a", b"1")
+    standin.forget_history()
+    with pytest.raises(HistoryLostError):
+        store.watch("own/", Revision(1), 0.0)
+
+
+def test_keys_go_with_their_lease(store: PlatformStore) -> None:
+    """Guards against a presence that outlives the process that renewed it."""
+    lease = store.grant(TIMEOUT_S)
+    store.commit(Write(values={"own/a": b"1"}, leases={"own/a": lease}))
+    assert store.renew(lease)
+    store.revoke(lease)
+    assert store.read("own/a") is None
+    assert not store.renew(lease)
+    with pytest.raises(LeaseEndedError):
+        store.commit(Write(values={"own/a": b"1"}, leases={"own/a": Lease(lease)}))
+
+
+@pytest.mark.parametrize(
+    ("mode", "not_done", "is_written"),
+    [(StoreMode.BUSY, True, False), (StoreMode.LOSSY, False, True)],
+)
+def test_a_refusal_is_told_from_a_lost_answer(
+    store: PlatformStore,
+    standin: KvStoreStandIn,
+    mode: StoreMode,
+    not_done: bool,
+    is_written: bool,
+) -> None:
+    """Guards against a caller who is told that nothing was done although it was."""
+    standin.lost_share = 1.0
+    standin.mode = mode
+    with pytest.raises(StoreUnavailableError) as error:
+        put(store, "own/a", b"1")
+    standin.mode = StoreMode.NORMAL
+    assert error.value.not_done is not_done
+    assert (store.read("own/a") is not None) is is_written
+
+
+def order(run: int, fence: int, incarnation: Incarnation) -> StartOrder:
+    return StartOrder(
+        task=TASK,
+        run=run,
+        payload=json.dumps({"seconds": 0.05, "members": 1, "accelerators": 1}),
+        checkpoint="",
+        ticket="",
+        deadline_ms=FAR_MS,
+        fence=fence,
+        incarnation=incarnation,
+    )
+
+
+@pytest.fixture
+def executor(serve: Serve) -> tuple[PlatformExecutor, BatchExecutorStandIn]:
+    standin = BatchExecutorStandIn(
+        "executor", f"{HOST}:{free_port()}", Ledger(), random.Random(1), accelerators=8
+    )
+    return PlatformExecutor(PlatformClient(serve(standin.routes()))), standin
+
+
+def test_an_executor_runs_lists_and_refuses(
+    executor: tuple[PlatformExecutor, BatchExecutorStandIn],
+) -> None:
+    """Guards against answers of an executor that are taken for others."""
+    calls, standin = executor
+    life = Incarnation("executor-1:0")
+    assert calls.start(order(1, 2, life)) is StartAnswer.STARTED
+    assert calls.start(order(2, 1, life)) is StartAnswer.FENCED
+    status = calls.hold(fence=2, seen=0, deadline_ms=FAR_MS, wait_s=1.0, incarnation=life)
+    (end,) = status.ends
+    assert (end.number, end.end.task, end.end.kind) == (1, TASK, EndKind.DONE)
+    assert calls.start(order(1, 2, life)) is StartAnswer.OUTDATED
+    with pytest.raises(PermissionError):
+        calls.hold(fence=1, seen=0, deadline_ms=None, wait_s=0.0, incarnation=life)
+    assert not calls.stop(TASK, 1, 1, life)
+    standin.crash()
+    with pytest.raises(OtherIncarnationError):
+        calls.hold(fence=2, seen=1, deadline_ms=None, wait_s=0.0, incarnation=life)
