--- a/tests/platform_adapter/test_programs.py
+++ b/tests/platform_adapter/test_programs.py
@@ -3,7 +3,6 @@
 import http.client
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,6 +11,8 @@
 
 import pytest
 
+from chicorycrank_standin.background import free_port
+
 START_LIMIT_S = 30.0
 # The platform kills a process six seconds after it has asked it to stop.
 GRACE_S = 6
@@ -21,12 +22,6 @@
 PROGRAMS = ["batch_entry", "batch_agent"]
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class Program:
     """A program whose store and executor do not answer."""
 
