--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -116,6 +116,7 @@
         self.progress_by_id.pop(job_id, None)
         self.active.pop(job_id, None)
         self.cancelled.discard(job_id)
+        self.shapes.forget_job(job_id)
 
     def cancel(self, job_id: JobId) -> None:
         """Stop whatever a job runs and start nothing more of it."""
@@ -161,11 +162,11 @@
     def plan(self) -> None:
         """Decide what starts and what is stopped; :attr:`changes` says which records changed."""
         self.workers.refresh_all()
+        self.cell.headroom = self.shapes.headroom(self)
         for _ in range(MAX_PASSES):
             refs = list(self._waiting())
             queue = [self.shapes.queued(self, ref) for ref in refs]
             self.cell.protected = self.shapes.protected(self)
-            self.cell.headroom = self.shapes.headroom(self)
             decisions = decide(self.cell, self.shapes.one_per_step(self, queue), self.now_s)
             refs_by_name = {ref.name: ref for ref in refs}
             progressed = False
--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -31,9 +31,8 @@
 LATE_FACTOR = 4.0
 # A job that is not urgent leaves headroom for this share of the wait that it can afford.
 PATIENCE_SHARE = 0.6
-# The headroom follows the largest urgent job of this time, up to a share of the workers.
+# The headroom follows the largest urgent job of this time.
 HEADROOM_WINDOW_S = 60.0
-MAX_HEADROOM_SHARE = 0.3
 # With less of the fleet in use, there is room for urgent jobs anyway.
 HEADROOM_MIN_USE = 0.5
 
@@ -42,15 +41,19 @@
     """Shapes and placement rules of units.
 
     :param checkpoint_s: time between checkpoints in seconds
+    :param max_headroom_share: part of the workers that may be kept empty for urgent jobs
     """
 
-    def __init__(self, checkpoint_s: float) -> None:
+    def __init__(self, checkpoint_s: float, max_headroom_share: float = 0.0) -> None:
         self._checkpoint_s = checkpoint_s
+        self._max_headroom_share = max_headroom_share
         self._workers_by_label: dict[tuple[str, str], frozenset[TargetId]] = {}
+        self._workers_needed_by_job: dict[JobId, int] = {}
 
     def forget_workers(self) -> None:
         """Forget which workers have which labels, after one was added or changed."""
         self._workers_by_label.clear()
+        self._workers_needed_by_job.clear()
 
     def queued(self, planner: Planner, ref: UnitRef) -> QueuedJob:
         """Return a unit as the core sees it."""
@@ -101,15 +104,26 @@
     def headroom(self, planner: Planner) -> int:
         """Return how many empty workers to keep for the next urgent job."""
         cell = planner.cell
-        if used_share(cell) < HEADROOM_MIN_USE:
+        if not self._max_headroom_share or used_share(cell) < HEADROOM_MIN_USE:
             return 0
         since_ms = planner.now_ms - HEADROOM_WINDOW_S * 1000
         needed = 0
         for job in planner.jobs_by_id.values():
             if job.submitted_at_ms >= since_ms and job.queue.priority == URGENT_PRIORITY:
-                for step in job.steps:
-                    needed = max(needed, workers_needed(cell, self._shape(planner, step)))
-        return min(needed, int(MAX_HEADROOM_SHARE * len(cell.workers_by_id)))
+                needed = max(needed, self._workers_needed(planner, job))
+        return min(needed, int(self._max_headroom_share * len(cell.workers_by_id)))
+
+    def _workers_needed(self, planner: Planner, job: Submission) -> int:
+        if job.job_id not in self._workers_needed_by_job:
+            shapes = [self._shape(planner, step) for step in job.steps]
+            self._workers_needed_by_job[job.job_id] = max(
+                workers_needed(planner.cell, shape) for shape in shapes
+            )
+        return self._workers_needed_by_job[job.job_id]
+
+    def forget_job(self, job_id: JobId) -> None:
+        """Forget what was worked out for a job."""
+        self._workers_needed_by_job.pop(job_id, None)
 
     def one_per_step(self, planner: Planner, queue: list[QueuedJob]) -> list[QueuedJob]:
         """Leave out units whose step limits its tasks on a worker, but for one of each step.
--- a/tests/batch/test_headroom.py
+++ b/tests/batch/test_headroom.py
@@ -7,6 +7,7 @@
 from tests.batch.fakes import make_job, make_queue
 from tests.batch.test_planner import end, make_planner, submit, tasks_by_worker
 
+from chicorycrank.batch import shapes
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.shapes import PATIENCE_SHARE
 from chicorycrank.model.batch import EndKind, Queue, Step, Submission
@@ -14,6 +15,7 @@
 
 RUN_S = 10.0
 SLACK = 3.0
+SHARE = 0.3
 # A job of the patient queue may wait this long and still end in time.
 SLACK_S = (SLACK - 1.0) * RUN_S
 WORKERS = [TargetId(f"w{n}") for n in range(8)]
@@ -36,7 +38,7 @@
 
 def loaded_planner(patient: int = 7, urgent_members: int = 2) -> Planner:
     """Return a fleet that has served an urgent gang and now gets more patient work."""
-    planner = make_planner(WORKERS)
+    planner = make_planner(WORKERS, headroom=SHARE)
     first = submit(planner, make_job([gang(urgent_members)], name="f" * 16, queue=URGENT))
     for index in range(urgent_members):
         end(planner, f"{first.job_id}.0.0.{index}", EndKind.DONE)
@@ -85,7 +87,7 @@
 
 def test_a_fleet_without_urgent_jobs_keeps_nothing() -> None:
     """Guards against workers that stay empty for jobs that never come."""
-    planner = make_planner(WORKERS)
+    planner = make_planner(WORKERS, headroom=SHARE)
     submit_many(planner, 8, at_ms=0)
     assert running(planner) == len(WORKERS)
 
@@ -138,3 +140,19 @@
     assert serve(urgent_at_s, with_headroom=True) == (len(urgent_at_s), 0)
     prompt, _ = serve(urgent_at_s, with_headroom=False)
     assert prompt < len(urgent_at_s)
+
+
+def test_a_plan_works_out_the_need_of_an_urgent_job_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a leader that goes through all workers for each job in each pass."""
+    calls: list[object] = []
+
+    def count(*args: object) -> int:
+        calls.append(args)
+        return 1
+
+    monkeypatch.setattr(shapes, "workers_needed", count)
+    planner = loaded_planner()
+    asked = len(calls)
+    assert asked == 1
+    planner.plan()
+    assert len(calls) == asked
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -25,8 +25,10 @@
 WHOLE = Step(count=1, accelerators=8, cores=1000, run_time_s=5.0)
 
 
-def make_planner(workers: Sequence[TargetId] = WORKERS, quota: int = 0) -> Planner:
-    planner = Planner(UnitShapes(1.0), 1000.0)
+def make_planner(
+    workers: Sequence[TargetId] = WORKERS, quota: int = 0, headroom: float = 0.0
+) -> Planner:
+    planner = Planner(UnitShapes(1.0, headroom), 1000.0)
     planner.set_config({}, [BatchTeam(team=RED, quota=quota)])
     for worker in workers:
         planner.put_report(worker, make_report(f"i-{worker}:1"))
