--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -33,6 +33,7 @@
 PATIENCE_SHARE = 0.6
 # The headroom follows the largest urgent job of this time.
 HEADROOM_WINDOW_S = 60.0
+MAX_HEADROOM_SHARE = 0.3
 # With less of the fleet in use, there is room for urgent jobs anyway.
 HEADROOM_MIN_USE = 0.5
 
@@ -44,7 +45,7 @@
     :param max_headroom_share: part of the workers that may be kept empty for urgent jobs
     """
 
-    def __init__(self, checkpoint_s: float, max_headroom_share: float = 0.0) -> None:
+    def __init__(self, checkpoint_s: float, max_headroom_share: float = MAX_HEADROOM_SHARE) -> None:
         self._checkpoint_s = checkpoint_s
         self._max_headroom_share = max_headroom_share
         self._workers_by_label: dict[tuple[str, str], frozenset[TargetId]] = {}
