--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -17,7 +17,7 @@
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import keep_running
 from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
-from chicorycrank.model.ids import Incarnation, TargetId, TaskId
+from chicorycrank.model.ids import Incarnation, TargetId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import (
     BatchExecutor,
@@ -298,7 +298,7 @@
                 if not self._has_news():
                     self._lock.wait(HOLD_WAIT_S)
                     continue
-                is_urgent = bool(self._new_runs())
+                is_urgent = self.table.has_unaccepted()
             if not is_urgent:
                 self._stop.wait(GATHER_S)
             try:
@@ -322,13 +322,6 @@
             return False
         return not self._is_registered or self._current_report() != self._written
 
-    def _new_runs(self) -> dict[TaskId, int]:
-        """Return the runs that wait for their acceptance."""
-        accepted = self.table.accepted
-        return {
-            task: run for task, run in self.table.to_accept().items() if accepted.get(task) != run
-        }
-
     def _current_report(self) -> WorkerReport:
         return msgspec.structs.replace(
             self.report,
@@ -354,13 +347,7 @@
                 logger.warning("event=report_unreadable target=%s error=%s", self._worker, error)
         with self._lock:
             self.report.fence = max(old.fence, self.report.fence) + 1
-            for end in old.ends:
-                if end not in self.table.ends:
-                    self.table.ends.append(end)
-            self.table.checkpoints = {**old.checkpoints, **self.table.checkpoints}
-            if old.incarnation == self.report.incarnation:
-                self.table.seen = max(self.table.seen, old.seen)
-                self.table.accepted = {**old.accepted, **self.table.accepted}
+            self.table.take_over(old, is_same_life=old.incarnation == self.report.incarnation)
             self._revision = item.revision if item is not None else ABSENT
             incarnation = self.report.incarnation
         if not self._write_report():
@@ -389,7 +376,7 @@
         with self._lock:
             report = self._current_report()
             expected = {key: self._revision}
-            if self._new_runs():
+            if self.table.has_unaccepted():
                 expected[order_key(self._worker)] = self._order_revision
         value = encode(report)
         answer = self._store.commit(
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -26,6 +26,7 @@
     next_due_ms,
     note_end,
     parse_unit,
+    units_of_step,
     waiting_units,
 )
 from chicorycrank.batch.workers import Workers
@@ -208,11 +209,8 @@
 
     def running_of_step(self, ref: UnitRef) -> Iterator[tuple[UnitRef, Unit]]:
         """Yield the units of a unit's step and occurrence that hold places."""
-        step = self.step_of(ref)
-        indexes = (None,) if step.gang else range(step.count)
         units = self.progress_by_id[ref.job_id].units
-        for index in indexes:
-            other = UnitRef(ref.job_id, ref.occurrence, ref.step, index)
+        for other in units_of_step(self.jobs_by_id[ref.job_id], ref.occurrence, ref.step):
             unit = units.get(other.key)
             if unit is not None and unit.places:
                 yield other, unit
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from chicorycrank.model.batch import Assignment, EndKind, TaskEnd, WorkOrder
+from chicorycrank.model.batch import Assignment, EndKind, TaskEnd, WorkerReport, WorkOrder
 from chicorycrank.model.ids import Incarnation, TaskId
 from chicorycrank.ports.executor import ExecutorStatus, RunningTask
 
@@ -118,12 +118,27 @@
         }
         return {**self.accepted, **wanted}
 
+    def has_unaccepted(self) -> bool:
+        """Whether runs wait for their acceptance."""
+        return any(self.accepted.get(task) != run for task, run in self.to_accept().items())
+
     def note_accepted(self, accepted: dict[TaskId, int]) -> None:
         """Note that the store has a set of runs as accepted."""
         self.accepted = dict(accepted)
         for task, run in self.runs_by_task.items():
             run.is_accepted = run.is_accepted or accepted.get(task) == run.assignment.run
 
+    def take_over(self, old: WorkerReport, *, is_same_life: bool) -> None:
+        """Go on from the last report of an earlier agent.
+
+        :param is_same_life: it is about this life of the executor
+        """
+        self.ends += [end for end in old.ends if end not in self.ends]
+        self.checkpoints = {**old.checkpoints, **self.checkpoints}
+        if is_same_life:
+            self.seen = max(self.seen, old.seen)
+            self.accepted = {**old.accepted, **self.accepted}
+
     def forget(self) -> None:
         """Forget all runs, as the executor that had them is gone."""
         self.runs_by_task.clear()
--- a/src/chicorycrank/batch/shapes.py
+++ b/src/chicorycrank/batch/shapes.py
@@ -5,12 +5,18 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from chicorycrank.batch.units import ENDED, UnitRef, parse_unit
+from chicorycrank.batch.units import (
+    ENDED,
+    UnitRef,
+    occurrences,
+    parse_unit,
+    units_of_step,
+)
 from chicorycrank.model.batch import Queue, Step, Submission, UnitState, WorkerReport
 from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import QueuedJob
-from chicorycrank.policy.headroom import used_share, workers_needed
+from chicorycrank.policy.headroom import members_by_worker, used_share, workers_needed
 from chicorycrank.policy.placement import PlacementRule
 
 if TYPE_CHECKING:
@@ -165,12 +171,12 @@
 
     @staticmethod
     def _unit_names(job: Submission) -> list[JobId]:
-        names = []
-        for occurrence in range(max(1, job.repeat_count)):
-            for number, step in enumerate(job.steps):
-                indexes = (None,) if step.gang else range(step.count)
-                names += [UnitRef(job.job_id, occurrence, number, i).name for i in indexes]
-        return names
+        return [
+            ref.name
+            for occurrence in range(occurrences(job))
+            for number in range(len(job.steps))
+            for ref in units_of_step(job, occurrence, number)
+        ]
 
     @staticmethod
     def _shape(planner: Planner, step: Step) -> GangShape:
@@ -238,14 +244,7 @@
 
 
 def _fits_a_rack(planner: Planner, shape: GangShape) -> bool:
-    full = planner.cell.homes.full_by_worker
-    rooms: dict[RackId, int] = {}
-    for name, state in planner.cell.workers_by_id.items():
-        _, cores, memory = full[name]
-        room = state.accelerators // max(1, shape.accelerators)
-        if shape.cores:
-            room = min(room, cores // shape.cores)
-        if shape.memory_gb:
-            room = min(room, memory // shape.memory_gb)
-        rooms[state.rack] = rooms.get(state.rack, 0) + room
+    rooms: Counter[RackId] = Counter()
+    for name, room in members_by_worker(planner.cell, shape).items():
+        rooms[planner.cell.workers_by_id[name].rack] += room
     return max(rooms.values(), default=0) >= shape.members
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -10,7 +10,7 @@
 from chicorycrank.policy.decisions import REASONS, Decision, Evict, EvictionCause, Start
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_spots, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
-from chicorycrank.policy.headroom import empty_workers
+from chicorycrank.policy.headroom import Headroom
 from chicorycrank.policy.holds import Holds
 from chicorycrank.policy.home import Home, fit_home
 from chicorycrank.policy.placement import PlacementRule, find_spots, placement_of
@@ -58,8 +58,7 @@
         self.reservations: list[Reservation] = []
         self.reservations_tried = 0
         self.reserved = Holds(cell.free)
-        self.headroom = Holds(cell.free)
-        self.headroom_spots: Spots = ()
+        self.headroom = Headroom(cell)
         self.unfit: set[FitKey] = set()
         self.unfit_lifted: set[FitKey] = set()
         self.unfit_homes: set[tuple[TeamId, GangShape]] = set()
@@ -77,7 +76,7 @@
                 self.reserved.lift()
                 self._urgent(job)
         self.reserved.lift()
-        self._hold_headroom()
+        self.headroom.hold()
         self._hold_reserved(queue)
         normal = [job for job in queue if not job.urgent and not self._is_done(job)]
         normal = within_team_order(self.cell, normal, self.now_s)
@@ -274,14 +273,6 @@
             if reservation.job_id in waiting:
                 self.reserved.add(reservation.spots, None)
 
-    def _hold_headroom(self) -> None:
-        """Keep empty workers for urgent jobs to come."""
-        if self.cell.headroom and not self.headroom:
-            self.headroom_spots = self.headroom_spots or empty_workers(
-                self.cell, self.cell.headroom
-            )
-            self.headroom.add(self.headroom_spots, None)
-
     def _reserve_oldest(self, rest: Sequence[QueuedJob]) -> None:
         """Start the oldest jobs, or reserve accelerators for the first that does not fit."""
         self.reserved.lift()
@@ -312,7 +303,7 @@
         if self.now_s + expected_s > min(held.start_s for held in self.reservations):
             return
         self.reserved.lift()
-        spots = self._find_outside_headroom(job)
+        spots = self.headroom.find_outside(job)
         if spots is None:
             self.unfit_lifted.add(_fit_key(job))
         else:
@@ -326,21 +317,11 @@
         key = _fit_key(job)
         if key in self.unfit:
             return None
-        spots = self._find_outside_headroom(job)
+        spots = self.headroom.find_outside(job)
         if spots is None:
             self.unfit.add(key)
         return spots
 
-    def _find_outside_headroom(self, job: QueuedJob) -> Spots | None:
-        """Find a place; only urgent jobs and those that can wait no longer use the headroom."""
-        if not self.headroom or job.can_wait:
-            return find_spots(self.cell.free, job.shape, job.rule)
-        self.headroom.lift()
-        spots = find_spots(self.cell.free, job.shape, job.rule)
-        if spots is None:
-            self._hold_headroom()
-        return spots
-
     def _has_room(self, spots: Spots, shape: GangShape) -> bool:
         workers = [worker for worker, _ in spots]
         return all(
@@ -365,7 +346,7 @@
         self.cell.start(running)
         self._record(running)
         if not job.urgent:
-            self._hold_headroom()
+            self.headroom.hold()
 
     def _record(self, running: RunningJob) -> None:
         job_id = running.job.job_id
--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -10,7 +10,7 @@
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob
 from chicorycrank.policy.placement import PlacementRule, cheapest_spots, find_spots, open_masks
-from chicorycrank.policy.pool import Spot, Spots
+from chicorycrank.policy.pool import Spot, Spots, members_that_fit
 
 VICTIMS_TRIED = 64  # bounds the search at any number of workers
 RACKS_TRIED = 24
@@ -131,10 +131,8 @@
     if rule.workers is not None and worker not in rule.workers:
         return 0
     _, cores, memory_gb = cell.homes.full_by_worker[worker]
-    room = min(shape.members, rule.max_members or shape.members)
-    if shape.cores:
-        room = min(room, cores // shape.cores)
-    return min(room, memory_gb // shape.memory_gb) if shape.memory_gb else room
+    room = members_that_fit(shape, cores, memory_gb)
+    return min(room, rule.max_members) if rule.max_members else room
 
 
 def _candidates(cell: Cell, shape: GangShape, rule: PlacementRule, now_s: float) -> Iterable[Spots]:
--- a/src/chicorycrank/policy/pool.py
+++ b/src/chicorycrank/policy/pool.py
@@ -13,6 +13,16 @@
 RACKS_TRIED = 16  # bounds the search for the rack with the fewest whole pieces
 
 
+def members_that_fit(shape: GangShape, cores: int, memory_gb: int) -> int:
+    """Return how many members of a gang some cores and memory allow."""
+    room = shape.members
+    if shape.cores:
+        room = min(room, cores // shape.cores)
+    if shape.memory_gb:
+        room = min(room, memory_gb // shape.memory_gb)
+    return room
+
+
 class Pool:
     """Masks, cores and memory by worker, with counts per rack.
 
@@ -86,12 +96,7 @@
 
     def room(self, worker: TargetId, shape: GangShape) -> int:
         """Return how many members the cores and memory of a worker allow."""
-        room = shape.members
-        if shape.cores:
-            room = min(room, self.cores[worker] // shape.cores)
-        if shape.memory_gb:
-            room = min(room, self.memory_gb[worker] // shape.memory_gb)
-        return room
+        return members_that_fit(shape, self.cores[worker], self.memory_gb[worker])
 
     def pick(self, mask: int) -> Iterable[TargetId]:
         """Return workers with a mask, those in racks with few whole pieces first."""
