--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -10,7 +10,7 @@
 from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
 from chicorycrank.batch.leases import AUTHORITY_S, executor_lease_s
 from chicorycrank.batch.metrics import REPORTS_WRITTEN
-from chicorycrank.batch.pacing import Pace, Pacer
+from chicorycrank.batch.pacing import Pacer
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.run_driver import RunDriver, Standing
@@ -256,26 +256,7 @@
             self._driver.drive()
             paces = self._pacer.update(list(self.table.runs_by_task.values()), sent_at)
         for pace in paces:
-            self._set_pace(pace)
-
-    def _set_pace(self, pace: Pace) -> None:
-        """Change the pace of a filling task; a call that fails is made again after the next look.
-
-        :raises ExecutorUnreachableError: the executor did not answer
-        """
-        item = pace.run.assignment
-        accepted = self._executor.pace(
-            item.task, item.run, pace.percent, self.report.fence, pace.run.incarnation
-        )
-        logger.info(
-            "event=pace task=%s run=%d percent=%d accepted=%s",
-            item.task,
-            item.run,
-            pace.percent,
-            accepted,
-        )
-        if accepted:
-            self._pacer.note(pace)
+            self._pacer.send(pace, self._executor, self.report.fence)
 
     def _note_silence(self, error: ExecutorUnreachableError | OtherIncarnationError) -> None:
         """Report the executor as gone once nothing can be running there any more."""
--- a/src/chicorycrank/batch/interruptions.py
+++ b/src/chicorycrank/batch/interruptions.py
@@ -1,6 +1,7 @@
 """Which running work is better stopped and continued on another worker."""
 
-from chicorycrank.model.batch import Step, Unit
+from chicorycrank.model.batch import Step, Unit, WorkerReport, WorkerState
+from chicorycrank.model.ids import TaskId
 
 # Executors go on for a little longer than they say when they drain.
 DRAIN_MARGIN_S = 2.0
@@ -8,6 +9,20 @@
 RESTART_PERCENT = 25
 
 
+def reason_to_stop(step: Step, unit: Unit, task: TaskId, report: WorkerReport, now_ms: int) -> str:
+    """Return why a unit is better stopped for what its worker reports, or an empty text.
+
+    :param task: the task of the unit on this worker
+    """
+    percent = report.suspects.get(task)
+    if percent is not None and is_worth_moving(step, percent):
+        return "no progress"
+    is_draining = report.state is WorkerState.DRAINING
+    if is_draining and not fits_in(step, unit, now_ms, report.remaining_ms):
+        return "the worker drains"
+    return ""
+
+
 def fits_in(step: Step, unit: Unit, now_ms: int, remaining_ms: int) -> bool:
     """Whether a unit is expected to end before its draining executor does.
 
--- a/src/chicorycrank/batch/pacing.py
+++ b/src/chicorycrank/batch/pacing.py
@@ -1,10 +1,12 @@
 """Slows tasks that fill an executor while they disturb tasks that serve users."""
 
+import logging
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from chicorycrank.batch.runs import Run
 from chicorycrank.model.ids import TaskId
+from chicorycrank.ports.executor import BatchExecutor
 
 # The latency that executors report covers the last half second, so a change shows after it.
 SETTLE_S = 0.6
@@ -16,6 +18,8 @@
 LEAST_PERCENT = 10
 FULL_PERCENT = 100
 
+logger = logging.getLogger("absl")
+
 
 @dataclass(frozen=True, slots=True)
 class Pace:
@@ -65,6 +69,23 @@
         self._percent_by_run = known
         return [Pace(run, self.percent) for key, run in keys.items() if known[key] != self.percent]
 
+    def send(self, pace: Pace, executor: BatchExecutor, fence: int) -> None:
+        """Change the pace of a task; a refused call is made again after the next look.
+
+        :raises ExecutorUnreachableError: the executor did not answer
+        """
+        item, incarnation = pace.run.assignment, pace.run.incarnation
+        accepted = executor.pace(item.task, item.run, pace.percent, fence, incarnation)
+        logger.info(
+            "event=pace task=%s run=%d percent=%d accepted=%s",
+            item.task,
+            item.run,
+            pace.percent,
+            accepted,
+        )
+        if accepted:
+            self.note(pace)
+
     def note(self, pace: Pace) -> None:
         """Note that an executor has accepted a pace."""
         item = pace.run.assignment
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -7,7 +7,7 @@
 import logging
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
-from chicorycrank.batch.interruptions import fits_in, is_worth_moving
+from chicorycrank.batch.interruptions import reason_to_stop
 from chicorycrank.batch.metrics import (
     JOBS_ENDED,
     TASKS_ENDED,
@@ -392,12 +392,6 @@
         """Stop work that would not end, or not in time, on this worker."""
         for task, run in list(self.runs_by_worker.get(worker, {}).items()):
             step, unit = self.step_of(run.ref), self._unit(run.ref)
-            if unit.state is not UnitState.ASSIGNED:
-                continue
-            percent = report.suspects.get(task)
-            if percent is not None and is_worth_moving(step, percent):
-                self.stop(run.ref, "no progress")
-            elif report.state is ExecutorState.DRAINING and not fits_in(
-                step, unit, self.now_ms, report.remaining_ms
-            ):
-                self.stop(run.ref, "the worker drains")
+            reason = reason_to_stop(step, unit, task, report, self.now_ms)
+            if reason:
+                self.stop(run.ref, reason)
