Let the reservation of a waiting urgent gang keep its place

Cause: an urgent gang that may destroy no more work reserved the workers that are free soonest anew in each pass. Headroom is ruled out as the cause: the log of the decisions shows urgent gangs without a place while empty workers are filled by jobs without slack.

--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -52,7 +52,8 @@
         self.stopped: list[RunningJob] = []
         self.held = Holds(cell.free)
         self.held_reclaimable = Holds(cell.reclaimable)
-        self.urgent_reservations = 0
+        self.urgent_reservations: list[Reservation] = []
+        self.urgent_reservations_tried = 0
         self.waiting_for_evictions: set[JobId] = set()
         self.claimed: dict[TargetId, int] = {}
         self.reservations: list[Reservation] = []
@@ -92,8 +93,9 @@
         if self._is_full():
             unseen = {job.job_id for job in queue if not self._is_done(job)}
             self.cell.evicted_for |= before & unseen
-        if self.reservations or not self._is_full():
-            self.cell.reservations_by_id = {held.job_id: held for held in self.reservations}
+        reservations = [*self.urgent_reservations, *self.reservations]
+        if reservations or not self._is_full():
+            self.cell.reservations_by_id = {held.job_id: held for held in reservations}
 
     def _is_full(self) -> bool:
         return len(self.decisions) >= MAX_DECISIONS
@@ -223,11 +225,12 @@
 
     def _reserve_urgent(self, job: QueuedJob) -> None:
         """Keep the accelerators that are free soonest from jobs that are not urgent."""
-        self.urgent_reservations += 1
-        if self.urgent_reservations > RESERVATIONS_TRIED:
+        self.urgent_reservations_tried += 1
+        if self.urgent_reservations_tried > RESERVATIONS_TRIED:
             return
         reservation = reserve(self.cell, job, self.now_s)
         if reservation is not None:
+            self.urgent_reservations.append(reservation)
             self.held.add(reservation.spots, job.shape)
 
     def _find_soon(self, job: QueuedJob) -> Spots | None:
