Bound the queue of a decision pass by the equal tasks that it may start

Change: units of a step that are equal for the policy share one queued job; a pass gets at most as many of them as it may start. Waiting units and quotas are collected once a plan.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -172,17 +172,18 @@
         """Start and stop units; :attr:`changes` collects the changed records."""
         self.workers.update_all_availability()
         self.cell.headroom = self.job_builder.headroom_workers(self)
+        self.cell.jobs_within_quota = self.job_builder.units_within_quota(self)
+        # A unit that a pass stops waits again only after its runs have ended, in a later plan.
+        waiting = dict.fromkeys(self._waiting_units())
         for _ in range(MAX_DECISION_PASSES):
-            refs = list(self._waiting_units())
-            queue = [self.job_builder.make_queued_job(self, ref) for ref in refs]
-            self.cell.jobs_within_quota = self.job_builder.units_within_quota(self)
-            decisions = decide(
-                self.cell, self.job_builder.limit_to_one_per_step(self, queue), self.now_s
-            )
-            refs_by_name = {ref.name: ref for ref in refs}
+            queue = self.job_builder.make_queue(self, waiting)
+            decisions = decide(self.cell, list(queue.values()), self.now_s)
+            refs_by_name = {job.job_id: ref for ref, job in queue.items()}
             has_changed = False
             for decision in decisions:
                 has_changed = self._apply_decision(decision, refs_by_name) or has_changed
+                if isinstance(decision, Start):
+                    del waiting[refs_by_name[decision.job_id]]
             if not has_changed:
                 return
 
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from chicorycrank.batch.units import (
@@ -16,6 +18,7 @@
 from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import QueuedJob
+from chicorycrank.policy.decide import MAX_DECISIONS
 from chicorycrank.policy.headroom import members_by_worker, used_share, workers_needed
 from chicorycrank.policy.placement import PlacementRule
 
@@ -136,23 +139,37 @@
         """Discard the cached values of a job."""
         self._workers_needed_by_job.pop(job_id, None)
 
-    def limit_to_one_per_step(self, planner: Planner, queue: list[QueuedJob]) -> list[QueuedJob]:
-        """Keep one unit of each step that limits its tasks per worker, and all other units.
+    def make_queue(self, planner: Planner, refs: Iterable[UnitRef]) -> dict[UnitRef, QueuedJob]:
+        """Return the waiting units that a decision pass may start, as queued jobs.
 
-        The limit of the dropped units depends on where the first one is placed.
+        Units of a step that have failed on the same workers are equal for the policy but for their
+        name. A pass starts at most ``MAX_DECISIONS`` jobs, so further equal units are left out;
+        the time of a pass then does not grow with the width of the waiting steps.
+
+        Of a step that limits its tasks per worker, one unit is kept: the limit of the others
+        depends on where it is placed.
         """
-        seen_keys: set[str] = set()
-        selected = []
-        for job in queue:
-            job_id, occurrence, number, *_ = job.job_id.split(".")
-            step = planner.jobs_by_id[JobId(job_id)].steps[int(number)]
-            if step.max_per_worker and not step.gang:
-                key = f"{job_id}.{occurrence}.{number}"
-                if key in seen_keys:
+        cell = planner.cell
+        held_names = {*cell.reservations_by_id, *cell.waiting_for_evictions}
+        held_jobs = {name.partition(".")[0] for name in held_names}
+        first_by_class: dict[tuple[JobId, int, int, tuple[TargetId, ...]], QueuedJob] = {}
+        counts: Counter[tuple[JobId, int, int, tuple[TargetId, ...]]] = Counter()
+        queue: dict[UnitRef, QueuedJob] = {}
+        for ref in refs:
+            step = planner.step_of(ref)
+            is_spread = step.max_per_worker > 0 and not step.gang
+            unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
+            failed_on = tuple(unit.failed_on) if unit is not None and not is_spread else ()
+            key = (ref.job_id, ref.occurrence, ref.step, failed_on)
+            counts[key] += 1
+            if counts[key] > (1 if is_spread else MAX_DECISIONS):
+                is_held = ref.job_id in held_jobs and ref.name in held_names
+                if is_spread or not is_held:
                     continue
-                seen_keys.add(key)
-            selected.append(job)
-        return selected
+            if key not in first_by_class:
+                first_by_class[key] = self.make_queued_job(planner, ref)
+            queue[ref] = replace(first_by_class[key], job_id=ref.name)
+        return queue
 
     def _precedence(self, planner: Planner, job: Submission, waited_s: float) -> float:
         """Return the remaining work of a job, discounted by its wait.
