--- a/tests/platform_adapter/test_programs.py
+++ b/tests/platform_adapter/test_programs.py
@@ -2,11 +2,12 @@
 
 import http.client
 import os
+import shutil
 import signal
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 
 import pytest
@@ -20,12 +21,23 @@
 SIGNAL_COUNT = 4000
 SIGNAL_INTERVAL_S = 0.0005
 PROGRAMS = ["batch_entry", "batch_agent"]
+REPOSITORY = Path(__file__).parents[2]
+BUILD_TIMEOUT_S = 300
+INHERITED_ENVIRONMENT = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
 
 
 class Program:
     """A running program whose store and executor refuse connections."""
 
-    def __init__(self, name: str, folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        *,
+        python: str = sys.executable,
+        environment: Mapping[str, str] = INHERITED_ENVIRONMENT,
+        working_folder: Path | None = None,
+    ) -> None:
         self.port = free_port()
         closed_port, metrics_port = free_port(), free_port()
         path = folder / "settings.yaml"
@@ -36,14 +48,10 @@
             f'app: "127.0.0.1:{closed_port}"\nplatform:\n  address: "127.0.0.1:{closed_port}"\n'
             f"bounds:\n  graceS: {GRACE_S}\n"
         )
-        environment = {
-            **os.environ,
-            "PYTHONPATH": os.pathsep.join(sys.path),
-            "CHICORYCRANK_NODE_FILE": str(path),
-        }
         self.process = subprocess.Popen(
-            [sys.executable, "-m", f"chicorycrank.programs.{name}"],
-            env=environment,
+            [python, "-m", f"chicorycrank.programs.{name}"],
+            env={**environment, "CHICORYCRANK_NODE_FILE": str(path)},
+            cwd=working_folder,
             stdout=subprocess.PIPE,
             text=True,
         )
@@ -91,3 +99,67 @@
         time.sleep(SIGNAL_INTERVAL_S)
     program.process.send_signal(signal.SIGTERM)
     assert program.process.wait(timeout=GRACE_S) == 0
+
+
+def build(checkout: Path) -> subprocess.CompletedProcess[str]:
+    """Run the build of the deploy file in a copy of the sources, without inherited variables."""
+    return subprocess.run(
+        ["sh", "deploy/build.sh"],
+        cwd=checkout,
+        env=clean_environment(),
+        capture_output=True,
+        text=True,
+        timeout=BUILD_TIMEOUT_S,
+    )
+
+
+def clean_environment() -> dict[str, str]:
+    return {"PATH": os.environ["PATH"], "HOME": os.environ["HOME"]}
+
+
+@pytest.fixture
+def checkout(tmp_path: Path) -> Path:
+    """Return a copy of the sources that was never built."""
+    ignored = shutil.ignore_patterns("__pycache__")
+    for name in ("deploy", "src"):
+        shutil.copytree(REPOSITORY / name, tmp_path / "checkout" / name, ignore=ignored)
+    return tmp_path / "checkout"
+
+
+def test_the_build_of_a_new_checkout_starts_both_programs(checkout: Path) -> None:
+    """Guards against a build that relies on what an earlier build or a developer has installed."""
+    result = build(checkout)
+    assert result.returncode == 0, result.stderr
+    for name in PROGRAMS:
+        environment = {**clean_environment(), "PYTHONPATH": "target/deps"}
+        program = Program(
+            name,
+            checkout,
+            python="python3",
+            environment=environment,
+            working_folder=checkout,
+        )
+        try:
+            assert program.call("GET", "/-/other") in (404, 503)
+        finally:
+            program.process.kill()
+            program.process.wait()
+
+
+@pytest.mark.parametrize(
+    ("path", "text", "message"),
+    [
+        ("deploy/requirements.txt", "no-such-package==", "were not installed"),
+        ("src/chicorycrank/programs/batch_entry.py", "import no_such_module\n", "be imported"),
+    ],
+    ids=["package", "module"],
+)
+def test_a_failing_build_says_what_failed(
+    checkout: Path, path: str, text: str, message: str
+) -> None:
+    """Guards against a build that succeeds although its programs cannot start."""
+    (checkout / path).write_text(text)
+    for _ in range(2):
+        result = build(checkout)
+        assert result.returncode != 0
+        assert message in result.stderr
