Read a key before it is created, so that a silent store ends in a refusal

Cause: a store that turns a machine away silently is noticed by its watch after up to 2 s. Change: each attempt reads the key first. The read has no effect, so a failed one leads to a true refusal; after an unanswered write it shows whether the write was applied. One expected outcome changes for that reason: a write that was applied and whose answer was lost, followed by refused writes, is now known to be done instead of unknown. Result: tests of a store that stops responding failed before.

--- a/src/chicorycrank/batch/intake.py
+++ b/src/chicorycrank/batch/intake.py
@@ -20,6 +20,8 @@
 )
 
 ATTEMPT_TIMEOUT_S = 0.8
+# A store that is sixty times slower than usual responds in 0.25 s, plus 0.04 s between regions.
+CHECK_TIMEOUT_S = 0.6
 RETRY_DELAY_S = 0.1
 # A write that the store rejects is retried for this long before the caller is asked to retry.
 REFUSED_RETRY_LIMIT_S = 0.5
@@ -113,7 +115,8 @@
         """Create a key unless it exists.
 
         An attempt without a response may still take effect, so ``NOT_DONE`` requires that every
-        attempt certainly had no effect.
+        attempt certainly had no effect. Each write follows a read of the key: a store that stopped
+        responding a moment ago then fails the read, which has no effect.
         """
         started_at = self._clock.monotonic()
         if self._replica.failed_since is not None:
@@ -124,16 +127,28 @@
             if remaining_s <= 0:
                 break
             try:
-                write = Write(expected={key: MISSING}, values={key: value})
-                answer = self._store.commit(write, timeout_s=min(ATTEMPT_TIMEOUT_S, remaining_s))
+                if self._store.read(key, timeout_s=min(CHECK_TIMEOUT_S, remaining_s)) is not None:
+                    return Outcome.DONE
             except StoreUnavailableError as error:
-                may_be_applied = may_be_applied or not error.has_no_effect
+                logger.warning("event=store_check_failed key=%s error=%s", key, error)
             else:
-                if isinstance(answer, Conflict) and key not in answer.items:
-                    logger.warning("event=conflict_without_key key=%s", key)
-                return Outcome.DONE
+                try:
+                    self._write_missing(key, value, min(ATTEMPT_TIMEOUT_S, remaining_s))
+                    return Outcome.DONE
+                except StoreUnavailableError as error:
+                    may_be_applied = may_be_applied or not error.has_no_effect
             waited_s = self._clock.monotonic() - started_at
             if not may_be_applied and waited_s >= REFUSED_RETRY_LIMIT_S:
                 break
             self._delay_event.wait(RETRY_DELAY_S)
         return Outcome.UNKNOWN if may_be_applied else Outcome.NOT_DONE
+
+    def _write_missing(self, key: str, value: bytes, timeout_s: float) -> None:
+        """Write a key unless it exists.
+
+        :raises StoreUnavailableError: the store did not respond
+        """
+        write = Write(expected={key: MISSING}, values={key: value})
+        answer = self._store.commit(write, timeout_s=timeout_s)
+        if isinstance(answer, Conflict) and key not in answer.items:
+            logger.warning("event=conflict_without_key key=%s", key)
--- a/src/chicorycrank/platform/store.py
+++ b/src/chicorycrank/platform/store.py
@@ -8,6 +8,7 @@
 from chicorycrank.batch.metrics import STORE_CALLS, STORE_SECONDS
 from chicorycrank.platform.client import Answer, NoAnswerError, PlatformClient
 from chicorycrank.ports.transactions import (
+    CALL_TIMEOUT_S,
     Changes,
     Committed,
     Conflict,
@@ -20,7 +21,6 @@
     Write,
 )
 
-CALL_TIMEOUT_S = 1.0
 # Time for a slow response of the store after the wait of a watch has ended.
 WATCH_TIMEOUT_MARGIN_S = 1.0
 # Statuses with which the store refuses a call; the call had no effect.
@@ -41,10 +41,15 @@
         if address != self._client.address:
             self._client = PlatformClient(address)
 
-    def read(self, key: str) -> Item | None:
+    def read(self, key: str, *, timeout_s: float = CALL_TIMEOUT_S) -> Item | None:
         """Return the item of a key, or None if the key does not exist."""
         answer = self._call(
-            "read", "GET", "/-/kv-key", fields={"key": key}, expected_statuses={404}
+            "read",
+            "GET",
+            "/-/kv-key",
+            fields={"key": key},
+            expected_statuses={404},
+            timeout_s=timeout_s,
         )
         return None if answer.status == 404 else _decode_item(answer.body)
 
--- a/src/chicorycrank/ports/transactions.py
+++ b/src/chicorycrank/ports/transactions.py
@@ -9,6 +9,7 @@
 
 NO_LEASE = Lease(0)
 MISSING = Revision(0)
+CALL_TIMEOUT_S = 1.0
 
 
 class StoreUnavailableError(Exception):
@@ -86,8 +87,11 @@
     :raises StoreUnavailableError: from every method
     """
 
-    def read(self, key: str) -> Item | None:
-        """Return the item of a key, or None if the key does not exist."""
+    def read(self, key: str, *, timeout_s: float = CALL_TIMEOUT_S) -> Item | None:
+        """Return the item of a key, or None if the key does not exist.
+
+        :param timeout_s: longest wait for the response in seconds
+        """
 
     def read_all(self, prefix: str) -> Changes:
         """Return all items under a prefix.
