--- a/src/chicorycrank/batch/keys.py
+++ b/src/chicorycrank/batch/keys.py
@@ -24,7 +24,6 @@
 PRESENCE_PREFIX = f"{REPORTS_PREFIX}present/"
 ORDERS_PREFIX = "order/"
 PROGRESS_PREFIX = "progress/"
-LAST_WRITE_KEY = "leader/last-write"
 
 Value = TypeVar("Value")
 ENCODER = msgspec.json.Encoder()
@@ -33,9 +32,6 @@
 class LeaderRecord(Struct, frozen=True, kw_only=True):
     """Record of the entry that holds the leader role.
 
-    It is stored under two keys. :data:`LEADER_KEY` changes with the holder of the role and is
-    watched by all entries; :data:`LAST_WRITE_KEY` changes with each write and is not watched.
-
     :param term: random identifier of the term
     :param writes: number of writes in the term; shows whether an unanswered write was applied
     """
--- a/src/chicorycrank/batch/role.py
+++ b/src/chicorycrank/batch/role.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chicorycrank.batch.keys import LAST_WRITE_KEY, LEADER_KEY, LeaderRecord, decode, encode
+from chicorycrank.batch.keys import LEADER_KEY, LeaderRecord, decode, encode
 from chicorycrank.model.ids import EntryId
 from chicorycrank.ports.transactions import (
     MISSING,
@@ -33,16 +33,15 @@
 class LeaderRole:
     """Leader role of an entry, which makes each write conditional on the leader record.
 
-    Each write replaces the record of the last write, so the writes of a term take effect in order
-    and at most once, including those that the store applies late.
+    Each write replaces the record, so the writes of a term take effect in order and at most once,
+    including those that the store applies late.
     """
 
     def __init__(self, store: TransactionalStore, entry: EntryId) -> None:
         self._store = store
         self._lease = Lease(0)
         self._record = LeaderRecord(entry=entry, term="")
-        self._role_revision = MISSING
-        self._last_write_revision = MISSING
+        self._revision = MISSING
 
     @property
     def entry(self) -> EntryId:
@@ -58,20 +57,8 @@
         self._lease = self._store.grant(ROLE_LEASE_S)
         entry = self._record.entry
         self._record = LeaderRecord(entry=entry, term=secrets.token_hex(4))
-        record = encode(self._record)
-        write = Write(
-            expected={LEADER_KEY: replaced_revision},
-            values={LEADER_KEY: record, LAST_WRITE_KEY: record},
-            leases={LEADER_KEY: self._lease, LAST_WRITE_KEY: self._lease},
-        )
-        try:
-            answer = self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S)
-        except LeaseEndedError:
-            return False
-        if isinstance(answer, Conflict):
-            return False
-        self._role_revision = self._last_write_revision = answer.revision
-        return True
+        self._revision = replaced_revision
+        return self._commit({}, ()) is not None
 
     def renew(self) -> bool:
         """Renew the lease of the role; return false if it has expired."""
@@ -93,46 +80,48 @@
         :raises RoleLostError: the entry does not hold the role any more
         :raises StoreUnavailableError: the store did not respond; call again with the same values
         """
+        before = self._revision
+        revision = self._commit(values, deletes, expected)
+        if revision is None:
+            raise RoleLostError("another writer replaced the leader record")
+        return revision != before
+
+    def _commit(
+        self,
+        values: dict[str, bytes],
+        deletes: Sequence[str],
+        expected: Mapping[str, Revision] = NO_CONDITIONS,
+    ) -> Revision | None:
+        """Return the revision of the leader record, or None if it is not the one of this role."""
         record = msgspec.structs.replace(self._record, writes=self._record.writes + 1)
         write = Write(
-            expected={
-                LEADER_KEY: self._role_revision,
-                LAST_WRITE_KEY: self._last_write_revision,
-                **expected,
-            },
-            values={LAST_WRITE_KEY: encode(record), **values},
-            leases={LAST_WRITE_KEY: self._lease},
+            expected={LEADER_KEY: self._revision, **expected},
+            values={LEADER_KEY: encode(record), **values},
+            leases={LEADER_KEY: self._lease},
             deletes=deletes,
         )
         try:
             answer = self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S)
-        except LeaseEndedError as error:
-            raise RoleLostError("the lease of the role has expired") from error
+        except LeaseEndedError:
+            return None
         if expected and self._failed_on_other_key(answer):
-            return False
+            return self._revision
         revision = _revision_of(answer, record)
-        if revision is None:
-            raise RoleLostError("another writer replaced the leader record")
-        self._record, self._last_write_revision = record, revision
-        return True
+        if revision is not None:
+            self._record, self._revision = record, revision
+        return revision
 
     def _failed_on_other_key(self, answer: Committed | Conflict) -> bool:
-        """Return whether a write failed on a condition other than the records of the role."""
-        if not isinstance(answer, Conflict):
-            return False
-        expected = {
-            LEADER_KEY: self._role_revision,
-            LAST_WRITE_KEY: self._last_write_revision,
-        }
-        found = {key: answer.items[key].revision for key in expected if key in answer.items}
-        return found == expected
+        """Return whether a write failed on a condition other than the leader record."""
+        item = answer.items.get(LEADER_KEY) if isinstance(answer, Conflict) else None
+        return item is not None and item.revision == self._revision
 
 
 def _revision_of(answer: Committed | Conflict, record: LeaderRecord) -> Revision | None:
     """Return the revision of a write applied now or by an earlier attempt, otherwise None."""
     if isinstance(answer, Committed):
         return answer.revision
-    item = answer.items.get(LAST_WRITE_KEY)
+    item = answer.items.get(LEADER_KEY)
     if item is None or not item.value:
         return None
     try:
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -53,9 +53,9 @@
 PLAN_BATCHING_DELAY_S = 0.02
 IDLE_WAIT_S = 0.5
 COMMIT_RETRY_S = 0.1
-# The store accepts 32 keys and conditions per write. The record of the last write and the two
-# conditions of the leader role take one each; one is kept free.
-MAX_KEYS_PER_WRITE = 28
+# The store accepts 32 keys and conditions per write. The leader record and its condition take one
+# each; one is kept free.
+MAX_KEYS_PER_WRITE = 29
 REPORT_WATCH_TIMEOUT_S = 5.0
 # Time for which the state of a job is kept beyond ``ended_job_retention_s``.
 STATUS_RETENTION_MARGIN_S = 30.0
@@ -164,7 +164,6 @@
         """
         planner = self._planner
         progress_by_id = self._read_progress()
-        self._read_missing_jobs(progress_by_id.keys())
         self._set_time()
         with self._view.lock:
             self._view.pop_changed_keys()
@@ -205,25 +204,6 @@
                     for item in items
                 }
 
-    def _read_missing_jobs(self, job_ids: Iterable[JobId]) -> None:
-        """Read the submissions that the view lacks, so that the runs of their jobs are known.
-
-        :raises RoleLostError: the role is lost, or the process stops, before the store responds
-        """
-        with self._view.lock:
-            missing = [job_id for job_id in job_ids if job_id not in self._view.jobs_by_id]
-        while missing:
-            self._raise_if_ended()
-            try:
-                item = self._store.read(job_key(missing[-1]))
-            except StoreUnavailableError as error:
-                logger.warning("event=progress_read_failed error=%s", error)
-                self._stop.wait(COMMIT_RETRY_S)
-            else:
-                missing.pop()
-                if item is not None:
-                    self._view.apply([item])
-
     def _changed_state(self, job_id: JobId) -> StateRecord | None:
         """Return the state of a job if its record in the store has to be written."""
         record = StateRecord(state_of(self._planner.progress_by_id[job_id]))
