Restore the quarantine of workers after a takeover

Change: a new leader counts the failures that the progress of unfinished units records. Result: the test failed before.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -115,6 +115,7 @@
                 self._restore_allocation(parse_unit_key(job.job_id, key), unit)
         if progress.state not in FINAL_BATCH_STATES:
             self.active_jobs[job.job_id] = None
+            self._restore_failures(job.job_id, progress)
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove a job that has ended and has no running units."""
@@ -336,6 +337,15 @@
             )
         )
 
+    def _restore_failures(self, job_id: JobId, progress: Progress) -> None:
+        """Count the recorded failures of unfinished units, so that a takeover ends no quarantine.
+
+        A worker that has recovered meanwhile is probed again after the shortest delay.
+        """
+        for unit in progress.units.values():
+            for worker in unit.failed_on if unit.state is not UnitState.DONE else ():
+                self.workers.quarantine.record_failure(worker, job_id, "failed in an earlier term")
+
     def _end_lost_run(self, worker: TargetId, task: TaskId, member: Member) -> None:
         unit = self._unit(member.ref)
         logger.warning(
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -16,6 +16,7 @@
     Step,
     Submission,
     TaskEnd,
+    Unit,
     UnitState,
     WorkerState,
 )
@@ -283,3 +284,21 @@
     planner.plan()
     unit = progress_of(planner, job).units["0.0.0"]
     assert (unit.run, unit.checkpoint) == (2, "saved")
+
+
+@pytest.mark.parametrize(
+    ("state", "uses_worker"),
+    [(UnitState.WAITING, False), (UnitState.DONE, True)],
+    ids=["unfinished", "done-elsewhere"],
+)
+def test_a_new_leader_avoids_a_worker_on_which_unfinished_units_have_failed(
+    state: UnitState, uses_worker: bool
+) -> None:
+    """Guards against tasks that fail on a quarantined worker again after a takeover."""
+    planner = make_planner()
+    unit = Unit(run=1, failures=1, failed_on=[WORKERS[0]], state=state)
+    progress = Progress(state=BatchState.RUNNING, units={"0.0.0": unit, "0.0.1": unit})
+    planner.add_job(make_job([Step(count=3, accelerators=1)]), progress)
+    for number in range(len(WORKERS)):
+        submit(planner, make_job([WHOLE_WORKER], name=f"{number:016x}"))
+    assert (WORKERS[0] in tasks_by_worker(planner)) is uses_worker
