Log the runs that an executor had when its incarnation ended

Cause: the log of a crash named neither the runs on the executor nor their ages, and an incarnation that ended between two heartbeats left no line. Change: one line for each end of an incarnation, with how it was noticed, and the counter chicorycrank_executors_ended_total by the same word. executor_exited is now executor_ended with how=exited.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -3,13 +3,14 @@
 import logging
 import threading
 from collections.abc import Sequence
+from enum import Enum
 
 import msgspec
 
 from chicorycrank.batch.executor_clock import ExecutorClock
 from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
-from chicorycrank.batch.metrics import REPORTS_WRITTEN
+from chicorycrank.batch.metrics import EXECUTORS_ENDED, REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pacer
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
@@ -51,6 +52,15 @@
 logger = logging.getLogger("absl")
 
 
+class ExecutorEnd(Enum):
+    """How an agent noticed the end of an incarnation of its executor."""
+
+    EXITED = "exited"  # the executor announced its exit
+    REFUSED = "refused"  # its address refused connections
+    REPLACED = "replaced"  # the heartbeat of a later incarnation arrived
+    UNRESPONSIVE = "unresponsive"  # its lease expired without a response
+
+
 class BatchAgent:
     """Agent of one worker; one lock guards the state that its threads share.
 
@@ -147,6 +157,8 @@
                     self._worker,
                     report.incarnation,
                 )
+                if current.incarnation and current.state is not WorkerState.GONE:
+                    self._record_executor_end(ExecutorEnd.REPLACED)
                 self.table.discard_runs()
                 self._is_registered = False
                 self._executor_clock.reset()
@@ -163,7 +175,7 @@
         """Record that the executor has exited."""
         with self._lock:
             if self.report.executor == executor and self.report.state is not WorkerState.GONE:
-                logger.info("event=executor_exited target=%s executor=%s", self._worker, executor)
+                self._record_executor_end(ExecutorEnd.EXITED)
                 self.report.state = WorkerState.GONE
                 self.table.discard_runs()
                 self._lock.notify_all()
@@ -277,11 +289,30 @@
             is_lost = self._executor_clock.record_failed_call(is_refused=is_refused)
             if is_lost and self.report.state is not WorkerState.GONE:
                 logger.warning("event=executor_lost target=%s error=%s", self._worker, error)
+                self._record_executor_end(
+                    ExecutorEnd.REFUSED if is_refused else ExecutorEnd.UNRESPONSIVE
+                )
                 self.report.state = WorkerState.GONE
                 self._heartbeat_number = -1
                 self.table.discard_runs()
                 self._lock.notify_all()
 
+    def _record_executor_end(self, how: ExecutorEnd) -> None:
+        """Log the end of an incarnation of the executor, with the runs that were there."""
+        now_s = self._clock.monotonic()
+        EXECUTORS_ENDED.labels(how.value).inc()
+        logger.warning(
+            "event=executor_ended target=%s incarnation=%s how=%s state=%s runs=%s",
+            self._worker,
+            self.report.incarnation,
+            how.value,
+            self.report.state.name.lower(),
+            ",".join(
+                f"{task}/{run.assignment.run}/{run.age_s(now_s):.1f}s"
+                for task, run in sorted(self.table.runs_by_task.items())
+            ),
+        )
+
     # Reports to the store.
 
     def _report_forever(self) -> None:
--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -25,6 +25,9 @@
 )
 IS_LEADER = Gauge("chicorycrank_is_leader", "1 while this entry has the leader role")
 CONFIG_VERSION = Gauge("chicorycrank_config_version", "Version of the configuration in force")
+EXECUTORS_ENDED = Counter(
+    "chicorycrank_executors_ended", "Ends of incarnations of an agent's executor", ["how"]
+)
 REPORTS_WRITTEN = Counter("chicorycrank_reports_written", "Reports that an agent has written")
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -129,6 +129,8 @@
             return True
         if context.deadline_ms is None:
             return False
+        if run.first_called_at is None:
+            run.first_called_at = self._clock.monotonic()
         answer = self._executor.start(
             StartOrder(
                 task=assignment.task,
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -31,6 +31,7 @@
     :param is_accepted: stored as accepted, so it may have started and the leader waits for its end
     :param is_call_active: a call for the run is active or submitted
     :param unresolved_starts: start calls without a final answer; each may still take effect
+    :param first_called_at: monotonic time of the first start call; None before it
     :param started_at: monotonic time of the answer to the start call
     :param starts_rejected_since: monotonic time of the answer that the executor has accepted the
         stop of the run, or that its start is outdated; the executor does not start the run after
@@ -47,6 +48,7 @@
     is_accepted: bool = False
     is_call_active: bool = False
     unresolved_starts: int = 0
+    first_called_at: float | None = None
     started_at: float | None = None
     starts_rejected_since: float | None = None
     rejection_reason: str = ""
@@ -62,6 +64,10 @@
             return False
         return self.should_stop or (self.started_at is None and self.is_accepted)
 
+    def age_s(self, now_s: float) -> float:
+        """Return the time since the first start call in seconds; 0 before it."""
+        return 0.0 if self.first_called_at is None else max(0.0, now_s - self.first_called_at)
+
 
 class RunTable:
     """Runs of one incarnation of an executor, and the ends to report.
@@ -235,6 +241,9 @@
                 run.checkpoint = running_task.checkpoint or run.checkpoint
                 run.load = running_task.load
                 run.is_accepted = True
+                if run.first_called_at is None:
+                    # An earlier agent process has started it.
+                    run.first_called_at = now_s
                 if running_task.percent != run.percent:
                     run.percent, run.progressed_at = running_task.percent, now_s
             elif run is None:
@@ -251,6 +260,7 @@
                     incarnation=incarnation,
                     should_stop=assignment is None or assignment.stop,
                     is_accepted=True,
+                    first_called_at=now_s,
                     started_at=0.0,
                 )
 
