--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -315,13 +315,14 @@
     name: str = "aaaaaaaaaaaaaaaa",
     queue: Queue | None = None,
     team: TeamId = RED,
+    payload: str = "text",
     **changes: int,
 ) -> Submission:
     return Submission(
         job_id=JobId(name),
         queue=queue or make_queue(),
         team=team,
-        payload="text",
+        payload=payload,
         steps=tuple(steps),
         submitted_at_ms=0,
         **changes,
