Start nothing on a worker that has shrunk until its runs fit

Callers saw nothing yet; an executor that does not enforce its limits would have run more than its capacity. Cause: the pool of free accelerators is a bit mask. When a worker reported fewer accelerators, runs with numbers above the new capacity took nothing from the mask, and their end added accelerators that the worker no longer has. Change: runs are renumbered when the capacity changes, so that they use the lowest numbers; a pool never frees numbers above the capacity. The same happens after a takeover, where runs are restored before the capacity is known. Cores and memory were counted correctly before.

--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -1,5 +1,6 @@
 """Workers as reported by their agents, and their availability for new work."""
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -21,6 +22,9 @@
 WITHDRAWAL_BACKOFF_S = 1.5
 
 
+logger = logging.getLogger("absl")
+
+
 @dataclass(kw_only=True)
 class Worker:
     """Worker as reported by its agent.
@@ -121,7 +125,16 @@
         old = self._cell.workers_by_id.get(worker)
         if old is None or _capacity(old) != _capacity(worker_state):
             self._cell.set_worker(worker_state)
+            self._cell.renumber_accelerators(worker)
             self._on_change()
+            if old is not None:
+                logger.info(
+                    "event=capacity_changed target=%s accelerators=%d cores=%d memory_mb=%d",
+                    worker,
+                    worker_state.accelerators,
+                    worker_state.cores,
+                    worker_state.memory_gb,
+                )
         self._update_availability(worker)
 
     def _update_availability(self, worker: TargetId) -> None:
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -9,7 +9,7 @@
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
 from chicorycrank.policy.estimates import RunTimeEstimates
 from chicorycrank.policy.guarantees import GuaranteePlacements
-from chicorycrank.policy.packing import blocks
+from chicorycrank.policy.packing import blocks, lowest_bits
 from chicorycrank.policy.placement import ANY_WORKER, PlacementRule, placement_of, worker_masks_of
 from chicorycrank.policy.pool import Pool, WorkerMasks
 
@@ -318,7 +318,9 @@
         """Renumber the accelerators of a worker so that the free ones form the largest blocks.
 
         This is only valid for cells whose workers allocate accelerators by count: there the numbers
-        have no meaning outside of the cell. Running jobs stay on their workers.
+        have no meaning outside of the cell. Running jobs stay on their workers. If they use more
+        accelerators than the worker has, because its capacity has shrunk, none is free; the
+        missing ones get numbers above the capacity.
         """
         if worker not in self.workers_by_id or worker not in self.masks_by_worker:
             return
@@ -332,19 +334,20 @@
             ),
             reverse=True,
         )
-        free = (1 << self.workers_by_id[worker].accelerators) - 1
+        accelerators = self.workers_by_id[worker].accelerators
+        used = sum(size for size, _, _ in members)
+        free = (1 << max(accelerators, used)) - 1
         new_mask_by_index_by_job: dict[JobId, dict[int, int]] = {}
         for size, job_id, index in members:
-            candidates = blocks(free, size)
-            if not candidates:
-                return
-            free &= ~candidates[0]
-            new_mask_by_index_by_job.setdefault(job_id, {})[index] = candidates[0]
+            # Aligned blocks may be missing if the capacity has changed under the running jobs.
+            mask = next(iter(blocks(free, size)), None) or lowest_bits(free, size)
+            free &= ~mask
+            new_mask_by_index_by_job.setdefault(job_id, {})[index] = mask
         self._update_pools(worker, jobs, -1)
         for job_id, masks in new_mask_by_index_by_job.items():
             worker_masks = tuple(
-                (name, masks.get(index, mask))
-                for index, (name, mask) in enumerate(self._worker_masks_by_id[job_id])
+                (name, masks.get(index, old_mask))
+                for index, (name, old_mask) in enumerate(self._worker_masks_by_id[job_id])
             )
             self._worker_masks_by_id[job_id] = worker_masks
             self.masks_by_worker[worker][job_id] = sum(masks.values())
--- a/src/chicorycrank/policy/packing.py
+++ b/src/chicorycrank/policy/packing.py
@@ -40,6 +40,11 @@
     return tuple(block << start for start in starts if mask >> start & block == block)
 
 
+def lowest_bits(mask: int, count: int) -> int:
+    """Return the lowest bits of a bit mask."""
+    return mask_of(numbers_of(mask)[:count])
+
+
 @lru_cache(maxsize=CACHE_SIZE)
 def piece_counts(mask: int) -> tuple[int, ...]:
     """Return how many disjoint pieces of each of ``PIECE_SIZES`` a bit mask contains."""
--- a/src/chicorycrank/policy/pool.py
+++ b/src/chicorycrank/policy/pool.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.masks: dict[TargetId, int] = {}
+        self.capacity_masks: dict[TargetId, int] = {}
         self.cores: dict[TargetId, int] = {}
         self.memory_gb: dict[TargetId, int] = {}
         self.rack_by_worker: dict[TargetId, RackId] = {}
@@ -46,6 +47,7 @@
         if worker in self.masks:
             self.remove(worker)
         self.masks[worker], self.cores[worker], self.memory_gb[worker] = mask, cores, memory_gb
+        self.capacity_masks[worker] = mask
         self.rack_by_worker[worker] = rack
         self.workers_by_rack.setdefault(rack, []).append(worker)
         if rack not in self.piece_counts_by_rack:
@@ -60,6 +62,7 @@
         self._closed.discard(worker)
         rack = self.rack_by_worker.pop(worker)
         del self.masks[worker], self.cores[worker], self.memory_gb[worker]
+        del self.capacity_masks[worker]
         self.workers_by_rack[rack].remove(worker)
         if not self.workers_by_rack[rack]:
             del self.workers_by_rack[rack], self.piece_counts_by_rack[rack]
@@ -89,8 +92,11 @@
         self.memory_gb[worker] -= memory_gb
 
     def release(self, worker: TargetId, mask: int, cores: int = 0, memory_gb: int = 0) -> None:
-        """Release accelerators, cores and memory of a worker."""
-        self._set_mask(worker, self.masks[worker] | mask)
+        """Release accelerators, cores and memory of a worker.
+
+        Accelerators that the worker does not have any more are not added.
+        """
+        self._set_mask(worker, self.masks[worker] | (mask & self.capacity_masks[worker]))
         self.cores[worker] += cores
         self.memory_gb[worker] += memory_gb
 
--- a/tests/batch/test_capacity_changes.py
+++ b/tests/batch/test_capacity_changes.py
@@ -78,6 +78,15 @@
     assert used(planner)[0] == 8
 
 
+def test_runs_of_odd_sizes_leave_nothing_free_on_a_smaller_worker() -> None:
+    """Guards against an accelerator that counts as free because no aligned block fits."""
+    planner = make_planner([WORKER])
+    submit_tasks(planner, "a", Step(count=2, accelerators=3, run_time_s=5.0))
+    set_capacity(planner, accelerators=6)
+    submit_tasks(planner, "b", Step(count=1, accelerators=1, run_time_s=5.0))
+    assert used(planner)[0] == 6
+
+
 def test_a_takeover_of_a_worker_with_more_runs_than_capacity_starts_nothing() -> None:
     """Guards against a new leader that finds room on a worker that shrank under its runs."""
     planner = make_planner([WORKER])
