Refuse a start for which the executor's last capacity has no room

Cause: an order is planned with the capacity that the leader knows. The start may follow seconds later, after calls without an answer, when the executor has shrunk; executors that do not enforce their limits start it all the same. Change: assignments hold the task's accelerators, cores and memory; the agent compares them with the last heartbeat and counts every run that may be there, also one that is being stopped and one that an earlier agent process accepted. A refused start ends as rejected, as a refusal of the executor does. Result: the new cases of tests/batch/test_capacity_changes.py pass.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -97,6 +97,7 @@
             self._lock,
             self._stop,
             get_context=self._call_context,
+            has_room=lambda run: self.table.has_room(run, self.report),
             on_fenced=self._invalidate_registration,
         )
         self.report = WorkerReport()
--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -37,6 +37,9 @@
         long_running=step.long_running,
         fills=step.fills,
         target_latency_s=step.target_latency_s,
+        accelerators=step.accelerators,
+        cores=0 if step.fills else step.cores,
+        memory_mb=step.memory_mb,
     )
 
 
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -50,6 +50,7 @@
     :param lock: guards ``table``; held while ``get_context`` is called
     :param stop: set when the process stops
     :param get_context: returns the current parameters of calls
+    :param has_room: returns whether the executor's capacity fits a run; called with ``lock`` held
     :param on_fenced: called when the executor rejects a call because it has seen a higher fencing
         token
     """
@@ -63,6 +64,7 @@
         stop: threading.Event,
         *,
         get_context: Callable[[], CallContext],
+        has_room: Callable[[Run], bool],
         on_fenced: Callable[[], None],
     ) -> None:
         self._executor = executor
@@ -71,6 +73,7 @@
         self._lock = lock
         self._stop = stop
         self._get_context = get_context
+        self._has_room = has_room
         self._on_fenced = on_fenced
         self._pool = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="order")
 
@@ -129,8 +132,13 @@
             return True
         if context.deadline_ms is None:
             return False
-        if run.first_called_at is None:
-            run.first_called_at = self._clock.monotonic()
+        with self._lock:
+            has_room = run.may_be_present or self._has_room(run)
+            if has_room and run.first_called_at is None:
+                run.first_called_at = self._clock.monotonic()
+        if not has_room:
+            self._reject(run, "the executor lacks free capacity")
+            return True
         answer = self._executor.start(
             StartOrder(
                 task=assignment.task,
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -29,6 +29,7 @@
 
     :param should_stop: the run has to be stopped
     :param is_accepted: stored as accepted, so it may have started and the leader waits for its end
+    :param is_adopted: accepted by an earlier process of the agent, so it may be there already
     :param is_call_active: a call for the run is active or submitted
     :param unresolved_starts: start calls without a final answer; each may still take effect
     :param first_called_at: monotonic time of the first start call; None before it
@@ -46,6 +47,7 @@
     incarnation: Incarnation
     should_stop: bool = False
     is_accepted: bool = False
+    is_adopted: bool = False
     is_call_active: bool = False
     unresolved_starts: int = 0
     first_called_at: float | None = None
@@ -64,6 +66,11 @@
             return False
         return self.should_stop or (self.started_at is None and self.is_accepted)
 
+    @property
+    def may_be_present(self) -> bool:
+        """Whether the executor may have the run."""
+        return self.is_adopted or self.first_called_at is not None
+
     def age_s(self, now_s: float) -> float:
         """Return the time since the first start call in seconds; 0 before it."""
         return 0.0 if self.first_called_at is None else max(0.0, now_s - self.first_called_at)
@@ -113,11 +120,13 @@
         for assignment in order.assignments:
             run = self.runs_by_task.get(assignment.task)
             if run is None and (assignment.task, assignment.run) not in ended:
+                is_accepted = self.accepted.get(assignment.task) == assignment.run
                 self.runs_by_task[assignment.task] = Run(
                     assignment=assignment,
                     incarnation=incarnation,
                     should_stop=assignment.stop,
-                    is_accepted=self.accepted.get(assignment.task) == assignment.run,
+                    is_accepted=is_accepted,
+                    is_adopted=is_accepted,
                 )
             elif run is not None and run.assignment.run == assignment.run:
                 run.should_stop = run.should_stop or assignment.stop
@@ -179,6 +188,23 @@
             run.is_call_active = True
         return runs
 
+    def has_room(self, run: Run, capacity: WorkerReport) -> bool:
+        """Return whether the executor's capacity fits a run beside those that may be there.
+
+        A run may be there from its first start call until its end is known, also while it stops.
+        """
+        present = [
+            other.assignment
+            for other in self.runs_by_task.values()
+            if other is not run and other.may_be_present
+        ]
+        needed = [*present, run.assignment]
+        return (
+            sum(assignment.accelerators for assignment in needed) <= capacity.accelerators
+            and sum(assignment.cores for assignment in needed) <= capacity.cores
+            and sum(assignment.memory_mb for assignment in needed) <= capacity.memory_mb
+        )
+
     def end_run(self, run: Run, kind: EndKind, checkpoint: str, detail: str = "") -> None:
         """Record that a run has ended."""
         assignment = run.assignment
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -235,6 +235,9 @@
     :param fills: the task uses only processor time that other tasks leave idle
     :param target_latency_s: upper bound of the tail latency in seconds if the task serves users,
         otherwise 0
+    :param accelerators: accelerators of the task
+    :param cores: processor share of the task in thousandths of a core; 0 if it fills
+    :param memory_mb: memory of the task in megabytes
     """
 
     task: TaskId
@@ -246,6 +249,9 @@
     long_running: bool = False
     fills: bool = False
     target_latency_s: float = 0.0
+    accelerators: int = 0
+    cores: int = 0
+    memory_mb: int = 0
 
 
 class WorkOrder(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/tests/batch/test_capacity_changes.py
+++ b/tests/batch/test_capacity_changes.py
@@ -1,12 +1,19 @@
 """Capacity of a worker that shrinks and grows while tasks run."""
 
 import pytest
-from tests.batch.fakes import make_job, make_report
+from tests.batch.fakes import FakeExecutor, MemoryStore, make_job, make_report
 from tests.batch.test_planner import WORKERS, end_task, make_planner, submit
+from tests.batch.test_whole_path import wait_until
 
+from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.batch.agent import BatchAgent
+from chicorycrank.batch.keys import encode, order_key, report_key
 from chicorycrank.batch.planner import Planner
-from chicorycrank.model.batch import EndKind, Step, Submission
-from chicorycrank.model.ids import TargetId
+from chicorycrank.batch.runs import Run, RunTable
+from chicorycrank.model.batch import Assignment, EndKind, Step, Submission, WorkOrder
+from chicorycrank.model.ids import Incarnation, TargetId, TaskId
+from chicorycrank.ports.executor import StartOrder
+from chicorycrank.ports.transactions import Write
 
 WORKER = WORKERS[0]
 CAPACITY = {"accelerators": 8, "cores": 64000, "memory_mb": 256000}
@@ -87,6 +94,70 @@
     assert used(planner)[0] == 6
 
 
+@pytest.mark.parametrize(
+    ("capacity", "is_adopted", "expected"),
+    [
+        ({"accelerators": 8}, False, True),
+        ({"accelerators": 7}, False, False),
+        ({"cores": 7999}, False, False),
+        ({"memory_mb": 999}, False, False),
+        ({"accelerators": 4}, True, False),
+    ],
+)
+def test_an_agent_starts_no_run_beyond_the_last_capacity_of_its_executor(
+    capacity: dict[str, int], is_adopted: bool, expected: bool
+) -> None:
+    """Guards against an order that was planned with an earlier capacity, or before a restart."""
+    table = RunTable()
+    for name, is_present in (("a", True), ("b", False)):
+        table.runs_by_task[TaskId(name)] = Run(
+            assignment=Assignment(
+                task=TaskId(name), run=1, accelerators=4, cores=4000, memory_mb=500
+            ),
+            incarnation=Incarnation("i:1"),
+            should_stop=is_present,  # what is being stopped still counts
+            is_adopted=is_present and is_adopted,
+            first_called_at=0.0 if is_present and not is_adopted else None,
+        )
+    report = make_report("i:1", **{**CAPACITY, **capacity})
+    assert table.has_room(table.runs_by_task[TaskId("b")], report) is expected
+
+
+def test_an_agent_adopts_runs_on_an_executor_that_has_shrunk_meanwhile() -> None:
+    """Guards against a running task that is reported as rejected after its agent restarts."""
+    store, executor = MemoryStore(), FakeExecutor()
+    names = ("a.0.0.0", "b.0.0.0")
+    assignments = [Assignment(task=TaskId(n), run=1, accelerators=4) for n in names]
+    for assignment in assignments:
+        executor.runs[assignment.task] = StartOrder(
+            task=assignment.task,
+            run=1,
+            payload="",
+            checkpoint="",
+            ticket="",
+            deadline_ms=0,
+            fence=0,
+            incarnation=executor.incarnation,
+        )
+    order = WorkOrder(incarnation=executor.incarnation, assignments=tuple(assignments))
+    stored = make_report(accepted={TaskId(name): 1 for name in names}, fence=1)
+    values = {order_key(WORKER): encode(order), report_key(WORKER): encode(stored)}
+    store.apply(Write(values=values))
+    agent = BatchAgent(WORKER, store, executor, SystemClock(), max_lease_s=10.0)
+    agent.start()
+    agent.apply_heartbeat(make_report(accelerators=4), number=1, started_at_ms=1, clock_ms=1000)
+    try:
+        wait_until(
+            lambda: (
+                len(agent.table.runs_by_task) == 2
+                and all(run.started_at is not None for run in agent.table.runs_by_task.values())
+            )
+        )
+        assert (sorted(executor.runs), agent.table.ends) == (sorted(names), [])
+    finally:
+        agent.stop()
+
+
 def test_a_takeover_of_a_worker_with_more_runs_than_capacity_starts_nothing() -> None:
     """Guards against a new leader that finds room on a worker that shrank under its runs."""
     planner = make_planner([WORKER])
