--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -160,6 +160,7 @@
                 )
                 if current.incarnation and current.state is not WorkerState.GONE:
                     self._record_executor_end(ExecutorEnd.REPLACED)
+                    self._record_crash()
                 self.table.discard_runs()
                 self._is_registered = False
                 self._executor_clock.reset()
@@ -293,11 +294,21 @@
                 self._record_executor_end(
                     ExecutorEnd.REFUSED if is_refused else ExecutorEnd.UNRESPONSIVE
                 )
+                if is_refused:
+                    self._record_crash()
                 self.report.state = WorkerState.GONE
                 self._heartbeat_number = -1
                 self.table.discard_runs()
                 self._lock.notify_all()
 
+    def _record_crash(self) -> None:
+        """Report the runs of an executor that ended without notice as crashed.
+
+        An executor that drains may end without an announcement.
+        """
+        if self.report.state is WorkerState.READY:
+            self.table.record_crash(self._executor_clock.failed_since or self._clock.monotonic())
+
     def _record_executor_end(self, how: ExecutorEnd) -> None:
         """Log the end of an incarnation of the executor, with the runs that were there."""
         now_s = self._clock.monotonic()
@@ -355,6 +366,7 @@
             suspects=dict(self.table.suspects),
             checkpoints=dict(self.table.checkpoints),
             accepted=self.table.runs_to_accept(),
+            cleared=dict(self.table.cleared),
         )
 
     def _register(self) -> None:
--- /dev/null
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -0,0 +1,363 @@
+"""Units that may have crashed their executors: records, test runs and the verdict on their jobs.
+
+A unit that was on an executor when it crashed keeps a record of the crash until it is cleared: by
+its end as done, or by a later run that lasts longer than it had run at the crash. A unit that had
+only just started, or that saw two crashes, is started as a test: on a worker that gets no other
+start until the unit is cleared, so that a further crash has one explanation.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from chicorycrank.batch.metrics import EXECUTOR_CRASHES
+from chicorycrank.batch.units import UnitRef, parse_unit_key
+from chicorycrank.model.batch import BatchState, Crash, Progress, TaskEnd, Unit
+from chicorycrank.model.ids import Incarnation, JobId, TargetId
+from chicorycrank.policy.crashes import OUTAGE_WINDOW_MS, CrashLedger
+
+if TYPE_CHECKING:
+    from chicorycrank.batch.planner import Planner
+
+# A task crashes its executor when it starts. The time covers the calls of a loaded machine.
+START_WINDOW_MS = 2000
+# A crash this long after the start of a run is not put down to the run.
+MAX_RUN_AGE_MS = 60_000
+# A run is cleared if it lasts this much longer than an earlier run had lasted at the crash.
+CLEARANCE_MARGIN_MS = 2000
+# Crashes attributed to a task after which it is given up.
+MAX_ATTRIBUTED_CRASHES = 2
+# Crashes under one task, whatever explains them, after which it is given up.
+MAX_CRASHES = 5
+# A task under which this many executors have crashed starts on an empty worker if there is one.
+MIN_CRASHES_FOR_EMPTY_WORKER = 3
+
+logger = logging.getLogger("absl")
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashedRun:
+    """Run that was on an executor when it crashed.
+
+    :param member: index of the task in its unit
+    :param age_ms: time in milliseconds from its start until the crash
+    :param is_witnessed: the agent was running at the crash
+    :param is_test: the run was a test
+    """
+
+    ref: UnitRef
+    member: int
+    age_ms: int
+    is_witnessed: bool
+    is_test: bool
+
+
+class CrashTracker:
+    """Crashes of executors under the units of a planner.
+
+    :ivar ledger: explanations of the crashes
+    :ivar tests_by_unit: run numbers of the units that run as a test
+    """
+
+    def __init__(self) -> None:
+        self.ledger = CrashLedger()
+        self.tests_by_unit: dict[JobId, int] = {}
+        self._units_by_job: dict[JobId, dict[str, Unit]] = {}  # units with records of crashes
+        self._crashed_runs: dict[Incarnation, list[CrashedRun]] = {}
+
+    # Records.
+
+    def restore(self, job_id: JobId, progress: Progress) -> None:
+        """Restore the crashes in the record of a job after a takeover."""
+        for key, unit in progress.units.items():
+            for crash in unit.crashes:
+                self._units_by_job.setdefault(job_id, {})[key] = unit
+                self.ledger.record(
+                    crash.incarnation,
+                    crash.worker,
+                    crash.at_ms,
+                    suspects=[job_id],
+                    is_outage=crash.is_outage,
+                )
+            if unit.crashes and unit.places:
+                self.tests_by_unit[parse_unit_key(job_id, key).name] = unit.run
+
+    def add_run(self, incarnation: Incarnation, ref: UnitRef, member: int, end: TaskEnd) -> None:
+        """Add a run to a crash that :meth:`record_crashes` then evaluates."""
+        run = CrashedRun(
+            ref=ref,
+            member=member,
+            age_ms=end.age_ms,
+            is_witnessed=end.is_witnessed,
+            is_test=ref.name in self.tests_by_unit,
+        )
+        self._crashed_runs.setdefault(incarnation, []).append(run)
+
+    def record_crashes(self, planner: Planner, worker: TargetId) -> None:
+        """Record the crashes of a worker's executor whose runs were added."""
+        crashed_runs, self._crashed_runs = self._crashed_runs, {}
+        for incarnation, runs in crashed_runs.items():
+            suspects = self._select_suspects(runs)
+            # Without a witness, the machine may have failed.
+            is_outage = not all(run.is_witnessed for run in runs)
+            self.ledger.record(
+                incarnation,
+                worker,
+                planner.now_ms,
+                present={run.ref.job_id for run in runs},
+                suspects={run.ref.job_id for run in suspects},
+                is_outage=is_outage,
+            )
+            for run in suspects:
+                self._add_crash(planner, incarnation, worker, run, is_outage=is_outage)
+            EXECUTOR_CRASHES.labels("outage" if is_outage else "crash").inc()
+            logger.warning(
+                "event=executor_crashed target=%s incarnation=%s outage=%s runs=%s suspects=%s",
+                worker,
+                incarnation,
+                is_outage,
+                ",".join(f"{run.ref.name}/{run.age_ms}ms" for run in runs),
+                ",".join(sorted({run.ref.name for run in suspects})),
+            )
+
+    def clear(self, planner: Planner, ref: UnitRef, unit: Unit, reason: str) -> None:
+        """Clear a unit of all crashes that it has seen."""
+        self.tests_by_unit.pop(ref.name, None)
+        if not unit.crashes:
+            return
+        for crash in unit.crashes:
+            self._remove_crash(planner, ref, unit, crash)
+        logger.info("event=crash_cleared job=%s unit=%s reason=%s", ref.job_id, ref.key, reason)
+
+    def begin_run(self, planner: Planner, ref: UnitRef, unit: Unit) -> None:
+        """Record the start of a unit, which may be a test."""
+        if self.needs_test(planner, ref, unit):
+            self.tests_by_unit[ref.name] = unit.run
+            logger.info(
+                "event=crash_test_started job=%s unit=%s run=%d probation_ms=%d",
+                ref.job_id,
+                ref.key,
+                unit.run,
+                self.probation_ms(ref, unit),
+            )
+
+    def end_run(self, ref: UnitRef) -> None:
+        """Record the end of a unit's run."""
+        self.tests_by_unit.pop(ref.name, None)
+
+    def discard_job(self, job_id: JobId) -> None:
+        """Discard the tests of an ended job.
+
+        The job stays a possible explanation of the crashes that it has seen.
+        """
+        for name in [name for name in self.tests_by_unit if name.startswith(f"{job_id}.")]:
+            del self.tests_by_unit[name]
+
+    def forget_job(self, job_id: JobId) -> None:
+        """Forget a job whose record is removed."""
+        for unit in self._units_by_job.pop(job_id, {}).values():
+            for crash in unit.crashes:
+                self.ledger.clear(crash.incarnation, job_id)
+
+    def clear_others(self, planner: Planner, job_id: JobId) -> None:
+        """Clear the jobs that only shared executors with the culprit of their crashes."""
+        for incarnation, other in self.ledger.blame(job_id):
+            for key, unit in list(self._units_by_job.get(other, {}).items()):
+                for crash in [c for c in unit.crashes if c.incarnation == incarnation]:
+                    self._remove_crash(planner, parse_unit_key(other, key), unit, crash)
+
+    @staticmethod
+    def _select_suspects(runs: list[CrashedRun]) -> list[CrashedRun]:
+        """Return the job in test if nothing else had just started, otherwise all recent runs."""
+        tested = {run.ref.job_id for run in runs if run.is_test}
+        recent = {run.ref.job_id for run in runs if run.age_ms < START_WINDOW_MS}
+        if len(tested) == 1 and recent <= tested:
+            return [run for run in runs if run.ref.job_id in tested]
+        return [run for run in runs if run.age_ms <= MAX_RUN_AGE_MS]
+
+    def _add_crash(
+        self,
+        planner: Planner,
+        incarnation: Incarnation,
+        worker: TargetId,
+        run: CrashedRun,
+        *,
+        is_outage: bool,
+    ) -> None:
+        unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
+        members: tuple[int, ...] = (run.member,)
+        at_ms = planner.now_ms
+        for crash in unit.crashes:
+            if crash.incarnation == incarnation:
+                members, at_ms = (*crash.members, run.member), crash.at_ms
+        crash = Crash(
+            incarnation=incarnation,
+            worker=worker,
+            at_ms=at_ms,
+            age_ms=run.age_ms,
+            members=members,
+            is_outage=is_outage,
+        )
+        unit.crashes = [c for c in unit.crashes if c.incarnation != incarnation] + [crash]
+        self._units_by_job.setdefault(run.ref.job_id, {})[run.ref.key] = unit
+        planner.changes.jobs.add(run.ref.job_id)
+
+    def _remove_crash(self, planner: Planner, ref: UnitRef, unit: Unit, crash: Crash) -> None:
+        unit.crashes = [other for other in unit.crashes if other != crash]
+        planner.changes.jobs.add(ref.job_id)
+        units = self._units_by_job.get(ref.job_id, {})
+        if not unit.crashes:
+            units.pop(ref.key, None)
+            if not units:
+                self._units_by_job.pop(ref.job_id, None)
+        if not any(
+            other.incarnation == crash.incarnation
+            for other_unit in units.values()
+            for other in other_unit.crashes
+        ):
+            self.ledger.clear(crash.incarnation, ref.job_id)
+
+    # Test runs.
+
+    def needs_test(self, planner: Planner, ref: UnitRef, unit: Unit | None) -> bool:
+        """Return whether the next run of a unit has to be a test."""
+        if ref.job_id not in self._units_by_job:
+            return False
+        crashes = [c for c in unit.crashes if not c.is_outage] if unit is not None else []
+        return (
+            len(crashes) > 1
+            or any(crash.age_ms < START_WINDOW_MS for crash in crashes)
+            or bool(self._attributed_crashes(planner, ref.job_id))
+        )
+
+    def probation_ms(self, ref: UnitRef, unit: Unit) -> int:
+        """Return how long a run has to last until its unit is cleared; 0 for no unit in doubt."""
+        if not unit.crashes and ref.name not in self.tests_by_unit:
+            return 0
+        units = self._units_by_job.get(ref.job_id, {}).values()
+        ages_ms = [crash.age_ms for other in units for crash in other.crashes]
+        return max(ages_ms, default=0) + CLEARANCE_MARGIN_MS
+
+    def testing_workers(self, planner: Planner) -> set[TargetId]:
+        """Return the workers that get no other start, as a test runs there."""
+        workers: set[TargetId] = set()
+        for name in self.tests_by_unit:
+            job_id, _, key = name.partition(".")
+            unit = planner.progress_by_id[JobId(job_id)].units[key]
+            workers.update(place.worker for place in unit.places if place.worker)
+        return workers
+
+    def is_held(self, planner: Planner, ref: UnitRef) -> bool:
+        """Return whether a unit must not start now.
+
+        A job that awaits its verdict starts nothing, and one that probably crashes its executors
+        starts one unit at a time.
+        """
+        if ref.job_id not in self._units_by_job:
+            return False
+        if self._guilty_task(planner, ref.job_id) is not None:
+            return True
+        is_job_in_test = any(name.startswith(f"{ref.job_id}.") for name in self.tests_by_unit)
+        return is_job_in_test and bool(self._attributed_crashes(planner, ref.job_id))
+
+    def select_workers(
+        self, planner: Planner, ref: UnitRef, unit: Unit | None, workers: frozenset[TargetId]
+    ) -> frozenset[TargetId]:
+        """Return the workers on which a unit may start in view of the crashes that it has seen.
+
+        :param workers: suitable workers
+        """
+        if ref.job_id not in self._units_by_job:
+            return workers
+        unit = unit or Unit()
+        step = planner.step_of(ref)
+        needed = step.count if step.gang else 1
+        others = workers - {crash.worker for crash in unit.crashes}
+        candidates = others if len(others) >= needed else workers
+        if not self.needs_test(planner, ref, unit):
+            return candidates
+        candidates -= self.testing_workers(planner)
+        preferred = [candidates - self._workers_with_recent_starts(planner)]
+        if max_crashes_of_a_task(unit) >= MIN_CRASHES_FOR_EMPTY_WORKER:
+            busy = {worker for worker, members in planner.members_by_worker.items() if members}
+            preferred.insert(0, candidates - busy)
+        return next((chosen for chosen in preferred if len(chosen) >= needed), candidates)
+
+    def _workers_with_recent_starts(self, planner: Planner) -> set[TargetId]:
+        since_ms = planner.now_ms - START_WINDOW_MS
+        return {
+            worker
+            for worker, members in planner.members_by_worker.items()
+            for member in members.values()
+            if planner.progress_by_id[member.ref.job_id].units[member.ref.key].started_at_ms
+            > since_ms
+        }
+
+    # Verdict.
+
+    def find_culprits(self, planner: Planner) -> Iterator[tuple[JobId, str]]:
+        """Yield the active jobs that are given up, each with the reason for its callers."""
+        self.ledger.forget(planner.now_ms)
+        for job_id in list(self._units_by_job):
+            if job_id not in planner.active_jobs:
+                continue
+            guilty = self._guilty_task(planner, job_id)
+            if guilty is None:
+                continue
+            name, crashes = guilty
+            newest_ms = max(crash.at_ms for crash in crashes)
+            # Crashes of other workers may still be reported, which would make it an outage.
+            if planner.now_ms - newest_ms >= OUTAGE_WINDOW_MS or len(crashes) >= MAX_CRASHES:
+                workers = ",".join(crash.worker for crash in crashes)
+                yield job_id, f"task {name} crashed {len(crashes)} executors: {workers}"
+
+    def explain_restored(self, planner: Planner) -> None:
+        """Clear the jobs whose crashes are explained by jobs that an earlier leader gave up."""
+        for job_id in list(self._units_by_job):
+            is_failed = planner.progress_by_id[job_id].state is BatchState.FAILED
+            if is_failed and self._guilty_task(planner, job_id) is not None:
+                self.clear_others(planner, job_id)
+
+    def _guilty_task(self, planner: Planner, job_id: JobId) -> tuple[str, Collection[Crash]] | None:
+        """Return a task that is to be given up and the crashes that speak against it."""
+        for key, unit in self._units_by_job.get(job_id, {}).items():
+            ref = parse_unit_key(job_id, key)
+            for member, crashes in crashes_by_member(unit).items():
+                attributed = [c for c in crashes if self._is_attributed(planner, c, job_id)]
+                if len(attributed) >= MAX_ATTRIBUTED_CRASHES:
+                    return _task_name(ref, member), attributed
+                if len(crashes) >= MAX_CRASHES:
+                    return _task_name(ref, member), crashes
+        return None
+
+    def _attributed_crashes(self, planner: Planner, job_id: JobId) -> list[Crash]:
+        return [
+            crash
+            for unit in self._units_by_job.get(job_id, {}).values()
+            for crash in unit.crashes
+            if self._is_attributed(planner, crash, job_id)
+        ]
+
+    def _is_attributed(self, planner: Planner, crash: Crash, job_id: JobId) -> bool:
+        return self.ledger.is_attributed(crash.incarnation, job_id, len(planner.workers.by_id))
+
+
+def crashes_by_member(unit: Unit) -> dict[int, list[Crash]]:
+    """Return the crashes that a unit has seen by the index of its task."""
+    by_member: dict[int, list[Crash]] = {}
+    for crash in unit.crashes:
+        for member in crash.members:
+            by_member.setdefault(member, []).append(crash)
+    return by_member
+
+
+def max_crashes_of_a_task(unit: Unit) -> int:
+    """Return the number of crashes under the unit's task that has seen the most."""
+    return max(map(len, crashes_by_member(unit).values()), default=0)
+
+
+def _task_name(ref: UnitRef, member: int) -> str:
+    return f"{ref.step_key}.{member if ref.index is None else ref.index}"
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -14,6 +14,8 @@
     """Estimate of one executor's clock and of the expiry of its lease.
 
     :param lease_s: lease granted with each call, in seconds
+    :ivar failed_since: monotonic time of the first failed call after the last response; None after
+        a response
     """
 
     def __init__(self, clock: Clock, lease_s: float) -> None:
@@ -23,16 +25,19 @@
         self._read_at = float("-inf")
         self._lease_expires_at = float("inf")
         self._refused_since: float | None = None
+        self.failed_since: float | None = None
 
     def reset(self) -> None:
         """Discard the lease, as a new incarnation of the executor has none."""
         self._lease_expires_at = float("inf")
         self._refused_since = None
+        self.failed_since = None
 
     def record_reading(self, clock_ms: int) -> None:
         """Record the executor's clock from a response."""
         self._clock_ms, self._read_at = clock_ms, self._clock.monotonic()
         self._refused_since = None
+        self.failed_since = None
 
     def deadline_ms(self) -> int | None:
         """Return the end of a new lease on the executor's clock; None if it is unresponsive."""
@@ -49,6 +54,8 @@
         :param is_refused: the executor's address refused the connection
         """
         now_s = self._clock.monotonic()
+        if self.failed_since is None:
+            self.failed_since = now_s
         if not is_refused:
             self._refused_since = None
         elif self._refused_since is None:
--- a/src/chicorycrank/batch/intake.py
+++ b/src/chicorycrank/batch/intake.py
@@ -42,10 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StateAnswer:
-    """State of a job; ``state`` is None unless the outcome is ``DONE``."""
+    """State of a job; ``state`` is None unless the outcome is ``DONE``.
+
+    :param reason: why the job has failed
+    """
 
     outcome: Outcome
     state: BatchState | None = None
+    reason: str = ""
 
 
 class JobIntake:
@@ -100,7 +104,8 @@
         """Return the state of a job; read the store if the local view lacks the job."""
         state = self._view.state_of(job_id)
         if state is not None:
-            return StateAnswer(Outcome.DONE, state)
+            reason = self._view.failure_reason(job_id) if state is BatchState.FAILED else ""
+            return StateAnswer(Outcome.DONE, state, reason)
         try:
             item = self._store.read(job_key(job_id))
         except StoreUnavailableError as error:
--- a/src/chicorycrank/batch/keys.py
+++ b/src/chicorycrank/batch/keys.py
@@ -41,10 +41,14 @@
     writes: int = 0
 
 
-class StateRecord(Struct, frozen=True):
-    """State of a job apart from its cancellation; a job without a record is queued."""
+class StateRecord(Struct, frozen=True, omit_defaults=True):
+    """State of a job apart from its cancellation; a job without a record is queued.
+
+    :param reason: why the job has failed
+    """
 
     state: BatchState
+    reason: str = ""
 
 
 def job_key(job_id: JobId) -> str:
--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -18,6 +18,10 @@
 UNITS_STOPPED = Counter("chicorycrank_units_stopped", "Units stopped before their end", ["cause"])
 TASKS_ENDED = Counter("chicorycrank_tasks_ended", "Ends of runs", ["kind"])
 JOBS_ENDED = Counter("chicorycrank_jobs_ended", "Jobs that ended", ["state"])
+JOBS_FAILED = Counter("chicorycrank_jobs_failed", "Jobs that failed", ["cause"])
+EXECUTOR_CRASHES = Counter(
+    "chicorycrank_executor_crashes", "Crashes of executors that had runs", ["kind"]
+)
 WAIT_SECONDS = Histogram(
     "chicorycrank_job_wait_seconds",
     "Time from acceptance to the first start",
--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -22,7 +22,7 @@
 
 
 def make_assignment(
-    job: Submission, ref: UnitRef, unit: Unit, task: TaskId, ticket: str
+    job: Submission, ref: UnitRef, unit: Unit, task: TaskId, ticket: str, probation_ms: int
 ) -> Assignment:
     """Return the assignment of a task of a unit's current run."""
     step = job.steps[ref.step]
@@ -40,6 +40,7 @@
         accelerators=step.accelerators,
         cores=0 if step.fills else step.cores,
         memory_mb=step.memory_mb,
+        probation_ms=probation_ms,
     )
 
 
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -8,8 +8,10 @@
 import logging
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
+from chicorycrank.batch.crash_tracker import CrashTracker
 from chicorycrank.batch.metrics import (
     JOBS_ENDED,
+    JOBS_FAILED,
     TASKS_ENDED,
     UNITS_STARTED,
     UNITS_STOPPED,
@@ -85,6 +87,7 @@
         self.active_jobs: dict[JobId, None] = {}
         self.cancelled: set[JobId] = set()
         self.workers = WorkerRegistry(self.cell, now_s, job_builder.clear_worker_caches)
+        self.crashes = CrashTracker()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         self.queues_by_id: Mapping[QueueId, Queue] = {}
         self.quota_by_team: dict[TeamId, int] = {}
@@ -110,6 +113,7 @@
             return
         self.jobs_by_id[job.job_id] = job
         self.progress_by_id[job.job_id] = progress = progress or Progress()
+        self.crashes.restore(job.job_id, progress)
         for key, unit in progress.units.items():
             if unit.places:
                 self._restore_allocation(parse_unit_key(job.job_id, key), unit)
@@ -123,6 +127,7 @@
         self.progress_by_id.pop(job_id, None)
         self.active_jobs.pop(job_id, None)
         self.cancelled.discard(job_id)
+        self.crashes.forget_job(job_id)
         self.job_builder.discard_job(job_id)
 
     def cancel(self, job_id: JobId) -> None:
@@ -134,14 +139,21 @@
 
     def apply_report(self, worker: TargetId, report: WorkerReport) -> None:
         """Apply a worker's report and record the task ends that it contains."""
+        replaced = self.workers.replaced_incarnation(worker, report)
         self.workers.apply_report(worker, report)
         for end in report.ends:
-            self.record_end(worker, end)
+            self._record_end(worker, end)
         is_gone = report.state is WorkerState.GONE
         for task, member in list(self.members_by_worker.get(worker, {}).items()):
-            place = self._unit(member.ref).places[member.place_index]
+            unit = self._unit(member.ref)
+            place = unit.places[member.place_index]
             if is_gone or place.incarnation != report.incarnation:
                 self._end_lost_run(worker, task, member)
+            elif report.cleared.get(task) == unit.run:
+                self.crashes.clear(self, member.ref, unit, "has outlasted its probation")
+        self.crashes.record_crashes(self, worker)
+        if replaced is not None:
+            self.crashes.ledger.record(replaced, worker, self.now_ms)
         self._stop_affected_units(worker, report)
         self.workers.update_cell(worker)
 
@@ -159,6 +171,10 @@
         Run numbers of a task are unique, so an end from an earlier incarnation of the executor
         cannot be mistaken for the end of a later run.
         """
+        self._record_end(worker, end)
+        self.crashes.record_crashes(self, worker)
+
+    def _record_end(self, worker: TargetId, end: TaskEnd) -> None:
         member = self.members_by_worker.get(worker, {}).get(end.task)
         if member is None:
             return
@@ -171,22 +187,36 @@
 
     def plan(self) -> None:
         """Start and stop units; :attr:`changes` collects the changed records."""
+        for job_id, reason in self.crashes.find_culprits(self):
+            self._fail_job(job_id, "crashes", reason)
+        self.workers.testing = self.crashes.testing_workers(self)
         self.workers.update_all_availability()
         self.cell.headroom = self.job_builder.headroom_workers(self)
         self.cell.jobs_within_quota = self.job_builder.units_within_quota(self)
         # A unit that a pass stops waits again only after its runs have ended, in a later plan.
-        waiting = dict.fromkeys(self._waiting_units())
+        waiting = dict.fromkeys(
+            ref for ref in self._waiting_units() if not self.crashes.is_held(self, ref)
+        )
+        started_on: set[TargetId] = set()
         for _ in range(MAX_DECISION_PASSES):
             queue = self.job_builder.make_queue(self, waiting)
             decisions = decide(self.cell, list(queue.values()), self.now_s)
             refs_by_name = {job.job_id: ref for ref, job in queue.items()}
             has_changed = False
             for decision in decisions:
-                has_changed = self._apply_decision(decision, refs_by_name) or has_changed
                 if isinstance(decision, Start):
-                    del waiting[refs_by_name[decision.job_id]]
+                    ref = refs_by_name[decision.job_id]
+                    workers = {member.worker for member in decision.placement}
+                    if not self._may_start_on(ref, workers, started_on):
+                        continue
+                    started_on |= workers
+                    del waiting[ref]
+                has_changed = self._apply_decision(decision, refs_by_name) or has_changed
             if not has_changed:
                 return
+            if self.workers.testing != self.crashes.testing_workers(self):
+                self.workers.testing = self.crashes.testing_workers(self)
+                self.workers.update_all_availability()
 
     def next_due_ms(self) -> int | None:
         """Return the Unix time in milliseconds of the next occurrence of a job."""
@@ -213,7 +243,8 @@
             incarnation = unit.places[member.place_index].incarnation
             ticket = self.tickets_by_step.get(member.ref.step_key, {}).get(worker, "")
             job = self.jobs_by_id[member.ref.job_id]
-            assignments.append(make_assignment(job, member.ref, unit, task, ticket))
+            probation_ms = self.crashes.probation_ms(member.ref, unit)
+            assignments.append(make_assignment(job, member.ref, unit, task, ticket, probation_ms))
         return WorkOrder(incarnation=incarnation, assignments=tuple(assignments))
 
     def queue_of(self, job: Submission) -> Queue:
@@ -232,6 +263,15 @@
             if unit is not None and unit.places:
                 yield other, unit
 
+    def _may_start_on(
+        self, ref: UnitRef, workers: set[TargetId], started_on: set[TargetId]
+    ) -> bool:
+        """Return whether no test run and no other start of this plan stands against a start."""
+        if self.crashes.is_held(self, ref) or workers & self.crashes.testing_workers(self):
+            return False
+        unit = self.progress_by_id[ref.job_id].units.get(ref.key)
+        return not (self.crashes.needs_test(self, ref, unit) and workers & started_on)
+
     def _waiting_units(self) -> Iterator[UnitRef]:
         for job_id in self.active_jobs:
             job = self.jobs_by_id[job_id]
@@ -262,6 +302,7 @@
             for member in decision.placement
         ]
         begin_run(unit, places, self.now_ms)
+        self.crashes.begin_run(self, ref, unit)
         progress.state = BatchState.RUNNING
         self.workers.quarantine.record_start(ref.job_id, decision.placement)
         self.cell.start(
@@ -366,6 +407,9 @@
         job = self.jobs_by_id[ref.job_id]
         step = self.step_of(ref)
         was_stopping = unit.state is UnitState.STOPPING
+        if end.kind is EndKind.CRASHED:
+            incarnation = unit.places[member.place_index].incarnation
+            self.crashes.add_run(incarnation, ref, member.place_index, end)
         has_run_ended = record_end(
             unit, member.place_index, end, step, self.queue_of(job).max_attempts
         )
@@ -384,6 +428,10 @@
         )
         TASKS_ENDED.labels(end.kind.name.lower()).inc()
         self.workers.record_end(worker, ref.job_id, end)
+        if unit.state is UnitState.DONE:
+            self.crashes.clear(self, ref, unit, "has ended as done")
+        elif has_run_ended:
+            self.crashes.end_run(ref)
         if unit.state is UnitState.DONE and unit.places:
             # One member that is done completes its gang; the other members are stopped.
             self.changes.workers.update(p.worker for p in unit.places if p != NO_WORKER)
@@ -402,10 +450,16 @@
         if progress.state in FINAL_BATCH_STATES:
             return
         if any(unit.state is UnitState.FAILED for unit in progress.units.values()):
-            self._end_job(job_id, BatchState.FAILED, "a task failed too often")
+            self._fail_job(job_id, "attempts", _failed_attempts(job_id, progress))
         elif is_complete(self.jobs_by_id[job_id], progress):
             self._end_job(job_id, BatchState.COMPLETED, "")
 
+    def _fail_job(self, job_id: JobId, cause: str, reason: str) -> None:
+        JOBS_FAILED.labels(cause).inc()
+        self._end_job(job_id, BatchState.FAILED, reason)
+        if cause == "crashes":
+            self.crashes.clear_others(self, job_id)
+
     def _end_job(self, job_id: JobId, state: BatchState, reason: str) -> None:
         progress = self.progress_by_id[job_id]
         progress.state, progress.reason, progress.ended_at_ms = state, reason, self.now_ms
@@ -416,6 +470,7 @@
                 self.stop_unit(parse_unit_key(job_id, key), state.name.lower())
         JOBS_ENDED.labels(state.name.lower()).inc()
         self.workers.quarantine.discard_job(job_id, is_faulty=state is BatchState.FAILED)
+        self.crashes.discard_job(job_id)
         logger.info("event=job_ended job=%s state=%s reason=%s", job_id, state.name, reason)
 
     # Effects of worker reports.
@@ -427,3 +482,13 @@
             reason = stop_reason(step, unit, task, report, self.now_ms)
             if reason:
                 self.stop_unit(member.ref, reason)
+
+
+def _failed_attempts(job_id: JobId, progress: Progress) -> str:
+    """Return which task, or gang, has failed too often, for the callers of its job."""
+    for key, unit in progress.units.items():
+        if unit.state is UnitState.FAILED:
+            ref = parse_unit_key(job_id, key)
+            workers = ",".join(unit.failed_on)
+            return f"task {ref.name} failed {unit.failures} times, on workers: {workers}"
+    return "a task failed too often"
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -142,9 +142,10 @@
     def make_queue(self, planner: Planner, refs: Iterable[UnitRef]) -> dict[UnitRef, QueuedJob]:
         """Return the waiting units that a decision pass may start, as queued jobs.
 
-        Units of a step that have failed on the same workers are equal for the policy but for their
-        name. A pass starts at most ``MAX_DECISIONS`` jobs, so further equal units are left out;
-        the time of a pass then does not grow with the width of the waiting steps.
+        Units of a step that have failed and seen crashes on the same workers are equal for the
+        policy but for their name. A pass starts at most ``MAX_DECISIONS`` jobs, so further equal
+        units are left out; the time of a pass then does not grow with the width of the waiting
+        steps.
 
         Of a step that limits its tasks per worker, one unit is kept: the limit of the others
         depends on where it is placed.
@@ -159,8 +160,10 @@
             step = planner.step_of(ref)
             is_spread = step.max_per_worker > 0 and not step.gang
             unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
-            failed_on = tuple(unit.failed_on) if unit is not None and not is_spread else ()
-            key = (ref.job_id, ref.occurrence, ref.step, failed_on)
+            avoided: tuple[TargetId, ...] = ()
+            if unit is not None and not is_spread:
+                avoided = (*unit.failed_on, *(crash.worker for crash in unit.crashes))
+            key = (ref.job_id, ref.occurrence, ref.step, avoided)
             counts[key] += 1
             if counts[key] > (1 if is_spread else MAX_DECISIONS):
                 is_held = ref.job_id in held_jobs and ref.name in held_names
@@ -229,6 +232,7 @@
         if unit is not None and unit.failed_on:
             without_failures = workers - set(unit.failed_on)
             workers = without_failures or workers
+        workers = planner.crashes.select_workers(planner, ref, unit, workers)
         if step.max_per_worker and not step.gang:
             counts = Counter(
                 place.worker
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -4,7 +4,14 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from chicorycrank.model.batch import Assignment, EndKind, TaskEnd, WorkerReport, WorkOrder
+from chicorycrank.model.batch import (
+    Assignment,
+    EndKind,
+    TaskEnd,
+    WorkerReport,
+    WorkerState,
+    WorkOrder,
+)
 from chicorycrank.model.ids import Incarnation, TaskId
 from chicorycrank.ports.executor import ExecutorStatus, RunningTask
 
@@ -33,6 +40,7 @@
     :param is_call_active: a call for the run is active or submitted
     :param unresolved_starts: start calls without a final answer; each may still take effect
     :param first_called_at: monotonic time of the first start call; None before it
+    :param listed_at: monotonic time at which the executor first listed the run
     :param started_at: monotonic time of the answer to the start call
     :param starts_rejected_since: monotonic time of the answer that the executor has accepted the
         stop of the run, or that its start is outdated; the executor does not start the run after
@@ -51,6 +59,7 @@
     is_call_active: bool = False
     unresolved_starts: int = 0
     first_called_at: float | None = None
+    listed_at: float | None = None
     started_at: float | None = None
     starts_rejected_since: float | None = None
     rejection_reason: str = ""
@@ -81,6 +90,7 @@
 
     :ivar last_end_number: number of the last end that was read from the executor
     :ivar accepted: number of the run that is stored as accepted, by task
+    :ivar cleared: number of the run that has outlasted its probation, by task
     :ivar suspects: completed percentage by task, for tasks that make no progress
     :ivar checkpoints: run number and checkpoint by task, as reported to the leader
     """
@@ -91,6 +101,7 @@
         self.ends: list[TaskEnd] = []
         self.last_end_number = 0
         self.accepted: dict[TaskId, int] = {}
+        self.cleared: dict[TaskId, int] = {}
         self.suspects: dict[TaskId, int] = {}
         self.checkpoints: dict[TaskId, tuple[int, str]] = {}
         self._checkpoints_reported_at = float("-inf")
@@ -171,12 +182,39 @@
         if is_same_incarnation:
             self.last_end_number = max(self.last_end_number, stored.seen)
             self.accepted = {**stored.accepted, **self.accepted}
+        elif stored.state is WorkerState.READY:
+            self._record_unwitnessed_crash(stored)
+
+    def _record_unwitnessed_crash(self, stored: WorkerReport) -> None:
+        """End the runs of an executor that crashed while the agent was not running."""
+        for task, run in stored.accepted.items():
+            reported_run, checkpoint = stored.checkpoints.get(task, (0, ""))
+            self._add_end(
+                TaskEnd(
+                    task,
+                    run,
+                    EndKind.CRASHED,
+                    checkpoint if reported_run == run else "",
+                    is_witnessed=False,
+                )
+            )
+
+    def record_crash(self, now_s: float) -> None:
+        """End all runs, as the executor that had them has ended without notice.
+
+        :param now_s: monotonic time at which the executor was found to be down
+        """
+        for run in list(self.runs_by_task.values()):
+            kind = EndKind.CRASHED if run.may_be_present else EndKind.LOST
+            age_ms = round(run.age_s(now_s) * 1000) if run.may_be_present else 0
+            self.end_run(run, kind, run.checkpoint, age_ms=age_ms)
 
     def discard_runs(self) -> None:
         """Discard all runs, as the executor that had them has exited or is lost."""
         self.runs_by_task.clear()
         self.suspects.clear()
         self.accepted.clear()
+        self.cleared.clear()
         self.last_end_number = 0
 
     def claim_runs_to_call(self) -> list[Run]:
@@ -205,12 +243,14 @@
             and sum(assignment.memory_mb for assignment in needed) <= capacity.memory_mb
         )
 
-    def end_run(self, run: Run, kind: EndKind, checkpoint: str, detail: str = "") -> None:
+    def end_run(
+        self, run: Run, kind: EndKind, checkpoint: str, detail: str = "", *, age_ms: int = 0
+    ) -> None:
         """Record that a run has ended."""
         assignment = run.assignment
         if self.runs_by_task.get(assignment.task) is run:
             del self.runs_by_task[assignment.task]
-        self._add_end(TaskEnd(assignment.task, assignment.run, kind, checkpoint, detail))
+        self._add_end(TaskEnd(assignment.task, assignment.run, kind, checkpoint, detail, age_ms))
 
     def apply_status(self, status: ExecutorStatus, sent_at: float) -> bool:
         """Apply a status of the executor.
@@ -218,7 +258,7 @@
         :param sent_at: monotonic time at which the status was requested
         :returns: whether there is something new to report
         """
-        before = (len(self.ends), self.suspects, self.checkpoints)
+        before = (len(self.ends), self.suspects, self.checkpoints, self.cleared)
         for numbered in status.ends:
             if numbered.number <= self.last_end_number:
                 continue
@@ -241,7 +281,17 @@
                 for task, run in self.runs_by_task.items()
                 if run.checkpoint
             }
-        return before != (len(self.ends), self.suspects, self.checkpoints)
+        self.cleared = self._find_cleared_runs(sent_at)
+        return before != (len(self.ends), self.suspects, self.checkpoints, self.cleared)
+
+    def _find_cleared_runs(self, now_s: float) -> dict[TaskId, int]:
+        return {
+            task: run.assignment.run
+            for task, run in self.runs_by_task.items()
+            if run.assignment.probation_ms
+            and run.listed_at is not None
+            and (now_s - run.listed_at) * 1000 >= run.assignment.probation_ms
+        }
 
     def _find_stalled_tasks(self, now_s: float) -> dict[TaskId, int]:
         """Return the completed percentage of each task that makes no progress."""
@@ -267,6 +317,8 @@
                 run.checkpoint = running_task.checkpoint or run.checkpoint
                 run.load = running_task.load
                 run.is_accepted = True
+                if run.listed_at is None:
+                    run.listed_at = now_s
                 if run.first_called_at is None:
                     # An earlier agent process has started it.
                     run.first_called_at = now_s
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -37,7 +37,7 @@
 from chicorycrank.batch.units import state_of
 from chicorycrank.batch.view import NOT_STARTED, SharedView
 from chicorycrank.batch.withdrawals import withdraw
-from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
+from chicorycrank.model.batch import FINAL_BATCH_STATES, BatchState, Progress, WorkerReport
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.ports.advice import AdviceService
 from chicorycrank.ports.clock import Clock
@@ -172,6 +172,7 @@
                 progress = progress_by_id.pop(job_id, Progress())
                 if progress is not None:
                     planner.add_job(job, progress)
+            planner.crashes.explain_restored(planner)
             for job_id in self._view.cancelled:
                 planner.cancel(job_id)
             # The previous leader may have written the progress of a job, but not its state.
@@ -206,7 +207,9 @@
 
     def _changed_state(self, job_id: JobId) -> StateRecord | None:
         """Return the state of a job if its record in the store has to be written."""
-        record = StateRecord(state_of(self._planner.progress_by_id[job_id]))
+        progress = self._planner.progress_by_id[job_id]
+        state = state_of(progress)
+        record = StateRecord(state, progress.reason if state is BatchState.FAILED else "")
         written = self._view.state_by_id.get(job_id, NOT_STARTED)
         return None if record == written else record
 
--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -140,6 +140,11 @@
             record = self.state_by_id.get(job_id, NOT_STARTED)
             return visible_state(record.state, is_cancelled=job_id in self.cancelled)
 
+    def failure_reason(self, job_id: JobId) -> str:
+        """Return why a job has failed, or an empty string."""
+        with self.lock:
+            return self.state_by_id.get(job_id, NOT_STARTED).reason
+
     def count_pending(self, queue_id: QueueId) -> int:
         """Return the number of jobs of a queue that have not started."""
         with self.lock:
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -6,7 +6,7 @@
 
 from chicorycrank.model.batch import EndKind, TaskEnd, WorkerReport
 from chicorycrank.model.batch import WorkerState as ExecutorState
-from chicorycrank.model.ids import JobId, TargetId, TaskId, ZoneId
+from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId, ZoneId
 from chicorycrank.model.jobs import MemberPlacement
 from chicorycrank.policy.cell import Cell, WorkerState
 from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
@@ -49,15 +49,29 @@
     """Workers known to the leader, kept in sync with the cell.
 
     :param on_change: called when a worker was added or its capacity changed
+    :ivar testing: workers that get no other start, as a run there may crash them
     """
 
     def __init__(self, cell: Cell, now_s: float, on_change: Callable[[], None]) -> None:
         self.by_id: dict[TargetId, Worker] = {}
         self.now_s = now_s
         self.quarantine = Quarantine(lambda: self.now_s, SHORT_JOB_RULES)
+        self.testing: set[TargetId] = set()
         self._cell = cell
         self._on_change = on_change
 
+    def replaced_incarnation(self, worker: TargetId, report: WorkerReport) -> Incarnation | None:
+        """Return the ready incarnation that a report shows to have ended without notice."""
+        state = self.by_id.get(worker)
+        if (
+            state is None
+            or not state.report.incarnation
+            or state.report.incarnation == report.incarnation
+            or state.report.state is not ExecutorState.READY
+        ):
+            return None
+        return state.report.incarnation
+
     def apply_report(self, worker: TargetId, report: WorkerReport) -> None:
         """Apply a report; :meth:`update_cell` passes it on to the cell."""
         state = self.by_id.get(worker)
@@ -144,6 +158,7 @@
             and state.report.state is ExecutorState.READY
             and state.backoff_until <= self.now_s
             and not state.report.suspects
+            and worker not in self.testing
             and not self.quarantine.rejects_jobs(worker)
         )
         if self._cell.workers_by_id[worker].available != is_available:
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -145,6 +145,24 @@
     incarnation: Incarnation
 
 
+class Crash(Struct, frozen=True, array_like=True):
+    """Crash of an executor that had a run of a unit, of which the unit has not been cleared.
+
+    :param incarnation: incarnation of the executor that crashed
+    :param at_ms: Unix time in milliseconds at which the leader recorded it
+    :param age_ms: time in milliseconds from the start of the run until the crash
+    :param members: indexes of the unit's tasks that were there
+    :param is_outage: the agent was not there to see the crash, so the machine may have failed
+    """
+
+    incarnation: Incarnation
+    worker: TargetId
+    at_ms: int
+    age_ms: int
+    members: tuple[int, ...]
+    is_outage: bool = False
+
+
 class Unit(Struct, array_like=True):
     """Progress of a unit, which is a gang or a single task outside of gangs.
 
@@ -157,6 +175,7 @@
         otherwise ``FAILED`` if a member ended so, otherwise the kind of the first end; empty until
         the first member ends
     :param started_at_ms: Unix time in milliseconds at which the current run was assigned
+    :param crashes: crashes of executors that the unit may have caused
     """
 
     state: UnitState = UnitState.WAITING
@@ -167,6 +186,7 @@
     failed_on: list[TargetId] = []
     outcome: str = ""
     started_at_ms: int = 0
+    crashes: list[Crash] = []
 
 
 class BatchState(IntEnum):
@@ -210,6 +230,7 @@
     REJECTED = 6  # the executor refused to start the task
     LOST = 7  # the executor of the task was lost
     WITHDRAWN = 8  # the leader withdrew the run before the agent accepted it
+    CRASHED = 9  # the executor ended without notice while the run may have been there
 
 
 class TaskEnd(Struct, frozen=True, array_like=True):
@@ -217,6 +238,9 @@
 
     :param checkpoint: last checkpoint of the run; empty if there is none
     :param detail: reason for a rejection
+    :param age_ms: for ``CRASHED``, time in milliseconds from the first start call until the
+        executor was found to be down
+    :param is_witnessed: for ``CRASHED``, whether the agent was running at the crash
     """
 
     task: TaskId
@@ -224,6 +248,8 @@
     kind: EndKind
     checkpoint: str = ""
     detail: str = ""
+    age_ms: int = 0
+    is_witnessed: bool = True
 
 
 class Assignment(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -238,6 +264,8 @@
     :param accelerators: accelerators of the task
     :param cores: processor share of the task in thousandths of a core; 0 if it fills
     :param memory_mb: memory of the task in megabytes
+    :param probation_ms: time in milliseconds for which the executor has to list the run until the
+        agent reports it as cleared; 0 if the task has crashed no executor
     """
 
     task: TaskId
@@ -252,6 +280,7 @@
     accelerators: int = 0
     cores: int = 0
     memory_mb: int = 0
+    probation_ms: int = 0
 
 
 class WorkOrder(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -286,6 +315,7 @@
     :param suspects: percentage of completed work, by task, for tasks that make no progress
     :param checkpoints: run number and checkpoint, by task; updated every few seconds
     :param accepted: run number, by task, of the runs that the agent may have begun to start
+    :param cleared: run number, by task, of the runs that have outlasted their probation
     """
 
     fence: int = 0
@@ -305,6 +335,7 @@
     suspects: dict[TaskId, int] = field(default_factory=dict)
     checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
     accepted: dict[TaskId, int] = field(default_factory=dict)
+    cleared: dict[TaskId, int] = field(default_factory=dict)
 
 
 class BatchTeam(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/src/chicorycrank/platform/client_handler.py
+++ b/src/chicorycrank/platform/client_handler.py
@@ -102,7 +102,10 @@
             case "GET":
                 answer = self._intake.job_state(job_id)
                 if answer.state is not None:
-                    return _json_response({"state": NAME_BY_STATE[answer.state]})
+                    document = {"state": NAME_BY_STATE[answer.state]}
+                    if answer.reason:
+                        document["reason"] = answer.reason
+                    return _json_response(document)
                 return self._outcome_response(answer.outcome)
             case "DELETE":
                 return self._outcome_response(
--- /dev/null
+++ b/src/chicorycrank/policy/crashes.py
@@ -0,0 +1,121 @@
+"""Attribution of executor crashes to the jobs whose tasks may have caused them.
+
+A crash is attributed to a job if no other explanation stands: each other job that had a run there
+has been cleared, the worker has not crashed without the job, and no outage hit many workers.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import ceil
+
+from chicorycrank.model.ids import Incarnation, JobId, TargetId
+
+# Crashes this close together may have one cause.
+OUTAGE_WINDOW_MS = 3000
+# An outage hits at least this share of the workers, and at least two besides the one in question.
+OUTAGE_MIN_SHARE = 1 / 3
+OUTAGE_MIN_WORKERS = 2
+# A worker that has crashed this recently without a job may have crashed by itself again.
+WORKER_DOUBT_MS = 60_000
+
+
+@dataclass(kw_only=True)
+class CrashEvent:
+    """Crash of one incarnation of an executor.
+
+    :param at_ms: Unix time in milliseconds
+    :param present: jobs that had a run there
+    :param suspects: jobs that may have caused it and have not been cleared
+    :param is_outage: the machine or its agent failed too, which explains the crash
+    """
+
+    worker: TargetId
+    at_ms: int
+    present: set[JobId] = field(default_factory=set)
+    suspects: set[JobId] = field(default_factory=set)
+    is_outage: bool = False
+
+
+class CrashLedger:
+    """Recent crashes by incarnation of the executor."""
+
+    def __init__(self) -> None:
+        self.events_by_id: dict[Incarnation, CrashEvent] = {}
+
+    def record(
+        self,
+        crash: Incarnation,
+        worker: TargetId,
+        at_ms: int,
+        *,
+        present: Iterable[JobId] = (),
+        suspects: Iterable[JobId] = (),
+        is_outage: bool = False,
+    ) -> None:
+        """Record a crash, or add jobs to one that is known."""
+        event = self.events_by_id.setdefault(crash, CrashEvent(worker=worker, at_ms=at_ms))
+        event.present |= {*present, *suspects}
+        event.suspects |= set(suspects)
+        event.is_outage = event.is_outage or is_outage
+
+    def clear(self, crash: Incarnation, job_id: JobId) -> None:
+        """Clear a job of a crash."""
+        event = self.events_by_id.get(crash)
+        if event is not None:
+            event.suspects.discard(job_id)
+
+    def blame(self, job_id: JobId) -> list[tuple[Incarnation, JobId]]:
+        """Attribute every crash at which a job was present to it.
+
+        :returns: crashes and jobs that are cleared by this
+        """
+        cleared = [
+            (crash, other)
+            for crash, event in self.events_by_id.items()
+            if job_id in event.suspects
+            for other in event.suspects - {job_id}
+        ]
+        for crash, other in cleared:
+            self.clear(crash, other)
+        return cleared
+
+    def is_attributed(self, crash: Incarnation, job_id: JobId, worker_count: int) -> bool:
+        """Return whether nothing but one job explains a crash.
+
+        :param worker_count: number of workers of the fleet
+        """
+        event = self.events_by_id.get(crash)
+        return (
+            event is not None
+            and event.suspects == {job_id}
+            and not event.is_outage
+            and not self._is_worker_in_doubt(crash, event, job_id)
+            and not self._is_part_of_outage(event, job_id, worker_count)
+        )
+
+    def forget(self, now_ms: int) -> None:
+        """Forget crashes without suspects that are too old to explain another crash."""
+        for crash, event in list(self.events_by_id.items()):
+            if not event.suspects and now_ms - event.at_ms > 2 * WORKER_DOUBT_MS:
+                del self.events_by_id[crash]
+
+    def _is_worker_in_doubt(self, crash: Incarnation, event: CrashEvent, job_id: JobId) -> bool:
+        """Return whether the worker crashed lately without the job and without another culprit."""
+        return any(
+            other.worker == event.worker
+            and other_crash != crash
+            and abs(other.at_ms - event.at_ms) <= WORKER_DOUBT_MS
+            and job_id not in other.present
+            and len(other.suspects) != 1
+            for other_crash, other in self.events_by_id.items()
+        )
+
+    def _is_part_of_outage(self, event: CrashEvent, job_id: JobId, worker_count: int) -> bool:
+        others = {
+            other.worker
+            for other in self.events_by_id.values()
+            if other.worker != event.worker
+            and job_id not in other.present
+            and abs(other.at_ms - event.at_ms) <= OUTAGE_WINDOW_MS
+        }
+        return len(others) >= max(OUTAGE_MIN_WORKERS, ceil(worker_count * OUTAGE_MIN_SHARE))
--- /dev/null
+++ b/tests/batch/test_crash_attribution.py
@@ -0,0 +1,321 @@
+"""Which job is given up when executors crash, and which is not."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+from tests.batch.fakes import RED, make_job, make_report
+from tests.batch.test_planner import end_task, make_planner, progress_of, submit, tasks_by_worker
+
+from chicorycrank.batch.crash_tracker import CLEARANCE_MARGIN_MS, MAX_CRASHES
+from chicorycrank.batch.keys import decode, encode
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.queued_jobs import QueuedJobBuilder
+from chicorycrank.model.batch import (
+    BatchState,
+    BatchTeam,
+    EndKind,
+    Progress,
+    Step,
+    Submission,
+    TaskEnd,
+    WorkerState,
+)
+from chicorycrank.model.ids import JobId, TargetId, TaskId
+from chicorycrank.policy.crashes import OUTAGE_WINDOW_MS
+
+FLEET = [TargetId(f"w{number}") for number in range(8)]
+TASK = Step(count=1, accelerators=2, run_time_s=20.0)
+WHOLE_WORKER = Step(count=1, accelerators=8, run_time_s=20.0)
+JUST_STARTED_MS = 10
+RUNNING_MS = 5000
+
+
+class SimulatedFleet:
+    """Planner with a clock, and workers whose executors crash."""
+
+    def __init__(self, workers: Sequence[TargetId] = FLEET) -> None:
+        self.planner = make_planner(workers)
+        self.workers = workers
+        self.now_ms = 1_000_000
+        self.lives = dict.fromkeys(workers, 1)
+        self.crashes: dict[str, int] = {}
+        self.labels: dict[TargetId, tuple[str, ...]] = {}
+        self.advance(0)
+
+    def advance(self, passed_ms: int) -> None:
+        """Let time pass and plan."""
+        self.now_ms += passed_ms
+        self.planner.set_time(self.now_ms / 1000, self.now_ms)
+        self.planner.plan()
+
+    def submit(self, name: str, step: Step = TASK, **changes: Any) -> Submission:
+        """Submit a job and plan."""
+        return submit(self.planner, make_job([step], name=name * 16, **changes))
+
+    def worker_of(self, task: str) -> TargetId:
+        """Return the worker of a task."""
+        return next(w for w, members in self.planner.members_by_worker.items() if task in members)
+
+    def has_run(self, job: Submission) -> bool:
+        """Return whether a task of a job is assigned."""
+        rows = tasks_by_worker(self.planner).values()
+        return any(task.startswith(job.job_id) for tasks in rows for task, *_ in tasks)
+
+    def crash(self, *workers: TargetId, ages_ms: dict[str, int], is_witnessed: bool = True) -> None:
+        """Crash executors, which are back at once as new incarnations.
+
+        :param ages_ms: age of the runs by prefix of the task; others have run for a while
+        :param is_witnessed: the agents were running at the crash
+        """
+        for worker in workers:
+            ends = []
+            for task, member in self.planner.members_by_worker.get(worker, {}).items():
+                run = self.planner.run_number(member)
+                age_ms = next((a for p, a in ages_ms.items() if task.startswith(p)), RUNNING_MS)
+                end = TaskEnd(task, run, EndKind.CRASHED, age_ms=age_ms, is_witnessed=is_witnessed)
+                ends.append(end)
+                self.crashes[task] = self.crashes.get(task, 0) + 1
+            self.lives[worker] += 1
+            report = make_report(
+                f"i-{worker}:{self.lives[worker]}",
+                ends=ends,
+                labels=self.labels.get(worker, ("a", "r1")),
+            )
+            self.planner.apply_report(worker, report)
+        self.planner.plan()
+
+    def crash_on_start(self, job: Submission, *, rounds: int = 20, pause_ms: int = 4000) -> None:
+        """Crash each executor that starts a task of a job, until nothing of it starts."""
+        for _ in range(rounds):
+            harmful = {
+                worker
+                for worker, members in self.planner.members_by_worker.items()
+                if any(task.startswith(job.job_id) for task in members)
+            }
+            if harmful:
+                self.crash(*sorted(harmful), ages_ms={job.job_id: JUST_STARTED_MS})
+            self.clear_runs(except_of=job)
+            self.advance(pause_ms)
+
+    def clear_runs(self, except_of: Submission | None = None) -> None:
+        """Let the agents report that all runs have outlasted their probation."""
+        for worker, members in self.planner.members_by_worker.items():
+            report = self.planner.workers.by_id[worker].report
+            report.ends = []
+            report.cleared = {
+                task: self.planner.run_number(member)
+                for task, member in members.items()
+                if except_of is None or member.ref.job_id != except_of.job_id
+            }
+            self.planner.apply_report(worker, report)
+
+    def state(self, job: Submission) -> BatchState:
+        """Return the state of a job."""
+        return progress_of(self.planner, job).state
+
+    def take_over(self, *jobs: Submission) -> None:
+        """Replace the planner by one that knows only the stored records."""
+        old = self.planner
+        records = {job.job_id: encode(progress_of(old, job)) for job in jobs}
+        reports = {worker: state.report for worker, state in old.workers.by_id.items()}
+        self.planner = Planner(QueuedJobBuilder(1.0, 0.0), self.now_ms / 1000)
+        self.planner.set_config({}, [BatchTeam(team=RED)])
+        self.planner.set_time(self.now_ms / 1000, self.now_ms)
+        for job in jobs:
+            self.planner.add_job(job, decode(records[job.job_id], Progress))
+        self.planner.crashes.explain_restored(self.planner)
+        for worker, report in reports.items():
+            report.ends = []
+            self.planner.apply_report(worker, report)
+            self.planner.workers.set_present(worker, True)
+        self.planner.plan()
+
+
+@pytest.fixture
+def fleet() -> SimulatedFleet:
+    return SimulatedFleet()
+
+
+@pytest.mark.parametrize(
+    ("step", "changes"),
+    [
+        (TASK, {}),
+        (WHOLE_WORKER, {}),
+        (Step(count=6, accelerators=2, run_time_s=20.0), {}),
+        (Step(count=3, accelerators=4, run_time_s=20.0, gang=True), {}),
+        (Step(count=3, accelerators=8, run_time_s=20.0, gang=True), {}),
+        (Step(count=2, accelerators=2, long_running=True), {}),
+        (Step(count=2, accelerators=2, long_running=True, max_unavailable=1), {}),
+        (TASK, {"repeat_count": 5, "first_at_ms": 1_000_000, "interval_ms": 1000}),
+    ],
+    ids=["task", "whole-worker", "wide", "gang", "wide-gang", "lasting", "available", "timed"],
+)
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_a_harmful_job_is_given_up_and_no_other(
+    fleet: SimulatedFleet, step: Step, changes: dict[str, int], takes_over: bool
+) -> None:
+    """Guards against endless starts of a harmful task, also if the leader changes on the way."""
+    others = [fleet.submit(name, Step(count=4, accelerators=1)) for name in "bcd"]
+    fleet.advance(RUNNING_MS)
+    harmful = fleet.submit("a", step, **changes)
+    for _ in range(4 if takes_over else 1):
+        fleet.crash_on_start(harmful, rounds=1 if takes_over else 20, pause_ms=1000)
+        if takes_over:
+            fleet.take_over(harmful, *others)
+    fleet.crash_on_start(harmful)
+    assert fleet.state(harmful) is BatchState.FAILED
+    assert "crashed" in progress_of(fleet.planner, harmful).reason
+    own = [n for task, n in fleet.crashes.items() if task.startswith(harmful.job_id)]
+    assert max(own) >= 2
+    assert max(own) <= MAX_CRASHES
+    assert all(fleet.state(other) is BatchState.RUNNING for other in others)
+    assert all(fleet.has_run(other) for other in others)
+
+
+def test_a_wide_harmful_job_starts_one_task_at_a_time_after_its_first_crash(
+    fleet: SimulatedFleet,
+) -> None:
+    """Guards against a harmful job that crashes a large part of the fleet again and again."""
+    harmful = fleet.submit("a", Step(count=30, accelerators=1, run_time_s=20.0))
+    workers = list(tasks_by_worker(fleet.planner))
+    assert len(workers) > 1
+    fleet.crash(*map(TargetId, workers), ages_ms={harmful.job_id: JUST_STARTED_MS})
+    running = [t for rows in tasks_by_worker(fleet.planner).values() for t in rows]
+    assert len(running) == 1
+
+
+def test_a_task_that_shared_executors_with_two_culprits_is_not_given_up(
+    fleet: SimulatedFleet,
+) -> None:
+    """Guards against an innocent task that was on two executors that others crashed."""
+    innocent = fleet.submit("b")
+    for name in "acd":
+        worker = fleet.worker_of(f"{innocent.job_id}.0.0.0")
+        harmful = fleet.submit(name)
+        assert fleet.worker_of(f"{harmful.job_id}.0.0.0") == worker
+        fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+        fleet.crash_on_start(harmful)
+        assert fleet.state(harmful) is BatchState.FAILED
+        fleet.advance(RUNNING_MS)
+    assert fleet.crashes[f"{innocent.job_id}.0.0.0"] >= 3
+    assert fleet.state(innocent) is BatchState.RUNNING
+    assert progress_of(fleet.planner, innocent).units["0.0.0"].crashes == []
+
+
+@pytest.mark.parametrize("is_witnessed", [True, False])
+def test_outages_of_many_executors_give_up_no_job(
+    fleet: SimulatedFleet, is_witnessed: bool
+) -> None:
+    """Guards against jobs that are given up because the whole fleet lost power repeatedly."""
+    jobs = [fleet.submit(name, WHOLE_WORKER) for name in "abcdefgh"]
+    for _ in range(MAX_CRASHES - 1):
+        fleet.crash(*FLEET, ages_ms={"": JUST_STARTED_MS}, is_witnessed=is_witnessed)
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+        for _ in range(8):
+            fleet.advance(500)
+    assert {fleet.state(job) for job in jobs} == {BatchState.RUNNING}
+
+
+def test_a_worker_that_crashes_without_a_task_too_is_no_evidence_against_it() -> None:
+    """Guards against a task that is given up for the crashes of a faulty worker."""
+    fleet = SimulatedFleet(FLEET[:1])
+    (worker,) = fleet.workers
+    fleet.crash(worker, ages_ms={})
+    job = fleet.submit("a", WHOLE_WORKER)
+    for _ in range(MAX_CRASHES - 1):
+        fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    assert fleet.state(job) is BatchState.RUNNING
+
+
+def test_crashes_without_a_witness_end_after_the_fifth(fleet: SimulatedFleet) -> None:
+    """Guards against a harmful task whose agent is killed at each of its crashes."""
+    harmful = fleet.submit("a")
+    for _ in range(10):
+        if fleet.has_run(harmful):
+            worker = fleet.worker_of(f"{harmful.job_id}.0.0.0")
+            fleet.crash(worker, ages_ms={"": JUST_STARTED_MS}, is_witnessed=False)
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    assert fleet.state(harmful) is BatchState.FAILED
+    assert fleet.crashes[f"{harmful.job_id}.0.0.0"] == MAX_CRASHES
+
+
+def test_a_test_run_gets_no_company_until_it_is_cleared(fleet: SimulatedFleet) -> None:
+    """Guards against a second crash that two starts explain."""
+    job = fleet.submit("a")
+    task = f"{job.job_id}.0.0.0"
+    fleet.crash(fleet.worker_of(task), ages_ms={"": JUST_STARTED_MS})
+    worker = fleet.worker_of(task)
+    others = [fleet.submit(name) for name in "bcd"]
+    assert set(fleet.planner.members_by_worker[worker]) == {task}
+    (assignment,) = fleet.planner.order_for(worker).assignments
+    assert assignment.probation_ms == JUST_STARTED_MS + CLEARANCE_MARGIN_MS
+    fleet.clear_runs()
+    assert fleet.planner.crashes.testing_workers(fleet.planner) == set()
+    assert progress_of(fleet.planner, job).units["0.0.0"].crashes == []
+    assert all(fleet.has_run(other) for other in others)
+
+
+def test_an_executor_that_is_back_as_another_kind_gets_no_unsuitable_task(
+    fleet: SimulatedFleet,
+) -> None:
+    """Guards against a retry on an executor that lost the label, and a lost crash record."""
+    for worker in FLEET[2:]:
+        fleet.labels[worker] = ("b", "r1")
+    fleet.crash(*FLEET[2:], ages_ms={})
+    fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    job = fleet.submit("a", Step(count=1, accelerators=2, run_time_s=20.0, label="a"))
+    task = f"{job.job_id}.0.0.0"
+    first = fleet.worker_of(task)
+    fleet.labels[first] = ("b", "r1")
+    fleet.crash(first, ages_ms={"": JUST_STARTED_MS})
+    second = fleet.worker_of(task)
+    assert {first, second} == set(FLEET[:2])
+    fleet.crash(second, ages_ms={"": JUST_STARTED_MS})
+    fleet.advance(OUTAGE_WINDOW_MS)
+    assert fleet.state(job) is BatchState.FAILED
+
+
+@pytest.mark.parametrize("state", [WorkerState.DRAINING, WorkerState.GONE])
+def test_an_executor_that_leaves_as_planned_counts_against_no_task(state: WorkerState) -> None:
+    """Guards against a task that is given up because its executors were replaced."""
+    fleet = SimulatedFleet()
+    job = fleet.submit("a")
+    task = f"{job.job_id}.0.0.0"
+    for _ in range(MAX_CRASHES + 1):
+        worker = fleet.worker_of(task)
+        member = fleet.planner.members_by_worker[worker][TaskId(task)]
+        accepted = {TaskId(task): fleet.planner.run_number(member)}
+        life = fleet.lives[worker]
+        report = make_report(f"i-{worker}:{life}", state=state, accepted=accepted)
+        fleet.planner.apply_report(worker, report)
+        fleet.lives[worker] += 1
+        report = make_report(f"i-{worker}:{fleet.lives[worker]}")
+        fleet.planner.apply_report(worker, report)
+        fleet.advance(OUTAGE_WINDOW_MS)
+    assert fleet.state(job) is BatchState.RUNNING
+    assert progress_of(fleet.planner, job).units["0.0.0"].crashes == []
+
+
+def test_a_cancelled_job_stays_an_explanation(fleet: SimulatedFleet) -> None:
+    """Guards against a task that is blamed for a crash that a cancelled job may have caused."""
+    cancelled, other = fleet.submit("a"), fleet.submit("b")
+    worker = fleet.worker_of(f"{other.job_id}.0.0.0")
+    assert fleet.worker_of(f"{cancelled.job_id}.0.0.0") == worker
+    fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+    fleet.planner.cancel(JobId(cancelled.job_id))
+    fleet.crash(fleet.worker_of(f"{other.job_id}.0.0.0"), ages_ms={"": JUST_STARTED_MS})
+    fleet.advance(OUTAGE_WINDOW_MS)
+    assert fleet.state(other) is BatchState.RUNNING
+
+
+def test_a_task_that_ends_as_done_is_cleared(fleet: SimulatedFleet) -> None:
+    """Guards against a record of a crash that outlives the proof that the task is harmless."""
+    job, other = fleet.submit("a"), fleet.submit("b")
+    task = f"{job.job_id}.0.0.0"
+    fleet.crash(fleet.worker_of(task), ages_ms={"": JUST_STARTED_MS})
+    end_task(fleet.planner, task, EndKind.DONE, run=2)
+    assert fleet.state(job) is BatchState.COMPLETED
+    (event,) = fleet.planner.crashes.ledger.events_by_id.values()
+    assert event.suspects == {other.job_id}
