Give up a job of the own interface whose starts take its workers down

A gang that is lost with a worker or its head is queued again, and no loss counts (transitions.py counted failures only). Requests were looked at too: a repeatable request has a run limit and a retry budget, a non-repeatable one runs at most once, and a forwarded one is bounded by its attempt, so they need nothing. Change: a job's record holds the workers that were lost within 60 s of its starts; after five different ones it has failed, with their names as the reason. A start that lasts longer clears the list. Retries were already delayed by the fencing time.

--- a/src/chicorycrank/entry/job_explanation.py
+++ b/src/chicorycrank/entry/job_explanation.py
@@ -25,6 +25,7 @@
         "needs": msgspec.to_builtins(record.spec.shape),
         "evictions": record.evictions,
         "failed_on": list(record.failed_on),
+        "lost_on": list(record.lost_on),
     }
     if record.evicted_for is not None:
         evicting_record = records_by_id.get(record.evicted_for)
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -346,7 +346,9 @@
         record = self._records.records_by_id[action.job_id]
         if isinstance(action, Requeue):
             logger.warning("event=gang_lost job=%s attempt=%d", record.job_id, record.attempt)
-            self._transitions.requeue(record, "no agent reported its gang")
+            head = record.placement[0].worker if record.placement else None
+            if not self._transitions.record_loss(record, head):
+                self._transitions.requeue(record, "no agent reported its gang")
         else:
             self._adopt(record, action)
 
--- a/src/chicorycrank/entry/transitions.py
+++ b/src/chicorycrank/entry/transitions.py
@@ -1,6 +1,8 @@
 """State transitions of jobs, including accelerators in use and the backoff between starts."""
 
+import logging
 from collections.abc import Callable
+from datetime import timedelta
 
 from chicorycrank.entry.cell_occupancy import CellOccupancy
 from chicorycrank.entry.gang_reports import FENCING_DELAY_S
@@ -19,9 +21,16 @@
 MAX_FAILED_WORKERS = 3
 # Limits the retries of a job that is placed on the same workers again and again.
 MAX_FAILURES = 8
+# A job may have caused the loss of a worker that follows its start within this time.
+LOST_START_WINDOW = timedelta(seconds=60)
+# Workers lost in this way, one after the other, after which the job is given up.
+MAX_LOST_WORKERS = 5
 MAX_REASON_LENGTH = 400
 
 
+logger = logging.getLogger("absl")
+
+
 class Transitions:
     """Applies state transitions to the jobs of one term.
 
@@ -87,6 +96,8 @@
             return
         record.progress_s = max(record.progress_s, message.progress_s)
         if message.outcome is GangOutcome.LOST:
+            if self.record_loss(record, message.blamed):
+                return
             fenced_at = self._clock.monotonic() + FENCING_DELAY_S
             self._not_before_by_job[record.job_id] = fenced_at
         elif message.outcome is not GangOutcome.STOPPED:
@@ -106,6 +117,33 @@
             is_failed = is_failed and is_counted
         record.failures += is_failed
 
+    def record_loss(self, record: JobRecord, worker: TargetId | None) -> bool:
+        """Record that an attempt was lost; return true if the job is given up for it.
+
+        :param worker: worker that was lost; None if another cause is known
+        """
+        if worker is None or record.cancel_requested:
+            return False
+        started_at = record.started_at if record.state is JobState.RUNNING else None
+        if started_at is not None and self._clock.now() - started_at > LOST_START_WINDOW:
+            record.lost_on = ()
+            return False
+        if worker not in record.lost_on:
+            record.lost_on = (*record.lost_on, worker)
+        logger.warning(
+            "event=worker_lost_after_start job=%s attempt=%d workers=%s",
+            record.job_id,
+            record.attempt,
+            ",".join(record.lost_on),
+        )
+        if len(record.lost_on) < MAX_LOST_WORKERS:
+            return False
+        workers = ", ".join(record.lost_on)
+        self.end_job(
+            record, JobState.FAILED, reason=f"its starts were followed by the loss of {workers}"
+        )
+        return True
+
     def _discard_failures_on(self, worker: TargetId) -> None:
         """Remove the failures on a quarantined worker from jobs that have not ended."""
         for record in self._records.records_by_id.values():
--- a/src/chicorycrank/model/jobs.py
+++ b/src/chicorycrank/model/jobs.py
@@ -94,6 +94,8 @@
     :param failures: number of failures that count against the job
     :param evicted_for: job for which this job was last evicted
     :param failed_on: distinct workers on which the job's tasks failed
+    :param lost_on: distinct workers that were lost soon after starts of the job, since its last
+        start that lasted longer
     """
 
     job_id: JobId
@@ -114,3 +116,4 @@
     cancel_requested: bool = False
     evicted_for: JobId | None = None
     failed_on: tuple[TargetId, ...] = ()
+    lost_on: tuple[TargetId, ...] = ()
