Excuse no crash by an outage that came before it

Cause: after a restart of all executors, each worker had crashed without the task lately, so no crash there was attributed and a harmful task was given up only after its fifth. Change: a crash that is part of an outage, or that came with its machine, does not put the worker in doubt.

--- a/src/chicorycrank/policy/crashes.py
+++ b/src/chicorycrank/policy/crashes.py
@@ -89,7 +89,7 @@
             event is not None
             and event.suspects == {job_id}
             and not event.is_outage
-            and not self._is_worker_in_doubt(crash, event, job_id)
+            and not self._is_worker_in_doubt(crash, event, job_id, worker_count)
             and not self._is_part_of_outage(event, job_id, worker_count)
         )
 
@@ -99,14 +99,18 @@
             if not event.suspects and now_ms - event.at_ms > 2 * WORKER_DOUBT_MS:
                 del self.events_by_id[crash]
 
-    def _is_worker_in_doubt(self, crash: Incarnation, event: CrashEvent, job_id: JobId) -> bool:
-        """Return whether the worker crashed lately without the job and without another culprit."""
+    def _is_worker_in_doubt(
+        self, crash: Incarnation, event: CrashEvent, job_id: JobId, worker_count: int
+    ) -> bool:
+        """Return whether the worker crashed lately without the job, a culprit or an outage."""
         return any(
             other.worker == event.worker
             and other_crash != crash
             and abs(other.at_ms - event.at_ms) <= WORKER_DOUBT_MS
             and job_id not in other.present
             and len(other.suspects) != 1
+            and not other.is_outage
+            and not self._is_part_of_outage(other, job_id, worker_count)
             for other_crash, other in self.events_by_id.items()
         )
 
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -7,7 +7,11 @@
 from tests.batch.fakes import RED, make_job, make_report
 from tests.batch.test_planner import end_task, make_planner, progress_of, submit, tasks_by_worker
 
-from chicorycrank.batch.crash_tracker import CLEARANCE_MARGIN_MS, MAX_CRASHES
+from chicorycrank.batch.crash_tracker import (
+    CLEARANCE_MARGIN_MS,
+    MAX_ATTRIBUTED_CRASHES,
+    MAX_CRASHES,
+)
 from chicorycrank.batch.keys import decode, encode
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
@@ -229,6 +233,16 @@
     assert fleet.state(job) is BatchState.RUNNING
 
 
+def test_an_outage_before_the_crashes_of_a_task_does_not_excuse_it(fleet: SimulatedFleet) -> None:
+    """Guards against a harmful task that crashes more executors because all had restarted."""
+    fleet.crash(*FLEET, ages_ms={})
+    fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    harmful = fleet.submit("a")
+    fleet.crash_on_start(harmful)
+    assert fleet.state(harmful) is BatchState.FAILED
+    assert fleet.crashes[f"{harmful.job_id}.0.0.0"] == MAX_ATTRIBUTED_CRASHES
+
+
 def test_crashes_without_a_witness_end_after_the_fifth(fleet: SimulatedFleet) -> None:
     """Guards against a harmful task whose agent is killed at each of its crashes."""
     harmful = fleet.submit("a")
