Count a start without an answer for one task, and known suspects not as an outage

Cause: two tasks whose starts got no answer both counted as started at a crash that one of them caused; and crashes of other harmful tasks at the same time counted as an outage, which explains every crash. Change: agents say whether the executor had confirmed a start. Only then, or if it was the job's only start there, the crash counts for the task; otherwise the job is given up once it has more crashes than such tasks.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -313,7 +313,7 @@
         """Log the end of an incarnation of the executor, with the runs that were there."""
         now_s = self._clock.monotonic()
         EXECUTORS_ENDED.labels(how.value).inc()
-        logger.warning(
+        logger.info(
             "event=executor_ended target=%s incarnation=%s how=%s state=%s runs=%s",
             self._worker,
             self.report.incarnation,
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from chicorycrank.batch.metrics import EXECUTOR_CRASHES
 from chicorycrank.batch.units import UnitRef, parse_unit_key
 from chicorycrank.model.batch import BatchState, Crash, Progress, TaskEnd, Unit
@@ -45,6 +48,7 @@
     :param member: index of the task in its unit
     :param age_ms: time in milliseconds from its start until the crash
     :param is_witnessed: the agent was running at the crash
+    :param has_started: the executor had confirmed the start
     :param is_test: the run was a test
     """
 
@@ -52,6 +56,7 @@
     member: int
     age_ms: int
     is_witnessed: bool
+    has_started: bool
     is_test: bool
 
 
@@ -92,6 +97,7 @@
             member=member,
             age_ms=end.age_ms,
             is_witnessed=end.is_witnessed,
+            has_started=end.has_started,
             is_test=ref.name in self.tests_by_unit,
         )
         self._crashed_runs.setdefault(incarnation, []).append(run)
@@ -111,10 +117,22 @@
                 suspects={run.ref.job_id for run in suspects},
                 is_outage=is_outage,
             )
+            runs_by_job = Counter(run.ref.job_id for run in suspects)
             for run in suspects:
-                self._add_crash(planner, incarnation, worker, run, is_outage=is_outage)
+                # The only start of the job is the one that crashed the executor, if the job did.
+                has_started = run.has_started or runs_by_job[run.ref.job_id] == 1
+                crash = Crash(
+                    incarnation=incarnation,
+                    worker=worker,
+                    at_ms=planner.now_ms,
+                    age_ms=run.age_ms,
+                    members=(run.member,),
+                    started=(run.member,) if has_started else (),
+                    is_outage=is_outage,
+                )
+                self._add_crash(planner, run.ref, crash)
             EXECUTOR_CRASHES.labels("outage" if is_outage else "crash").inc()
-            logger.warning(
+            logger.info(
                 "event=executor_crashed target=%s incarnation=%s outage=%s runs=%s suspects=%s",
                 worker,
                 incarnation,
@@ -178,32 +196,20 @@
             return [run for run in runs if run.ref.job_id in tested]
         return [run for run in runs if run.age_ms <= MAX_RUN_AGE_MS]
 
-    def _add_crash(
-        self,
-        planner: Planner,
-        incarnation: Incarnation,
-        worker: TargetId,
-        run: CrashedRun,
-        *,
-        is_outage: bool,
-    ) -> None:
-        unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
-        members: tuple[int, ...] = (run.member,)
-        at_ms = planner.now_ms
-        for crash in unit.crashes:
-            if crash.incarnation == incarnation:
-                members, at_ms = (*crash.members, run.member), crash.at_ms
-        crash = Crash(
-            incarnation=incarnation,
-            worker=worker,
-            at_ms=at_ms,
-            age_ms=run.age_ms,
-            members=members,
-            is_outage=is_outage,
-        )
-        unit.crashes = [c for c in unit.crashes if c.incarnation != incarnation] + [crash]
-        self._units_by_job.setdefault(run.ref.job_id, {})[run.ref.key] = unit
-        planner.changes.jobs.add(run.ref.job_id)
+    def _add_crash(self, planner: Planner, ref: UnitRef, crash: Crash) -> None:
+        """Add a crash to the record of a unit, or the members to a crash that it has."""
+        unit = planner.progress_by_id[ref.job_id].units[ref.key]
+        for known in unit.crashes:
+            if known.incarnation == crash.incarnation:
+                crash = msgspec.structs.replace(
+                    known,
+                    members=(*known.members, *crash.members),
+                    started=(*known.started, *crash.started),
+                )
+        others = [known for known in unit.crashes if known.incarnation != crash.incarnation]
+        unit.crashes = [*others, crash]
+        self._units_by_job.setdefault(ref.job_id, {})[ref.key] = unit
+        planner.changes.jobs.add(ref.job_id)
 
     def _remove_crash(self, planner: Planner, ref: UnitRef, unit: Unit, crash: Crash) -> None:
         unit.crashes = [other for other in unit.crashes if other != crash]
@@ -322,15 +328,28 @@
                 self.clear_others(planner, job_id)
 
     def _guilty_task(self, planner: Planner, job_id: JobId) -> tuple[str, Collection[Crash]] | None:
-        """Return a task that is to be given up and the crashes that speak against it."""
+        """Return a task that is to be given up and the crashes that speak against it.
+
+        If it is not known which of several tasks had started at a crash, the job is given up once
+        more crashes are attributed to it than it has such tasks, as one of them then has two.
+        """
+        suspects: dict[str, None] = {}
+        attributed_by_id: dict[Incarnation, Crash] = {}
         for key, unit in self._units_by_job.get(job_id, {}).items():
             ref = parse_unit_key(job_id, key)
             for member, crashes in crashes_by_member(unit).items():
+                name = _task_name(ref, member)
                 attributed = [c for c in crashes if self._is_attributed(planner, c, job_id)]
-                if len(attributed) >= MAX_ATTRIBUTED_CRASHES:
-                    return _task_name(ref, member), attributed
+                certain = [crash for crash in attributed if member in crash.started]
+                if len(certain) >= MAX_ATTRIBUTED_CRASHES:
+                    return name, certain
                 if len(crashes) >= MAX_CRASHES:
-                    return _task_name(ref, member), crashes
+                    return name, crashes
+                if attributed:
+                    suspects[name] = None
+                    attributed_by_id.update({crash.incarnation: crash for crash in attributed})
+        if suspects and len(attributed_by_id) > len(suspects):
+            return " or ".join(suspects), list(attributed_by_id.values())
         return None
 
     def _attributed_crashes(self, planner: Planner, job_id: JobId) -> list[Crash]:
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -205,9 +205,21 @@
         :param now_s: monotonic time at which the executor was found to be down
         """
         for run in list(self.runs_by_task.values()):
-            kind = EndKind.CRASHED if run.may_be_present else EndKind.LOST
-            age_ms = round(run.age_s(now_s) * 1000) if run.may_be_present else 0
-            self.end_run(run, kind, run.checkpoint, age_ms=age_ms)
+            assignment = run.assignment
+            if not run.may_be_present:
+                self.end_run(run, EndKind.LOST, run.checkpoint)
+                continue
+            del self.runs_by_task[assignment.task]
+            self._add_end(
+                TaskEnd(
+                    assignment.task,
+                    assignment.run,
+                    EndKind.CRASHED,
+                    run.checkpoint,
+                    age_ms=round(run.age_s(now_s) * 1000),
+                    has_started=run.started_at is not None or run.listed_at is not None,
+                )
+            )
 
     def discard_runs(self) -> None:
         """Discard all runs, as the executor that had them has exited or is lost."""
@@ -243,14 +255,12 @@
             and sum(assignment.memory_mb for assignment in needed) <= capacity.memory_mb
         )
 
-    def end_run(
-        self, run: Run, kind: EndKind, checkpoint: str, detail: str = "", *, age_ms: int = 0
-    ) -> None:
+    def end_run(self, run: Run, kind: EndKind, checkpoint: str, detail: str = "") -> None:
         """Record that a run has ended."""
         assignment = run.assignment
         if self.runs_by_task.get(assignment.task) is run:
             del self.runs_by_task[assignment.task]
-        self._add_end(TaskEnd(assignment.task, assignment.run, kind, checkpoint, detail, age_ms))
+        self._add_end(TaskEnd(assignment.task, assignment.run, kind, checkpoint, detail))
 
     def apply_status(self, status: ExecutorStatus, sent_at: float) -> bool:
         """Apply a status of the executor.
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -151,7 +151,8 @@
     :param incarnation: incarnation of the executor that crashed
     :param at_ms: Unix time in milliseconds at which the leader recorded it
     :param age_ms: time in milliseconds from the start of the run until the crash
-    :param members: indexes of the unit's tasks that were there
+    :param members: indexes of the unit's tasks that may have been there
+    :param started: those of them that had certainly started there, if the unit is the cause
     :param is_outage: the agent was not there to see the crash, so the machine may have failed
     """
 
@@ -160,6 +161,7 @@
     at_ms: int
     age_ms: int
     members: tuple[int, ...]
+    started: tuple[int, ...] = ()
     is_outage: bool = False
 
 
@@ -241,6 +243,7 @@
     :param age_ms: for ``CRASHED``, time in milliseconds from the first start call until the
         executor was found to be down
     :param is_witnessed: for ``CRASHED``, whether the agent was running at the crash
+    :param has_started: for ``CRASHED``, whether the executor had confirmed the start
     """
 
     task: TaskId
@@ -250,6 +253,7 @@
     detail: str = ""
     age_ms: int = 0
     is_witnessed: bool = True
+    has_started: bool = True
 
 
 class Assignment(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/src/chicorycrank/policy/crashes.py
+++ b/src/chicorycrank/policy/crashes.py
@@ -115,11 +115,37 @@
         )
 
     def _is_part_of_outage(self, event: CrashEvent, job_id: JobId, worker_count: int) -> bool:
-        others = {
-            other.worker
+        """Return whether many other workers crashed at the same time without a culprit there."""
+        others = self._simultaneous_crashes(event, job_id)
+        if not _are_many(others, worker_count):
+            return False
+        return _are_many(
+            [other for other in others if not self._has_culprit(other, worker_count)], worker_count
+        )
+
+    def _simultaneous_crashes(self, event: CrashEvent, job_id: JobId) -> list[CrashEvent]:
+        return [
+            other
             for other in self.events_by_id.values()
             if other.worker != event.worker
             and job_id not in other.present
             and abs(other.at_ms - event.at_ms) <= OUTAGE_WINDOW_MS
-        }
-        return len(others) >= max(OUTAGE_MIN_WORKERS, ceil(worker_count * OUTAGE_MIN_SHARE))
+        ]
+
+    def _has_culprit(self, event: CrashEvent, worker_count: int) -> bool:
+        """Return whether the only suspect of a crash was also at one outside of any outage."""
+        if len(event.suspects) != 1:
+            return False
+        (suspect,) = event.suspects
+        return any(
+            suspect in other.suspects
+            and not other.is_outage
+            and not _are_many(self._simultaneous_crashes(other, suspect), worker_count)
+            for other in self.events_by_id.values()
+            if other is not event
+        )
+
+
+def _are_many(events: Iterable[CrashEvent], worker_count: int) -> bool:
+    workers = {event.worker for event in events}
+    return len(workers) >= max(OUTAGE_MIN_WORKERS, ceil(worker_count * OUTAGE_MIN_SHARE))
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -44,6 +44,7 @@
         self.now_ms = 1_000_000
         self.lives = dict.fromkeys(workers, 1)
         self.crashes: dict[str, int] = {}
+        self.has_answers = True  # of the executors to the starts
         self.labels: dict[TargetId, tuple[str, ...]] = {}
         self.advance(0)
 
@@ -77,7 +78,14 @@
             for task, member in self.planner.members_by_worker.get(worker, {}).items():
                 run = self.planner.run_number(member)
                 age_ms = next((a for p, a in ages_ms.items() if task.startswith(p)), RUNNING_MS)
-                end = TaskEnd(task, run, EndKind.CRASHED, age_ms=age_ms, is_witnessed=is_witnessed)
+                end = TaskEnd(
+                    task,
+                    run,
+                    EndKind.CRASHED,
+                    age_ms=age_ms,
+                    is_witnessed=is_witnessed,
+                    has_started=self.has_answers,
+                )
                 ends.append(end)
                 self.crashes[task] = self.crashes.get(task, 0) + 1
             self.lives[worker] += 1
@@ -243,6 +251,44 @@
     assert fleet.crashes[f"{harmful.job_id}.0.0.0"] == MAX_ATTRIBUTED_CRASHES
 
 
+def test_harmful_jobs_on_most_of_a_small_fleet_do_not_excuse_each_other() -> None:
+    """Guards against simultaneous crashes by known suspects that count as an outage."""
+    fleet = SimulatedFleet(FLEET[:6])
+    jobs = []
+    for name in "abc":
+        jobs.append(fleet.submit(name, WHOLE_WORKER))
+        task = f"{jobs[-1].job_id}.0.0.0"
+        fleet.advance(0)
+        fleet.crash(fleet.worker_of(task), ages_ms={task: JUST_STARTED_MS})
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    busy = [worker for worker, members in fleet.planner.members_by_worker.items() if members]
+    assert len(busy) == len(jobs)
+    fleet.crash(*busy, ages_ms={"": JUST_STARTED_MS})
+    fleet.advance(OUTAGE_WINDOW_MS)
+    assert {fleet.state(job) for job in jobs} == {BatchState.FAILED}
+
+
+@pytest.mark.parametrize(
+    "step", [Step(count=2, accelerators=1), Step(count=2, accelerators=1, gang=True)]
+)
+def test_a_start_without_an_answer_counts_for_one_of_the_tasks_only(
+    fleet: SimulatedFleet, step: Step
+) -> None:
+    """Guards against a job that fails although two tasks have crashed one executor each."""
+    job = fleet.submit("a", step)
+    fleet.has_answers = False
+    crashes = 0
+    while fleet.state(job) is BatchState.RUNNING:
+        crashes += 1
+        (worker, *_) = tasks_by_worker(fleet.planner)
+        tasks = fleet.planner.members_by_worker[TargetId(worker)]
+        is_sole = len(tasks) == 1
+        fleet.crash(TargetId(worker), ages_ms={"": JUST_STARTED_MS})
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    assert (fleet.state(job), crashes) == (BatchState.FAILED, 3)
+    assert is_sole is not step.gang
+
+
 def test_crashes_without_a_witness_end_after_the_fifth(fleet: SimulatedFleet) -> None:
     """Guards against a harmful task whose agent is killed at each of its crashes."""
     harmful = fleet.submit("a")
