Let an unsolved crash of a worker excuse no suspect there

Each worker had a crash with several suspects in the last minute, and such a crash put the worker in doubt. Cause: a crash that is not yet attributed says nothing about the worker; only one that no job explains does. Change: a worker is in doubt after a crash without suspects.

--- a/src/chicorycrank/policy/crashes.py
+++ b/src/chicorycrank/policy/crashes.py
@@ -15,7 +15,7 @@
 # An outage hits at least this share of the workers, and at least two besides the one in question.
 OUTAGE_MIN_SHARE = 1 / 3
 OUTAGE_MIN_WORKERS = 2
-# A worker that has crashed this recently without a job may have crashed by itself again.
+# A worker that has crashed this recently with no job to explain it may do so again.
 WORKER_DOUBT_MS = 60_000
 
 
@@ -102,13 +102,13 @@
     def _is_worker_in_doubt(
         self, crash: Incarnation, event: CrashEvent, job_id: JobId, worker_count: int
     ) -> bool:
-        """Return whether the worker crashed lately without the job, a culprit or an outage."""
+        """Return whether the worker crashed lately though no job and no outage explains it."""
         return any(
             other.worker == event.worker
             and other_crash != crash
             and abs(other.at_ms - event.at_ms) <= WORKER_DOUBT_MS
             and job_id not in other.present
-            and len(other.suspects) != 1
+            and not other.suspects
             and not other.is_outage
             and not self._is_part_of_outage(other, job_id, worker_count)
             for other_crash, other in self.events_by_id.items()
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -289,6 +289,22 @@
     assert is_sole is not step.gang
 
 
+def test_an_unexplained_crash_of_the_worker_does_not_excuse_a_suspect_there() -> None:
+    """Guards against a harmful task that gets more starts as crashes of others are unsolved."""
+    fleet = SimulatedFleet(FLEET[:2])
+    others = [fleet.submit(name, Step(count=1, accelerators=1)) for name in "bc"]
+    worker = fleet.worker_of(f"{others[0].job_id}.0.0.0")
+    fleet.crash(worker, ages_ms={"": RUNNING_MS})
+    fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    harmful = fleet.submit("a", WHOLE_WORKER)
+    for other in others:
+        fleet.planner.cancel(JobId(other.job_id))
+        end_task(fleet.planner, f"{other.job_id}.0.0.0", EndKind.STOPPED, run=2)
+    fleet.crash_on_start(harmful)
+    assert fleet.state(harmful) is BatchState.FAILED
+    assert fleet.crashes[f"{harmful.job_id}.0.0.0"] == MAX_ATTRIBUTED_CRASHES
+
+
 def test_crashes_without_a_witness_end_after_the_fifth(fleet: SimulatedFleet) -> None:
     """Guards against a harmful task whose agent is killed at each of its crashes."""
     harmful = fleet.submit("a")
