Play harmful tasks and changing capacities in the stand-in executor and the soak

The stand-in executor now crashes under a task whose payload says so and is back after some seconds, reports another capacity on request, and reports a violation for a start beyond the capacity that must be known. The soak makes one job in 25 harmful, shrinks capacities, and checks the limit of starts, the cause of each failed job and the reason that its caller gets. The faults of a seed stay as they were, as the new kind has a plan of its own. Free ports are taken below the range of outgoing connections: in one run of three soaks at a time an entry found its port in use and the soak did not start.

--- a/src/chicorycrank_standin/background.py
+++ b/src/chicorycrank_standin/background.py
@@ -1,5 +1,6 @@
 """Helpers for daemon threads, free ports and background HTTP servers."""
 
+import random
 import socket
 import threading
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 from chicorycrank_standin.http import Handler, serve_routes
 
 HOST = "127.0.0.1"
+PORT_RANGE = (10_000, 32_000)
 
 
 def start_daemon_thread(function: Callable[[], None], name: str) -> threading.Thread:
@@ -19,10 +21,19 @@
 
 
 def free_port() -> int:
-    """Return a free TCP port of the loopback interface."""
-    with socket.socket() as probe_socket:
-        probe_socket.bind((HOST, 0))
-        return int(probe_socket.getsockname()[1])
+    """Return a free TCP port of the loopback interface.
+
+    It is below the range from which outgoing connections take their ports. A process that starts
+    later would otherwise find its port in use by a connection of another process.
+    """
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as probe_socket:
+            try:
+                probe_socket.bind((HOST, port))
+            except OSError:
+                continue  # in use; another port is tried
+            return port
 
 
 def serve_in_background(routes: dict[str, Handler]) -> tuple[Server, str]:
--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -19,11 +19,17 @@
 # Rate of the executor's clock relative to real time: the slowest that the protocol allows.
 CLOCK_RATE = 0.98
 START_DELAY_RANGE_S = (2.0, 6.0)  # of start orders while ``is_delaying_starts`` is set
+DOWN_RANGE_S = (1.0, 3.0)  # time until an executor that a task has crashed is back
+# A smaller capacity counts once the agent must know of it.
+CAPACITY_NOTICE_S = 4.0 + HEARTBEAT_INTERVAL_S
 
 
 class BatchExecutorStandIn:
     """Executor that runs each task for the number of seconds in its payload.
 
+    A task whose payload says that it crashes takes the executor down; it is back after some seconds
+    as a new incarnation. The executor starts tasks beyond its capacity and reports a violation.
+
     :param agent_address: ``host:port`` of the agent
     :ivar is_delaying_starts: half of the start orders get no complete response and are applied
         seconds later
@@ -41,9 +47,13 @@
         self.name = name
         self.is_delaying_starts = False
         self._agent_address = agent_address
-        self._run_recorder = run_recorder
+        self.run_recorder = run_recorder
         self._rng = rng
         self._accelerators = accelerators
+        self._full_accelerators = accelerators
+        # The capacity that starts are checked against, and the time until which it is.
+        self._earlier_capacity = (accelerators, float("-inf"))
+        self._down_until = float("-inf")
         self._condition = threading.Condition()
         self._pool = urllib3.PoolManager(retries=False)
         self._incarnation_count = 0
@@ -60,11 +70,29 @@
             "POST /-/pace": lambda request: json_response({"clockMs": self._clock_ms()}),
         }
 
-    def crash(self) -> None:
-        """End all runs and restart as a new incarnation."""
+    def set_capacity(self, accelerators: int | None) -> None:
+        """Change the capacity that the next heartbeats report; None restores it."""
         with self._condition:
+            if accelerators is None:
+                accelerators = self._full_accelerators
+            until = time.monotonic() + CAPACITY_NOTICE_S
+            self._earlier_capacity = (max(self._capacity_in_force(), accelerators), until)
+            self._accelerators = accelerators
+
+    def _capacity_in_force(self) -> int:
+        accelerators, until = self._earlier_capacity
+        is_noticed = time.monotonic() >= until
+        return self._accelerators if is_noticed else max(accelerators, self._accelerators)
+
+    def crash(self, down_s: float = 0.0) -> None:
+        """End all runs and restart as a new incarnation.
+
+        :param down_s: time in seconds until the new incarnation answers
+        """
+        with self._condition:
+            self._down_until = time.monotonic() + down_s
             for record in self._run_by_task.values():
-                self._run_recorder.record_end(record, "crashed")
+                self.run_recorder.record_end(record, "crashed")
             self._reset()
             self._condition.notify_all()
 
@@ -90,6 +118,8 @@
         self, request: HttpRequest, body: dict[str, Any]
     ) -> HttpResponse | None:
         """Record the fencing token, or return an error if it or the incarnation is outdated."""
+        if self._is_down():
+            return _no_response()
         if request.headers.get("expect-instance", self._incarnation) != self._incarnation:
             return json_response({"clockMs": self._clock_ms()}, status=421)
         if body.get("fencingToken", 0) < self._fencing_token:
@@ -97,6 +127,9 @@
         self._fencing_token = body.get("fencingToken", 0)
         return None
 
+    def _is_down(self) -> bool:
+        return time.monotonic() < self._down_until
+
     def _conflict_response(self, reason: str) -> HttpResponse:
         return json_response({"clockMs": self._clock_ms(), "reason": reason}, status=409)
 
@@ -107,7 +140,7 @@
             timer.daemon = True
             timer.start()
             time.sleep(1.0)  # exceeds the timeout of every caller
-            return HttpResponse(status=503, body=b"{}", is_truncated=True)
+            return _no_response()
         return self._start_run(request)
 
     def _start_run(self, request: HttpRequest) -> HttpResponse:
@@ -136,10 +169,14 @@
                 started_at=time.monotonic(),
             )
             self._run_by_task[task] = record
-            self._run_recorder.record_start(record)
+            self.run_recorder.record_start(record)
+            if payload.get("crashes"):
+                self.run_recorder.record_crash_by(task)
+                self.crash(self._rng.uniform(*DOWN_RANGE_S))
+                return _no_response()
             used_accelerators = sum(other.accelerators for other in self._run_by_task.values())
-            if used_accelerators > self._accelerators:
-                self._run_recorder.report_violation(
+            if used_accelerators > self._capacity_in_force():
+                self.run_recorder.report_violation(
                     f"{self.name} uses {used_accelerators} accelerators:"
                     f" {sorted(self._run_by_task)}"
                 )
@@ -174,7 +211,7 @@
             self._extend_lease(body.get("deadlineMs", 0))
             for end in self._unacknowledged_ends:
                 if end[0] <= body["lastSeen"] and end[3] == "done":
-                    self._run_recorder.record_acknowledged_end(end[1])
+                    self.run_recorder.record_acknowledged_end(end[1])
             self._unacknowledged_ends = [
                 end for end in self._unacknowledged_ends if end[0] > body["lastSeen"]
             ]
@@ -201,7 +238,7 @@
 
     def _end_run(self, record: RunRecord, kind: str) -> None:
         self._run_by_task.pop(record.task, None)
-        self._run_recorder.record_end(record, kind)
+        self.run_recorder.record_end(record, kind)
         self._last_closed_run_by_task[record.task] = max(
             record.run, self._last_closed_run_by_task.get(record.task, 0)
         )
@@ -227,6 +264,9 @@
 
     def _send_heartbeats_forever(self) -> None:
         while True:
+            if self._is_down():
+                time.sleep(RUN_CHECK_INTERVAL_S)
+                continue
             with self._condition:
                 self._heartbeat_number += 1
                 incarnation = self._incarnation
@@ -247,3 +287,8 @@
             except urllib3.exceptions.HTTPError:
                 pass  # an unreachable agent receives a later heartbeat
             time.sleep(HEARTBEAT_INTERVAL_S)
+
+
+def _no_response() -> HttpResponse:
+    """Return a response that breaks off, as if the connection was lost."""
+    return HttpResponse(status=503, body=b"{}", is_truncated=True)
--- a/src/chicorycrank_standin/platform/run_recorder.py
+++ b/src/chicorycrank_standin/platform/run_recorder.py
@@ -4,6 +4,10 @@
 import time
 from dataclasses import dataclass, field
 
+# A task that has crashed this many executors may start fewer times than this again.
+MAX_CRASHES = 3
+FORBIDDEN_STARTS = 3
+
 
 @dataclass(kw_only=True)
 class RunRecord:
@@ -33,6 +37,7 @@
     :param done_tasks: tasks of which a run has ended as done
     :param acknowledged_tasks: tasks whose end as done the agent has acknowledged
     :param starts: monotonic time, task and run number of each start
+    :param crashes_by_task: number of executors that each task has crashed
     """
 
     lock: threading.RLock = field(default_factory=threading.RLock)
@@ -40,6 +45,7 @@
     done_tasks: set[str] = field(default_factory=set)
     acknowledged_tasks: set[str] = field(default_factory=set)
     starts: list[tuple[float, str, int]] = field(default_factory=list)
+    crashes_by_task: dict[str, int] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
     started_at: float = field(default_factory=time.monotonic)
 
@@ -64,6 +70,16 @@
             self.run_by_task_and_executor[record.task, record.executor] = record
             self._start_work_of_complete_gang(record)
 
+    def record_crash_by(self, task: str) -> None:
+        """Record that a task has crashed its executor, as each of its starts does.
+
+        Reports a violation if it was started too often after its third crash.
+        """
+        with self.lock:
+            crashes = self.crashes_by_task[task] = self.crashes_by_task.get(task, 0) + 1
+            if crashes == MAX_CRASHES + FORBIDDEN_STARTS:
+                self.report_violation(f"{task} was started again after {MAX_CRASHES} crashes")
+
     def _start_work_of_complete_gang(self, record: RunRecord) -> None:
         job_prefix = record.task.rpartition(".")[0]
         gang_records = [
--- a/src/chicorycrank_standin/soak/__main__.py
+++ b/src/chicorycrank_standin/soak/__main__.py
@@ -7,6 +7,7 @@
 from functools import partial
 from pathlib import Path
 
+from chicorycrank_standin.soak.deployment import AGENT_COUNT
 from chicorycrank_standin.soak.session import SoakResult, run_soak
 
 FAULTS_DURATION_S = 20.0
@@ -24,11 +25,14 @@
         help="time during which faults are injected",
     )
     parser.add_argument("--jobs", type=int, default=1, help="number of concurrent soak tests")
+    parser.add_argument(
+        "--agents", type=int, default=AGENT_COUNT, help="number of agents in each soak test"
+    )
     parser.add_argument("--logs", type=Path, help="folder for settings and logs")
     arguments = parser.parse_args()
     folder = arguments.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     seeds = range(arguments.seed, arguments.seed + arguments.count)
-    run_seed = partial(_run_seed, arguments.seconds, folder)
+    run_seed = partial(_run_seed, arguments.seconds, folder, arguments.agents)
     failed_seeds = 0
     with ProcessPoolExecutor(arguments.jobs) as pool:
         for result in pool.map(run_seed, seeds):
@@ -38,14 +42,14 @@
     return 1 if failed_seeds else 0
 
 
-def _run_seed(duration_s: float, folder: Path, seed: int) -> SoakResult:
-    return run_soak(seed, duration_s, folder / str(seed))
+def _run_seed(duration_s: float, folder: Path, agents: int, seed: int) -> SoakResult:
+    return run_soak(seed, duration_s, folder / str(seed), agents=agents)
 
 
 def _print_result(result: SoakResult) -> None:
     sys.stdout.write(
         f"seed {result.seed}: {result.jobs} jobs, {result.accepted} accepted,"
-        f" {result.starts} starts, {result.faults} faults,"
+        f" {result.starts} starts, {result.faults} faults, {result.crashes} crashes by tasks,"
         f" {len(result.violations)} violations\n"
     )
     for text in result.violations:
--- a/src/chicorycrank_standin/soak/callers.py
+++ b/src/chicorycrank_standin/soak/callers.py
@@ -26,6 +26,7 @@
 REQUEST_DEADLINE_S = 3.0
 MAX_SUBMIT_ATTEMPTS = 5
 CANCEL_SHARE = 0.15
+HARMFUL_SHARE = 0.04  # share of the jobs whose tasks crash their executors
 # An accepted job is visible at every entry after this time and stays visible for longer than a
 # soak lasts. A later status 410 (Gone) therefore means that the job was lost.
 VISIBILITY_TIMEOUT_S = 3.0
@@ -45,20 +46,24 @@
 
     :param is_gang: the tasks form a gang; if the job is reported as completed, the final check in
         ``session.py`` then requires the recorded end of one task only
+    :param is_harmful: the tasks crash the executors that start them
     :param accepted_at: monotonic time of the reply that accepted the job
     :param cancelled_at: monotonic time of the reply that confirmed the cancellation
     :param is_cancel_unknown: a cancellation got no reply, so it may have taken effect
     :param is_acceptance_unknown: an attempt got no reply, so the job may have been accepted
+    :param reason: reason of the state according to the last reply
     """
 
     path: str
     task_count: int
     is_gang: bool
+    is_harmful: bool
     accepted_at: float | None = None
     cancelled_at: float | None = None
     is_cancel_unknown: bool = False
     is_acceptance_unknown: bool = False
     state: str = ""
+    reason: str = ""
 
 
 @dataclass
@@ -74,26 +79,36 @@
         """Start the caller threads, each with a random generator derived from the seed."""
         return [
             start_daemon_thread(
-                partial(self._call_forever, random.Random(seed * 100 + number)), f"caller-{number}"
+                partial(
+                    self._call_forever,
+                    random.Random(seed * 100 + number),
+                    random.Random(f"harmful {seed} {number}"),
+                ),
+                f"caller-{number}",
             )
             for number in range(CALLER_THREADS)
         ]
 
-    def _call_forever(self, rng: random.Random) -> None:
+    def _call_forever(self, rng: random.Random, harmful_rng: random.Random) -> None:
+        # A generator of its own leaves the rest of the traffic of a seed as it was.
         pools = {
             entry.name: urllib3.HTTPConnectionPool(HOST, entry.port, maxsize=1, retries=False)
             for entry in self.deployment.entries
         }
         own_jobs: list[JobRecord] = []
         while not self.stop_event.wait(rng.expovariate(1 / MEAN_INTERVAL_S)):
-            job = self._submit_job(rng, pools)
+            job = self._submit_job(rng, pools, is_harmful=harmful_rng.random() < HARMFUL_SHARE)
             own_jobs.append(job)
             if job.accepted_at is not None and rng.random() < CANCEL_SHARE:
                 self._cancel_job(job, rng, pools)
             self._query_job(rng.choice(own_jobs), rng, pools)
 
     def _submit_job(
-        self, rng: random.Random, pools: dict[str, urllib3.HTTPConnectionPool]
+        self,
+        rng: random.Random,
+        pools: dict[str, urllib3.HTTPConnectionPool],
+        *,
+        is_harmful: bool,
     ) -> JobRecord:
         is_gang = rng.random() < 0.4
         count = rng.randint(1, 3)
@@ -102,13 +117,17 @@
             "seconds": round(rng.uniform(0.2, 1.5), 2),
             "members": count if is_gang else 1,
             "accelerators": accelerators,
+            "crashes": is_harmful,
         }
         step: dict[str, Any] = {"count": count, "gpus": accelerators, "estimatedMs": 1000}
         if is_gang:
             step["gang"] = True
         job_name = f"{rng.getrandbits(64):016x}"
         job = JobRecord(
-            path=f"/{rng.choice(QUEUE_NAMES)}/{job_name}", task_count=count, is_gang=is_gang
+            path=f"/{rng.choice(QUEUE_NAMES)}/{job_name}",
+            task_count=count,
+            is_gang=is_gang,
+            is_harmful=is_harmful,
         )
         self.jobs.append(job)
         body = json.dumps({"spec": json.dumps(payload), "steps": [step]}).encode()
@@ -191,13 +210,15 @@
         """Return whether every entry responds to a call with status 200."""
         return all(self._query(entry, path) is not None for entry in self.deployment.entries)
 
-    def query_state(self, job: JobRecord) -> str:
-        """Return the state of a job, or an empty string if no entry returns one."""
+    def update_state(self, job: JobRecord) -> None:
+        """Query the state of a job; it is an empty string if no entry returns one."""
+        job.state = job.reason = ""
         for entry in self.deployment.entries:
             document = self._query(entry, job.path)
             if document is not None:
-                return str(document.get("state", ""))
-        return ""
+                job.state = str(document.get("state", ""))
+                job.reason = str(document.get("reason", ""))
+                return
 
     @staticmethod
     def _query(entry: Program, path: str) -> dict[str, Any] | None:
--- a/src/chicorycrank_standin/soak/deployment.py
+++ b/src/chicorycrank_standin/soak/deployment.py
@@ -107,9 +107,10 @@
     """Entries, agents, executors and the store of a soak test.
 
     :param seed: seed of the random faults of the store and the executors
+    :param agents: number of agents, each with an executor
     """
 
-    def __init__(self, folder: Path, seed: int) -> None:
+    def __init__(self, folder: Path, seed: int, agents: int = AGENT_COUNT) -> None:
         self.run_recorder = RunRecorder()
         self.store = KvStoreStandIn(random.Random(seed))
         self._servers: list[Server] = []
@@ -120,8 +121,7 @@
             for index in range(ENTRY_COUNT)
         ]
         self.agents = [
-            Program(f"agent-{index}", "batch_agent", store_port, folder)
-            for index in range(AGENT_COUNT)
+            Program(f"agent-{index}", "batch_agent", store_port, folder) for index in range(agents)
         ]
         for entry in self.entries:
             addresses = {"front": f"{HOST}:{entry.port}", "ready": f"{HOST}:{entry.ready_port}"}
--- a/src/chicorycrank_standin/soak/faults.py
+++ b/src/chicorycrank_standin/soak/faults.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from functools import partial
@@ -10,7 +11,12 @@
 from chicorycrank_standin.background import start_daemon_thread
 from chicorycrank_standin.forwarder import Mode
 from chicorycrank_standin.platform.kv_store import StoreMode
-from chicorycrank_standin.soak.deployment import STOP_GRACE_S, Deployment, Program
+from chicorycrank_standin.soak.deployment import (
+    ACCELERATORS_PER_EXECUTOR,
+    STOP_GRACE_S,
+    Deployment,
+    Program,
+)
 
 MEAN_INTERVAL_S = 1.5
 MIN_DURATION_S, MAX_DURATION_S = 0.5, 6.0
@@ -40,8 +46,14 @@
     STORE_FORGETS = "store-forgets"  # the history of changes is discarded
     EXECUTOR_LATE = "executor-late"  # start orders are applied late and get no complete response
     EXECUTOR_CRASH = "executor-crash"  # the executor ends all runs and restarts
+    EXECUTOR_CAPACITY = "executor-capacity"  # the capacity shrinks and grows back
 
 
+# Kinds that were added later have plans of their own, so that the faults of a seed stay.
+LATER_KINDS = (FaultKind.EXECUTOR_CAPACITY,)
+FIRST_KINDS = [kind for kind in FaultKind if kind not in LATER_KINDS]
+LATER_MEAN_INTERVAL_S = 6.0
+
 MODE_BY_LINK_FAULT = {
     FaultKind.LINK_SILENT: Mode.SILENT,
     FaultKind.LINK_CUT: Mode.CUT,
@@ -74,12 +86,20 @@
 
     The same seed and duration give the same faults.
     """
-    rng = random.Random(seed)
+    faults = _plan_kinds(random.Random(seed), duration_s, FIRST_KINDS, MEAN_INTERVAL_S)
+    later_rng = random.Random(f"later kinds {seed}")
+    faults += _plan_kinds(later_rng, duration_s, LATER_KINDS, LATER_MEAN_INTERVAL_S)
+    return sorted(faults, key=lambda fault: fault.starts_at_s)
+
+
+def _plan_kinds(
+    rng: random.Random, duration_s: float, kinds: Sequence[FaultKind], mean_interval_s: float
+) -> list[Fault]:
     faults: list[Fault] = []
     starts_at_s = 0.0
     while True:
         is_follow_up = bool(faults) and rng.random() < FOLLOW_UP_SHARE
-        starts_at_s += FOLLOW_UP_DELAY_S if is_follow_up else rng.expovariate(1 / MEAN_INTERVAL_S)
+        starts_at_s += FOLLOW_UP_DELAY_S if is_follow_up else rng.expovariate(1 / mean_interval_s)
         if starts_at_s >= duration_s:
             return faults
         # 60 is a multiple of the numbers of programs (5) and executors (3), so that all are hit
@@ -87,7 +107,7 @@
         faults.append(
             Fault(
                 starts_at_s=starts_at_s,
-                kind=rng.choice(list(FaultKind)),
+                kind=rng.choice(kinds),
                 target_index=faults[-1].target_index if is_follow_up else rng.randrange(60),
                 duration_s=rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
             )
@@ -161,6 +181,10 @@
             executor.is_delaying_starts = False
         case FaultKind.EXECUTOR_CRASH:
             executor.crash()
+        case FaultKind.EXECUTOR_CAPACITY:
+            executor.set_capacity(fault.target_index % ACCELERATORS_PER_EXECUTOR)
+            time.sleep(fault.duration_s)
+            executor.set_capacity(None)
 
 
 def inject_faults(faults: list[Fault], deployment: Deployment) -> None:
@@ -179,6 +203,8 @@
 def end_faults(deployment: Deployment) -> None:
     """Undo the effects that overlapping faults may have left on the store and the programs."""
     deployment.store.mode = StoreMode.NORMAL
+    for executor in deployment.executors:
+        executor.set_capacity(None)
     for program in deployment.programs:
         program.signal(signal.SIGCONT)
         program.store_proxy.set_mode(Mode.PASS)
--- a/src/chicorycrank_standin/soak/session.py
+++ b/src/chicorycrank_standin/soak/session.py
@@ -6,7 +6,7 @@
 
 from chicorycrank_standin.soak import faults
 from chicorycrank_standin.soak.callers import FINAL_STATES, Callers, JobRecord
-from chicorycrank_standin.soak.deployment import Deployment
+from chicorycrank_standin.soak.deployment import AGENT_COUNT, Deployment
 
 READY_TIMEOUT_S = 30.0
 WARM_UP_S = 1.0
@@ -14,6 +14,8 @@
 # (lost_after_s in batch/leases.py). The work then runs again, and recovery may take 12 s.
 FINISH_TIMEOUT_S = 40.0
 POLL_INTERVAL_S = 0.3
+# A job may be given up once one of its tasks has crashed this many executors.
+MIN_CRASHES_TO_FAIL = 2
 # A cancelled job starts no task later than this after the reply to the cancellation.
 CANCEL_TIMEOUT_S = 3.0
 # Start orders without a reply are applied up to this long after they were sent.
@@ -28,6 +30,7 @@
     :param accepted: number of jobs whose acceptance was confirmed
     :param starts: number of started runs
     :param faults: number of injected faults
+    :param crashes: number of executors that tasks have crashed
     """
 
     seed: int
@@ -35,17 +38,21 @@
     accepted: int
     starts: int
     faults: int
+    crashes: int
     violations: tuple[str, ...]
 
 
-def run_soak(seed: int, duration_s: float, folder: Path) -> SoakResult:
+def run_soak(
+    seed: int, duration_s: float, folder: Path, *, agents: int = AGENT_COUNT
+) -> SoakResult:
     """Run one soak test.
 
     :param duration_s: time during which faults are injected
     :param folder: directory for the settings and logs of the programs
+    :param agents: number of agents, each with an executor
     """
     folder.mkdir(parents=True, exist_ok=True)
-    deployment = Deployment(folder, seed)
+    deployment = Deployment(folder, seed, agents)
     callers = Callers(deployment, deployment.run_recorder)
     planned_faults = faults.plan_faults(seed, duration_s)
     try:
@@ -68,6 +75,7 @@
         accepted=sum(job.accepted_at is not None for job in callers.jobs),
         starts=len(run_recorder.starts),
         faults=len(planned_faults),
+        crashes=sum(run_recorder.crashes_by_task.values()),
         violations=tuple(run_recorder.violations),
     )
 
@@ -88,7 +96,7 @@
     deadline = time.monotonic() + FINISH_TIMEOUT_S
     while open_jobs and time.monotonic() < deadline:
         for job in open_jobs:
-            job.state = callers.query_state(job)
+            callers.update_state(job)
         open_jobs = [job for job in open_jobs if job.state not in FINAL_STATES]
         time.sleep(POLL_INTERVAL_S)
     for job in open_jobs:
@@ -105,8 +113,11 @@
     starts = [started_at for started_at, task, _ in run_recorder.starts if task.startswith(name)]
     if job.accepted_at is None and not job.is_acceptance_unknown and starts:
         run_recorder.report_violation(f"refused job has run: {job.path}")
-    if job.state == "failed":
-        run_recorder.report_violation(f"failed without cause: {job.path}")
+    crashes = [n for task, n in run_recorder.crashes_by_task.items() if task.startswith(name)]
+    if job.state == "failed" and max(crashes, default=0) < MIN_CRASHES_TO_FAIL:
+        run_recorder.report_violation(f"failed without cause: {job.path}: {job.reason}")
+    if job.state == "failed" and not job.reason:
+        run_recorder.report_violation(f"failed without a reason for the caller: {job.path}")
     if job.state == "cancelled" and job.cancelled_at is None and not job.is_cancel_unknown:
         run_recorder.report_violation(f"cancelled without cause: {job.path}")
     if job.cancelled_at is not None:
--- a/tests/platform_adapter/test_protocol.py
+++ b/tests/platform_adapter/test_protocol.py
@@ -2,7 +2,9 @@
 
 import json
 import random
+import time
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 import pytest
 
@@ -11,7 +13,12 @@
 from chicorycrank.platform.client import PlatformClient
 from chicorycrank.platform.executor import PlatformExecutor
 from chicorycrank.platform.store import PlatformStore
-from chicorycrank.ports.executor import OtherIncarnationError, StartAnswer, StartOrder
+from chicorycrank.ports.executor import (
+    ExecutorUnreachableError,
+    OtherIncarnationError,
+    StartAnswer,
+    StartOrder,
+)
 from chicorycrank.ports.transactions import (
     MISSING,
     Committed,
@@ -188,3 +195,39 @@
         client.extend_lease(
             fence=2, last_acknowledged_end=1, deadline_ms=None, wait_s=0.0, incarnation=incarnation
         )
+
+
+def test_an_executor_crashes_under_a_harmful_task_and_is_back_later(
+    executor: tuple[PlatformExecutor, BatchExecutorStandIn], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stand-in that survives a harmful task or answers while it is down."""
+    client, executor_standin = executor
+    monkeypatch.setattr("chicorycrank_standin.platform.executor.DOWN_RANGE_S", (0.3, 0.3))
+    payload = json.dumps({"seconds": 1, "members": 1, "accelerators": 1, "crashes": True})
+    order = replace(start_order(1, 2, Incarnation("executor-1:0")), payload=payload)
+    for expected in (ExecutorUnreachableError, ExecutorUnreachableError):
+        with pytest.raises(expected):
+            client.start(order)
+    time.sleep(0.4)
+    with pytest.raises(OtherIncarnationError):
+        client.start(order)
+    assert executor_standin.run_recorder.crashes_by_task == {TASK: 1}
+
+
+@pytest.mark.parametrize("is_noticed", [False, True])
+def test_a_start_beyond_a_smaller_capacity_is_a_violation_once_it_must_be_known(
+    executor: tuple[PlatformExecutor, BatchExecutorStandIn],
+    monkeypatch: pytest.MonkeyPatch,
+    is_noticed: bool,
+) -> None:
+    """Guards against a soak that misses starts beyond a capacity that has shrunk."""
+    client, executor_standin = executor
+    notice_s = 0.0 if is_noticed else 60.0
+    monkeypatch.setattr("chicorycrank_standin.platform.executor.CAPACITY_NOTICE_S", notice_s)
+    executor_standin.set_capacity(0)
+    order = start_order(1, 2, Incarnation("executor-1:0"))
+    assert client.start(order) is StartAnswer.STARTED
+    assert len(executor_standin.run_recorder.violations) == is_noticed
+    executor_standin.set_capacity(None)
+    assert client.start(replace(order, task=TaskId("other"))) is StartAnswer.STARTED
+    assert len(executor_standin.run_recorder.violations) == is_noticed
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,8 @@
 FULL_DURATION_S = 20.0
 # Seeds that found a violation, each with its cause:
 # 5: a disconnected agent accepted runs that an order without work had withdrawn.
-REGRESSION_SEEDS = (5,)
+# 2002: two tasks of a job had crashed one executor each, and starts without an answer counted twice.
+REGRESSION_SEEDS = (5, 2002)
 
 
 @pytest.mark.parametrize(
