--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 FULL_DURATION_S = 20.0
 # Seeds that found a violation, each with its cause:
 # 5: a disconnected agent accepted runs that an order without work had withdrawn.
-# 2002: two tasks of a job had crashed one executor each, and starts without an answer counted twice.
+# 2002: two tasks had crashed one executor each, as starts without an answer counted for both.
 REGRESSION_SEEDS = (5, 2002)
 
 
