--- a/src/chicorycrank_standin/platform/run_recorder.py
+++ b/src/chicorycrank_standin/platform/run_recorder.py
@@ -38,6 +38,7 @@
     :param acknowledged_tasks: tasks whose end as done the agent has acknowledged
     :param starts: monotonic time, task and run number of each start
     :param crashes_by_task: number of executors that each task has crashed
+    :param last_crash_at: monotonic time of the last of these crashes
     """
 
     lock: threading.RLock = field(default_factory=threading.RLock)
@@ -46,6 +47,7 @@
     acknowledged_tasks: set[str] = field(default_factory=set)
     starts: list[tuple[float, str, int]] = field(default_factory=list)
     crashes_by_task: dict[str, int] = field(default_factory=dict)
+    last_crash_at: float = float("-inf")
     violations: list[str] = field(default_factory=list)
     started_at: float = field(default_factory=time.monotonic)
 
@@ -76,6 +78,7 @@
         Reports a violation if it was started too often after its third crash.
         """
         with self.lock:
+            self.last_crash_at = time.monotonic()
             crashes = self.crashes_by_task[task] = self.crashes_by_task.get(task, 0) + 1
             if crashes == MAX_CRASHES + FORBIDDEN_STARTS:
                 self.report_violation(f"{task} was started again after {MAX_CRASHES} crashes")
