Review: one large job stops the leader for good

Cause: an order holds the payload once for each task and has no bound; the store refuses a value above its limit, and the leader repeats the write for good.

--- a/review/standin.py
+++ b/review/standin.py
@@ -15,7 +15,7 @@
 import tempfile
 import threading
 import time
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from urllib.parse import parse_qsl, urlsplit
@@ -47,6 +47,7 @@
     "leaseMs": 3000,
 }
 HEARTBEAT_MS = 1500
+MAX_VALUE_BYTES = 1_048_576
 STORE_DELAY_S = 0.004  # the store answers after 4 ms
 
 
@@ -162,6 +163,7 @@
         self._last_lease = 0
         self._silent = False
         self._cuts = 0
+        self._oversized = 0
         self.machines = dict
         self.address = f"{HOST}:{free_port()}"
         serve(int(self.address.rpartition(":")[2]), self._handle)
@@ -255,6 +257,15 @@
         rows = document.get("setKeys", [])
         if any(row.get("lease") and row["lease"] not in self._leases for row in rows):
             return 404, {}
+        for row in rows:
+            size = len(b64decode(row["value"]))
+            if size > MAX_VALUE_BYTES:
+                self._oversized += 1
+                if self._oversized in (1, 10, 100):
+                    self._record.write(
+                        f"store: 400 (number {self._oversized}), {row['key']} has {size} bytes"
+                    )
+                return 400, {"error": f"{row['key']}: the value is too large"}
         self._revision += 1
         for row in rows:
             self._set(row["key"], row["value"], row.get("lease", 0))
@@ -300,9 +311,10 @@
     A stop takes `stop_s`; the run is listed as running until its end is listed.
     """
 
-    def __init__(self, record, name, control, *, gpus=4, kind="a", rack="r1-1", stop_s=0.3):
+    def __init__(self, record, name, control, *, gpus=4, cores=64, kind="a", rack="r1-1", stop_s=0.3):
         self.name = name
         self.gpus = gpus
+        self.cores = cores
         self.kind = kind
         self.rack = rack
         self.stop_s = stop_s
@@ -506,7 +518,11 @@
                     "slots": 8,
                     "state": self.state,
                     "coldRemainingMs": 0,
-                    "capacity": {"cpu": 64000, "memMb": 262144, "gpus": self.gpus},
+                    "capacity": {
+                        "cpu": self.cores * 1000,
+                        "memMb": self.cores * 4096,
+                        "gpus": self.gpus,
+                    },
                     "labels": [self.kind, self.rack],
                     "clockMs": self.clock_ms(),
                     "born": self._born_ms,
@@ -582,7 +598,7 @@
 class Deployment:
     """Small deployment: three entries, and executors with an agent each."""
 
-    def __init__(self, case, *, entries=3, executors=3, gpus=4, max_attempts=3, kinds=()):
+    def __init__(self, case, *, entries=3, executors=3, gpus=4, cores=64, max_attempts=3, kinds=()):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(Path(case) / "record.txt")
         self.record.write(f"disruption: {'yes' if is_troubled() else 'no'}")
@@ -600,6 +616,7 @@
                 f"x{number}",
                 control,
                 gpus=gpus,
+                cores=cores,
                 kind=kinds[number] if kinds else "a",
                 rack=f"r1-{number}",
             )
@@ -646,7 +663,15 @@
             "heartbeatMs": HEARTBEAT_MS,
             "bounds": BOUNDS,
             "controlMode": "call",
-            "platform": {"address": self.store.address},
+            "platform": {
+                "address": self.store.address,
+                "form": "kv",
+                "writesPerS": 400,
+                "readsPerS": 2000,
+                "retentionS": 20,
+                "maxValueBytes": MAX_VALUE_BYTES,
+                "minTtlMs": 1000,
+            },
             "cloud": {"address": self.store.address},
             "recommendation": self.store.address,
             **fields,
@@ -694,8 +719,13 @@
             self.record.write(f"client: {method} {path} at edge-{entry}: {status} {answer}")
         return status, answer
 
-    def submit(self, front, queue, seconds, *, count=1, gpus=1, estimated_s=None, **fields):
-        """Hand a job of one step in; return the status and the job's id."""
+    def submit(
+        self, front, queue, seconds, *, count=1, gpus=1, estimated_s=None, spec_bytes=0, **fields
+    ):
+        """Hand a job of one step in; return the status and the job's id.
+
+        :param spec_bytes: length to which `spec` is filled up
+        """
         job_id = os.urandom(8).hex()
         step = {
             "count": count,
@@ -705,7 +735,8 @@
             "estimatedMs": round((estimated_s or seconds) * 1000),
             **fields,
         }
-        document = {"spec": f"{seconds} seconds", "steps": [step]}
+        spec = f"{seconds} seconds".ljust(spec_bytes, ".")
+        document = {"spec": spec, "steps": [step]}
         status, _ = self.call(front, "POST", f"/{queue}/{job_id}", document)
         return status, job_id
 
