Review: an executor that returns as another kind gets tasks of the old kind

Cause: the workers that suit a label are cached, and a new incarnation with the same capacity does not clear the cache.

--- a/review/standin.py
+++ b/review/standin.py
@@ -335,9 +335,13 @@
         """Id of the present life."""
         return f"{self.name}-{self._lives}"
 
-    def start(self):
-        """Begin a new life, which knows nothing of the life before."""
+    def start(self, kind=""):
+        """Begin a new life, which knows nothing of the life before.
+
+        :param kind: kind of the new life, if it is of a different one
+        """
         with self._condition:
+            self.kind = kind or self.kind
             self._lives += 1
             self._born_ms = round(time.time() * 1000)
             self._started = time.monotonic()
@@ -352,7 +356,7 @@
             self._leaves_at = None
             self.is_up = True
         self._server = serve(int(self.address.rpartition(":")[2]), self._handle)
-        self._record.write(f"executor {self.id}: starts")
+        self._record.write(f"executor {self.id}: starts, of kind {self.kind}")
         self._beat_now.set()
 
     def crash(self):
@@ -418,6 +422,7 @@
             "task": task,
             "run": run,
             "executor": self.id,
+            "kind": self.kind,
             "seconds": float(document["spec"].split()[0]),
             "started": self._record.now(),
             "ended": None,
