--- a/review/1/case.py
+++ b/review/1/case.py
@@ -72,8 +72,9 @@
     violations = []
     if status in (200, 410) and late:
         violations.append(
-            f"UNASKED: {len(late)} tasks of job {gpu_job} still run {record.now() - cancelled_at:.1f}"
-            " s after its cancelling was acknowledged; beside the job: the example"
+            f"UNASKED: {len(late)} tasks of job {gpu_job} still run"
+            f" {record.now() - cancelled_at:.1f} s after its cancelling was acknowledged;"
+            " beside the job: the example"
         )
     # The leader plans again once the executors have listed the ends of these tasks.
     limit = record.now() + GPU_WORK_S + 10
--- a/review/standin.py
+++ b/review/standin.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -49,6 +50,7 @@
 HEARTBEAT_MS = 1500
 MAX_VALUE_BYTES = 1_048_576
 STORE_DELAY_S = 0.004  # the store answers after 4 ms
+_USED_PORTS = set()
 
 
 def is_troubled():
@@ -76,10 +78,18 @@
 
 
 def free_port():
-    """Return a port on which nothing listens now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free, and that the system gives to no outgoing connection."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        if port in _USED_PORTS:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _USED_PORTS.add(port)
+        return port
 
 
 class _Server(ThreadingHTTPServer):
@@ -311,7 +321,9 @@
     A stop takes `stop_s`; the run is listed as running until its end is listed.
     """
 
-    def __init__(self, record, name, control, *, gpus=4, cores=64, kind="a", rack="r1-1", stop_s=0.3):
+    def __init__(
+        self, record, name, control, *, gpus=4, cores=64, kind="a", rack="r1-1", stop_s=0.3
+    ):
         self.name = name
         self.gpus = gpus
         self.cores = cores
