Stand-ins: executors drain and leave, ports close, watches are silent before the history goes

Heartbeats come each 1.5 s, as heartbeatMs of the deployments says, and 0.2 s after one that was not acknowledged. With 0.5 s a heartbeat always came before an agent had taken a port that refuses for the end of its executor.

The recorder keeps all runs with their ends.

--- a/src/chicorycrank_standin/forwarder.py
+++ b/src/chicorycrank_standin/forwarder.py
@@ -31,13 +31,16 @@
     :param port: port to listen on
     :param target_port: port to forward to
     :param delay_s: delay of each chunk in mode ``delay``
+    :ivar address: ``host:port`` to connect to
     """
 
     def __init__(self, port: int, target_port: int, *, delay_s: float = 0.1) -> None:
+        self.address = f"{HOST}:{port}"
         self._port = port
         self._target_port = target_port
         self._delay_s = delay_s
         self._mode = Mode.PASS
+        self._is_closed = False
         self._loop = asyncio.new_event_loop()
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -52,6 +55,10 @@
         """Set the mode; it is in effect on return."""
         self._call(self._set_mode(mode))
 
+    def set_closed(self, is_closed: bool) -> None:
+        """Close or reopen the port independently of the mode, as its target ends or starts."""
+        self._call(self._set_closed(is_closed))
+
     def stop(self) -> None:
         """Close every connection and stop the thread."""
         self._call(self._close())
@@ -70,7 +77,14 @@
         if mode is Mode.SILENT:
             for connection in self._connections:
                 connection.is_silent = True
-        if mode is Mode.CUT:
+        await self._update_port()
+
+    async def _set_closed(self, is_closed: bool) -> None:
+        self._is_closed = is_closed
+        await self._update_port()
+
+    async def _update_port(self) -> None:
+        if self._is_closed or self._mode is Mode.CUT:
             if self._server is not None:
                 self._server.close()
                 self._server = None
@@ -93,7 +107,7 @@
             writer.transport.abort()
             return
         connection = _Connection(writer, target_writer)
-        if self._mode is Mode.CUT:
+        if self._is_closed or self._mode is Mode.CUT:
             connection.abort()
             return
         self._connections.add(connection)
--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -4,16 +4,19 @@
 import random
 import threading
 import time
+from http import HTTPStatus
 from typing import Any
 
 import urllib3
 
 from chicorycrank_standin.background import start_daemon_thread
+from chicorycrank_standin.forwarder import Forwarder
 from chicorycrank_standin.http import Handler, HttpRequest, HttpResponse, json_response
 from chicorycrank_standin.platform.run_recorder import RunRecord, RunRecorder
 
 RUN_CHECK_INTERVAL_S = 0.02
-HEARTBEAT_INTERVAL_S = 0.5
+HEARTBEAT_INTERVAL_S = 1.5
+HEARTBEAT_RETRY_DELAY_S = 0.2  # after a heartbeat that was not acknowledged
 GANG_TIMEOUT_S = 3.0  # a run ends as ``alone`` if its gang is incomplete for this time
 MAX_LEASE_MS = 10_000
 # Rate of the executor's clock relative to real time: the slowest that the protocol allows.
@@ -33,6 +36,11 @@
     :param agent_address: ``host:port`` of the agent
     :ivar is_delaying_starts: half of the start orders get no complete response and are applied
         seconds later
+    :ivar is_up: the present incarnation runs
+    :ivar heartbeats_acknowledged: number of heartbeats that the agent has acknowledged
+    :ivar draining_acknowledged_at: monotonic time at which the agent has acknowledged that the
+        executor drains; infinity before it
+    :ivar link: forwarder through which the agent calls; it is closed while the executor is down
     """
 
     def __init__(
@@ -53,11 +61,16 @@
         self._full_accelerators = accelerators
         # The capacity that starts are checked against, and the time until which it is.
         self._earlier_capacity = (accelerators, float("-inf"))
-        self._down_until = float("-inf")
+        self.link: Forwarder | None = None
         self._condition = threading.Condition()
+        self.heartbeats_acknowledged = 0
+        self._heartbeat_due = threading.Event()
+        self._stop = threading.Event()
+        self._exits_at: float | None = None
+        self._down_s_after_exit = 0.0
         self._pool = urllib3.PoolManager(retries=False)
         self._incarnation_count = 0
-        self._reset()
+        self._begin_life()
         start_daemon_thread(self._end_runs_forever, f"work-{name}")
         start_daemon_thread(self._send_heartbeats_forever, f"beat-{name}")
 
@@ -70,6 +83,10 @@
             "POST /-/pace": lambda request: json_response({"clockMs": self._clock_ms()}),
         }
 
+    def close(self) -> None:
+        """Stop the threads."""
+        self._stop.set()
+
     def set_capacity(self, accelerators: int | None) -> None:
         """Change the capacity that the next heartbeats report; None restores it."""
         with self._condition:
@@ -84,19 +101,60 @@
         is_noticed = time.monotonic() >= until
         return self._accelerators if is_noticed else max(accelerators, self._accelerators)
 
+    @property
+    def instance(self) -> str:
+        """Id of the present incarnation, or of the last one while the executor is down."""
+        return self._incarnation
+
+    def is_running(self, task_prefix: str) -> bool:
+        """Return whether a task whose name begins with a prefix runs here."""
+        with self._condition:
+            return any(task.startswith(task_prefix) for task in self._run_by_task)
+
     def crash(self, down_s: float = 0.0) -> None:
-        """End all runs and restart as a new incarnation.
+        """End all runs without notice, close the port and start again as a new incarnation.
 
         :param down_s: time in seconds until the new incarnation answers
         """
         with self._condition:
-            self._down_until = time.monotonic() + down_s
-            for record in self._run_by_task.values():
-                self.run_recorder.record_end(record, "crashed")
-            self._reset()
-            self._condition.notify_all()
+            self._end_life("crashed", down_s)
+
+    def drain(self, remaining_s: float, *, down_s: float = float("inf")) -> None:
+        """Report the state ``draining``; the executor exits after the remaining time.
+
+        :param remaining_s: time in seconds in which the executor runs on
+        :param down_s: time in seconds from the exit until a new incarnation answers
+        """
+        with self._condition:
+            self._exits_at = time.monotonic() + remaining_s
+            self._down_s_after_exit = down_s
+        self._heartbeat_due.set()
+
+    def _exit(self) -> None:
+        """End all runs, send the exit notice and close the port; the caller holds the lock."""
+        instance = self._incarnation
+        self._end_life("left", self._down_s_after_exit)
 
-    def _reset(self) -> None:
+        def send_notice() -> None:
+            self._call_agent("DELETE", instance, None)
+
+        start_daemon_thread(send_notice, f"exit-{self.name}")
+
+    def _end_life(self, kind: str, down_s: float) -> None:
+        for record in self._run_by_task.values():
+            self.run_recorder.record_end(record, kind)
+        self._run_by_task.clear()
+        self._exits_at = None
+        self.is_up = False
+        self._back_at = time.monotonic() + down_s
+        if self.link is not None:
+            self.link.set_closed(True)
+        self._condition.notify_all()
+        if down_s <= 0:
+            self._begin_life()
+
+    def _begin_life(self) -> None:
+        """Start a new incarnation, which knows nothing of the one before."""
         self._incarnation_count += 1
         self._incarnation = f"{self.name}-{self._incarnation_count}"
         self._started_at = time.monotonic()
@@ -109,7 +167,13 @@
         self._last_closed_run_by_task: dict[str, int] = {}
         # Each end is a list of its sequence number, task, run, kind and checkpoint.
         self._unacknowledged_ends: list[list[Any]] = []
+        self._ended_run_by_number: dict[int, RunRecord] = {}
         self._last_end_number = 0
+        self.is_up = True
+        if self.link is not None:
+            self.link.set_closed(False)
+        self.draining_acknowledged_at = float("inf")
+        self._heartbeat_due.set()
 
     def _clock_ms(self) -> int:
         return round((time.monotonic() - self._started_at) * 1000 * CLOCK_RATE)
@@ -118,7 +182,7 @@
         self, request: HttpRequest, body: dict[str, Any]
     ) -> HttpResponse | None:
         """Record the fencing token, or return an error if it or the incarnation is outdated."""
-        if self._is_down():
+        if not self.is_up:
             return _no_response()
         if request.headers.get("expect-instance", self._incarnation) != self._incarnation:
             return json_response({"clockMs": self._clock_ms()}, status=421)
@@ -127,9 +191,6 @@
         self._fencing_token = body.get("fencingToken", 0)
         return None
 
-    def _is_down(self) -> bool:
-        return time.monotonic() < self._down_until
-
     def _conflict_response(self, reason: str) -> HttpResponse:
         return json_response({"clockMs": self._clock_ms(), "reason": reason}, status=409)
 
@@ -210,17 +271,22 @@
                 return refusal
             self._extend_lease(body.get("deadlineMs", 0))
             for end in self._unacknowledged_ends:
-                if end[0] <= body["lastSeen"] and end[3] == "done":
-                    self.run_recorder.record_acknowledged_end(end[1])
+                if end[0] <= body["lastSeen"]:
+                    self.run_recorder.record_acknowledged_end(self._ended_run_by_number[end[0]])
             self._unacknowledged_ends = [
                 end for end in self._unacknowledged_ends if end[0] > body["lastSeen"]
             ]
-            incarnation = self._incarnation
+            life = self._incarnation_count
             self._condition.wait_for(
-                lambda: bool(self._unacknowledged_ends) or self._incarnation != incarnation, wait_s
+                lambda: (
+                    bool(self._unacknowledged_ends)
+                    or not self.is_up
+                    or self._incarnation_count != life
+                ),
+                wait_s,
             )
-            if self._incarnation != incarnation:
-                return json_response({"clockMs": self._clock_ms()}, status=421)
+            if not self.is_up or self._incarnation_count != life:
+                return _no_response()
             # Task, run, no checkpoint, and a progress of 50 percent.
             running = [[record.task, record.run, "", 50] for record in self._run_by_task.values()]
             return json_response(
@@ -243,14 +309,21 @@
             record.run, self._last_closed_run_by_task.get(record.task, 0)
         )
         self._last_end_number += 1
+        self._ended_run_by_number[self._last_end_number] = record
         self._unacknowledged_ends.append([self._last_end_number, record.task, record.run, kind, ""])
         self._condition.notify_all()
 
     def _end_runs_forever(self) -> None:
-        while True:
-            time.sleep(RUN_CHECK_INTERVAL_S)
+        while not self._stop.wait(RUN_CHECK_INTERVAL_S):
             now = time.monotonic()
             with self._condition:
+                if not self.is_up:
+                    if now >= self._back_at:
+                        self._begin_life()
+                    continue
+                if self._exits_at is not None and now >= self._exits_at:
+                    self._exit()
+                    continue
                 is_lease_expired = (
                     bool(self._run_by_task) and self._clock_ms() > self._lease_deadline_ms
                 )
@@ -263,30 +336,50 @@
                         self._end_run(record, "alone")
 
     def _send_heartbeats_forever(self) -> None:
-        while True:
-            if self._is_down():
-                time.sleep(RUN_CHECK_INTERVAL_S)
-                continue
+        wait_s = HEARTBEAT_INTERVAL_S
+        while not self._stop.is_set():
+            self._heartbeat_due.wait(wait_s)
+            self._heartbeat_due.clear()
             with self._condition:
+                if not self.is_up:
+                    continue
                 self._heartbeat_number += 1
-                incarnation = self._incarnation
-                body = {
-                    "service": "service",
-                    "address": "",
-                    "zone": "zone-a",
-                    "state": "ready",
-                    "seq": self._heartbeat_number,
-                    "born": self._started_at_ms,
-                    "clockMs": self._clock_ms(),
-                    "labels": ["a", "r1"],
-                    "capacity": {"cpu": 64000, "memMb": 256000, "gpus": self._accelerators},
-                }
-            try:
-                url = f"http://{self._agent_address}/-/instances/{incarnation}"
-                self._pool.request("PUT", url, body=json.dumps(body), timeout=1.0)
-            except urllib3.exceptions.HTTPError:
-                pass  # an unreachable agent receives a later heartbeat
-            time.sleep(HEARTBEAT_INTERVAL_S)
+                instance, body = self._incarnation, self._heartbeat()
+            is_acknowledged = self._call_agent("PUT", instance, body)
+            wait_s = HEARTBEAT_INTERVAL_S if is_acknowledged else HEARTBEAT_RETRY_DELAY_S
+            if is_acknowledged:
+                self._record_acknowledged_heartbeat(instance, body["state"] == "draining")
+
+    def _record_acknowledged_heartbeat(self, instance: str, is_draining: bool) -> None:
+        with self._condition:
+            self.heartbeats_acknowledged += 1
+            if is_draining and self._incarnation == instance:
+                self.draining_acknowledged_at = min(self.draining_acknowledged_at, time.monotonic())
+
+    def _heartbeat(self) -> dict[str, Any]:
+        body = {
+            "service": "service",
+            "address": "",
+            "zone": "zone-a",
+            "state": "ready" if self._exits_at is None else "draining",
+            "seq": self._heartbeat_number,
+            "born": self._started_at_ms,
+            "clockMs": self._clock_ms(),
+            "labels": ["a", "r1"],
+            "capacity": {"cpu": 64000, "memMb": 256000, "gpus": self._accelerators},
+        }
+        if self._exits_at is not None:
+            body["remainingMs"] = max(0, round((self._exits_at - time.monotonic()) * 1000))
+        return body
+
+    def _call_agent(self, method: str, instance: str, body: dict[str, Any] | None) -> bool:
+        """Call the agent; return whether it has acknowledged the call."""
+        url = f"http://{self._agent_address}/-/instances/{instance}"
+        data = None if body is None else json.dumps(body)
+        try:
+            return self._pool.request(method, url, body=data, timeout=1.0).status == HTTPStatus.OK
+        except urllib3.exceptions.HTTPError:
+            return False  # an unreachable agent receives a later heartbeat
 
 
 def _no_response() -> HttpResponse:
--- a/src/chicorycrank_standin/platform/kv_store.py
+++ b/src/chicorycrank_standin/platform/kv_store.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -37,6 +38,7 @@
     :param rng: decides which responses to writes are truncated
     :ivar lost_response_share: share of the writes whose responses are truncated in mode ``lossy``
     :ivar delay_s: delay of each request in mode ``slow``
+    :ivar list_machines: returns the rows of the list of machines
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -44,11 +46,14 @@
         self.lost_response_share = 0.3
         self.delay_s = 0.25
         self._rng = rng
+        self.list_machines: Callable[[], list[dict[str, Any]]] = list
         self._condition = threading.Condition()
         self._item_by_key: dict[str, dict[str, Any]] = {}
         self._events: list[dict[str, Any]] = []
         self._revision = 1
         self._discarded_revision = 0  # changes up to this revision are discarded
+        self._silences = 0  # watches hear nothing while this is positive
+        self._watch_cuts = 0
         self._lease_by_id: dict[int, _Lease] = {}
         self._last_lease_id = 0
         start_daemon_thread(self._expire_leases_forever, "sweep")
@@ -59,6 +64,7 @@
             "GET /-/kv-key": self._get_key,
             "GET /-/kv-range": self._get_range,
             "GET /-/kv-watch": self._watch_range,
+            "GET /-/machines": self._get_machines,
             "POST /-/kv-txn": self._commit_transaction,
             "POST /-/kv-lease": self._grant_lease,
             "POST /-/kv-keep/(.+)": self._renew_lease,
@@ -81,6 +87,22 @@
             self._events.clear()
             self._discarded_revision = self._revision
 
+    def compact(self, silence_s: float) -> None:
+        """Discard the history after a time in which watches get no changes, and cut them.
+
+        Reads and writes work all the while.
+
+        :param silence_s: time in seconds for which watches wait in vain
+        """
+        with self._condition:
+            self._silences += 1
+        time.sleep(silence_s)
+        with self._condition:
+            self._silences -= 1
+            self._watch_cuts += 1
+            self.discard_history()
+            self._condition.notify_all()
+
     def expire_leases(self) -> None:
         """Let all leases expire as if none had been renewed."""
         with self._condition:
@@ -106,6 +128,9 @@
 
         return handle
 
+    def _get_machines(self, request: HttpRequest) -> HttpResponse:
+        return json_response({"machines": self.list_machines(), "nextPageToken": ""})
+
     def _get_key(self, request: HttpRequest) -> HttpResponse:
         with self._condition:
             item = self._item_by_key.get(request.query["key"])
@@ -128,7 +153,14 @@
         with self._condition:
             if after < self._discarded_revision:
                 return json_response({}, status=410)
-            self._condition.wait_for(lambda: bool(self._events_after(prefix, after)), wait_s)
+            cuts = self._watch_cuts
+            self._condition.wait_for(
+                lambda: bool(self._silences or self._events_after(prefix, after)), wait_s
+            )
+            # A silent watch stays open beyond its wait, until the history is gone.
+            self._condition.wait_for(lambda: not self._silences)
+            if self._watch_cuts != cuts:
+                return HttpResponse(status=503, body=b"{}", is_truncated=True)
             events = self._events_after(prefix, after)
             return json_response({"events": events, "currentRev": self._revision})
 
--- a/src/chicorycrank_standin/platform/run_recorder.py
+++ b/src/chicorycrank_standin/platform/run_recorder.py
@@ -18,6 +18,9 @@
     :param members: number of tasks in the gang
     :param started_at: monotonic time
     :param ends_at: monotonic time at which the work is done; None while the gang is incomplete
+    :param ended_at: monotonic time of the end; None while the run lasts
+    :param end_kind: how it ended; empty while the run lasts
+    :param is_end_seen: the agent has acknowledged the end
     """
 
     task: str
@@ -28,6 +31,9 @@
     accelerators: int
     started_at: float
     ends_at: float | None = None
+    ended_at: float | None = None
+    end_kind: str = ""
+    is_end_seen: bool = False
 
 
 @dataclass
@@ -37,6 +43,7 @@
     :param done_tasks: tasks of which a run has ended as done
     :param acknowledged_tasks: tasks whose end as done the agent has acknowledged
     :param starts: monotonic time, task and run number of each start
+    :param runs: all runs in the order of their starts
     :param crashes_by_task: number of executors that each task has crashed
     :param last_crash_at: monotonic time of the last of these crashes
     """
@@ -46,6 +53,7 @@
     done_tasks: set[str] = field(default_factory=set)
     acknowledged_tasks: set[str] = field(default_factory=set)
     starts: list[tuple[float, str, int]] = field(default_factory=list)
+    runs: list[RunRecord] = field(default_factory=list)
     crashes_by_task: dict[str, int] = field(default_factory=dict)
     last_crash_at: float = float("-inf")
     violations: list[str] = field(default_factory=list)
@@ -59,6 +67,7 @@
         """
         with self.lock:
             self.starts.append((time.monotonic(), record.task, record.run))
+            self.runs.append(record)
             for (task, executor), other in self.run_by_task_and_executor.items():
                 if task == record.task and executor != record.executor:
                     self.report_violation(
@@ -99,14 +108,17 @@
     def record_end(self, record: RunRecord, kind: str) -> None:
         """Record the end of a run."""
         with self.lock:
+            record.ended_at, record.end_kind = time.monotonic(), kind
             if kind == "done":
                 self.done_tasks.add(record.task)
             self.run_by_task_and_executor.pop((record.task, record.executor), None)
 
-    def record_acknowledged_end(self, task: str) -> None:
-        """Record that the agent has acknowledged the end of a task as done."""
+    def record_acknowledged_end(self, record: RunRecord) -> None:
+        """Record that the agent has acknowledged the end of a run."""
         with self.lock:
-            self.acknowledged_tasks.add(task)
+            record.is_end_seen = True
+            if record.end_kind == "done":
+                self.acknowledged_tasks.add(record.task)
 
     def report_violation(self, text: str) -> None:
         """Record the violation of an invariant."""
--- a/src/chicorycrank_standin/soak/deployment.py
+++ b/src/chicorycrank_standin/soak/deployment.py
@@ -108,12 +108,14 @@
 
     :param seed: seed of the random faults of the store and the executors
     :param agents: number of agents, each with an executor
+    :ivar control_links: links from each executor to its agent
     """
 
     def __init__(self, folder: Path, seed: int, agents: int = AGENT_COUNT) -> None:
         self.run_recorder = RunRecorder()
         self.store = KvStoreStandIn(random.Random(seed))
         self._servers: list[Server] = []
+        self._links: list[Forwarder] = []
         store_port = int(self._start_server(self.store.routes()).rpartition(":")[2])
         self.store.put("op/config", b64encode(json.dumps(_operator_config()).encode()).decode())
         self.entries = [
@@ -126,19 +128,25 @@
         for entry in self.entries:
             addresses = {"front": f"{HOST}:{entry.port}", "ready": f"{HOST}:{entry.ready_port}"}
             entry.configure(bindAddresses=addresses)
-        self.executors = []
+        self.control_links: list[Forwarder] = []
+        self.executors: list[BatchExecutorStandIn] = []
         for agent_index, agent in enumerate(self.agents):
-            agent_address = f"{HOST}:{agent.port}"
+            control_link = self._start_link(agent.port)
             executor = BatchExecutorStandIn(
                 f"executor-{agent_index}",
-                agent_address,
+                control_link.address,
                 self.run_recorder,
                 random.Random(seed + agent_index),
                 accelerators=ACCELERATORS_PER_EXECUTOR,
             )
             executor_address = self._start_server(executor.routes())
-            agent.configure(bindAddresses={"control": agent_address}, app=executor_address)
+            executor.link = self._start_link(int(executor_address.rpartition(":")[2]))
+            agent.configure(
+                bindAddresses={"control": f"{HOST}:{agent.port}"}, app=executor.link.address
+            )
             self.executors.append(executor)
+            self.control_links.append(control_link)
+        self.store.list_machines = self._list_machines
 
     @property
     def programs(self) -> list[Program]:
@@ -154,6 +162,10 @@
         """Stop all processes, proxies and servers."""
         for program in self.programs:
             program.close()
+        for executor in self.executors:
+            executor.close()
+        for link in self._links:
+            link.stop()
         for server in self._servers:
             server.stop()
 
@@ -162,6 +174,23 @@
         for program in self.programs:
             program.last_fault_at = time.monotonic()
 
+    def _list_machines(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "machine": executor.name,
+                "pool": "service",
+                "state": "up" if executor.is_up else "down",
+                "id": executor.instance if executor.is_up else "",
+            }
+            for executor in self.executors
+        ]
+
+    def _start_link(self, target_port: int) -> Forwarder:
+        link = Forwarder(free_port(), target_port, delay_s=PROXY_DELAY_S)
+        link.start()
+        self._links.append(link)
+        return link
+
     def _start_server(self, routes: dict[str, Handler]) -> str:
         server, address = serve_in_background(routes)
         self._servers.append(server)
