Stand-ins: a store that turns single programs away, and its limits

The forwarder gets three modes in which one program alone gets 503 and 429, resets or no answer while the others are served; the store refuses values over maxValueBytes and more than 32 entries a write with 400 (PROTOCOL.md, metadata store). A test for each mode.

--- a/src/chicorycrank_standin/forwarder.py
+++ b/src/chicorycrank_standin/forwarder.py
@@ -1,6 +1,7 @@
 """TCP forwarder on the loopback interface that injects network faults."""
 
 import asyncio
+import re
 import threading
 from collections.abc import Coroutine
 from enum import Enum
@@ -12,6 +13,14 @@
 STOP_TIMEOUT_S = 2.0
 
 
+CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
+REJECTIONS = [
+    b"HTTP/1.1 %d Rejected\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+    % status
+    for status in (503, 429)
+]
+
+
 class Mode(Enum):
     """Treatment of connections by a forwarder."""
 
@@ -19,6 +28,12 @@
     SILENT = "silent"
     CUT = "cut"
     DELAY = "delay"
+    RESET = "reset"
+    DEAF = "deaf"
+    REJECT = "reject"
+
+
+REFUSING_MODES = (Mode.RESET, Mode.DEAF, Mode.REJECT)
 
 
 class Forwarder:
@@ -26,7 +41,9 @@
 
     Mode ``silent`` permanently stops forwarding on the connections that are open when it is set,
     but keeps them open; new connections work. Mode ``cut`` closes every connection and refuses new
-    ones. Mode ``delay`` delays each chunk.
+    ones. Mode ``delay`` delays each chunk. The other modes close the open connections; ``reset``
+    then accepts new ones and closes them, ``deaf`` never answers on them, and ``reject`` answers
+    HTTP requests with status 503 or 429 without forwarding them.
 
     :param port: port to listen on
     :param target_port: port to forward to
@@ -41,6 +58,7 @@
         self._delay_s = delay_s
         self._mode = Mode.PASS
         self._is_closed = False
+        self._rejections = 0
         self._loop = asyncio.new_event_loop()
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -73,6 +91,8 @@
         self._server = await asyncio.start_server(self._accept, HOST, self._port)
 
     async def _set_mode(self, mode: Mode) -> None:
+        if mode in REFUSING_MODES or self._mode in REFUSING_MODES:
+            self._abort_connections()
         self._mode = mode
         if mode is Mode.SILENT:
             for connection in self._connections:
@@ -88,11 +108,15 @@
             if self._server is not None:
                 self._server.close()
                 self._server = None
-            for connection in list(self._connections):
-                connection.abort()
-        elif self._server is None:
+            self._abort_connections()
+            return
+        if self._server is None:
             await self._listen()
 
+    def _abort_connections(self) -> None:
+        for connection in list(self._connections):
+            connection.abort()
+
     async def _close(self) -> None:
         await self._set_mode(Mode.CUT)
         # The tasks of aborted connections complete without being cancelled.
@@ -101,6 +125,9 @@
             await asyncio.wait(connection_tasks, timeout=STOP_TIMEOUT_S)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._mode in REFUSING_MODES:
+            await self._refuse(reader, writer, self._mode)
+            return
         try:
             target_reader, target_writer = await asyncio.open_connection(HOST, self._target_port)
         except OSError:
@@ -120,6 +147,26 @@
             connection.abort()
             self._connections.discard(connection)
 
+    async def _refuse(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, mode: Mode
+    ) -> None:
+        connection = _Connection(writer)
+        self._connections.add(connection)
+        try:
+            while mode is Mode.DEAF and await reader.read(CHUNK_BYTES):
+                pass
+            while mode is Mode.REJECT:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = CONTENT_LENGTH.search(head)
+                await reader.readexactly(int(length[1]) if length else 0)
+                self._rejections += 1
+                writer.write(REJECTIONS[self._rejections % len(REJECTIONS)])
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # the caller has closed the connection
+        finally:
+            connection.abort()
+            self._connections.discard(connection)
+
     async def _copy(
         self,
         connection: "_Connection",
--- a/src/chicorycrank_standin/platform/kv_store.py
+++ b/src/chicorycrank_standin/platform/kv_store.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from base64 import b64decode
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -13,6 +14,9 @@
 
 LEASE_CHECK_INTERVAL_S = 0.05
 MAX_WATCH_S = 30.0
+# PROTOCOL.md, "The platform's metadata store": limits of a value and of a transaction.
+MAX_VALUE_BYTES = 1_048_576
+MAX_ENTRIES = 32
 
 
 class StoreMode(Enum):
@@ -173,8 +177,12 @@
 
     def _commit_transaction(self, request: HttpRequest) -> HttpResponse:
         body = request.json()
+        expected, writes = body.get("expected", []), body.get("setKeys", [])
+        removed = body.get("remove", [])
+        has_large_value = any(len(b64decode(item["value"])) > MAX_VALUE_BYTES for item in writes)
+        if has_large_value or len(expected) + len(writes) + len(removed) > MAX_ENTRIES:
+            return json_response({"error": "too many entries, or a value is too long"}, status=400)
         with self._condition:
-            expected = body.get("expected", [])
             existing_items = [
                 self._item_by_key[item["key"]]
                 for item in expected
@@ -185,7 +193,6 @@
                 return json_response(
                     {"items": existing_items, "currentRev": self._revision}, status=412
                 )
-            writes = body.get("setKeys", [])
             if any(item.get("lease") and item["lease"] not in self._lease_by_id for item in writes):
                 return json_response({}, status=404)
             self._revision += 1
@@ -193,7 +200,7 @@
                 self._write_item(
                     item["key"], item["value"], item.get("lease", 0), is_in_transaction=True
                 )
-            for key in body.get("remove", []):
+            for key in removed:
                 self._delete_item(key)
             self._condition.notify_all()
             return json_response({"revision": self._revision})
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,9 +1,11 @@
 """Tests of the fault-injecting forwarder with an echo server as its target."""
 
+import http.client
 import socket
 import threading
 import time
 from collections.abc import Iterator
+from contextlib import closing
 
 import pytest
 
@@ -90,3 +92,58 @@
         started_at = time.monotonic()
         assert exchange(connection, b"a") == b"a"
         assert time.monotonic() - started_at >= 2 * DELAY_S
+
+
+def test_reset_mode_accepts_connections_and_closes_them(
+    forwarder: tuple[Forwarder, int],
+) -> None:
+    """Guards against a mode ``reset`` that forwards, or refuses like mode ``cut``."""
+    running_forwarder, port = forwarder
+    running_forwarder.set_mode(Mode.RESET)
+    with open_connection(port) as connection, pytest.raises(ConnectionError):
+        if not exchange(connection, b"a"):
+            raise ConnectionResetError
+    running_forwarder.set_mode(Mode.PASS)
+    with open_connection(port) as connection:
+        assert exchange(connection, b"b") == b"b"
+
+
+def test_deaf_mode_never_answers_on_new_connections(forwarder: tuple[Forwarder, int]) -> None:
+    """Guards against a mode ``deaf`` that forwards."""
+    running_forwarder, port = forwarder
+    running_forwarder.set_mode(Mode.DEAF)
+    with open_connection(port) as connection:
+        connection.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            exchange(connection, b"a")
+
+
+def test_reject_mode_answers_requests_without_forwarding_them(
+    forwarder: tuple[Forwarder, int],
+) -> None:
+    """Guards against a rejected request that takes effect, and a body that is read as a request."""
+    running_forwarder, port = forwarder
+    running_forwarder.set_mode(Mode.REJECT)
+    with closing(http.client.HTTPConnection(HOST, port, timeout=5.0)) as connection:
+        statuses = []
+        for _ in range(2):
+            connection.request("POST", "/", body=b"x" * 100)
+            response = connection.getresponse()
+            assert response.read() == b"{}"
+            statuses.append(response.status)
+    assert sorted(statuses) == [429, 503]
+
+
+def test_a_closed_port_refuses_until_it_is_reopened_whatever_the_mode(
+    forwarder: tuple[Forwarder, int],
+) -> None:
+    """Guards against a target that seems up because a fault of its link has ended."""
+    running_forwarder, port = forwarder
+    running_forwarder.set_closed(True)
+    running_forwarder.set_mode(Mode.CUT)
+    running_forwarder.set_mode(Mode.PASS)
+    with pytest.raises(ConnectionRefusedError):
+        open_connection(port)
+    running_forwarder.set_closed(False)
+    with open_connection(port) as connection:
+        assert exchange(connection, b"a") == b"a"
