--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -4,28 +4,49 @@
 import random
 import threading
 import time
+from collections.abc import Callable
+from enum import Enum
 from http import HTTPStatus
 from typing import Any
 
-import urllib3
-
 from chicorycrank_standin.background import start_daemon_thread
 from chicorycrank_standin.forwarder import Forwarder
 from chicorycrank_standin.http import Handler, HttpRequest, HttpResponse, json_response
-from chicorycrank_standin.platform.run_recorder import RunRecord, RunRecorder
+from chicorycrank_standin.platform.heartbeats import (
+    HEARTBEAT_INTERVAL_S,
+    HeartbeatSender,
+    Message,
+)
+from chicorycrank_standin.platform.incarnation import Incarnation
+from chicorycrank_standin.platform.run_recorder import RunRecorder
 
 RUN_CHECK_INTERVAL_S = 0.02
-HEARTBEAT_INTERVAL_S = 1.5
-HEARTBEAT_RETRY_DELAY_S = 0.2  # after a heartbeat that was not acknowledged
-GANG_TIMEOUT_S = 3.0  # a run ends as ``alone`` if its gang is incomplete for this time
-MAX_LEASE_MS = 10_000
-# Rate of the executor's clock relative to real time: the slowest that the protocol allows.
-CLOCK_RATE = 0.98
-START_DELAY_RANGE_S = (2.0, 6.0)  # of start orders while ``is_delaying_starts`` is set
+STOP_RANGE_S = (0.0, 0.35)  # time until the end of a stopped run is listed
+CALL_DELAY_RANGE_S = (2.0, 6.0)  # of calls that get no answer and are executed late
+ANSWER_DELAY_RANGE_S = (0.0, 1.5)  # of answers that come late and out of order
+CALLER_TIMEOUT_S = 1.0  # exceeds the timeout of every caller
 DOWN_RANGE_S = (1.0, 3.0)  # time until an executor that a task has crashed is back
+SAME_ID_SHARE = 0.5  # share of the restarts after which the executor has the id that it had
 # A smaller capacity counts once the agent must know of it.
 CAPACITY_NOTICE_S = 4.0 + HEARTBEAT_INTERVAL_S
 
+# Handler of a request and the monotonic time of its arrival.
+OrderHandler = Callable[[HttpRequest, float], HttpResponse]
+
+
+class ExecutorMode(Enum):
+    """Fault that the executor injects into calls; each affects about half of them.
+
+    PROTOCOL.md, "Running tasks": a call that gets no response may be executed seconds later, after
+    newer calls; responses on different connections may overtake each other; an unhealthy executor
+    refuses a start with 429 or 503 and does nothing.
+    """
+
+    NORMAL = "normal"
+    LATE_STARTS = "late-starts"  # starts are executed late and get no complete answer
+    LATE_CALLS = "late-calls"  # starts and stops are answered late, or executed late
+    UNHEALTHY = "unhealthy"  # starts are refused
+
 
 class BatchExecutorStandIn:
     """Executor that runs each task for the number of seconds in its payload.
@@ -34,13 +55,10 @@
     as a new incarnation. The executor starts tasks beyond its capacity and reports a violation.
 
     :param agent_address: ``host:port`` of the agent
-    :ivar is_delaying_starts: half of the start orders get no complete response and are applied
-        seconds later
+    :param agent: name of the agent in the records of runs
     :ivar is_up: the present incarnation runs
-    :ivar heartbeats_acknowledged: number of heartbeats that the agent has acknowledged
-    :ivar draining_acknowledged_at: monotonic time at which the agent has acknowledged that the
-        executor drains; infinity before it
     :ivar link: forwarder through which the agent calls; it is closed while the executor is down
+    :ivar earlier_messages: the last heartbeat of each earlier incarnation, and its exit notice
     """
 
     def __init__(
@@ -51,41 +69,64 @@
         rng: random.Random,
         *,
         accelerators: int,
+        agent: str = "",
     ) -> None:
         self.name = name
-        self.is_delaying_starts = False
-        self._agent_address = agent_address
+        self.mode = ExecutorMode.NORMAL
         self.run_recorder = run_recorder
+        self.link: Forwarder | None = None
+        self.earlier_messages: list[Message] = []
+        self.is_up = True
+        self._agent = agent
         self._rng = rng
+        self._restart_rng = random.Random(f"restarts {name}")
         self._accelerators = accelerators
         self._full_accelerators = accelerators
         # The capacity that starts are checked against, and the time until which it is.
         self._earlier_capacity = (accelerators, float("-inf"))
-        self.link: Forwarder | None = None
         self._condition = threading.Condition()
-        self.heartbeats_acknowledged = 0
-        self._heartbeat_due = threading.Event()
+        self._freeze_lock = threading.Lock()
+        self._is_thawed = threading.Event()
+        self._is_thawed.set()
+        self._is_clock_stopped = False
         self._stop = threading.Event()
-        self._exits_at: float | None = None
-        self._down_s_after_exit = 0.0
-        self._pool = urllib3.PoolManager(retries=False)
-        self._incarnation_count = 0
-        self._begin_life()
+        self._back_at = float("inf")
+        self._id_number = 1
+        self._life = Incarnation(f"{name}-1", name, agent, run_recorder)
+        self.heartbeats = HeartbeatSender(
+            name, agent_address, self._next_heartbeat, self._record_acknowledged_heartbeat
+        )
+        self.heartbeats.send_soon()
         start_daemon_thread(self._end_runs_forever, f"work-{name}")
-        start_daemon_thread(self._send_heartbeats_forever, f"beat-{name}")
 
     def routes(self) -> dict[str, Handler]:
         """Return the HTTP handlers by route."""
         return {
-            "POST /-/run-start": self._handle_start,
-            "POST /-/run-stop": self._handle_stop,
-            "POST /-/hold": self._handle_hold,
-            "POST /-/pace": lambda request: json_response({"clockMs": self._clock_ms()}),
+            "POST /-/run-start": self._when_thawed(self._handle_start),
+            "POST /-/run-stop": self._when_thawed(self._handle_stop),
+            "POST /-/hold": self._when_thawed(self._handle_hold),
+            "POST /-/pace": lambda request: json_response({"clockMs": self._life.clock_ms()}),
         }
 
     def close(self) -> None:
         """Stop the threads."""
         self._stop.set()
+        self.heartbeats.close()
+
+    @property
+    def instance(self) -> str:
+        """Id of the present incarnation, or of the last one while the executor is down."""
+        return self._life.instance
+
+    @property
+    def draining_since(self) -> float | None:
+        """Monotonic time of the acknowledgement that this incarnation drains, or None."""
+        return self._life.draining_since
+
+    def is_running(self, task_prefix: str) -> bool:
+        """Return whether a task whose name begins with a prefix runs here."""
+        with self._condition:
+            return any(task.startswith(task_prefix) for task, _ in self._life.runs)
 
     def set_capacity(self, accelerators: int | None) -> None:
         """Change the capacity that the next heartbeats report; None restores it."""
@@ -101,16 +142,6 @@
         is_noticed = time.monotonic() >= until
         return self._accelerators if is_noticed else max(accelerators, self._accelerators)
 
-    @property
-    def instance(self) -> str:
-        """Id of the present incarnation, or of the last one while the executor is down."""
-        return self._incarnation
-
-    def is_running(self, task_prefix: str) -> bool:
-        """Return whether a task whose name begins with a prefix runs here."""
-        with self._condition:
-            return any(task.startswith(task_prefix) for task in self._run_by_task)
-
     def crash(self, down_s: float = 0.0) -> None:
         """End all runs without notice, close the port and start again as a new incarnation.
 
@@ -122,29 +153,63 @@
     def drain(self, remaining_s: float, *, down_s: float = float("inf")) -> None:
         """Report the state ``draining``; the executor exits after the remaining time.
 
+        PROTOCOL.md, "Service discovery": it serves on for ``drainMs`` and at times many seconds
+        more, says that it leaves, and ends.
+
         :param remaining_s: time in seconds in which the executor runs on
         :param down_s: time in seconds from the exit until a new incarnation answers
         """
         with self._condition:
-            self._exits_at = time.monotonic() + remaining_s
-            self._down_s_after_exit = down_s
-        self._heartbeat_due.set()
+            if not self.is_up or self._life.exits_at is not None:
+                return
+            self._life.exits_at = time.monotonic() + remaining_s
+            self._life.down_s_after_exit = down_s
+        self.heartbeats.send_soon()
+
+    def freeze(self, duration_s: float, *, stops_clock: bool) -> None:
+        """Suspend the executor and return after that; calls wait and are executed late.
+
+        The lease of a frozen executor expires by its clock, unless the clock stands still.
+
+        :param stops_clock: the machine is suspended, and the executor's clock with it
+        """
+        with self._freeze_lock:
+            with self._condition:
+                self._is_clock_stopped = stops_clock
+                self._is_thawed.clear()
+            frozen_at = time.monotonic()
+            time.sleep(duration_s)
+            with self._condition:
+                frozen_s = time.monotonic() - frozen_at
+                self._life.record_freeze(frozen_s, stops_clock=stops_clock)
+                self._is_clock_stopped = False
+                self._is_thawed.set()
+
+    def _when_thawed(self, handler: OrderHandler) -> Handler:
+        def handle(request: HttpRequest) -> HttpResponse:
+            arrived_at = time.monotonic()
+            self._is_thawed.wait()
+            return handler(request, arrived_at)
+
+        return handle
 
     def _exit(self) -> None:
         """End all runs, send the exit notice and close the port; the caller holds the lock."""
-        instance = self._incarnation
-        self._end_life("left", self._down_s_after_exit)
+        notice = Message(instance=self._life.instance, body=None)
+        self._end_life("left", self._life.down_s_after_exit)
 
         def send_notice() -> None:
-            self._call_agent("DELETE", instance, None)
+            self.heartbeats.send(notice)
 
         start_daemon_thread(send_notice, f"exit-{self.name}")
 
     def _end_life(self, kind: str, down_s: float) -> None:
-        for record in self._run_by_task.values():
-            self.run_recorder.record_end(record, kind)
-        self._run_by_task.clear()
-        self._exits_at = None
+        """End the present incarnation; the caller holds the lock."""
+        if self.is_up:
+            self._life.heartbeat_number += 1
+            last = Message.heartbeat(self._life.instance, self.heartbeat_fields())
+            self.earlier_messages += [last, Message(instance=self._life.instance, body=None)]
+        self._life.end_all(kind)
         self.is_up = False
         self._back_at = time.monotonic() + down_s
         if self.link is not None:
@@ -154,29 +219,18 @@
             self._begin_life()
 
     def _begin_life(self) -> None:
-        """Start a new incarnation, which knows nothing of the one before."""
-        self._incarnation_count += 1
-        self._incarnation = f"{self.name}-{self._incarnation_count}"
-        self._started_at = time.monotonic()
-        self._started_at_ms = round(time.time() * 1000)
-        self._fencing_token = 0
-        self._heartbeat_number = 0
-        self._lease_deadline_ms = 0
-        self._run_by_task: dict[str, RunRecord] = {}
-        # Runs up to this number have ended or been stopped, so a late start order is rejected.
-        self._last_closed_run_by_task: dict[str, int] = {}
-        # Each end is a list of its sequence number, task, run, kind and checkpoint.
-        self._unacknowledged_ends: list[list[Any]] = []
-        self._ended_run_by_number: dict[int, RunRecord] = {}
-        self._last_end_number = 0
+        """Start a new incarnation; the caller holds the lock.
+
+        PROTOCOL.md, "Service discovery": it may have the id of the one before.
+        """
+        if self._restart_rng.random() >= SAME_ID_SHARE:
+            self._id_number += 1
+        instance = f"{self.name}-{self._id_number}"
+        self._life = Incarnation(instance, self.name, self._agent, self.run_recorder)
         self.is_up = True
         if self.link is not None:
             self.link.set_closed(False)
-        self.draining_acknowledged_at = float("inf")
-        self._heartbeat_due.set()
-
-    def _clock_ms(self) -> int:
-        return round((time.monotonic() - self._started_at) * 1000 * CLOCK_RATE)
+        self.heartbeats.send_soon()
 
     def _check_preconditions(
         self, request: HttpRequest, body: dict[str, Any]
@@ -184,202 +238,153 @@
         """Record the fencing token, or return an error if it or the incarnation is outdated."""
         if not self.is_up:
             return _no_response()
-        if request.headers.get("expect-instance", self._incarnation) != self._incarnation:
-            return json_response({"clockMs": self._clock_ms()}, status=421)
-        if body.get("fencingToken", 0) < self._fencing_token:
-            return self._conflict_response("fence")
-        self._fencing_token = body.get("fencingToken", 0)
+        if request.headers.get("expect-instance", self.instance) != self.instance:
+            return self._response(status=421)
+        if body.get("fencingToken", 0) < self._life.fencing_token:
+            return self._response(status=409, reason="fence")
+        self._life.fencing_token = body.get("fencingToken", 0)
         return None
 
-    def _conflict_response(self, reason: str) -> HttpResponse:
-        return json_response({"clockMs": self._clock_ms(), "reason": reason}, status=409)
-
-    def _handle_start(self, request: HttpRequest) -> HttpResponse:
-        if self.is_delaying_starts and self._rng.random() < 0.5:
-            delay_s = self._rng.uniform(*START_DELAY_RANGE_S)
-            timer = threading.Timer(delay_s, self._start_run, [request])
-            timer.daemon = True
-            timer.start()
-            time.sleep(1.0)  # exceeds the timeout of every caller
-            return _no_response()
-        return self._start_run(request)
-
-    def _start_run(self, request: HttpRequest) -> HttpResponse:
+    def _response(self, *, status: int = 200, **fields: str) -> HttpResponse:
+        return json_response({"clockMs": self._life.clock_ms(), **fields}, status=status)
+
+    def _handle_start(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
+        if self.mode is ExecutorMode.UNHEALTHY and self._rng.random() < 0.5:
+            statuses = [HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE]
+            return json_response({}, status=self._rng.choice(statuses))
+        is_delaying = self.mode in (ExecutorMode.LATE_STARTS, ExecutorMode.LATE_CALLS)
+        return self._execute(self._start_run, request, arrived_at, is_delaying=is_delaying)
+
+    def _handle_stop(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
+        is_delaying = self.mode is ExecutorMode.LATE_CALLS
+        return self._execute(self._stop_run, request, arrived_at, is_delaying=is_delaying)
+
+    def _execute(
+        self, handler: OrderHandler, request: HttpRequest, arrived_at: float, *, is_delaying: bool
+    ) -> HttpResponse:
+        """Execute an order now, or late and without an answer; or delay the answer."""
+        if not is_delaying or self._rng.random() < 0.5:
+            return handler(request, arrived_at)
+        if self.mode is ExecutorMode.LATE_CALLS and self._rng.random() < 0.5:
+            response = handler(request, arrived_at)
+            time.sleep(self._rng.uniform(*ANSWER_DELAY_RANGE_S))
+            return response
+        delay_s = self._rng.uniform(*CALL_DELAY_RANGE_S)
+
+        def execute_late() -> None:
+            self._is_thawed.wait()
+            handler(request, arrived_at)
+
+        timer = threading.Timer(delay_s, execute_late)
+        timer.daemon = True
+        timer.start()
+        time.sleep(CALLER_TIMEOUT_S)
+        return _no_response()
+
+    def _start_run(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
         body = request.json()
-        task, run = body["task"], body["run"]
         with self._condition:
             refusal = self._check_preconditions(request, body)
             if refusal is not None:
                 return refusal
-            existing = self._run_by_task.get(task)
-            if existing is not None and existing.run == run:
-                return json_response({"clockMs": self._clock_ms()})
-            if run <= self._last_closed_run_by_task.get(task, 0):
-                return self._conflict_response("old")
-            if body["deadlineMs"] <= self._clock_ms():
-                return self._conflict_response("late")
-            self._extend_lease(body["deadlineMs"])
-            payload = json.loads(body["spec"])
-            record = RunRecord(
-                task=task,
-                run=run,
-                executor=self.name,
-                duration_s=payload["seconds"],
-                members=payload["members"],
-                accelerators=payload["accelerators"],
-                started_at=time.monotonic(),
-            )
-            self._run_by_task[task] = record
-            self.run_recorder.record_start(record)
-            if payload.get("crashes"):
-                self.run_recorder.record_crash_by(task)
-                self.crash(self._rng.uniform(*DOWN_RANGE_S))
+            if (body["task"], body["run"]) in self._life.runs:
+                return self._response()
+            reason = self._life.find_refusal(body)
+            if reason:
+                return self._response(status=409, reason=reason)
+            record = self._life.start(body, arrived_at)
+            if json.loads(body["spec"]).get("crashes"):
+                self.run_recorder.record_crash_by(record.task)
+                self._end_life("crashed", self._rng.uniform(*DOWN_RANGE_S))
                 return _no_response()
-            used_accelerators = sum(other.accelerators for other in self._run_by_task.values())
+            used_accelerators = sum(run.accelerators for run in self._life.runs.values())
             if used_accelerators > self._capacity_in_force():
                 self.run_recorder.report_violation(
-                    f"{self.name} uses {used_accelerators} accelerators:"
-                    f" {sorted(self._run_by_task)}"
+                    f"{self.name} uses {used_accelerators} accelerators: {sorted(self._life.runs)}"
                 )
-            return json_response({"clockMs": self._clock_ms()})
+            return self._response()
 
-    def _handle_stop(self, request: HttpRequest) -> HttpResponse:
+    def _stop_run(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
         body = request.json()
         with self._condition:
             refusal = self._check_preconditions(request, body)
             if refusal is not None:
                 return refusal
-            task, run = body["task"], body["run"]
-            self._last_closed_run_by_task[task] = max(
-                run, self._last_closed_run_by_task.get(task, 0)
-            )
-            existing = self._run_by_task.get(task)
-            if existing is not None and existing.run <= run:
-                self._end_run(existing, "stopped")
-            return json_response({"clockMs": self._clock_ms()})
+            stops_at = time.monotonic() + self._restart_rng.uniform(*STOP_RANGE_S)
+            self._life.stop(body["task"], body["run"], stops_at)
+            return self._response()
 
-    def _handle_hold(self, request: HttpRequest) -> HttpResponse:
+    def _handle_hold(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
         """Extend the lease, remove acknowledged ends and return runs and ends.
 
         Waits until there is an end to return, for at most the time that the request names.
         """
         body = request.json()
-        wait_s = body.get("waitMs", 0) / 1000
         with self._condition:
             refusal = self._check_preconditions(request, body)
             if refusal is not None:
                 return refusal
-            self._extend_lease(body.get("deadlineMs", 0))
-            for end in self._unacknowledged_ends:
-                if end[0] <= body["lastSeen"]:
-                    self.run_recorder.record_acknowledged_end(self._ended_run_by_number[end[0]])
-            self._unacknowledged_ends = [
-                end for end in self._unacknowledged_ends if end[0] > body["lastSeen"]
-            ]
-            life = self._incarnation_count
+            life = self._life
+            life.extend_lease(body.get("deadlineMs", 0))
+            life.acknowledge_ends(body["lastSeen"])
             self._condition.wait_for(
-                lambda: (
-                    bool(self._unacknowledged_ends)
-                    or not self.is_up
-                    or self._incarnation_count != life
-                ),
-                wait_s,
-            )
-            if not self.is_up or self._incarnation_count != life:
-                return _no_response()
-            # Task, run, no checkpoint, and a progress of 50 percent.
-            running = [[record.task, record.run, "", 50] for record in self._run_by_task.values()]
-            return json_response(
-                {
-                    "clockMs": self._clock_ms(),
-                    "born": self._started_at_ms,
-                    "running": running,
-                    "finished": self._unacknowledged_ends,
-                }
+                lambda: bool(life.unacknowledged_ends) or not self._is_present(life),
+                body.get("waitMs", 0) / 1000,
             )
+            return json_response(life.status()) if self._is_present(life) else _no_response()
 
-    def _extend_lease(self, deadline_ms: int) -> None:
-        latest_ms = self._clock_ms() + MAX_LEASE_MS
-        self._lease_deadline_ms = max(self._lease_deadline_ms, min(deadline_ms, latest_ms))
-
-    def _end_run(self, record: RunRecord, kind: str) -> None:
-        self._run_by_task.pop(record.task, None)
-        self.run_recorder.record_end(record, kind)
-        self._last_closed_run_by_task[record.task] = max(
-            record.run, self._last_closed_run_by_task.get(record.task, 0)
-        )
-        self._last_end_number += 1
-        self._ended_run_by_number[self._last_end_number] = record
-        self._unacknowledged_ends.append([self._last_end_number, record.task, record.run, kind, ""])
-        self._condition.notify_all()
+    def _is_present(self, life: Incarnation) -> bool:
+        return self.is_up and self._life is life
 
     def _end_runs_forever(self) -> None:
         while not self._stop.wait(RUN_CHECK_INTERVAL_S):
-            now = time.monotonic()
             with self._condition:
                 if not self.is_up:
-                    if now >= self._back_at:
+                    if time.monotonic() >= self._back_at:
                         self._begin_life()
                     continue
-                if self._exits_at is not None and now >= self._exits_at:
-                    self._exit()
-                    continue
-                is_lease_expired = (
-                    bool(self._run_by_task) and self._clock_ms() > self._lease_deadline_ms
-                )
-                for record in list(self._run_by_task.values()):
-                    if is_lease_expired:
-                        self._end_run(record, "lapsed")
-                    elif record.ends_at is not None and now >= record.ends_at:
-                        self._end_run(record, "done")
-                    elif record.ends_at is None and now - record.started_at > GANG_TIMEOUT_S:
-                        self._end_run(record, "alone")
-
-    def _send_heartbeats_forever(self) -> None:
-        wait_s = HEARTBEAT_INTERVAL_S
-        while not self._stop.is_set():
-            self._heartbeat_due.wait(wait_s)
-            self._heartbeat_due.clear()
-            with self._condition:
-                if not self.is_up:
-                    continue
-                self._heartbeat_number += 1
-                instance, body = self._incarnation, self._heartbeat()
-            is_acknowledged = self._call_agent("PUT", instance, body)
-            wait_s = HEARTBEAT_INTERVAL_S if is_acknowledged else HEARTBEAT_RETRY_DELAY_S
-            if is_acknowledged:
-                self._record_acknowledged_heartbeat(instance, body["state"] == "draining")
-
-    def _record_acknowledged_heartbeat(self, instance: str, is_draining: bool) -> None:
+                if not self._is_clock_stopped:
+                    self._life.lapse_if_due()
+                if self._is_thawed.is_set():
+                    exits_at = self._life.exits_at
+                    if exits_at is not None and time.monotonic() >= exits_at:
+                        self._exit()
+                        continue
+                    self._life.end_due_runs()
+                if self._life.unacknowledged_ends:
+                    self._condition.notify_all()
+
+    def _next_heartbeat(self) -> Message | None:
         with self._condition:
-            self.heartbeats_acknowledged += 1
-            if is_draining and self._incarnation == instance:
-                self.draining_acknowledged_at = min(self.draining_acknowledged_at, time.monotonic())
-
-    def _heartbeat(self) -> dict[str, Any]:
-        body = {
+            if not self.is_up or not self._is_thawed.is_set():
+                return None
+            self._life.heartbeat_number += 1
+            return Message.heartbeat(self._life.instance, self.heartbeat_fields())
+
+    def heartbeat_fields(self) -> dict[str, Any]:
+        """Return the fields of a heartbeat."""
+        exits_at = self._life.exits_at
+        fields = {
             "service": "service",
-            "address": "",
+            "address": self.link.address if self.link is not None else "",
             "zone": "zone-a",
-            "state": "ready" if self._exits_at is None else "draining",
-            "seq": self._heartbeat_number,
-            "born": self._started_at_ms,
-            "clockMs": self._clock_ms(),
+            "state": "ready" if exits_at is None else "draining",
+            "seq": self._life.heartbeat_number,
+            "born": self._life.born_ms,
+            "clockMs": self._life.clock_ms(),
             "labels": ["a", "r1"],
             "capacity": {"cpu": 64000, "memMb": 256000, "gpus": self._accelerators},
         }
-        if self._exits_at is not None:
-            body["remainingMs"] = max(0, round((self._exits_at - time.monotonic()) * 1000))
-        return body
-
-    def _call_agent(self, method: str, instance: str, body: dict[str, Any] | None) -> bool:
-        """Call the agent; return whether it has acknowledged the call."""
-        url = f"http://{self._agent_address}/-/instances/{instance}"
-        data = None if body is None else json.dumps(body)
-        try:
-            return self._pool.request(method, url, body=data, timeout=1.0).status == HTTPStatus.OK
-        except urllib3.exceptions.HTTPError:
-            return False  # an unreachable agent receives a later heartbeat
+        if exits_at is not None:
+            fields["remainingMs"] = max(0, round((exits_at - time.monotonic()) * 1000))
+        return fields
+
+    def _record_acknowledged_heartbeat(self, message: Message) -> None:
+        fields = json.loads(message.body or b"{}")
+        with self._condition:
+            life = self._life
+            if fields["born"] == life.born_ms and fields["state"] == "draining":
+                life.draining_since = life.draining_since or time.monotonic()
 
 
 def _no_response() -> HttpResponse:
--- a/src/chicorycrank_standin/platform/run_recorder.py
+++ b/src/chicorycrank_standin/platform/run_recorder.py
@@ -1,15 +1,23 @@
-"""Records the runs of all executors and the invariants that they violate."""
+"""Records the runs of all executors and judges them."""
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from chicorycrank_standin.platform.disturbances import STORE, DisturbanceLog
+
 # A task that has crashed this many executors may start fewer times than this again.
 MAX_CRASHES = 3
 FORBIDDEN_STARTS = 3
+# Bounds of the platform, in seconds.
+CONTACT_S = 4.0  # a program or the store counts as disturbed for this time after a disturbance
+CANCEL_S = 3.0  # a cancelled job starts nothing later than this after the acknowledgement
+STOP_S = 0.4  # a stop takes at most this time
+DRAIN_S = 2.5  # an executor starts nothing later than this after it has reported that it drains
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, eq=False)
 class RunRecord:
     """Run of a task on an executor.
 
@@ -17,10 +25,15 @@
     :param duration_s: time that the work takes once the gang is complete
     :param members: number of tasks in the gang
     :param started_at: monotonic time
+    :param agent: agent beside the executor
+    :param ordered_at: monotonic time at which the start order arrived
+    :param is_late: the executor has carried the order out late, or got it late
+    :param draining_since: monotonic time at which the agent has acknowledged that this incarnation
+        of the executor drains; None if it has not
     :param ends_at: monotonic time at which the work is done; None while the gang is incomplete
     :param ended_at: monotonic time of the end; None while the run lasts
     :param end_kind: how it ended; empty while the run lasts
-    :param is_end_seen: the agent has acknowledged the end
+    :param is_end_seen: the agent has acknowledged the end before the executor's lease lapsed again
     """
 
     task: str
@@ -30,97 +43,171 @@
     members: int
     accelerators: int
     started_at: float
+    agent: str = ""
+    ordered_at: float = 0.0
+    is_late: bool = False
+    draining_since: float | None = None
     ends_at: float | None = None
     ended_at: float | None = None
     end_kind: str = ""
     is_end_seen: bool = False
 
+    @property
+    def job(self) -> str:
+        """Id of the job, the first part of the task's name."""
+        return self.task.partition(".")[0]
+
+    def __str__(self) -> str:
+        return f"{self.task} run {self.run} on {self.executor}"
+
 
 @dataclass
 class RunRecorder:
     """Runs of all executors, guarded by one lock.
 
-    :param done_tasks: tasks of which a run has ended as done
-    :param acknowledged_tasks: tasks whose end as done the agent has acknowledged
-    :param starts: monotonic time, task and run number of each start
+    :param clock: returns the monotonic time in seconds
     :param runs: all runs in the order of their starts
+    :param cancelled_at_by_job: monotonic time of the first acknowledgement of a cancellation
     :param crashes_by_task: number of executors that each task has crashed
     :param last_crash_at: monotonic time of the last of these crashes
     """
 
+    clock: Callable[[], float] = time.monotonic
+    disturbances: DisturbanceLog = field(default_factory=DisturbanceLog)
     lock: threading.RLock = field(default_factory=threading.RLock)
-    run_by_task_and_executor: dict[tuple[str, str], RunRecord] = field(default_factory=dict)
-    done_tasks: set[str] = field(default_factory=set)
-    acknowledged_tasks: set[str] = field(default_factory=set)
-    starts: list[tuple[float, str, int]] = field(default_factory=list)
     runs: list[RunRecord] = field(default_factory=list)
+    cancelled_at_by_job: dict[str, float] = field(default_factory=dict)
     crashes_by_task: dict[str, int] = field(default_factory=dict)
     last_crash_at: float = float("-inf")
     violations: list[str] = field(default_factory=list)
-    started_at: float = field(default_factory=time.monotonic)
 
-    def record_start(self, record: RunRecord) -> None:
-        """Record the start of a run.
+    def __post_init__(self) -> None:
+        self._started_at = self.clock()
 
-        Reports a violation if the task still runs on another executor or if its end as done was
-        acknowledged before.
-        """
+    def record_start(self, record: RunRecord) -> None:
+        """Record the start of a run and report the rules that it breaks."""
         with self.lock:
-            self.starts.append((time.monotonic(), record.task, record.run))
+            for other in self._runs_of(record.task):
+                if other.ended_at is None:
+                    self.report_violation(f"two runs at once: {other}, {record}")
+                if other.end_kind == "done" and other.is_end_seen:
+                    self.report_violation(f"started after its end: {record}")
+            self._check_start_of_cancelled_job(record)
+            self._check_start_on_draining_executor(record)
             self.runs.append(record)
-            for (task, executor), other in self.run_by_task_and_executor.items():
-                if task == record.task and executor != record.executor:
-                    self.report_violation(
-                        f"two runs at once: {task} run {other.run} on {executor},"
-                        f" run {record.run} on {record.executor}"
-                    )
-            if record.task in self.acknowledged_tasks:
-                self.report_violation(
-                    f"started after its end: {record.task} run {record.run} on {record.executor}"
-                )
-            self.run_by_task_and_executor[record.task, record.executor] = record
             self._start_work_of_complete_gang(record)
 
+    def _runs_of(self, task: str) -> list[RunRecord]:
+        return [run for run in self.runs if run.task == task]
+
+    def _check_start_of_cancelled_job(self, record: RunRecord) -> None:
+        cancelled_at = self.cancelled_at_by_job.get(record.job)
+        if cancelled_at is None or record.ordered_at <= cancelled_at + CANCEL_S or record.is_late:
+            return
+        if self._is_in_touch(record.agent, record.ordered_at):
+            self.report_violation(
+                f"cancelled job started: {record},"
+                f" {record.ordered_at - cancelled_at:.2f} s after the acknowledgement"
+            )
+
+    def _check_start_on_draining_executor(self, record: RunRecord) -> None:
+        since = record.draining_since
+        if since is None or record.ordered_at <= since + DRAIN_S or record.is_late:
+            return
+        if self._is_in_touch(record.agent, since) and self._is_in_touch(
+            record.agent, record.ordered_at
+        ):
+            self.report_violation(
+                f"started on a draining executor: {record},"
+                f" {record.ordered_at - since:.2f} s after the acknowledgement"
+            )
+
+    def _is_in_touch(self, program: str, at: float) -> bool:
+        """Return whether neither the program nor the store was disturbed shortly before a time."""
+        return self.disturbances.is_calm(program, STORE, since=at - CONTACT_S, until=at)
+
     def record_crash_by(self, task: str) -> None:
         """Record that a task has crashed its executor, as each of its starts does.
 
         Reports a violation if it was started too often after its third crash.
         """
         with self.lock:
-            self.last_crash_at = time.monotonic()
+            self.last_crash_at = self.clock()
             crashes = self.crashes_by_task[task] = self.crashes_by_task.get(task, 0) + 1
             if crashes == MAX_CRASHES + FORBIDDEN_STARTS:
                 self.report_violation(f"{task} was started again after {MAX_CRASHES} crashes")
 
     def _start_work_of_complete_gang(self, record: RunRecord) -> None:
-        job_prefix = record.task.rpartition(".")[0]
-        gang_records = [
+        step = record.task.rpartition(".")[0]
+        gang = [
             other
-            for other in self.run_by_task_and_executor.values()
-            if other.task.rpartition(".")[0] == job_prefix and other.run == record.run
+            for other in self.runs
+            if other.ended_at is None
+            and other.task.rpartition(".")[0] == step
+            and other.run == record.run
         ]
         if record.members <= 1:
             record.ends_at = record.started_at + record.duration_s
-        elif len({member.task for member in gang_records}) == record.members:
-            for member in gang_records:
-                member.ends_at = time.monotonic() + member.duration_s
+        elif len({member.task for member in gang}) == record.members:
+            for member in gang:
+                member.ends_at = self.clock() + member.duration_s
 
     def record_end(self, record: RunRecord, kind: str) -> None:
         """Record the end of a run."""
         with self.lock:
-            record.ended_at, record.end_kind = time.monotonic(), kind
-            if kind == "done":
-                self.done_tasks.add(record.task)
-            self.run_by_task_and_executor.pop((record.task, record.executor), None)
+            record.ended_at, record.end_kind = self.clock(), kind
 
     def record_acknowledged_end(self, record: RunRecord) -> None:
-        """Record that the agent has acknowledged the end of a run."""
+        """Record that the agent has acknowledged the end of a run.
+
+        Reports a violation if the end is one as done and the task has started again since.
+        """
         with self.lock:
             record.is_end_seen = True
-            if record.end_kind == "done":
-                self.acknowledged_tasks.add(record.task)
+            if record.end_kind != "done" or record.ended_at is None:
+                return
+            for other in self._runs_of(record.task):
+                if other is not record and other.started_at >= record.ended_at:
+                    self.report_violation(f"started after its end: {other}")
+
+    def record_cancellation(self, job: str) -> None:
+        """Record that the cancellation of a job was acknowledged to its caller."""
+        with self.lock:
+            self.cancelled_at_by_job.setdefault(job, self.clock())
+
+    def is_running_cancelled(self) -> bool:
+        """Return whether a task of a cancelled job still runs."""
+        with self.lock:
+            return any(r.ended_at is None and r.job in self.cancelled_at_by_job for r in self.runs)
+
+    def check_runs_of_cancelled_jobs(self, entries: list[str]) -> None:
+        """Report the tasks of cancelled jobs that ran on for too long while nothing was disturbed.
+
+        :param entries: names of the entries, each of which may be the leader
+        """
+        with self.lock:
+            now = self.clock()
+            for record in self.runs:
+                cancelled_at = self.cancelled_at_by_job.get(record.job)
+                if cancelled_at is None:
+                    continue
+                earliest = record.started_at + (CONTACT_S if record.is_late else 0.0)
+                stretches = self.disturbances.calm_stretches(
+                    *entries,
+                    record.agent,
+                    record.executor,
+                    STORE,
+                    since=max(cancelled_at, earliest),
+                    until=now if record.ended_at is None else record.ended_at,
+                    contact_s=CONTACT_S,
+                )
+                longest_s = max([until - since for since, until in stretches], default=0.0)
+                if longest_s > CANCEL_S + STOP_S:
+                    self.report_violation(
+                        f"cancelled job runs on: {record}, {longest_s:.2f} s undisturbed"
+                    )
 
     def report_violation(self, text: str) -> None:
         """Record the violation of an invariant."""
         with self.lock:
-            self.violations.append(f"{time.monotonic() - self.started_at:.2f} s: {text}")
+            self.violations.append(f"{self.clock() - self._started_at:.2f} s: {text}")
--- a/src/chicorycrank_standin/soak/callers.py
+++ b/src/chicorycrank_standin/soak/callers.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from chicorycrank_standin.background import HOST, start_daemon_thread
+from chicorycrank_standin.platform.disturbances import STORE
 from chicorycrank_standin.platform.run_recorder import RunRecorder
 from chicorycrank_standin.soak.deployment import (
     ACCELERATORS_PER_EXECUTOR,
@@ -26,6 +27,12 @@
 REQUEST_DEADLINE_S = 3.0
 MAX_SUBMIT_ATTEMPTS = 5
 CANCEL_SHARE = 0.15
+# Jobs that run until they are cancelled.
+LONG_WORK_S = 300
+LONG_JOB_INTERVAL_S = 1.0
+MAX_CANCEL_DELAY_S = 4.0
+FINAL_CANCEL_TIMEOUT_S = 10.0
+FINAL_CANCEL_RETRY_S = 0.3
 HARMFUL_SHARE = 0.04  # share of the jobs whose tasks crash their executors
 # An accepted job is visible at every entry after this time and stays visible for longer than a
 # soak lasts. A later status 410 (Gone) therefore means that the job was lost.
@@ -48,7 +55,7 @@
         ``session.py`` then requires the recorded end of one task only
     :param is_harmful: the tasks crash the executors that start them
     :param accepted_at: monotonic time of the reply that accepted the job
-    :param cancelled_at: monotonic time of the reply that confirmed the cancellation
+    :param is_cancelled: a reply has confirmed the cancellation
     :param is_cancel_unknown: a cancellation got no reply, so it may have taken effect
     :param is_acceptance_unknown: an attempt got no reply, so the job may have been accepted
     :param reason: reason of the state according to the last reply
@@ -59,12 +66,17 @@
     is_gang: bool
     is_harmful: bool
     accepted_at: float | None = None
-    cancelled_at: float | None = None
+    is_cancelled: bool = False
     is_cancel_unknown: bool = False
     is_acceptance_unknown: bool = False
     state: str = ""
     reason: str = ""
 
+    @property
+    def job_id(self) -> str:
+        """Id of the job, with which the names of its tasks begin."""
+        return self.path.rpartition("/")[2]
+
 
 @dataclass
 class Callers:
@@ -73,10 +85,18 @@
     deployment: Deployment
     run_recorder: RunRecorder
     jobs: list[JobRecord] = field(default_factory=list)
+    long_jobs: list[JobRecord] = field(default_factory=list)
     stop_event: threading.Event = field(default_factory=threading.Event)
 
     def start(self, seed: int) -> list[threading.Thread]:
         """Start the caller threads, each with a random generator derived from the seed."""
+        cancel_long_jobs = partial(self._cancel_long_jobs_forever, random.Random(f"long {seed}"))
+        return [
+            start_daemon_thread(cancel_long_jobs, "long-jobs"),
+            *self._start_callers(seed),
+        ]
+
+    def _start_callers(self, seed: int) -> list[threading.Thread]:
         return [
             start_daemon_thread(
                 partial(
@@ -91,18 +111,52 @@
 
     def _call_forever(self, rng: random.Random, harmful_rng: random.Random) -> None:
         # A generator of its own leaves the rest of the traffic of a seed as it was.
-        pools = {
-            entry.name: urllib3.HTTPConnectionPool(HOST, entry.port, maxsize=1, retries=False)
-            for entry in self.deployment.entries
-        }
+        pools = self._open_pools()
         own_jobs: list[JobRecord] = []
         while not self.stop_event.wait(rng.expovariate(1 / MEAN_INTERVAL_S)):
             job = self._submit_job(rng, pools, is_harmful=harmful_rng.random() < HARMFUL_SHARE)
             own_jobs.append(job)
             if job.accepted_at is not None and rng.random() < CANCEL_SHARE:
+                time.sleep(rng.uniform(0.0, 0.5))
                 self._cancel_job(job, rng, pools)
             self._query_job(rng.choice(own_jobs), rng, pools)
 
+    def _open_pools(self) -> dict[str, urllib3.HTTPConnectionPool]:
+        return {
+            entry.name: urllib3.HTTPConnectionPool(HOST, entry.port, maxsize=1, retries=False)
+            for entry in self.deployment.entries
+        }
+
+    def _cancel_long_jobs_forever(self, rng: random.Random) -> None:
+        """Submit jobs that outlast the soak and cancel each soon or after some seconds."""
+        pools = self._open_pools()
+        while not self.stop_event.wait(rng.expovariate(1 / LONG_JOB_INTERVAL_S)):
+            count = rng.randint(1, 3)
+            job = JobRecord(
+                path=f"/plain/{rng.getrandbits(64):016x}",
+                task_count=count,
+                is_gang=False,
+                is_harmful=False,
+            )
+            self.long_jobs.append(job)
+            payload = {"seconds": LONG_WORK_S, "members": 1, "accelerators": 1}
+            step = {"count": count, "gpus": 1, "estimatedMs": LONG_WORK_S * 1000}
+            self._submit_until_answered(job, payload, step, rng, pools)
+            if job.accepted_at is not None:
+                self.stop_event.wait(rng.choice([0.0, rng.uniform(0.1, MAX_CANCEL_DELAY_S)]))
+                self._cancel_job(job, rng, pools)
+
+    def cancel_long_jobs(self) -> None:
+        """Cancel the long jobs whose cancellation was not confirmed, at the end of the faults."""
+        rng, pools = random.Random(0), self._open_pools()
+        deadline = time.monotonic() + FINAL_CANCEL_TIMEOUT_S
+        for job in self.long_jobs:
+            is_open = job.accepted_at is not None or job.is_acceptance_unknown
+            while is_open and not job.is_cancelled and time.monotonic() < deadline:
+                if self._cancel_job(job, rng, pools) == HTTPStatus.GONE:
+                    break
+                time.sleep(FINAL_CANCEL_RETRY_S)
+
     def _submit_job(
         self,
         rng: random.Random,
@@ -129,6 +183,17 @@
             is_gang=is_gang,
             is_harmful=is_harmful,
         )
+        self._submit_until_answered(job, payload, step, rng, pools)
+        return job
+
+    def _submit_until_answered(
+        self,
+        job: JobRecord,
+        payload: dict[str, Any],
+        step: dict[str, Any],
+        rng: random.Random,
+        pools: dict[str, urllib3.HTTPConnectionPool],
+    ) -> None:
         self.jobs.append(job)
         body = json.dumps({"spec": json.dumps(payload), "steps": [step]}).encode()
         for _ in range(MAX_SUBMIT_ATTEMPTS):
@@ -140,16 +205,16 @@
                 job.is_acceptance_unknown or status not in REJECTION_STATUSES
             )
             time.sleep(rng.uniform(0.1, 1.0))
-        return job
 
     def _cancel_job(
         self, job: JobRecord, rng: random.Random, pools: dict[str, urllib3.HTTPConnectionPool]
-    ) -> None:
-        time.sleep(rng.uniform(0.0, 0.5))
+    ) -> int | None:
         status = self._call("DELETE", job.path, rng, pools)
         if status == HTTPStatus.OK:
-            job.cancelled_at = time.monotonic()
-        job.is_cancel_unknown = status not in (HTTPStatus.OK, *REJECTION_STATUSES)
+            self.run_recorder.record_cancellation(job.job_id)
+            job.is_cancelled = True
+        job.is_cancel_unknown |= status not in (HTTPStatus.OK, *REJECTION_STATUSES)
+        return status
 
     def _query_job(
         self, job: JobRecord, rng: random.Random, pools: dict[str, urllib3.HTTPConnectionPool]
@@ -196,7 +261,13 @@
         """Report a failed call as a violation if it is attributed to a graceful stop."""
         now = time.monotonic()
         is_sigterm_recent = now - entry.sigterm_at < STOP_ATTRIBUTION_S
-        is_fault_free = sent_at - entry.last_fault_at > STOP_ATTRIBUTION_S
+        is_fault_free = self.run_recorder.disturbances.is_calm(
+            entry.name,
+            STORE,
+            since=sent_at - STOP_ATTRIBUTION_S,
+            until=now,
+            ignores_planned=True,
+        )
         if (
             is_sigterm_recent
             and is_fault_free
--- a/src/chicorycrank_standin/soak/deployment.py
+++ b/src/chicorycrank_standin/soak/deployment.py
@@ -25,6 +25,7 @@
 AGENT_COUNT = 3
 ACCELERATORS_PER_EXECUTOR = 4
 STOP_GRACE_S = 6.0  # time in which a program has to stop after SIGTERM
+RESTART_DELAY_S = 0.3
 API_KEY = "key-red"
 QUEUE_NAMES = ("urgent", "plain")
 PROXY_DELAY_S = 0.15  # delay of each chunk during the fault LINK_DELAY
@@ -34,8 +35,6 @@
     """Entry or agent as a process that can be signalled and restarted, with its store proxy.
 
     :ivar sigterm_at: monotonic time of the last SIGTERM
-    :ivar last_fault_at: monotonic time at which the last fault of this process ended; infinity
-        while a fault lasts
     """
 
     def __init__(self, name: str, module: str, store_port: int, folder: Path) -> None:
@@ -44,7 +43,6 @@
         self.store_proxy = Forwarder(proxy_port, store_port, delay_s=PROXY_DELAY_S)
         self.store_proxy.start()
         self.sigterm_at = float("-inf")
-        self.last_fault_at = float("-inf")
         self._module = module
         self._log_file = (folder / f"{name}.log").open("ab")
         self._settings_path = folder / f"{name}.yaml"
@@ -84,6 +82,14 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(signal_number)
 
+    def pause(self) -> None:
+        """Suspend the process."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Continue the process."""
+        self.signal(signal.SIGCONT)
+
     def wait(self, timeout_s: float) -> bool:
         """Wait for the end of the process; return false if it still runs after the timeout."""
         if self._process is None:
@@ -103,11 +109,20 @@
         self._log_file.close()
 
 
+def restart_killed(program: Program) -> None:
+    """Kill a program and start it again."""
+    program.signal(signal.SIGKILL)
+    program.wait(STOP_GRACE_S)
+    time.sleep(RESTART_DELAY_S)
+    program.start()
+
+
 class Deployment:
     """Entries, agents, executors and the store of a soak test.
 
     :param seed: seed of the random faults of the store and the executors
     :param agents: number of agents, each with an executor
+    :ivar links: links between agents and executors, in both directions
     :ivar control_links: links from each executor to its agent
     """
 
@@ -115,7 +130,7 @@
         self.run_recorder = RunRecorder()
         self.store = KvStoreStandIn(random.Random(seed))
         self._servers: list[Server] = []
-        self._links: list[Forwarder] = []
+        self.links: list[Forwarder] = []
         store_port = int(self._start_server(self.store.routes()).rpartition(":")[2])
         self.store.put("op/config", b64encode(json.dumps(_operator_config()).encode()).decode())
         self.entries = [
@@ -138,6 +153,7 @@
                 self.run_recorder,
                 random.Random(seed + agent_index),
                 accelerators=ACCELERATORS_PER_EXECUTOR,
+                agent=agent.name,
             )
             executor_address = self._start_server(executor.routes())
             executor.link = self._start_link(int(executor_address.rpartition(":")[2]))
@@ -164,16 +180,11 @@
             program.close()
         for executor in self.executors:
             executor.close()
-        for link in self._links:
+        for link in self.links:
             link.stop()
         for server in self._servers:
             server.stop()
 
-    def record_fault(self) -> None:
-        """Record that every program has a fault at the present time."""
-        for program in self.programs:
-            program.last_fault_at = time.monotonic()
-
     def _list_machines(self) -> list[dict[str, Any]]:
         return [
             {
@@ -188,7 +199,7 @@
     def _start_link(self, target_port: int) -> Forwarder:
         link = Forwarder(free_port(), target_port, delay_s=PROXY_DELAY_S)
         link.start()
-        self._links.append(link)
+        self.links.append(link)
         return link
 
     def _start_server(self, routes: dict[str, Handler]) -> str:
--- a/src/chicorycrank_standin/soak/faults.py
+++ b/src/chicorycrank_standin/soak/faults.py
@@ -4,81 +4,41 @@
 import signal
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
-from enum import Enum
 from functools import partial
 
 from chicorycrank_standin.background import start_daemon_thread
-from chicorycrank_standin.forwarder import Mode
+from chicorycrank_standin.forwarder import Forwarder, Mode
+from chicorycrank_standin.platform.disturbances import STORE
+from chicorycrank_standin.platform.executor import ExecutorMode
 from chicorycrank_standin.platform.kv_store import StoreMode
 from chicorycrank_standin.soak.deployment import (
-    ACCELERATORS_PER_EXECUTOR,
+    RESTART_DELAY_S,
     STOP_GRACE_S,
     Deployment,
     Program,
+    restart_killed,
+)
+from chicorycrank_standin.soak.executor_faults import inject_executor_fault
+from chicorycrank_standin.soak.fault_kinds import (
+    MODE_BY_LINK_FAULT,
+    MODE_BY_STORE_FAULT,
+    Fault,
+    FaultKind,
 )
 
 MEAN_INTERVAL_S = 1.5
 MIN_DURATION_S, MAX_DURATION_S = 0.5, 6.0
-RESTART_DELAY_S = 0.3
+SILENCE_S = 1.0  # time in which watches hear nothing before the history is discarded
 FOLLOW_UP_SHARE = 0.3  # share of the faults that soon follow another on the same target
 FOLLOW_UP_DELAY_S = 0.2
 
 
-class FaultKind(Enum):
-    """Kind of fault.
-
-    Faults of a link are those of ``forwarder.Mode`` between one program and the store. Faults of
-    the store affect every program; the first three are those of ``kv_store.StoreMode``.
-    """
-
-    LINK_SILENT = "link-silent"
-    LINK_CUT = "link-cut"
-    LINK_DELAY = "link-delay"
-    KILL = "kill"  # SIGKILL, then a restart
-    PAUSE = "pause"  # the process is suspended by SIGSTOP for some time
-    TERMINATE = "terminate"  # SIGTERM, then a restart
-    RELOAD = "reload"  # SIGHUP, with unchanged settings
-    STORE_BUSY = "store-busy"
-    STORE_LOSSY = "store-lossy"
-    STORE_SLOW = "store-slow"
-    STORE_LAPSE = "store-lapse"  # all leases expire
-    STORE_FORGETS = "store-forgets"  # the history of changes is discarded
-    EXECUTOR_LATE = "executor-late"  # start orders are applied late and get no complete response
-    EXECUTOR_CRASH = "executor-crash"  # the executor ends all runs and restarts
-    EXECUTOR_CAPACITY = "executor-capacity"  # the capacity shrinks and grows back
-
-
 # Kinds that were added later have plans of their own, so that the faults of a seed stay.
-LATER_KINDS = (FaultKind.EXECUTOR_CAPACITY,)
-FIRST_KINDS = [kind for kind in FaultKind if kind not in LATER_KINDS]
-LATER_MEAN_INTERVAL_S = 6.0
-
-MODE_BY_LINK_FAULT = {
-    FaultKind.LINK_SILENT: Mode.SILENT,
-    FaultKind.LINK_CUT: Mode.CUT,
-    FaultKind.LINK_DELAY: Mode.DELAY,
-}
-MODE_BY_STORE_FAULT = {
-    FaultKind.STORE_BUSY: StoreMode.BUSY,
-    FaultKind.STORE_LOSSY: StoreMode.LOSSY,
-    FaultKind.STORE_SLOW: StoreMode.SLOW,
-}
-
-
-@dataclass(frozen=True, kw_only=True)
-class Fault:
-    """Planned fault.
-
-    :param starts_at_s: seconds after the start of the traffic
-    :param target_index: index of the program or executor, taken modulo their count
-    :param duration_s: duration of kinds that end by themselves; ignored by the others
-    """
-
-    starts_at_s: float
-    kind: FaultKind
-    target_index: int
-    duration_s: float
+FIRST_KINDS = list(FaultKind)[: list(FaultKind).index(FaultKind.EXECUTOR_CAPACITY)]
+CAPACITY_KINDS = [FaultKind.EXECUTOR_CAPACITY]
+CAPACITY_MEAN_INTERVAL_S = 6.0
+PROOF_KINDS = list(FaultKind)[len(FIRST_KINDS) + len(CAPACITY_KINDS) :]
+PROOF_MEAN_INTERVAL_S = 2.5
 
 
 def plan_faults(seed: int, duration_s: float) -> list[Fault]:
@@ -88,7 +48,9 @@
     """
     faults = _plan_kinds(random.Random(seed), duration_s, FIRST_KINDS, MEAN_INTERVAL_S)
     later_rng = random.Random(f"later kinds {seed}")
-    faults += _plan_kinds(later_rng, duration_s, LATER_KINDS, LATER_MEAN_INTERVAL_S)
+    faults += _plan_kinds(later_rng, duration_s, CAPACITY_KINDS, CAPACITY_MEAN_INTERVAL_S)
+    proof_rng = random.Random(f"proof kinds {seed}")
+    faults += _plan_kinds(proof_rng, duration_s, PROOF_KINDS, PROOF_MEAN_INTERVAL_S)
     return sorted(faults, key=lambda fault: fault.starts_at_s)
 
 
@@ -118,73 +80,72 @@
     """Inject a fault and return after it has ended."""
     programs = deployment.programs
     program = programs[fault.target_index % len(programs)]
+    disturbances = deployment.run_recorder.disturbances
     if fault.kind in MODE_BY_LINK_FAULT:
-        program.last_fault_at = float("inf")
-        program.store_proxy.set_mode(MODE_BY_LINK_FAULT[fault.kind])
-        time.sleep(fault.duration_s)
-        program.store_proxy.set_mode(Mode.PASS)
-        program.last_fault_at = time.monotonic()
+        with disturbances.lasting(program.name):
+            _disturb_link(program.store_proxy, MODE_BY_LINK_FAULT[fault.kind], fault.duration_s)
     elif fault.kind in MODE_BY_STORE_FAULT:
-        deployment.record_fault()
-        deployment.store.mode = MODE_BY_STORE_FAULT[fault.kind]
-        time.sleep(fault.duration_s)
-        deployment.store.mode = StoreMode.NORMAL
-        deployment.record_fault()
+        with disturbances.lasting(STORE):
+            deployment.store.mode = MODE_BY_STORE_FAULT[fault.kind]
+            time.sleep(fault.duration_s)
+            deployment.store.mode = StoreMode.NORMAL
     elif fault.kind in (FaultKind.KILL, FaultKind.PAUSE, FaultKind.TERMINATE, FaultKind.RELOAD):
         _inject_process_fault(fault, program, deployment)
+    elif fault.kind is FaultKind.STORE_FORGETS:
+        deployment.store.discard_history()
+    elif fault.kind is FaultKind.STORE_LAPSE:
+        with disturbances.lasting(STORE):
+            deployment.store.expire_leases()
+    elif fault.kind is FaultKind.STORE_COMPACTS:
+        with disturbances.lasting(STORE):
+            deployment.store.compact(SILENCE_S)
     else:
-        _inject_platform_fault(fault, deployment)
+        inject_executor_fault(fault, deployment)
+
+
+def _disturb_link(link: Forwarder, mode: Mode, duration_s: float) -> None:
+    link.set_mode(mode)
+    time.sleep(duration_s)
+    link.set_mode(Mode.PASS)
 
 
 def _inject_process_fault(fault: Fault, program: Program, deployment: Deployment) -> None:
+    disturbances = deployment.run_recorder.disturbances
     match fault.kind:
         case FaultKind.KILL:
-            program.last_fault_at = time.monotonic()
-            program.signal(signal.SIGKILL)
-            program.wait(STOP_GRACE_S)
-            time.sleep(RESTART_DELAY_S)
-            program.start()
+            with disturbances.lasting(program.name):
+                restart_killed(program)
         case FaultKind.PAUSE:
-            program.last_fault_at = float("inf")
-            program.signal(signal.SIGSTOP)
-            time.sleep(fault.duration_s)
-            program.signal(signal.SIGCONT)
-            program.last_fault_at = time.monotonic()
+            with disturbances.lasting(program.name):
+                program.pause()
+                time.sleep(fault.duration_s)
+                program.resume()
         case FaultKind.TERMINATE:
-            program.sigterm_at = time.monotonic()
-            program.signal(signal.SIGTERM)
-            if not program.wait(STOP_GRACE_S):
-                if program.last_fault_at < program.sigterm_at:
-                    deployment.run_recorder.report_violation(
-                        f"{program.name} is still running after its grace time"
-                    )
-                program.signal(signal.SIGKILL)
-                program.wait(STOP_GRACE_S)
-            time.sleep(RESTART_DELAY_S)
-            program.start()
+            with disturbances.lasting(program.name, is_planned=True):
+                _restart_terminated(program, deployment)
         case FaultKind.RELOAD:
             program.configure()
             program.signal(signal.SIGHUP)
 
 
-def _inject_platform_fault(fault: Fault, deployment: Deployment) -> None:
-    executor = deployment.executors[fault.target_index % len(deployment.executors)]
-    match fault.kind:
-        case FaultKind.STORE_LAPSE:
-            deployment.record_fault()
-            deployment.store.expire_leases()
-        case FaultKind.STORE_FORGETS:
-            deployment.store.discard_history()
-        case FaultKind.EXECUTOR_LATE:
-            executor.is_delaying_starts = True
-            time.sleep(fault.duration_s)
-            executor.is_delaying_starts = False
-        case FaultKind.EXECUTOR_CRASH:
-            executor.crash()
-        case FaultKind.EXECUTOR_CAPACITY:
-            executor.set_capacity(fault.target_index % ACCELERATORS_PER_EXECUTOR)
-            time.sleep(fault.duration_s)
-            executor.set_capacity(None)
+def _restart_terminated(program: Program, deployment: Deployment) -> None:
+    run_recorder = deployment.run_recorder
+    program.sigterm_at = time.monotonic()
+    program.signal(signal.SIGTERM)
+    if not program.wait(STOP_GRACE_S):
+        is_undisturbed = run_recorder.disturbances.is_calm(
+            program.name,
+            STORE,
+            since=program.sigterm_at,
+            until=time.monotonic(),
+            ignores_planned=True,
+        )
+        if is_undisturbed:
+            run_recorder.report_violation(f"{program.name} is still running after its grace time")
+        program.signal(signal.SIGKILL)
+        program.wait(STOP_GRACE_S)
+    time.sleep(RESTART_DELAY_S)
+    program.start()
 
 
 def inject_faults(faults: list[Fault], deployment: Deployment) -> None:
@@ -203,9 +164,12 @@
 def end_faults(deployment: Deployment) -> None:
     """Undo the effects that overlapping faults may have left on the store and the programs."""
     deployment.store.mode = StoreMode.NORMAL
+    for link in deployment.links:
+        link.set_mode(Mode.PASS)
     for executor in deployment.executors:
         executor.set_capacity(None)
+        executor.mode = ExecutorMode.NORMAL
     for program in deployment.programs:
-        program.signal(signal.SIGCONT)
+        program.resume()
         program.store_proxy.set_mode(Mode.PASS)
         program.start()
--- a/src/chicorycrank_standin/soak/session.py
+++ b/src/chicorycrank_standin/soak/session.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from chicorycrank_standin.platform.run_recorder import CANCEL_S, CONTACT_S, STOP_S
 from chicorycrank_standin.soak import faults
 from chicorycrank_standin.soak.callers import FINAL_STATES, Callers, JobRecord
 from chicorycrank_standin.soak.deployment import AGENT_COUNT, Deployment
@@ -16,10 +17,8 @@
 POLL_INTERVAL_S = 0.3
 # A job may be given up once one of its tasks has crashed this many executors.
 MIN_CRASHES_TO_FAIL = 2
-# A cancelled job starts no task later than this after the reply to the cancellation.
-CANCEL_TIMEOUT_S = 3.0
-# Start orders without a reply are applied up to this long after they were sent.
-MAX_START_DELAY_S = 6.0
+# A task of a cancelled job has to be gone after the last fault and this time.
+CANCELLED_TIMEOUT_S = CONTACT_S + CANCEL_S + STOP_S + 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -64,6 +63,7 @@
         for thread in threads:
             thread.join()
         faults.end_faults(deployment)
+        callers.cancel_long_jobs()
         _check_jobs(callers, deployment)
     finally:
         callers.stop_event.set()
@@ -73,7 +73,7 @@
         seed=seed,
         jobs=len(callers.jobs),
         accepted=sum(job.accepted_at is not None for job in callers.jobs),
-        starts=len(run_recorder.starts),
+        starts=len(run_recorder.runs),
         faults=len(planned_faults),
         crashes=sum(run_recorder.crashes_by_task.values()),
         violations=tuple(run_recorder.violations),
@@ -106,30 +106,29 @@
         run_recorder.report_violation(
             f"not finished: {job.path} is {job.state or 'without an answer'}"
         )
+    checked_at = time.monotonic() + CANCELLED_TIMEOUT_S
+    while run_recorder.is_running_cancelled() and time.monotonic() < checked_at:
+        time.sleep(POLL_INTERVAL_S)
+    run_recorder.check_runs_of_cancelled_jobs([entry.name for entry in deployment.entries])
     for job in callers.jobs:
         _check_job(job, deployment)
 
 
 def _check_job(job: JobRecord, deployment: Deployment) -> None:
     run_recorder = deployment.run_recorder
-    name = job.path.rpartition("/")[2]
-    starts = [started_at for started_at, task, _ in run_recorder.starts if task.startswith(name)]
-    if job.accepted_at is None and not job.is_acceptance_unknown and starts:
+    runs = [run for run in run_recorder.runs if run.job == job.job_id]
+    if job.accepted_at is None and not job.is_acceptance_unknown and runs:
         run_recorder.report_violation(f"refused job has run: {job.path}")
-    crashes = [n for task, n in run_recorder.crashes_by_task.items() if task.startswith(name)]
+    crashes = [n for task, n in run_recorder.crashes_by_task.items() if task.startswith(job.job_id)]
     if job.state == "failed" and max(crashes, default=0) < MIN_CRASHES_TO_FAIL:
         run_recorder.report_violation(f"failed without cause: {job.path}: {job.reason}")
     if job.state == "failed" and not job.reason:
         run_recorder.report_violation(f"failed without a reason for the caller: {job.path}")
-    if job.state == "cancelled" and job.cancelled_at is None and not job.is_cancel_unknown:
+    if job.state == "cancelled" and not job.is_cancelled and not job.is_cancel_unknown:
         run_recorder.report_violation(f"cancelled without cause: {job.path}")
-    if job.cancelled_at is not None:
-        limit = job.cancelled_at + CANCEL_TIMEOUT_S + MAX_START_DELAY_S + FINISH_TIMEOUT_S
-        if any(started_at > limit for started_at in starts):
-            run_recorder.report_violation(f"cancelled job started: {job.path}")
     if job.state == "completed":
         # A recorded end counts even if the executor crashed before the end was acknowledged.
-        done_count = sum(task.startswith(name) for task in run_recorder.done_tasks)
+        done_count = len({run.task for run in runs if run.end_kind == "done"})
         if done_count < (1 if job.is_gang else job.task_count):
             run_recorder.report_violation(
                 f"completed with {done_count} of {job.task_count} ends: {job.path}"
--- a/tests/incident/test_incident_processes.py
+++ b/tests/incident/test_incident_processes.py
@@ -52,7 +52,7 @@
     index = job.executor_index()
     executor, agent = job.deployment.executors[index], job.deployment.agents[index]
     executor.drain(DRAIN_S)
-    wait_until(lambda: executor.draining_acknowledged_at < time.monotonic(), START_TIMEOUT_S)
+    wait_until(lambda: executor.draining_since is not None, START_TIMEOUT_S)
     agent.signal(signal.SIGTERM)
     assert agent.wait(START_TIMEOUT_S)
     time.sleep(RESTART_DELAY_S)
@@ -65,8 +65,8 @@
     links = [executor.link]
     if is_both_ways:
         links.append(job.deployment.control_links[job.executor_index()])
-    heartbeats = executor.heartbeats_acknowledged
-    wait_until(lambda: executor.heartbeats_acknowledged > heartbeats, START_TIMEOUT_S)
+    heartbeats = executor.heartbeats.acknowledged
+    wait_until(lambda: executor.heartbeats.acknowledged > heartbeats, START_TIMEOUT_S)
     for link in links:
         link.set_mode(Mode.CUT)
     time.sleep(REFUSAL_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from chicorycrank_standin.soak.faults import MAX_DURATION_S, FaultKind, plan_faults
+from chicorycrank_standin.soak.fault_kinds import FaultKind
+from chicorycrank_standin.soak.faults import MAX_DURATION_S, plan_faults
 from chicorycrank_standin.soak.session import run_soak
 
 SHORT_DURATION_S = 6.0
