--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -78,7 +78,15 @@
         logger.info("event=leader_elected entry=%s", self._entry)
         self.is_leading = True
         IS_LEADER.set(1)
-        term = Term(self._store, self._view, self._clock, role, self._dependencies, self._stop)
+        term = Term(
+            self._store,
+            self._view,
+            self._replica,
+            self._clock,
+            role,
+            self._dependencies,
+            self._stop,
+        )
         try:
             term.serve()
         except RoleLostError as error:
--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -26,6 +26,7 @@
         self._machines = machines
         self._lost_after_s = lost_after_s
         self._polled_at = float("-inf")
+        self._listed_at = float("-inf")
         self._running_executors: frozenset[str] = frozenset()
 
     def find_lost(self, workers: WorkerRegistry, busy: set[TargetId]) -> list[TargetId]:
@@ -46,22 +47,27 @@
         ]
         if overdue and now_s - self._polled_at >= MACHINE_POLL_INTERVAL_S:
             self._polled_at = now_s
-            self._poll_machines()
+            self._poll_machines(now_s)
         lost_workers = []
         for worker_id in overdue:
             is_machine_running = workers.by_id[worker_id].report.executor in self._running_executors
             if not is_machine_running or expired_s_by_worker[worker_id] >= SUSPENSION_LIMIT_S:
                 logger.warning(
-                    "event=worker_lost target=%s absent_s=%.1f listed=%s",
+                    "event=worker_lost target=%s absent_s=%.1f listed=%s list_age_s=%.1f"
+                    " polled_s_ago=%.1f executors_listed=%d",
                     worker_id,
                     expired_s_by_worker[worker_id],
                     is_machine_running,
+                    now_s - self._listed_at,
+                    now_s - self._polled_at,
+                    len(self._running_executors),
                 )
                 lost_workers.append(worker_id)
         return lost_workers
 
-    def _poll_machines(self) -> None:
+    def _poll_machines(self, now_s: float) -> None:
         try:
             self._running_executors = self._machines.running_executors()
+            self._listed_at = now_s
         except MachinesUnavailableError as error:
             logger.warning("event=machines_unavailable error=%s", error)
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -71,6 +71,7 @@
     """State and decisions of the leader; not safe for concurrent use.
 
     :param now_s: monotonic time in seconds at the start of the term
+    :ivar view_age_s: time in seconds since the view of the jobs was last confirmed by the store
     :ivar tickets_by_step: tickets by step and worker; the advice service issues a ticket to permit
         starts of a step on a worker
     :ivar steps_with_valid_tickets: steps whose tickets may still be used for new starts
@@ -81,6 +82,7 @@
         self.job_builder = job_builder
         self.now_s = now_s
         self.now_ms = 0
+        self.view_age_s = 0.0
         self.changes = ChangedRecords()
         self.jobs_by_id: dict[JobId, Submission] = {}
         self.progress_by_id: dict[JobId, Progress] = {}
@@ -96,9 +98,9 @@
 
     # Changes to the state.
 
-    def set_time(self, now_s: float, now_ms: int) -> None:
-        """Set monotonic time in seconds and Unix time in milliseconds."""
-        self.now_s, self.now_ms = now_s, now_ms
+    def set_time(self, now_s: float, now_ms: int, view_age_s: float = 0.0) -> None:
+        """Set monotonic time in seconds, Unix time in milliseconds and the age of the view."""
+        self.now_s, self.now_ms, self.view_age_s = now_s, now_ms, view_age_s
         self.workers.now_s = now_s
 
     def set_config(self, queues: Mapping[QueueId, Queue], teams: Iterable[BatchTeam]) -> None:
@@ -120,6 +122,13 @@
         if progress.state not in FINAL_BATCH_STATES:
             self.active_jobs[job.job_id] = None
             self._restore_failures(job.job_id, progress)
+        logger.info(
+            "event=job_learned job=%s state=%s cancelled=%s view_age_s=%.1f",
+            job.job_id,
+            progress.state.name.lower(),
+            job.job_id in self.cancelled,
+            self.view_age_s,
+        )
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove a job that has ended and has no running units."""
@@ -134,6 +143,12 @@
         """Cancel a job: stop its running units and start no further ones."""
         self.cancelled.add(job_id)
         progress = self.progress_by_id.get(job_id)
+        logger.info(
+            "event=cancel_learned job=%s state=%s view_age_s=%.1f",
+            job_id,
+            "unknown" if progress is None else progress.state.name.lower(),
+            self.view_age_s,
+        )
         if progress is not None and progress.state not in FINAL_BATCH_STATES:
             self._end_job(job_id, BatchState.CANCELLED, "cancelled")
 
@@ -323,12 +338,13 @@
                 max(0, self.now_ms - self.jobs_by_id[ref.job_id].submitted_at_ms) / 1000
             )
         logger.info(
-            "event=unit_started job=%s unit=%s run=%d workers=%s checkpoint=%s",
+            "event=unit_started job=%s unit=%s run=%d workers=%s checkpoint=%s view_age_s=%.1f",
             ref.job_id,
             ref.key,
             unit.run,
             ",".join(place.worker for place in places),
             unit.checkpoint,
+            self.view_age_s,
         )
 
     def stop_unit(self, ref: UnitRef, reason: str) -> None:
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -85,6 +85,7 @@
 class Term:
     """Term of the leader, with state that is discarded when the term ends.
 
+    :param replica: keeps ``view`` up to date
     :param stop: set when the process stops
     """
 
@@ -92,6 +93,7 @@
         self,
         store: TransactionalStore,
         view: SharedView,
+        replica: Replica,
         clock: Clock,
         role: LeaderRole,
         dependencies: TermDependencies,
@@ -99,6 +101,7 @@
     ) -> None:
         self._store = store
         self._view = view
+        self._replica = replica
         self._clock = clock
         self._role = role
         self._ended_job_retention_s = dependencies.ended_job_retention_s
@@ -357,7 +360,8 @@
 
     def _set_time(self) -> None:
         now_ms = int(self._clock.now().timestamp() * 1000)
-        self._planner.set_time(self._clock.monotonic(), now_ms)
+        now_s = self._clock.monotonic()
+        self._planner.set_time(now_s, now_ms, now_s - self._replica.confirmed_at)
 
 
 def _decode_progress(item: Item) -> Progress | None:
