--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -10,11 +10,12 @@
 from chicorycrank.batch.executor_clock import ExecutorClock
 from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
-from chicorycrank.batch.metrics import EXECUTORS_ENDED, REPORTS_WRITTEN
+from chicorycrank.batch.metrics import EXECUTORS_ENDED, HEARTBEATS_IGNORED, REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pacer
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.run_driver import CallContext, RunDriver
+from chicorycrank.batch.running_time import RunningTime
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import keep_running
 from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
@@ -107,13 +108,21 @@
         self._is_registered = False
         self._heartbeat_number = -1
         self._executor_started_at_ms = 0
+        # The executor was reported as gone and has not answered since.
+        self._has_returned = False
+        self._running_time = RunningTime(clock, self._stop)
         self._presence = Presence(store, presence_key(worker), clock, self._stop)
 
     def start(self) -> None:
         """Start the threads."""
         self._order_replica.start()
-        for work in (self._presence.keep, self._extend_lease_forever, self._report_forever):
-            keep_running(work, work.__name__.strip("_"), self._stop)
+        for work in (
+            self._running_time.keep,
+            self._presence.keep,
+            self._extend_lease_forever,
+            self._report_forever,
+        ):
+            keep_running(work, work.__qualname__, self._stop)
 
     def stop(self) -> None:
         """Stop the threads; tasks run on under their lease until the agent restarts."""
@@ -148,9 +157,11 @@
         with self._lock:
             current = self.report
             if started_at_ms < self._executor_started_at_ms:
+                self._record_ignored_heartbeat(report, number, "earlier-life")
                 return False
             is_new_incarnation = report.incarnation != current.incarnation
             if not is_new_incarnation and number <= self._heartbeat_number:
+                self._record_ignored_heartbeat(report, number, "late-number")
                 return False
             if is_new_incarnation:
                 logger.info(
@@ -166,6 +177,7 @@
                 self._executor_clock.reset()
             elif report.state is not current.state:
                 logger.info("event=executor_state state=%s number=%d", report.state.name, number)
+                self._has_returned = current.state is WorkerState.GONE
             self._heartbeat_number, self._executor_started_at_ms = number, started_at_ms
             self._executor_clock.record_reading(clock_ms)
             report.fence = current.fence
@@ -173,6 +185,17 @@
             self._lock.notify_all()
             return True
 
+    def _record_ignored_heartbeat(self, report: WorkerReport, number: int, reason: str) -> None:
+        HEARTBEATS_IGNORED.labels(reason).inc()
+        logger.info(
+            "event=heartbeat_ignored target=%s incarnation=%s number=%d known=%s reason=%s",
+            self._worker,
+            report.incarnation,
+            number,
+            self.report.incarnation,
+            reason,
+        )
+
     def record_executor_exit(self, executor: str) -> None:
         """Record that the executor has exited."""
         with self._lock:
@@ -275,7 +298,22 @@
     def _apply_status(self, status: ExecutorStatus, sent_at: float) -> None:
         with self._lock:
             if status.incarnation != self.report.incarnation:
+                logger.warning(
+                    "event=other_incarnation_answered target=%s known=%s answered=%s",
+                    self._worker,
+                    self.report.incarnation,
+                    status.incarnation,
+                )
                 return
+            if self._has_returned:
+                self._has_returned = False
+                logger.warning(
+                    "event=executor_answers_again target=%s incarnation=%s running=%s ends=%s",
+                    self._worker,
+                    status.incarnation,
+                    ",".join(f"{row.task}/{row.run}" for row in status.running),
+                    ",".join(f"{e.end.task}/{e.end.run}/{e.end.kind.name}" for e in status.ends),
+                )
             self._executor_clock.record_reading(status.clock_ms)
             if self.table.apply_status(status, sent_at):
                 self._lock.notify_all()
--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -32,6 +32,9 @@
 EXECUTORS_ENDED = Counter(
     "chicorycrank_executors_ended", "Ends of incarnations of an agent's executor", ["how"]
 )
+HEARTBEATS_IGNORED = Counter(
+    "chicorycrank_heartbeats_ignored", "Heartbeats that an agent did not apply", ["reason"]
+)
 REPORTS_WRITTEN = Counter("chicorycrank_reports_written", "Reports that an agent has written")
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
