Cancel jobs by what the view holds, not by the order in which it was told

The leader took jobs from its watch and cancellations from its view, each once. The entry that leads has a cancellation in its view at once, from its own call, while its watch may hear nothing: Planner.cancel then noted a cancellation for a job that the planner didn't have, add_job didn't look there, and the difference of the two sets was empty from then on.

Before each plan, known_jobs.py now compares the contents: it adds the jobs of the view that the planner lacks and cancels the active jobs whose cancellation is in the view. The planner keeps no set of cancellations any more. Progress that a new leader has read of a job that its view lacks is kept until the job comes; a fresh record would have started it from run 1.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -87,7 +87,6 @@
         self.jobs_by_id: dict[JobId, Submission] = {}
         self.progress_by_id: dict[JobId, Progress] = {}
         self.active_jobs: dict[JobId, None] = {}
-        self.cancelled: set[JobId] = set()
         self.workers = WorkerRegistry(self.cell, now_s, job_builder.clear_worker_caches)
         self.crashes = CrashTracker()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
@@ -122,34 +121,18 @@
         if progress.state not in FINAL_BATCH_STATES:
             self.active_jobs[job.job_id] = None
             self._restore_failures(job.job_id, progress)
-        logger.info(
-            "event=job_learned job=%s state=%s cancelled=%s view_age_s=%.1f",
-            job.job_id,
-            progress.state.name.lower(),
-            job.job_id in self.cancelled,
-            self.view_age_s,
-        )
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove a job that has ended and has no running units."""
         self.jobs_by_id.pop(job_id, None)
         self.progress_by_id.pop(job_id, None)
         self.active_jobs.pop(job_id, None)
-        self.cancelled.discard(job_id)
         self.crashes.forget_job(job_id)
         self.job_builder.discard_job(job_id)
 
     def cancel(self, job_id: JobId) -> None:
-        """Cancel a job: stop its running units and start no further ones."""
-        self.cancelled.add(job_id)
-        progress = self.progress_by_id.get(job_id)
-        logger.info(
-            "event=cancel_learned job=%s state=%s view_age_s=%.1f",
-            job_id,
-            "unknown" if progress is None else progress.state.name.lower(),
-            self.view_age_s,
-        )
-        if progress is not None and progress.state not in FINAL_BATCH_STATES:
+        """Cancel an active job: stop its running units and start no further ones."""
+        if job_id in self.active_jobs:
             self._end_job(job_id, BatchState.CANCELLED, "cancelled")
 
     def apply_report(self, worker: TargetId, report: WorkerReport) -> None:
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -9,7 +9,6 @@
 
 from chicorycrank.batch.advice import AdviceCache
 from chicorycrank.batch.keys import (
-    JOBS_PREFIX,
     PRESENCE_PREFIX,
     PROGRESS_PREFIX,
     REPORT_STATE_PREFIX,
@@ -23,6 +22,7 @@
     progress_key,
     state_key,
 )
+from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
 from chicorycrank.batch.lost_workers import LostWorkerDetector
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
@@ -108,6 +108,7 @@
         self._stop = stop
         self._ended = threading.Event()
         self._report_changes: list[Item] = []
+        self._stored_progress: dict[JobId, Progress | None] = {}
         self._report_replica = Replica(
             store, REPORTS_PREFIX, self._queue_report_items, clock, wait_s=REPORT_WATCH_TIMEOUT_S
         )
@@ -166,24 +167,21 @@
         Only the holder of the role writes progress, so the records do not change meanwhile.
         """
         planner = self._planner
-        progress_by_id = self._read_progress()
+        self._stored_progress = self._read_progress()
         self._set_time()
         with self._view.lock:
             self._view.pop_changed_keys()
             self._apply_config()
-            for job_id, job in self._view.jobs_by_id.items():
-                progress = progress_by_id.pop(job_id, Progress())
-                if progress is not None:
-                    planner.add_job(job, progress)
+            add_jobs(planner, self._view, self._stored_progress)
             planner.crashes.explain_restored(planner)
-            for job_id in self._view.cancelled:
-                planner.cancel(job_id)
+            cancel_jobs(planner, self._view.cancelled)
             # The previous leader may have written the progress of a job, but not its state.
             planner.changes.jobs.update(
                 job_id for job_id in planner.jobs_by_id if self._changed_state(job_id) is not None
             )
-        for job_id in progress_by_id:
-            logger.warning("event=progress_without_job job=%s", job_id)
+        for job_id, progress in self._stored_progress.items():
+            if progress is not None:
+                logger.warning("event=progress_without_job job=%s", job_id)
         # The previous leader may not have written all of its orders, so the orders of all workers
         # with assigned work are written again.
         planner.changes.workers.update(planner.members_by_worker)
@@ -220,9 +218,8 @@
         """Apply pending changes, plan, and write the changed records."""
         self._set_time()
         with self._view.lock:
-            changed_keys = self._view.pop_changed_keys()
             reports, self._report_changes = self._report_changes, []
-            self._apply_changes(changed_keys)
+            self._apply_changes()
         for item in reports:
             self._apply_report_item(item)
         self._mark_lost_workers()
@@ -231,16 +228,12 @@
         self._planner.plan()
         self._write_changes()
 
-    def _apply_changes(self, keys: list[str]) -> None:
+    def _apply_changes(self) -> None:
         """Apply new jobs, cancellations and the configuration."""
+        self._view.pop_changed_keys()
         self._apply_config()
-        for key in keys:
-            job_id = JobId(key.removeprefix(JOBS_PREFIX))
-            job = self._view.jobs_by_id.get(job_id) if key.startswith(JOBS_PREFIX) else None
-            if job is not None:
-                self._planner.add_job(job, None)
-        for job_id in self._view.cancelled - self._planner.cancelled:
-            self._planner.cancel(job_id)
+        add_jobs(self._planner, self._view, self._stored_progress)
+        cancel_jobs(self._planner, self._view.cancelled)
 
     def _apply_config(self) -> None:
         planner = self._planner
--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -93,7 +93,7 @@
         self._changed_keys: list[str] = []
 
     def apply(self, items: Sequence[Item]) -> None:
-        """Apply changes of the store."""
+        """Apply changes of the store; only the replica calls it, which orders them by revision."""
         with self.lock:
             for item in items:
                 try:
@@ -118,6 +118,14 @@
         elif key.startswith(CANCELS_PREFIX):
             job_id = JobId(key.removeprefix(CANCELS_PREFIX))
             (self.cancelled.discard if value is None else self.cancelled.add)(job_id)
+            if value is not None:
+                logger.info(
+                    "event=cancel_learned job=%s known=%s state=%s revision=%d",
+                    job_id,
+                    job_id in self.jobs_by_id,
+                    self.state_by_id.get(job_id, NOT_STARTED).state.name.lower(),
+                    item.revision,
+                )
         elif key == LEADER_KEY:
             self.leader = None if value is None else decode(value, LeaderRecord)
             self.leader_revision = Revision(0) if value is None else item.revision
