Apply what own calls have read and written by its revision

Submissions, cancellations and jobs that an entry reads were put into the view in the same way, past the watch: a read from before the removal of a job brought the job back, and a leader started it; a job that only a call of this process knew stayed in the view after its removal if the history was lost.

Replica.apply_own is now the one way into the view beside the watch. A revision that is not newer than the known one, or than everything that the watch has brought if the key is not there, changes nothing. Keys that came so are deleted like all others when all keys are read again, and deletions are remembered until the watch has passed them. A leader applies all that it has written to watched keys, also the removal of expired jobs. A write that conflicts with a key that is not there is not taken as done any more (intake).

The tests of the replica failed as the method was missing.

--- a/src/chicorycrank/batch/intake.py
+++ b/src/chicorycrank/batch/intake.py
@@ -13,7 +13,8 @@
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import (
     MISSING,
-    Conflict,
+    Committed,
+    Item,
     StoreUnavailableError,
     TransactionalStore,
     Write,
@@ -75,9 +76,6 @@
         if self._view.state_of(job.job_id) is not None:
             return Outcome.DONE
         outcome = self._create_key(job_key(job.job_id), encode(job), deadline_at)
-        if outcome is Outcome.DONE:
-            with self._view.lock:
-                self._view.jobs_by_id.setdefault(job.job_id, job)
         logger.info(
             "event=job_submitted job=%s team=%s queue=%s generation=%s outcome=%s",
             job.job_id,
@@ -94,9 +92,6 @@
         if answer.outcome is not Outcome.DONE or answer.state in FINAL_BATCH_STATES:
             return answer.outcome
         outcome = self._create_key(cancel_key(job_id), b"1", deadline_at)
-        if outcome is Outcome.DONE:
-            with self._view.lock:
-                self._view.cancelled.add(job_id)
         logger.info("event=job_cancel job=%s outcome=%s", job_id, outcome.value)
         return outcome
 
@@ -113,11 +108,11 @@
             return StateAnswer(Outcome.NOT_DONE)
         if item is None:
             return StateAnswer(Outcome.ABSENT)
-        self._view.apply([item])
+        self._replica.apply_own([item])
         return StateAnswer(Outcome.DONE, self._view.state_of(job_id) or BatchState.QUEUED)
 
     def _create_key(self, key: str, value: bytes, deadline_at: float) -> Outcome:
-        """Create a key unless it exists.
+        """Create a key unless it exists, and apply it to the view.
 
         An attempt without a response may still take effect, so ``NOT_DONE`` requires that every
         attempt certainly had no effect. Each write follows a read of the key: a store that stopped
@@ -132,28 +127,34 @@
             if remaining_s <= 0:
                 break
             try:
-                if self._store.read(key, timeout_s=min(CHECK_TIMEOUT_S, remaining_s)) is not None:
-                    return Outcome.DONE
+                item = self._store.read(key, timeout_s=min(CHECK_TIMEOUT_S, remaining_s))
             except StoreUnavailableError as error:
                 logger.warning("event=store_check_failed key=%s error=%s", key, error)
             else:
                 try:
-                    self._write_missing(key, value, min(ATTEMPT_TIMEOUT_S, remaining_s))
-                    return Outcome.DONE
+                    item = item or self._write_missing(
+                        key, value, min(ATTEMPT_TIMEOUT_S, remaining_s)
+                    )
                 except StoreUnavailableError as error:
                     may_be_applied = may_be_applied or not error.has_no_effect
+                if item is not None:
+                    self._replica.apply_own([item])
+                    return Outcome.DONE
             waited_s = self._clock.monotonic() - started_at
             if not may_be_applied and waited_s >= REFUSED_RETRY_LIMIT_S:
                 break
             self._delay_event.wait(RETRY_DELAY_S)
         return Outcome.UNKNOWN if may_be_applied else Outcome.NOT_DONE
 
-    def _write_missing(self, key: str, value: bytes, timeout_s: float) -> None:
-        """Write a key unless it exists.
+    def _write_missing(self, key: str, value: bytes, timeout_s: float) -> Item | None:
+        """Write a key unless it exists, and return its item; None if the key is not there.
 
         :raises StoreUnavailableError: the store did not respond
         """
         write = Write(expected={key: MISSING}, values={key: value})
         answer = self._store.commit(write, timeout_s=timeout_s)
-        if isinstance(answer, Conflict) and key not in answer.items:
+        if isinstance(answer, Committed):
+            return Item(key=key, value=value, revision=answer.revision)
+        if key not in answer.items:
             logger.warning("event=conflict_without_key key=%s", key)
+        return answer.items.get(key)
--- a/src/chicorycrank/batch/replica.py
+++ b/src/chicorycrank/batch/replica.py
@@ -7,6 +7,7 @@
 from chicorycrank.batch.threads import keep_running
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import (
+    Changes,
     HistoryLostError,
     Item,
     Revision,
@@ -22,9 +23,9 @@
 
 
 class Replica:
-    """Replica of a prefix, which passes on each change once and in order of revision.
+    """Replica of a prefix, which passes on each change once and no key's older revision later.
 
-    :param apply: called with changed items on the replica's thread
+    :param apply: called with changed items, by one thread at a time
     :param wait_s: longest duration of a watch call in seconds
     :ivar confirmed_at: monotonic time up to which all changes are known
     :ivar failed_since: monotonic time of the first failure since the last success, or None
@@ -44,7 +45,10 @@
         self._apply = apply
         self._clock = clock
         self._wait_s = wait_s
+        self._lock = threading.Lock()
         self._revision_by_key: dict[str, Revision] = {}
+        self._revision_by_deleted_key: dict[str, Revision] = {}
+        # All changes up to this revision are known; None if the keys have to be read.
         self._last_revision: Revision | None = None
         self._stop = threading.Event()
         self._is_available = False
@@ -87,17 +91,7 @@
         """
         sent_at = self._clock.monotonic()
         if self._last_revision is None:
-            changes = self._store.read_all(self._prefix)
-            listed = {item.key for item in changes.items}
-            deleted = [
-                Item(key=key, value=None, revision=revision)
-                for key, revision in self._revision_by_key.items()
-                if key not in listed
-            ]
-            items = [*changes.items, *deleted]
-            self._apply_items(
-                [item for item in items if item.value is None or self._is_newer(item)]
-            )
+            changes = self._read_all()
             self._last_revision = changes.revision
             self._record_success(sent_at)
             self.is_loaded.set()
@@ -110,23 +104,68 @@
             logger.warning("event=watch_history_lost prefix=%s", self._prefix)
             self._last_revision = None
             return
-        self._apply_items([item for item in changes.items if self._is_newer(item)])
-        self._last_revision = max(self._last_revision, changes.revision)
+        with self._lock:
+            self._apply_newer(changes.items)
+            self._last_revision = max(self._last_revision, changes.revision)
+            self._forget_deletions(self._last_revision)
         # The store sends an empty response at the end of the wait at the earliest.
         waited_s = 0.0 if changes.items else wait_s
         self._record_success(min(sent_at + waited_s, self._clock.monotonic()))
 
-    def _is_newer(self, item: Item) -> bool:
-        return item.revision > self._revision_by_key.get(item.key, 0)
+    def refresh(self) -> None:
+        """Read all keys and apply what the watch has not brought yet.
+
+        :raises StoreUnavailableError: the store did not respond
+        """
+        self._read_all()
+
+    def apply_own(self, items: Sequence[Item]) -> None:
+        """Apply items that a call of this process has read or written.
+
+        They may be older than what the watch has brought meanwhile.
+        """
+        with self._lock:
+            known = self._last_revision or 0
+            self._apply_newer(
+                [i for i in items if i.key in self._revision_by_key or i.revision > known]
+            )
+
+    def _read_all(self) -> Changes:
+        changes = self._store.read_all(self._prefix)
+        listed = {item.key for item in changes.items}
+        with self._lock:
+            deleted = [
+                Item(key=key, value=None, revision=changes.revision)
+                for key in self._revision_by_key
+                if key not in listed
+            ]
+            self._apply_newer([*changes.items, *deleted])
+        return changes
 
-    def _apply_items(self, items: list[Item]) -> None:
+    def _apply_newer(self, items: Sequence[Item]) -> None:
+        newer = []
         for item in items:
+            known_revisions = self._revision_by_key, self._revision_by_deleted_key
+            if item.revision <= max(known.get(item.key, 0) for known in known_revisions):
+                continue
+            newer.append(item)
             if item.value is None:
                 self._revision_by_key.pop(item.key, None)
+                self._revision_by_deleted_key[item.key] = item.revision
             else:
                 self._revision_by_key[item.key] = item.revision
-        if items:
-            self._apply(items)
+                self._revision_by_deleted_key.pop(item.key, None)
+        if newer:
+            self._apply(newer)
+
+    def _forget_deletions(self, revision: Revision) -> None:
+        """Forget deletions that no later answer of the store can be older than."""
+        if any(deleted <= revision for deleted in self._revision_by_deleted_key.values()):
+            self._revision_by_deleted_key = {
+                key: deleted
+                for key, deleted in self._revision_by_deleted_key.items()
+                if deleted > revision
+            }
 
     def _record_success(self, confirmed_at: float) -> None:
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/src/chicorycrank/batch/role.py
+++ b/src/chicorycrank/batch/role.py
@@ -48,6 +48,11 @@
         """Entry that competes for the role."""
         return self._record.entry
 
+    @property
+    def revision(self) -> Revision:
+        """Revision of the last write of this role."""
+        return self._revision
+
     def acquire(self, replaced_revision: Revision = MISSING) -> bool:
         """Acquire the role if it is free or if its record is still at the given revision.
 
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -13,6 +13,7 @@
     PROGRESS_PREFIX,
     REPORT_STATE_PREFIX,
     REPORTS_PREFIX,
+    WATCHED_PREFIX,
     StateRecord,
     cancel_key,
     decode,
@@ -287,10 +288,6 @@
             free_keys = MAX_KEYS_PER_WRITE - len(batch)
             deleted, deletes = deletes[:free_keys], deletes[free_keys:]
             self._write_until_confirmed({key: values[key] for key in batch}, deleted)
-        with self._view.lock:
-            for job_id, state in changed_states.items():
-                if state is not None:
-                    self._view.state_by_id[job_id] = state
         for worker in changes.workers & planner.workers.by_id.keys():
             planner.workers.by_id[worker].order_written_at = self._clock.monotonic()
         changes.jobs.clear()
@@ -310,10 +307,21 @@
         while True:
             self._raise_if_ended()
             try:
-                return self._role.write(values, deletes, expected)
+                is_written = self._role.write(values, deletes, expected)
             except StoreUnavailableError as error:
                 logger.warning("event=leader_write_failed error=%s", error)
                 self._stop.wait(COMMIT_RETRY_S)
+            else:
+                if is_written:
+                    self._apply_written(values, deletes)
+                return is_written
+
+    def _apply_written(self, values: Mapping[str, bytes], deletes: Sequence[str]) -> None:
+        """Apply what was written to the view, which would learn of it by its watch alone."""
+        revision = self._role.revision
+        items = [Item(key=key, value=value, revision=revision) for key, value in values.items()]
+        items += [Item(key=key, value=None, revision=revision) for key in deletes]
+        self._replica.apply_own([item for item in items if item.key.startswith(WATCHED_PREFIX)])
 
     def _remove_expired_jobs(self) -> list[str]:
         """Remove ended jobs whose retention time is over, and return their keys."""
--- a/tests/batch/test_cancelling.py
+++ b/tests/batch/test_cancelling.py
@@ -3,6 +3,7 @@
 import itertools
 import threading
 from collections.abc import Sequence
+from typing import Any
 
 import pytest
 from tests.batch.fakes import RED, ManualClock, MemoryStore, make_job, make_queue, make_report
@@ -11,19 +12,21 @@
 from chicorycrank.batch.intake import JobIntake, Outcome
 from chicorycrank.batch.keys import (
     WATCHED_PREFIX,
+    StateRecord,
     decode,
     encode,
     order_key,
     presence_key,
     report_key,
+    state_key,
 )
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import LeaderRole
-from chicorycrank.batch.term import Term, TermDependencies
+from chicorycrank.batch.term import STATUS_RETENTION_MARGIN_S, Term, TermDependencies
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.batch import BatchConfig, BatchState, BatchTeam, Step, WorkOrder
 from chicorycrank.model.ids import EntryId, TargetId
-from chicorycrank.ports.transactions import Lease, Write
+from chicorycrank.ports.transactions import Item, Lease, Write
 
 CONFIG_KEY = "op/config"
 WORKER = TargetId("w")
@@ -148,3 +151,59 @@
     harness.plan()
     assert harness.started_tasks() == []
     assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.CANCELLED
+
+
+def test_a_removed_job_is_not_started_by_a_late_read() -> None:
+    """Guards against a job that an entry has read before its removal and applies after it."""
+    harness = LeaderHarness()
+    harness.leader.submit()
+    harness.leader.cancel()
+    harness.leader.hear()
+    harness.plan()
+    read_before = harness.store.items[f"own/jobs/{JOB.job_id}"]
+    harness.clock.seconds += RETENTION_S + STATUS_RETENTION_MARGIN_S + 1
+    harness.plan()
+    harness.leader.hear()
+    assert harness.leader.view.jobs_by_id == {}
+
+    def read(key: str, *, timeout_s: float = 1.0) -> Item:
+        return read_before
+
+    harness.store.read = read  # type: ignore[method-assign]
+    harness.leader.intake.job_state(JOB.job_id)
+    harness.plan()
+    assert harness.started_tasks() == []
+
+
+def test_a_removed_job_leaves_the_view_though_its_removal_was_not_heard() -> None:
+    """Guards against a job that a later term starts, as only a call of this entry knew of it."""
+    harness = LeaderHarness()
+    harness.leader.submit()
+    harness.leader.cancel()
+    harness.plan()
+    harness.clock.seconds += RETENTION_S + STATUS_RETENTION_MARGIN_S + 1
+    harness.plan()
+    harness.do("history lost")
+    harness.take_over()
+    harness.plan()
+    assert harness.started_tasks() == []
+    assert harness.leader.view.jobs_by_id == {}
+
+
+def test_a_paused_leader_keeps_the_later_state_in_its_view() -> None:
+    """Guards against a leader that shows a job as running for good after another completed it."""
+    harness = LeaderHarness()
+    harness.leader.submit()
+    write = harness.term._role.write
+    completed = StateRecord(BatchState.COMPLETED)
+
+    def write_and_pause(*arguments: Any) -> bool:
+        is_written = write(*arguments)
+        harness.store.apply(Write(values={state_key(JOB.job_id): encode(completed)}))
+        harness.leader.hear()
+        return is_written
+
+    harness.term._role.write = write_and_pause  # type: ignore[method-assign, assignment]
+    harness.plan()
+    harness.leader.hear()
+    assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.COMPLETED
--- a/tests/batch/test_replica.py
+++ b/tests/batch/test_replica.py
@@ -107,3 +107,49 @@
     harness.store.fault = lambda operation: ""
     harness.replica.sync()
     assert harness.replica.confirmed_at >= confirmed + 10
+
+
+@pytest.mark.parametrize("is_deleted", [False, True])
+@pytest.mark.parametrize("is_heard", [False, True])
+def test_an_own_call_does_not_replace_what_came_later(is_deleted: bool, is_heard: bool) -> None:
+    """Guards against a value of a paused call that replaces a later value or a deletion."""
+    harness = ReplicaHarness()
+    harness.replica.sync()
+    harness.put(k1=b"1")
+    old = harness.store.items["k1"]
+    if is_deleted:
+        harness.delete("k1")
+    else:
+        harness.put(k1=b"2")
+    if is_heard:
+        harness.replica.sync()
+    harness.replica.apply_own([old])
+    assert harness.values == (harness.stored_values() if is_heard else {"k1": b"1"})
+    harness.replica.sync()
+    assert harness.values == harness.stored_values()
+
+
+@pytest.mark.parametrize("is_history_lost", [False, True])
+def test_what_an_own_call_has_brought_is_deleted_with_its_key(is_history_lost: bool) -> None:
+    """Guards against a key that only a call of this process knew and that never leaves."""
+    harness = ReplicaHarness()
+    harness.replica.sync()
+    harness.put(k1=b"1")
+    harness.replica.apply_own([harness.store.items["k1"]])
+    harness.delete("k1")
+    if is_history_lost:
+        harness.store.discard_history()
+    for _ in range(2):
+        harness.replica.sync()
+    assert harness.values == {}
+
+
+def test_an_own_deletion_is_not_undone_by_an_earlier_event() -> None:
+    """Guards against a removed job that the watch brings back for a moment."""
+    harness = ReplicaHarness()
+    harness.replica.sync()
+    harness.put(k1=b"1")
+    deleted = Item(key="k1", value=None, revision=Revision(harness.store.revision + 1))
+    harness.replica.apply_own([deleted])
+    harness.replica.sync()
+    assert harness.values == {}
