Ask again for changes that an answered watch may have left out

A watch that hears nothing may be answered at the end of its wait with the store's revision, which lies beyond the changes that it has not named. The replica continued from there and missed them for good, unless the history was dropped later still: a cancelled job would go on, an order would not arrive.

An answer without changes now moves the watch on only 10 s later, and one with changes to the newest of them. Changes that come twice are dropped by their revision. A store that keeps its history for less than 10 s costs a reading of all keys.

On the code before: test_changes_that_an_answered_watch_has_left_out_arrive_later: assert {} == {'k1': b'1'}.

--- a/src/chicorycrank/batch/replica.py
+++ b/src/chicorycrank/batch/replica.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from chicorycrank.batch.threads import keep_running
@@ -16,6 +17,9 @@
 )
 
 RETRY_DELAY_S = 0.25
+# A watch may be answered without changes that the store has made already. They are asked for again
+# for this long.
+REPEATED_WATCH_S = 10.0
 
 logger = logging.getLogger("absl")
 
@@ -50,6 +54,8 @@
         self._revision_by_deleted_key: dict[str, Revision] = {}
         # All changes up to this revision are known; None if the keys have to be read.
         self._last_revision: Revision | None = None
+        # Times and store revisions of the answers without changes since then.
+        self._empty_answers: deque[tuple[float, Revision]] = deque()
         self._stop = threading.Event()
         self._is_available = False
         self.is_loaded = threading.Event()
@@ -92,6 +98,7 @@
         sent_at = self._clock.monotonic()
         if self._last_revision is None:
             changes = self._read_all()
+            self._empty_answers.clear()
             self._last_revision = changes.revision
             self._record_success(sent_at)
             self.is_loaded.set()
@@ -106,7 +113,7 @@
             return
         with self._lock:
             self._apply_newer(changes.items)
-            self._last_revision = max(self._last_revision, changes.revision)
+            self._last_revision = self._known_revision(self._last_revision, changes)
             self._forget_deletions(self._last_revision)
         # The store sends an empty response at the end of the wait at the earliest.
         waited_s = 0.0 if changes.items else wait_s
@@ -142,6 +149,16 @@
             self._apply_newer([*changes.items, *deleted])
         return changes
 
+    def _known_revision(self, revision: Revision, changes: Changes) -> Revision:
+        """Return the revision from which the watch continues after an answer."""
+        if changes.items:
+            return max(revision, *(item.revision for item in changes.items))
+        now_s = self._clock.monotonic()
+        self._empty_answers.append((now_s, changes.revision))
+        while self._empty_answers[0][0] <= now_s - REPEATED_WATCH_S:
+            revision = max(revision, self._empty_answers.popleft()[1])
+        return revision
+
     def _apply_newer(self, items: Sequence[Item]) -> None:
         newer = []
         for item in items:
--- a/tests/batch/test_replica.py
+++ b/tests/batch/test_replica.py
@@ -3,7 +3,7 @@
 import pytest
 from tests.batch.fakes import ManualClock, MemoryStore
 
-from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.replica import REPEATED_WATCH_S, Replica
 from chicorycrank.ports.transactions import (
     Changes,
     Item,
@@ -153,3 +153,34 @@
     harness.replica.apply_own([deleted])
     harness.replica.sync()
     assert harness.values == {}
+
+
+def test_changes_that_an_answered_watch_has_left_out_arrive_later() -> None:
+    """Guards against a change that is missed for good as a silent watch has named its revision."""
+    harness = ReplicaHarness()
+    harness.replica.sync()
+    watch = harness.store.watch
+
+    def hear_nothing(prefix: str, after: Revision, wait_s: float) -> Changes:
+        return Changes(items=[], revision=Revision(harness.store.revision))
+
+    harness.store.watch = hear_nothing  # type: ignore[method-assign]
+    harness.put(k1=b"1")
+    for _ in range(3):
+        harness.clock.seconds += 1
+        harness.replica.sync()
+    harness.store.watch = watch  # type: ignore[method-assign]
+    harness.replica.sync()
+    assert harness.values == harness.stored_values()
+
+
+def test_a_quiet_watch_moves_on() -> None:
+    """Guards against a revision that the store no longer keeps, so that all keys are read again."""
+    harness = ReplicaHarness()
+    harness.replica.sync()
+    for _ in range(30):
+        harness.store.apply(Write(values={"other": b"1"}))
+        harness.clock.seconds += 1
+        harness.replica.sync()
+    assert harness.replica._last_revision is not None
+    assert harness.store.revision - harness.replica._last_revision <= REPEATED_WATCH_S + 1
