Make the write that starts a run depend on its job's cancellation being missing

The leader decided from its view, which lacks what a silent watch has not brought. The record says watch_history_lost; whether this or the order of messages did it there can't be told from its logs.

Each job with started units adds the condition that own/cancel/ID is missing. If the store refuses the write, the answer names the cancellation; the job is cancelled (start_prevented) and the rest is written. A new leader reads the watched keys again and writes the orders of active jobs under the condition. The number of a write that was refused isn't used again: an unanswered attempt could be applied once its conditions hold again and be taken for the next write. Writing moves to record_writer.py.

--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -15,6 +15,9 @@
     "chicorycrank_store_seconds", "Time of a store call", ["operation"], buckets=CALL_BUCKETS_S
 )
 UNITS_STARTED = Counter("chicorycrank_units_started", "Units given to workers")
+STARTS_PREVENTED = Counter(
+    "chicorycrank_starts_prevented", "Jobs that the store knew to be cancelled when they started"
+)
 UNITS_STOPPED = Counter("chicorycrank_units_stopped", "Units stopped before their end", ["cause"])
 TASKS_ENDED = Counter("chicorycrank_tasks_ended", "Ends of runs", ["kind"])
 JOBS_ENDED = Counter("chicorycrank_jobs_ended", "Jobs that ended", ["state"])
--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -12,14 +12,24 @@
 
 @dataclass(kw_only=True)
 class ChangedRecords:
-    """Records that a plan has changed and that have to be written."""
+    """Records that a plan has changed and that have to be written.
+
+    :param started_jobs: jobs of which the changed orders start runs
+    """
 
     jobs: set[JobId] = field(default_factory=set)
     workers: set[TargetId] = field(default_factory=set)
+    started_jobs: set[JobId] = field(default_factory=set)
 
     def __bool__(self) -> bool:
         return bool(self.jobs or self.workers)
 
+    def clear(self) -> None:
+        """Forget the changes once they are written."""
+        self.jobs.clear()
+        self.workers.clear()
+        self.started_jobs.clear()
+
 
 def make_assignment(
     job: Submission, ref: UnitRef, unit: Unit, task: TaskId, ticket: str, probation_ms: int
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -314,6 +314,7 @@
         )
         self._index_members(ref, unit)
         self.changes.jobs.add(ref.job_id)
+        self.changes.started_jobs.add(ref.job_id)
         UNITS_STARTED.inc()
         # The first start of the first unit ends the wait of the job.
         if unit.run == 1 and len(progress.units) == 1:
--- /dev/null
+++ b/src/chicorycrank/batch/record_writer.py
@@ -0,0 +1,182 @@
+"""Writing of the leader's records: progress and states of jobs, and orders of workers."""
+
+import logging
+import threading
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from chicorycrank.batch.keys import (
+    CANCELS_PREFIX,
+    WATCHED_PREFIX,
+    StateRecord,
+    cancel_key,
+    encode,
+    order_key,
+    progress_key,
+    state_key,
+)
+from chicorycrank.batch.known_jobs import cancel_jobs
+from chicorycrank.batch.metrics import STARTS_PREVENTED
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.role import NO_CONDITIONS, LeaderRole
+from chicorycrank.batch.units import state_of
+from chicorycrank.batch.view import NOT_STARTED, SharedView
+from chicorycrank.model.batch import BatchState
+from chicorycrank.model.ids import JobId
+from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.transactions import MISSING, Item, Revision, StoreUnavailableError
+
+COMMIT_RETRY_S = 0.1
+# The store accepts 32 keys and conditions per write. The leader record and its condition take one
+# each; one is kept free.
+MAX_KEYS_PER_WRITE = 29
+
+logger = logging.getLogger("absl")
+
+
+@dataclass(kw_only=True)
+class PartialWrite:
+    """Values, deletions and conditions that fit into one write of the leader."""
+
+    values: dict[str, bytes] = field(default_factory=dict)
+    deletes: list[str] = field(default_factory=list)
+    expected: dict[str, Revision] = field(default_factory=dict)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further key fits."""
+        return len(self.values) + len(self.deletes) + len(self.expected) >= MAX_KEYS_PER_WRITE
+
+
+def split_write(
+    values: Mapping[str, bytes], deletes: Sequence[str], expected: Mapping[str, Revision]
+) -> Iterator[PartialWrite]:
+    """Split a write into writes that the store accepts, conditions first and deletions last."""
+    part = PartialWrite()
+    for key in (*expected, *values, *deletes):
+        if part.is_full:
+            yield part
+            part = PartialWrite()
+        if key in expected:
+            part.expected[key] = expected[key]
+        elif key in values:
+            part.values[key] = values[key]
+        else:
+            part.deletes.append(key)
+    yield part
+
+
+class RecordWriter:
+    """Writer of the records of one term.
+
+    :param replica: keeps ``view`` up to date
+    :param raise_if_ended: raises :class:`RoleLostError` once the term has ended
+    :param stop: set when the process stops
+    """
+
+    def __init__(
+        self,
+        role: LeaderRole,
+        view: SharedView,
+        replica: Replica,
+        clock: Clock,
+        raise_if_ended: Callable[[], None],
+        stop: threading.Event,
+    ) -> None:
+        self._role = role
+        self._view = view
+        self._replica = replica
+        self._clock = clock
+        self._raise_if_ended = raise_if_ended
+        self._stop = stop
+
+    def changed_state(self, planner: Planner, job_id: JobId) -> StateRecord | None:
+        """Return the state of a job if its record in the store has to be written."""
+        progress = planner.progress_by_id[job_id]
+        state = state_of(progress)
+        record = StateRecord(state, progress.reason if state is BatchState.FAILED else "")
+        written = self._view.state_by_id.get(job_id, NOT_STARTED)
+        return None if record == written else record
+
+    def write_changes(self, planner: Planner, deletes: Sequence[str]) -> None:
+        """Write the changed records of a planner and delete keys.
+
+        If the store holds a cancellation of a job that is to be started, the job is cancelled, and
+        the changed records are written without its start.
+        """
+        if not planner.changes and not deletes:
+            return
+        while not self._try_write(planner, deletes):
+            self._cancel_conflicting_jobs(planner)
+        changes = planner.changes
+        for worker in changes.workers & planner.workers.by_id.keys():
+            planner.workers.by_id[worker].order_written_at = self._clock.monotonic()
+        changes.clear()
+
+    def write(
+        self,
+        values: Mapping[str, bytes],
+        deletes: Sequence[str] = (),
+        expected: Mapping[str, Revision] = NO_CONDITIONS,
+    ) -> bool:
+        """Write until the store confirms it; return false if a condition does not hold.
+
+        :raises RoleLostError: the role is lost, or the process stops
+        """
+        while True:
+            self._raise_if_ended()
+            try:
+                is_written = self._role.write(values, deletes, expected)
+            except StoreUnavailableError as error:
+                logger.warning("event=leader_write_failed error=%s", error)
+                self._stop.wait(COMMIT_RETRY_S)
+            else:
+                if is_written:
+                    self._apply_written(values, deletes)
+                return is_written
+
+    def _try_write(self, planner: Planner, deletes: Sequence[str]) -> bool:
+        """Write the changed records; return false if a job that starts has been cancelled."""
+        changes = planner.changes
+        changed_jobs = changes.jobs & planner.progress_by_id.keys()
+        with self._view.lock:
+            states = {job_id: self.changed_state(planner, job_id) for job_id in changed_jobs}
+        values: dict[str, bytes] = {}
+        for job_id, state in states.items():
+            values[progress_key(job_id)] = encode(planner.progress_by_id[job_id])
+            if state is not None:
+                values[state_key(job_id)] = encode(state)
+        for worker in changes.workers:
+            values[order_key(worker)] = encode(planner.order_for(worker))
+        started_jobs = changes.started_jobs & planner.active_jobs.keys()
+        not_cancelled = {cancel_key(job_id): MISSING for job_id in started_jobs}
+        return all(
+            self.write(part.values, part.deletes, part.expected)
+            for part in split_write(values, deletes, not_cancelled)
+        )
+
+    def _cancel_conflicting_jobs(self, planner: Planner) -> None:
+        items = self._role.conflicting_items
+        job_ids = {
+            JobId(key.removeprefix(CANCELS_PREFIX))
+            for key in items
+            if key.startswith(CANCELS_PREFIX)
+        }
+        logger.warning(
+            "event=start_prevented jobs=%s view_age_s=%.1f",
+            ",".join(sorted(job_ids)),
+            planner.view_age_s,
+        )
+        STARTS_PREVENTED.inc(len(job_ids))
+        self._replica.apply_own(list(items.values()))
+        cancel_jobs(planner, job_ids)
+        if not job_ids:
+            self._stop.wait(COMMIT_RETRY_S)
+
+    def _apply_written(self, values: Mapping[str, bytes], deletes: Sequence[str]) -> None:
+        """Apply what was written to the view, which would learn of it by its watch alone."""
+        revision = self._role.revision
+        items = [Item(key=key, value=value, revision=revision) for key, value in values.items()]
+        items += [Item(key=key, value=None, revision=revision) for key in deletes]
+        self._replica.apply_own([item for item in items if item.key.startswith(WATCHED_PREFIX)])
--- a/src/chicorycrank/batch/role.py
+++ b/src/chicorycrank/batch/role.py
@@ -11,6 +11,7 @@
     MISSING,
     Committed,
     Conflict,
+    Item,
     Lease,
     LeaseEndedError,
     Revision,
@@ -35,6 +36,9 @@
 
     Each write replaces the record, so the writes of a term take effect in order and at most once,
     including those that the store applies late.
+
+    :ivar conflicting_items: other writers' items that the last write depended on and that were
+        there when a condition did not hold
     """
 
     def __init__(self, store: TransactionalStore, entry: EntryId) -> None:
@@ -42,6 +46,7 @@
         self._lease = Lease(0)
         self._record = LeaderRecord(entry=entry, term="")
         self._revision = MISSING
+        self.conflicting_items: Mapping[str, Item] = {}
 
     @property
     def entry(self) -> EntryId:
@@ -75,7 +80,7 @@
 
     def write(
         self,
-        values: dict[str, bytes],
+        values: Mapping[str, bytes],
         deletes: Sequence[str],
         expected: Mapping[str, Revision] = NO_CONDITIONS,
     ) -> bool:
@@ -93,7 +98,7 @@
 
     def _commit(
         self,
-        values: dict[str, bytes],
+        values: Mapping[str, bytes],
         deletes: Sequence[str],
         expected: Mapping[str, Revision] = NO_CONDITIONS,
     ) -> Revision | None:
@@ -109,16 +114,22 @@
             answer = self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S)
         except LeaseEndedError:
             return None
-        if expected and self._failed_on_other_key(answer):
+        if expected and isinstance(answer, Conflict) and self._holds_role(answer):
+            self.conflicting_items = {
+                key: item for key, item in answer.items.items() if key != LEADER_KEY
+            }
+            # An attempt without an answer may still be applied if its conditions hold again, so
+            # the number of the write is not used for another one.
+            self._record = record
             return self._revision
         revision = _revision_of(answer, record)
         if revision is not None:
             self._record, self._revision = record, revision
         return revision
 
-    def _failed_on_other_key(self, answer: Committed | Conflict) -> bool:
-        """Return whether a write failed on a condition other than the leader record."""
-        item = answer.items.get(LEADER_KEY) if isinstance(answer, Conflict) else None
+    def _holds_role(self, conflict: Conflict) -> bool:
+        """Return whether the leader record was as expected, so that another condition failed."""
+        item = conflict.items.get(LEADER_KEY)
         return item is not None and item.revision == self._revision
 
 
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -2,8 +2,9 @@
 
 import logging
 import threading
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -13,13 +14,9 @@
     PROGRESS_PREFIX,
     REPORT_STATE_PREFIX,
     REPORTS_PREFIX,
-    WATCHED_PREFIX,
-    StateRecord,
     cancel_key,
     decode,
-    encode,
     job_key,
-    order_key,
     progress_key,
     state_key,
 )
@@ -27,18 +24,13 @@
 from chicorycrank.batch.lost_workers import LostWorkerDetector
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
+from chicorycrank.batch.record_writer import COMMIT_RETRY_S, RecordWriter
 from chicorycrank.batch.replica import Replica
-from chicorycrank.batch.role import (
-    NO_CONDITIONS,
-    ROLE_RENEWAL_INTERVAL_S,
-    LeaderRole,
-    RoleLostError,
-)
+from chicorycrank.batch.role import ROLE_RENEWAL_INTERVAL_S, LeaderRole, RoleLostError
 from chicorycrank.batch.threads import keep_running
-from chicorycrank.batch.units import state_of
-from chicorycrank.batch.view import NOT_STARTED, SharedView
+from chicorycrank.batch.view import SharedView
 from chicorycrank.batch.withdrawals import withdraw
-from chicorycrank.model.batch import FINAL_BATCH_STATES, BatchState, Progress, WorkerReport
+from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.ports.advice import AdviceService
 from chicorycrank.ports.clock import Clock
@@ -53,14 +45,12 @@
 # Changes that arrive within this time are planned together.
 PLAN_BATCHING_DELAY_S = 0.02
 IDLE_WAIT_S = 0.5
-COMMIT_RETRY_S = 0.1
-# The store accepts 32 keys and conditions per write. The leader record and its condition take one
-# each; one is kept free.
-MAX_KEYS_PER_WRITE = 29
 REPORT_WATCH_TIMEOUT_S = 5.0
 # Time for which the state of a job is kept beyond ``ended_job_retention_s``.
 STATUS_RETENTION_MARGIN_S = 30.0
 
+Answer = TypeVar("Answer")
+
 logger = logging.getLogger("absl")
 
 
@@ -118,6 +108,7 @@
             dependencies.machines, dependencies.worker_lost_timeout_s
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
+        self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
 
     def serve(self) -> None:
         """Plan until the role is lost or the process stops.
@@ -169,6 +160,8 @@
         """
         planner = self._planner
         self._stored_progress = self._read_progress()
+        # A watch that has heard nothing for a while lacks jobs and cancellations.
+        self._read_until_answered(self._replica.refresh)
         self._set_time()
         with self._view.lock:
             self._view.pop_changed_keys()
@@ -178,14 +171,17 @@
             cancel_jobs(planner, self._view.cancelled)
             # The previous leader may have written the progress of a job, but not its state.
             planner.changes.jobs.update(
-                job_id for job_id in planner.jobs_by_id if self._changed_state(job_id) is not None
+                job_id
+                for job_id in planner.jobs_by_id
+                if self._writer.changed_state(planner, job_id) is not None
             )
         for job_id, progress in self._stored_progress.items():
             if progress is not None:
                 logger.warning("event=progress_without_job job=%s", job_id)
         # The previous leader may not have written all of its orders, so the orders of all workers
-        # with assigned work are written again.
+        # with assigned work are written again, which may start that work.
         planner.changes.workers.update(planner.members_by_worker)
+        planner.changes.started_jobs.update(planner.active_jobs)
 
     def _read_progress(self) -> dict[JobId, Progress | None]:
         """Read the progress of all jobs; it is None if a record is unreadable.
@@ -194,26 +190,19 @@
 
         :raises RoleLostError: the role is lost, or the process stops, before the store responds
         """
+        items = self._read_until_answered(lambda: self._store.read_all(PROGRESS_PREFIX)).items
+        return {
+            JobId(item.key.removeprefix(PROGRESS_PREFIX)): _decode_progress(item) for item in items
+        }
+
+    def _read_until_answered(self, read: Callable[[], Answer]) -> Answer:
         while True:
             self._raise_if_ended()
             try:
-                items = self._store.read_all(PROGRESS_PREFIX).items
+                return read()
             except StoreUnavailableError as error:
-                logger.warning("event=progress_read_failed error=%s", error)
+                logger.warning("event=records_read_failed error=%s", error)
                 self._stop.wait(COMMIT_RETRY_S)
-            else:
-                return {
-                    JobId(item.key.removeprefix(PROGRESS_PREFIX)): _decode_progress(item)
-                    for item in items
-                }
-
-    def _changed_state(self, job_id: JobId) -> StateRecord | None:
-        """Return the state of a job if its record in the store has to be written."""
-        progress = self._planner.progress_by_id[job_id]
-        state = state_of(progress)
-        record = StateRecord(state, progress.reason if state is BatchState.FAILED else "")
-        written = self._view.state_by_id.get(job_id, NOT_STARTED)
-        return None if record == written else record
 
     def _plan_once(self) -> None:
         """Apply pending changes, plan, and write the changed records."""
@@ -227,7 +216,12 @@
         withdraw(self._planner, self._write_conditionally)
         self._advice_cache.update(self._planner)
         self._planner.plan()
-        self._write_changes()
+        self._writer.write_changes(self._planner, self._remove_expired_jobs())
+
+    def _write_conditionally(
+        self, values: dict[str, bytes], expected: Mapping[str, Revision]
+    ) -> bool:
+        return self._writer.write(values, expected=expected)
 
     def _apply_changes(self) -> None:
         """Apply new jobs, cancellations and the configuration."""
@@ -266,63 +260,6 @@
         for worker in self._lost_worker_detector.find_lost(planner.workers, busy):
             planner.mark_worker_lost(worker)
 
-    def _write_changes(self) -> None:
-        planner = self._planner
-        changes = planner.changes
-        deletes = self._remove_expired_jobs()
-        if not changes and not deletes:
-            return
-        changed_jobs = changes.jobs & planner.progress_by_id.keys()
-        with self._view.lock:
-            changed_states = {job_id: self._changed_state(job_id) for job_id in changed_jobs}
-        values: dict[str, bytes] = {}
-        for job_id, state in changed_states.items():
-            values[progress_key(job_id)] = encode(planner.progress_by_id[job_id])
-            if state is not None:
-                values[state_key(job_id)] = encode(state)
-        for worker in changes.workers:
-            values[order_key(worker)] = encode(planner.order_for(worker))
-        keys = list(values)
-        while keys or deletes:
-            batch, keys = keys[:MAX_KEYS_PER_WRITE], keys[MAX_KEYS_PER_WRITE:]
-            free_keys = MAX_KEYS_PER_WRITE - len(batch)
-            deleted, deletes = deletes[:free_keys], deletes[free_keys:]
-            self._write_until_confirmed({key: values[key] for key in batch}, deleted)
-        for worker in changes.workers & planner.workers.by_id.keys():
-            planner.workers.by_id[worker].order_written_at = self._clock.monotonic()
-        changes.jobs.clear()
-        changes.workers.clear()
-
-    def _write_conditionally(
-        self, values: dict[str, bytes], expected: Mapping[str, Revision]
-    ) -> bool:
-        return self._write_until_confirmed(values, [], expected)
-
-    def _write_until_confirmed(
-        self,
-        values: dict[str, bytes],
-        deletes: list[str],
-        expected: Mapping[str, Revision] = NO_CONDITIONS,
-    ) -> bool:
-        while True:
-            self._raise_if_ended()
-            try:
-                is_written = self._role.write(values, deletes, expected)
-            except StoreUnavailableError as error:
-                logger.warning("event=leader_write_failed error=%s", error)
-                self._stop.wait(COMMIT_RETRY_S)
-            else:
-                if is_written:
-                    self._apply_written(values, deletes)
-                return is_written
-
-    def _apply_written(self, values: Mapping[str, bytes], deletes: Sequence[str]) -> None:
-        """Apply what was written to the view, which would learn of it by its watch alone."""
-        revision = self._role.revision
-        items = [Item(key=key, value=value, revision=revision) for key, value in values.items()]
-        items += [Item(key=key, value=None, revision=revision) for key in deletes]
-        self._replica.apply_own([item for item in items if item.key.startswith(WATCHED_PREFIX)])
-
     def _remove_expired_jobs(self) -> list[str]:
         """Remove ended jobs whose retention time is over, and return their keys."""
         planner = self._planner
--- a/tests/batch/test_cancelling.py
+++ b/tests/batch/test_cancelling.py
@@ -2,30 +2,50 @@
 
 import itertools
 import threading
+import time
 from collections.abc import Sequence
 from typing import Any
 
 import pytest
 from tests.batch.fakes import RED, ManualClock, MemoryStore, make_job, make_queue, make_report
-from tests.batch.test_whole_path import NoMachines, UnavailableAdviceService
+from tests.batch.test_whole_path import (
+    STEP,
+    Deployment,
+    NoMachines,
+    UnavailableAdviceService,
+    is_leading,
+)
 
 from chicorycrank.batch.intake import JobIntake, Outcome
 from chicorycrank.batch.keys import (
+    LEADER_KEY,
+    ORDERS_PREFIX,
     WATCHED_PREFIX,
     StateRecord,
+    cancel_key,
     decode,
     encode,
+    job_key,
     order_key,
     presence_key,
     report_key,
     state_key,
 )
+from chicorycrank.batch.record_writer import MAX_KEYS_PER_WRITE
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import LeaderRole
 from chicorycrank.batch.term import STATUS_RETENTION_MARGIN_S, Term, TermDependencies
 from chicorycrank.batch.view import SharedView
-from chicorycrank.model.batch import BatchConfig, BatchState, BatchTeam, Step, WorkOrder
-from chicorycrank.model.ids import EntryId, TargetId
+from chicorycrank.model.batch import (
+    BatchConfig,
+    BatchState,
+    BatchTeam,
+    EndKind,
+    Step,
+    Submission,
+    WorkOrder,
+)
+from chicorycrank.model.ids import EntryId, TargetId, TaskId
 from chicorycrank.ports.transactions import Item, Lease, Write
 
 CONFIG_KEY = "op/config"
@@ -33,6 +53,7 @@
 JOB = make_job([Step(count=1, accelerators=8, run_time_s=5.0)])
 RETENTION_S = 60.0
 LOST_AFTER_S = 20.0
+STORE_LIMIT = 32  # keys and conditions of one write
 
 
 class QuietEntry:
@@ -48,13 +69,13 @@
         self.intake = JobIntake(store, self.view, self.replica, clock)
         self.replica.sync()
 
-    def submit(self) -> None:
-        """Submit the job."""
-        assert self.intake.submit(JOB, self.clock.monotonic() + 3.0) is Outcome.DONE
+    def submit(self, job: Submission = JOB) -> None:
+        """Submit a job."""
+        assert self.intake.submit(job, self.clock.monotonic() + 3.0) is Outcome.DONE
 
-    def cancel(self) -> None:
-        """Cancel the job; the cancellation is acknowledged."""
-        assert self.intake.cancel(JOB.job_id, self.clock.monotonic() + 3.0) is Outcome.DONE
+    def cancel(self, job: Submission = JOB) -> None:
+        """Cancel a job; the cancellation is acknowledged."""
+        assert self.intake.cancel(job.job_id, self.clock.monotonic() + 3.0) is Outcome.DONE
 
     def hear(self) -> None:
         """Let the watch bring all changes, or read all keys if their history is lost."""
@@ -153,6 +174,102 @@
     assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.CANCELLED
 
 
+@pytest.mark.parametrize("fault", ["", "refuse", "no_response", "lose"])
+@pytest.mark.parametrize("steps", list(itertools.permutations(STEPS, 2)))
+@pytest.mark.parametrize("is_submitted_at_leader", [True, False])
+def test_a_job_that_is_cancelled_elsewhere_does_not_start_by_an_old_view(
+    is_submitted_at_leader: bool, steps: Sequence[str], fault: str
+) -> None:
+    """Guards against a start after a cancelling that the silent watch of the leader lacks."""
+    harness = LeaderHarness()
+    (harness.leader if is_submitted_at_leader else harness.other).submit()
+    harness.leader.hear()
+    harness.other.cancel()
+    faults = [fault]
+    harness.store.fault = lambda operation: faults.pop() if operation == "commit" and faults else ""
+    for step in ("plan", *steps):
+        harness.do(step)
+        harness.plan()
+    assert harness.started_tasks() == []
+    assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.CANCELLED
+
+
+def test_a_cancelling_that_is_applied_late_is_known_to_the_next_start() -> None:
+    """Guards against a start after a cancelling whose outcome its entry did not know."""
+    harness = LeaderHarness()
+    harness.leader.submit()
+
+    def fault(operation: str) -> str:
+        harness.clock.seconds += 0.3
+        return "no_response" if operation == "commit" else ""
+
+    harness.store.fault = fault
+    deadline_at = harness.clock.monotonic() + 3.0
+    assert harness.leader.intake.cancel(JOB.job_id, deadline_at) is Outcome.UNKNOWN
+    harness.store.fault = lambda operation: ""
+    harness.store.apply(Write(values={cancel_key(JOB.job_id): b"1"}))
+    harness.plan()
+    assert harness.started_tasks() == []
+
+
+def test_one_cancelled_job_does_not_hold_up_the_start_of_the_others() -> None:
+    """Guards against a plan that is never written, or written in part, as one job is cancelled."""
+    harness = LeaderHarness()
+    small = Step(count=1, accelerators=1, run_time_s=5.0)
+    values = {}
+    for number in range(2 * MAX_KEYS_PER_WRITE):
+        worker = TargetId(f"w{number}")
+        values[report_key(worker)] = encode(make_report(f"i-w{number}:1"))
+        values[presence_key(worker)] = b"1"
+    harness.store.apply(Write(values=values))
+    harness.term._report_replica.sync()
+    jobs = [make_job([small], name=f"{number:016x}") for number in range(MAX_KEYS_PER_WRITE + 5)]
+    for job in jobs:
+        harness.leader.submit(job)
+    harness.other.hear()
+    for job in jobs[::10]:
+        harness.other.cancel(job)
+    harness.plan()
+    orders = [
+        decode(item.value or b"", WorkOrder)
+        for key, item in harness.store.items.items()
+        if key.startswith(ORDERS_PREFIX)
+    ]
+    started = {a.task[:16] for order in orders for a in order.assignments if not a.stop}
+    assert started == {job.job_id for job in jobs} - {job.job_id for job in jobs[::10]}
+    assert all(
+        len(write.expected) + len(write.values) + len(write.deletes) <= STORE_LIMIT
+        for write in harness.store.writes
+        if LEADER_KEY in write.values
+    )
+
+
+def test_a_worker_is_free_again_after_a_prevented_start() -> None:
+    """Guards against a worker that keeps room for a run that was never started."""
+    deployment = Deployment()
+    try:
+        deployment.wait(lambda: any(is_leading(entry) for entry in deployment.entries))
+        deployment.wait(lambda: deployment.agent.dump()["registered"] is True)
+        leader = next(entry for entry in deployment.entries if is_leading(entry))
+        other = next(entry for entry in deployment.entries if entry is not leader)
+        leader.replica.stop()
+        leader.view.lock.acquire()
+        try:
+            assert other.intake.submit(JOB, time.monotonic() + 3.0) is Outcome.DONE
+            assert other.intake.cancel(JOB.job_id, time.monotonic() + 3.0) is Outcome.DONE
+        finally:
+            leader.view.lock.release()
+        leader.replica.apply_own([deployment.store.items[job_key(JOB.job_id)]])
+        later = make_job([STEP], name="b" * 16)
+        assert leader.intake.submit(later, time.monotonic() + 3.0) is Outcome.DONE
+        task = TaskId(f"{later.job_id}.0.0.0")
+        deployment.wait(lambda: task in deployment.executor.runs)
+        deployment.executor.end(task, EndKind.DONE)
+        assert deployment.executor.started == [(task, 1)]
+    finally:
+        deployment.stop()
+
+
 def test_a_removed_job_is_not_started_by_a_late_read() -> None:
     """Guards against a job that an entry has read before its removal and applies after it."""
     harness = LeaderHarness()
--- a/tests/batch/test_leader_role.py
+++ b/tests/batch/test_leader_role.py
@@ -6,7 +6,14 @@
 from chicorycrank.batch.keys import LEADER_KEY
 from chicorycrank.batch.role import LeaderRole, RoleLostError
 from chicorycrank.model.ids import EntryId
-from chicorycrank.ports.transactions import Committed, Conflict, Lease, StoreUnavailableError
+from chicorycrank.ports.transactions import (
+    MISSING,
+    Committed,
+    Conflict,
+    Lease,
+    StoreUnavailableError,
+    Write,
+)
 
 
 def set_faults(store: MemoryStore, *names: str) -> None:
@@ -93,3 +100,27 @@
     leader.write({"key": b"1"}, ())
     assert not LeaderRole(store, EntryId("one")).acquire(known_revision)
     leader.write({"key": b"2"}, ())
+
+
+def test_a_refused_write_that_is_applied_late_is_not_taken_for_the_next_one() -> None:
+    """Guards against a lost write if the conditions of an unanswered one hold again."""
+    store = MemoryStore()
+    role = acquire_role(store)
+    late_writes: list[Write] = []
+    commit = store.commit
+
+    def delay(write: Write, *, timeout_s: float) -> Committed | Conflict:
+        late_writes.append(write)
+        raise StoreUnavailableError("no response", has_no_effect=False)
+
+    store.commit = delay  # type: ignore[method-assign]
+    with pytest.raises(StoreUnavailableError):
+        role.write({"key": b"1"}, (), {"other": MISSING})
+    store.commit = commit  # type: ignore[method-assign]
+    store.apply(Write(values={"other": b"1"}))
+    assert not role.write({"key": b"1"}, (), {"other": MISSING})
+    assert list(role.conflicting_items) == ["other"]
+    store.apply(Write(deletes=["other"]))
+    store.apply(late_writes[0])
+    with pytest.raises(RoleLostError):
+        role.write({"key": b"2"}, ())
