Count a list of machines only if it was read after the worker was overdue

The work of a worker without presence is reassigned if the list of machines doesn't name its executor. Before the first answer the list was empty, and after a failed call the last one was kept, so each worker that it didn't name (yet) counted as down at once: a task could start a second time beside a suspended machine, whose executor's lease doesn't expire. Only a list that was asked for after the time was up counts now.

--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -35,29 +35,30 @@
         :param busy: workers that have work assigned
         """
         now_s = workers.now_s
-        expired_s_by_worker = {
-            worker_id: now_s - worker.presence_expired_at
+        overdue_at_by_worker = {
+            worker_id: worker.presence_expired_at + self._lost_after_s
             for worker_id, worker in workers.by_id.items()
-            if worker_id in busy and worker.presence_expired_at is not None
+            if worker_id in busy
+            and worker.presence_expired_at is not None
+            and now_s - worker.presence_expired_at >= self._lost_after_s
         }
-        overdue = [
-            worker_id
-            for worker_id, expired_s in expired_s_by_worker.items()
-            if expired_s >= self._lost_after_s
-        ]
-        if overdue and now_s - self._polled_at >= MACHINE_POLL_INTERVAL_S:
+        if overdue_at_by_worker and now_s - self._polled_at >= MACHINE_POLL_INTERVAL_S:
             self._polled_at = now_s
             self._poll_machines(now_s)
         lost_workers = []
-        for worker_id in overdue:
-            is_machine_running = workers.by_id[worker_id].report.executor in self._running_executors
-            if not is_machine_running or expired_s_by_worker[worker_id] >= SUSPENSION_LIMIT_S:
+        for worker_id, overdue_at in overdue_at_by_worker.items():
+            absent_s = now_s - overdue_at + self._lost_after_s
+            executor = workers.by_id[worker_id].report.executor
+            is_listed = not executor or executor in self._running_executors
+            # A list from before the worker was overdue says nothing about the time since.
+            is_machine_down = not is_listed and self._listed_at >= overdue_at
+            if is_machine_down or absent_s >= SUSPENSION_LIMIT_S:
                 logger.warning(
                     "event=worker_lost target=%s absent_s=%.1f listed=%s list_age_s=%.1f"
                     " polled_s_ago=%.1f executors_listed=%d",
                     worker_id,
-                    expired_s_by_worker[worker_id],
-                    is_machine_running,
+                    absent_s,
+                    is_listed,
                     now_s - self._listed_at,
                     now_s - self._polled_at,
                     len(self._running_executors),
