Let the store decide that a lost worker's agent has been missing all the time

The agent may have been back meanwhile, and extended the lease of its executor, if the leader was paused or its watch heard nothing: a task would run twice.

An agent now writes report/resumed/WORKER together with each new presence. The write that takes the runs out of the order depends on the presence being missing, on that key as it was when the leader saw the presence expire, and on the known report. If one of them doesn't hold, the leader learns of it from the answer, and the time begins again. So times that the leader measured before a pause count only if the store shows that nothing happened in them.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from chicorycrank.batch.executor_clock import ExecutorClock
-from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
+from chicorycrank.batch.keys import decode, encode, order_key, report_key
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
 from chicorycrank.batch.metrics import EXECUTORS_ENDED, REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pacer
@@ -107,7 +107,7 @@
         self._is_registered = False
         self._heartbeat_number = -1
         self._executor_started_at_ms = 0
-        self._presence = Presence(store, presence_key(worker), clock, self._stop)
+        self._presence = Presence(store, worker, clock, self._stop)
 
     def start(self) -> None:
         """Start the threads."""
--- a/src/chicorycrank/batch/keys.py
+++ b/src/chicorycrank/batch/keys.py
@@ -22,6 +22,7 @@
 REPORTS_PREFIX = "report/"
 REPORT_STATE_PREFIX = f"{REPORTS_PREFIX}state/"
 PRESENCE_PREFIX = f"{REPORTS_PREFIX}present/"
+RESUMPTION_PREFIX = f"{REPORTS_PREFIX}resumed/"
 ORDERS_PREFIX = "order/"
 PROGRESS_PREFIX = "progress/"
 
@@ -81,6 +82,11 @@
     return f"{PRESENCE_PREFIX}{worker}"
 
 
+def resumption_key(worker: TargetId) -> str:
+    """Return the key that an agent writes together with each new presence key, without a lease."""
+    return f"{RESUMPTION_PREFIX}{worker}"
+
+
 def order_key(worker: TargetId) -> str:
     """Return the key of a worker's order."""
     return f"{ORDERS_PREFIX}{worker}"
--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -2,9 +2,20 @@
 
 import logging
 
+from chicorycrank.batch.keys import (
+    encode,
+    order_key,
+    presence_key,
+    report_key,
+    resumption_key,
+)
+from chicorycrank.batch.metrics import WORKERS_LOST
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.withdrawals import ConditionalWrite
 from chicorycrank.batch.workers import WorkerRegistry
 from chicorycrank.model.ids import TargetId
 from chicorycrank.ports.machines import MachineList, MachinesUnavailableError
+from chicorycrank.ports.transactions import MISSING
 
 # While a machine is suspended, the clock of its executor stops and the executor's lease does not
 # expire. A running machine whose presence expired this long ago is assumed not to be suspended, but
@@ -72,3 +83,35 @@
             self._listed_at = now_s
         except MachinesUnavailableError as error:
             logger.warning("event=machines_unavailable error=%s", error)
+
+
+def reassign_work(planner: Planner, worker: TargetId, write: ConditionalWrite) -> bool:
+    """Take a lost worker's runs out of its order and let their units start elsewhere.
+
+    The store decides: the presence must be missing, its agent must not have created another one
+    since the leader saw it expire, and the report must be the one that the leader knows. So neither
+    a pause of the leader nor a watch that hears nothing makes a worker lost.
+
+    :returns: false if one of the conditions does not hold
+    """
+    state = planner.workers.by_id[worker]
+    members = planner.members_by_worker[worker].keys()
+    is_done = write(
+        {order_key(worker): encode(planner.order_for(worker, excluded_tasks=members))},
+        {
+            presence_key(worker): MISSING,
+            resumption_key(worker): state.resumption,
+            report_key(worker): state.revision,
+        },
+    )
+    logger.warning(
+        "event=work_reassigned target=%s tasks=%s report_revision=%d done=%s",
+        worker,
+        ",".join(members),
+        state.revision,
+        is_done,
+    )
+    WORKERS_LOST.labels("lost" if is_done else "back").inc()
+    if is_done:
+        planner.mark_worker_lost(worker)
+    return is_done
--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -25,6 +25,11 @@
 EXECUTOR_CRASHES = Counter(
     "chicorycrank_executor_crashes", "Crashes of executors that had runs", ["kind"]
 )
+WORKERS_LOST = Counter(
+    "chicorycrank_workers_lost",
+    "Workers whose work was to be reassigned as their agents were missing",
+    ["result"],
+)
 WAIT_SECONDS = Histogram(
     "chicorycrank_job_wait_seconds",
     "Time from acceptance to the first start",
--- a/src/chicorycrank/batch/presence.py
+++ b/src/chicorycrank/batch/presence.py
@@ -3,11 +3,13 @@
 import logging
 import threading
 
+from chicorycrank.batch.keys import presence_key, resumption_key
 from chicorycrank.batch.leases import (
     PRESENCE_LEASE_S,
     PRESENCE_RENEWAL_INTERVAL_S,
     PRESENCE_RESUME_DELAY_S,
 )
+from chicorycrank.model.ids import TargetId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import (
     MISSING,
@@ -29,15 +31,20 @@
 class Presence:
     """Key that exists while this process can reach the store.
 
+    A second key, without a lease, changes with each new presence key. It shows whether the presence
+    has been missing ever since it was seen to expire.
+
+    :param worker: worker of the agent
     :ivar confirmed_at: monotonic time at which the last successful renewal was sent
     :ivar resumed_at: monotonic time from which the leader knows that the presence was restored
     """
 
     def __init__(
-        self, store: TransactionalStore, key: str, clock: Clock, stop: threading.Event
+        self, store: TransactionalStore, worker: TargetId, clock: Clock, stop: threading.Event
     ) -> None:
         self._store = store
-        self._key = key
+        self._key = presence_key(worker)
+        self._resumption_key = resumption_key(worker)
         self._clock = clock
         self._stop = stop
         self._lease = Lease(0)
@@ -76,7 +83,7 @@
         current = self._store.read(self._key)
         write = Write(
             expected={self._key: MISSING if current is None else current.revision},
-            values={self._key: b"1"},
+            values={self._key: b"1", self._resumption_key: b"1"},
             leases={self._key: lease},
         )
         if isinstance(self._store.commit(write, timeout_s=COMMIT_TIMEOUT_S), Conflict):
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -14,6 +14,7 @@
     PROGRESS_PREFIX,
     REPORT_STATE_PREFIX,
     REPORTS_PREFIX,
+    RESUMPTION_PREFIX,
     cancel_key,
     decode,
     job_key,
@@ -21,7 +22,7 @@
     state_key,
 )
 from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
-from chicorycrank.batch.lost_workers import LostWorkerDetector
+from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.batch.record_writer import COMMIT_RETRY_S, RecordWriter
@@ -212,7 +213,7 @@
             self._apply_changes()
         for item in reports:
             self._apply_report_item(item)
-        self._mark_lost_workers()
+        self._reassign_lost_work()
         withdraw(self._planner, self._write_conditionally)
         self._advice_cache.update(self._planner)
         self._planner.plan()
@@ -241,6 +242,10 @@
         if item.key.startswith(PRESENCE_PREFIX):
             worker = TargetId(item.key.removeprefix(PRESENCE_PREFIX))
             planner.workers.set_present(worker, item.value is not None)
+        elif item.key.startswith(RESUMPTION_PREFIX):
+            worker = TargetId(item.key.removeprefix(RESUMPTION_PREFIX))
+            if item.value is not None:
+                planner.workers.set_resumption(worker, item.revision)
         elif item.key.startswith(REPORT_STATE_PREFIX):
             worker = TargetId(item.key.removeprefix(REPORT_STATE_PREFIX))
             if item.value is None:
@@ -254,11 +259,13 @@
             planner.apply_report(worker, report)
             planner.workers.by_id[worker].revision = item.revision
 
-    def _mark_lost_workers(self) -> None:
+    def _reassign_lost_work(self) -> None:
         planner = self._planner
         busy = {worker for worker, members in planner.members_by_worker.items() if members}
         for worker in self._lost_worker_detector.find_lost(planner.workers, busy):
-            planner.mark_worker_lost(worker)
+            if not reassign_work(planner, worker, self._write_conditionally):
+                # What the watch of the reports has not brought yet.
+                self._report_replica.apply_own(list(self._role.conflicting_items.values()))
 
     def _remove_expired_jobs(self) -> list[str]:
         """Remove ended jobs whose retention time is over, and return their keys."""
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -34,6 +34,7 @@
     :param backoff_until: monotonic time until which it gets no new work
     :param checkpoints: run number and saved progress by task
     :param revision: revision of its report in the store
+    :param resumption: revision of the key that its agent writes with each new presence
     :param order_written_at: monotonic time at which its order was last written
     """
 
@@ -42,6 +43,7 @@
     backoff_until: float = 0.0
     checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
     revision: Revision = MISSING
+    resumption: Revision = MISSING
     order_written_at: float = float("inf")
 
 
@@ -99,6 +101,19 @@
             state.presence_expired_at = self.now_s
         self.update_cell(worker)
 
+    def set_resumption(self, worker: TargetId, revision: Revision) -> None:
+        """Record that an agent has created a new presence, which may have expired since.
+
+        The time for which the presence is missing begins again.
+        """
+        state = self.by_id.get(worker)
+        if state is None:
+            state = self.by_id[worker] = Worker(report=WorkerReport())
+        if revision > state.resumption:
+            state.resumption = revision
+            if state.presence_expired_at is not None:
+                state.presence_expired_at = self.now_s
+
     def reported_checkpoint(self, worker: TargetId, task: TaskId, run: int) -> str:
         """Return the checkpoint that was reported for a run, or an empty string."""
         number, checkpoint = self.by_id[worker].checkpoints.get(task, (0, ""))
--- a/tests/batch/test_lost_workers.py
+++ b/tests/batch/test_lost_workers.py
@@ -2,16 +2,20 @@
 
 import pytest
 from tests.batch.fakes import make_report
+from tests.batch.leader_harness import JOB, LOST_AFTER_S, LeaderHarness
 
+from chicorycrank.batch.keys import encode, presence_key, report_key, resumption_key
 from chicorycrank.batch.lost_workers import (
     MACHINE_POLL_INTERVAL_S,
     SUSPENSION_LIMIT_S,
     LostWorkerDetector,
 )
 from chicorycrank.batch.workers import WorkerRegistry
-from chicorycrank.model.ids import TargetId
+from chicorycrank.model.batch import BatchState, EndKind, TaskEnd
+from chicorycrank.model.ids import TargetId, TaskId
 from chicorycrank.policy.cell import Cell
 from chicorycrank.ports.machines import MachinesUnavailableError
+from chicorycrank.ports.transactions import Write
 
 WORKER_LOST_TIMEOUT_S = 20.0
 WORKER = TargetId("w")
@@ -89,3 +93,64 @@
     machines.running = frozenset()
     workers.now_s += MACHINE_POLL_INTERVAL_S
     assert detector.find_lost(workers, {OTHER}) == ([OTHER] if executor else [])
+
+
+@pytest.mark.parametrize(
+    ("unheard", "is_reassigned"),
+    [
+        ((), True),
+        (("back",), False),
+        (("back", "gone"), False),
+        (("back", "gone", "pause"), False),
+        (("done",), False),
+    ],
+)
+def test_work_is_reassigned_only_if_the_store_shows_that_the_agent_was_missing_all_the_time(
+    unheard: tuple[str, ...], is_reassigned: bool
+) -> None:
+    """Guards against a second run after a pause of the leader or a watch that hears nothing."""
+    harness = LeaderHarness()
+    harness.leader.submit()
+    harness.plan()
+    task = harness.started_tasks()[0]
+    present = {presence_key(WORKER): b"1", resumption_key(WORKER): b"1"}
+    other = {report_key(OTHER): encode(make_report("i-2:1")), presence_key(OTHER): b"1"}
+    accepted = make_report(accepted={task: 1})
+    for write in (
+        Write(values={**present, **other, report_key(WORKER): encode(accepted)}),
+        Write(deletes=[presence_key(WORKER)]),
+    ):
+        harness.store.apply(write)
+    hear_reports(harness)
+    changes = {
+        "back": Write(values=present),
+        "gone": Write(deletes=[presence_key(WORKER)]),
+        "done": Write(values={report_key(WORKER): encode(make_report(ends=[done(task)]))}),
+    }
+    harness.clock.seconds += LOST_AFTER_S / 2
+    for change in unheard:
+        if change == "pause":
+            harness.clock.seconds += LOST_AFTER_S
+        else:
+            harness.store.apply(changes[change])
+    harness.clock.seconds += LOST_AFTER_S / 2 + 1
+    for _ in range(3):
+        harness.plan()
+    assert (task in harness.started_tasks(OTHER)) is is_reassigned
+    if "gone" in unheard:
+        harness.clock.seconds += LOST_AFTER_S + 1
+        harness.plan()
+        assert task in harness.started_tasks(OTHER)
+    if "done" in unheard:
+        assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.COMPLETED
+
+
+def hear_reports(harness: LeaderHarness) -> None:
+    """Let the leader hear of all reports and plan."""
+    harness.term._report_replica.sync()
+    harness.plan()
+
+
+def done(task: str) -> TaskEnd:
+    """Return the end of the first run of a task."""
+    return TaskEnd(TaskId(task), 1, EndKind.DONE)
--- a/tests/batch/test_presence.py
+++ b/tests/batch/test_presence.py
@@ -5,14 +5,17 @@
 import pytest
 from tests.batch.fakes import ManualClock, MemoryStore
 
+from chicorycrank.batch.keys import presence_key, resumption_key
 from chicorycrank.batch.presence import Presence
+from chicorycrank.model.ids import TargetId
 from chicorycrank.ports.transactions import Conflict, Lease, StoreUnavailableError
 
-KEY = "report/present/w"
+WORKER = TargetId("w")
+KEY = presence_key(WORKER)
 
 
 def make_presence(store: MemoryStore) -> Presence:
-    return Presence(store, KEY, ManualClock(), threading.Event())
+    return Presence(store, WORKER, ManualClock(), threading.Event())
 
 
 def test_a_late_write_does_not_move_the_presence_to_an_old_lease() -> None:
@@ -54,3 +57,18 @@
     presence.renew()
     store.expire_lease(Lease(1))
     assert KEY in store.items
+
+
+def test_the_store_shows_that_a_presence_was_there_in_between() -> None:
+    """Guards against work that is reassigned as its agent was back without being noticed."""
+    store = MemoryStore()
+    presence = make_presence(store)
+    presence.renew()
+    first = store.items[resumption_key(WORKER)].revision
+    presence.renew()
+    assert store.items[resumption_key(WORKER)].revision == first
+    store.expire_lease(Lease(1))
+    presence.renew()
+    store.expire_lease(Lease(2))
+    assert KEY not in store.items
+    assert store.items[resumption_key(WORKER)].revision > first
