--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from chicorycrank.batch.executor_clock import ExecutorClock
-from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
+from chicorycrank.batch.keys import decode, encode, order_key, report_key
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
 from chicorycrank.batch.metrics import EXECUTORS_ENDED, HEARTBEATS_IGNORED, REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pacer
@@ -111,7 +111,7 @@
         # The executor was reported as gone and has not answered since.
         self._has_returned = False
         self._running_time = RunningTime(clock, self._stop)
-        self._presence = Presence(store, presence_key(worker), clock, self._stop)
+        self._presence = Presence(store, worker, clock, self._stop)
 
     def start(self) -> None:
         """Start the threads."""
