--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -15,6 +15,9 @@
     "chicorycrank_store_seconds", "Time of a store call", ["operation"], buckets=CALL_BUCKETS_S
 )
 UNITS_STARTED = Counter("chicorycrank_units_started", "Units given to workers")
+STARTS_PREVENTED = Counter(
+    "chicorycrank_starts_prevented", "Jobs that the store knew to be cancelled when they started"
+)
 UNITS_STOPPED = Counter("chicorycrank_units_stopped", "Units stopped before their end", ["cause"])
 TASKS_ENDED = Counter("chicorycrank_tasks_ended", "Ends of runs", ["kind"])
 JOBS_ENDED = Counter("chicorycrank_jobs_ended", "Jobs that ended", ["state"])
@@ -22,6 +25,11 @@
 EXECUTOR_CRASHES = Counter(
     "chicorycrank_executor_crashes", "Crashes of executors that had runs", ["kind"]
 )
+WORKERS_LOST = Counter(
+    "chicorycrank_workers_lost",
+    "Workers whose work was to be reassigned as their agents were missing",
+    ["result"],
+)
 WAIT_SECONDS = Histogram(
     "chicorycrank_job_wait_seconds",
     "Time from acceptance to the first start",
@@ -32,6 +40,9 @@
 EXECUTORS_ENDED = Counter(
     "chicorycrank_executors_ended", "Ends of incarnations of an agent's executor", ["how"]
 )
+HEARTBEATS_IGNORED = Counter(
+    "chicorycrank_heartbeats_ignored", "Heartbeats that an agent did not apply", ["reason"]
+)
 REPORTS_WRITTEN = Counter("chicorycrank_reports_written", "Reports that an agent has written")
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -71,6 +71,7 @@
     """State and decisions of the leader; not safe for concurrent use.
 
     :param now_s: monotonic time in seconds at the start of the term
+    :ivar view_age_s: time in seconds since the view of the jobs was last confirmed by the store
     :ivar tickets_by_step: tickets by step and worker; the advice service issues a ticket to permit
         starts of a step on a worker
     :ivar steps_with_valid_tickets: steps whose tickets may still be used for new starts
@@ -81,11 +82,11 @@
         self.job_builder = job_builder
         self.now_s = now_s
         self.now_ms = 0
+        self.view_age_s = 0.0
         self.changes = ChangedRecords()
         self.jobs_by_id: dict[JobId, Submission] = {}
         self.progress_by_id: dict[JobId, Progress] = {}
         self.active_jobs: dict[JobId, None] = {}
-        self.cancelled: set[JobId] = set()
         self.workers = WorkerRegistry(self.cell, now_s, job_builder.clear_worker_caches)
         self.crashes = CrashTracker()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
@@ -96,9 +97,9 @@
 
     # Changes to the state.
 
-    def set_time(self, now_s: float, now_ms: int) -> None:
-        """Set monotonic time in seconds and Unix time in milliseconds."""
-        self.now_s, self.now_ms = now_s, now_ms
+    def set_time(self, now_s: float, now_ms: int, view_age_s: float = 0.0) -> None:
+        """Set monotonic time in seconds, Unix time in milliseconds and the age of the view."""
+        self.now_s, self.now_ms, self.view_age_s = now_s, now_ms, view_age_s
         self.workers.now_s = now_s
 
     def set_config(self, queues: Mapping[QueueId, Queue], teams: Iterable[BatchTeam]) -> None:
@@ -126,15 +127,12 @@
         self.jobs_by_id.pop(job_id, None)
         self.progress_by_id.pop(job_id, None)
         self.active_jobs.pop(job_id, None)
-        self.cancelled.discard(job_id)
         self.crashes.forget_job(job_id)
         self.job_builder.discard_job(job_id)
 
     def cancel(self, job_id: JobId) -> None:
-        """Cancel a job: stop its running units and start no further ones."""
-        self.cancelled.add(job_id)
-        progress = self.progress_by_id.get(job_id)
-        if progress is not None and progress.state not in FINAL_BATCH_STATES:
+        """Cancel an active job: stop its running units and start no further ones."""
+        if job_id in self.active_jobs:
             self._end_job(job_id, BatchState.CANCELLED, "cancelled")
 
     def apply_report(self, worker: TargetId, report: WorkerReport) -> None:
@@ -316,6 +314,7 @@
         )
         self._index_members(ref, unit)
         self.changes.jobs.add(ref.job_id)
+        self.changes.started_jobs.add(ref.job_id)
         UNITS_STARTED.inc()
         # The first start of the first unit ends the wait of the job.
         if unit.run == 1 and len(progress.units) == 1:
@@ -323,12 +322,13 @@
                 max(0, self.now_ms - self.jobs_by_id[ref.job_id].submitted_at_ms) / 1000
             )
         logger.info(
-            "event=unit_started job=%s unit=%s run=%d workers=%s checkpoint=%s",
+            "event=unit_started job=%s unit=%s run=%d workers=%s checkpoint=%s view_age_s=%.1f",
             ref.job_id,
             ref.key,
             unit.run,
             ",".join(place.worker for place in places),
             unit.checkpoint,
+            self.view_age_s,
         )
 
     def stop_unit(self, ref: UnitRef, reason: str) -> None:
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -2,42 +2,36 @@
 
 import logging
 import threading
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
 from chicorycrank.batch.advice import AdviceCache
 from chicorycrank.batch.keys import (
-    JOBS_PREFIX,
     PRESENCE_PREFIX,
     PROGRESS_PREFIX,
     REPORT_STATE_PREFIX,
     REPORTS_PREFIX,
-    StateRecord,
+    RESUMPTION_PREFIX,
     cancel_key,
     decode,
-    encode,
     job_key,
-    order_key,
     progress_key,
     state_key,
 )
-from chicorycrank.batch.lost_workers import LostWorkerDetector
+from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
+from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
+from chicorycrank.batch.record_writer import COMMIT_RETRY_S, RecordWriter
 from chicorycrank.batch.replica import Replica
-from chicorycrank.batch.role import (
-    NO_CONDITIONS,
-    ROLE_RENEWAL_INTERVAL_S,
-    LeaderRole,
-    RoleLostError,
-)
+from chicorycrank.batch.role import ROLE_RENEWAL_INTERVAL_S, LeaderRole, RoleLostError
 from chicorycrank.batch.threads import keep_running
-from chicorycrank.batch.units import state_of
-from chicorycrank.batch.view import NOT_STARTED, SharedView
+from chicorycrank.batch.view import SharedView
 from chicorycrank.batch.withdrawals import withdraw
-from chicorycrank.model.batch import FINAL_BATCH_STATES, BatchState, Progress, WorkerReport
+from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.ports.advice import AdviceService
 from chicorycrank.ports.clock import Clock
@@ -52,14 +46,12 @@
 # Changes that arrive within this time are planned together.
 PLAN_BATCHING_DELAY_S = 0.02
 IDLE_WAIT_S = 0.5
-COMMIT_RETRY_S = 0.1
-# The store accepts 32 keys and conditions per write. The leader record and its condition take one
-# each; one is kept free.
-MAX_KEYS_PER_WRITE = 29
 REPORT_WATCH_TIMEOUT_S = 5.0
 # Time for which the state of a job is kept beyond ``ended_job_retention_s``.
 STATUS_RETENTION_MARGIN_S = 30.0
 
+Answer = TypeVar("Answer")
+
 logger = logging.getLogger("absl")
 
 
@@ -85,6 +77,7 @@
 class Term:
     """Term of the leader, with state that is discarded when the term ends.
 
+    :param replica: keeps ``view`` up to date
     :param stop: set when the process stops
     """
 
@@ -92,6 +85,7 @@
         self,
         store: TransactionalStore,
         view: SharedView,
+        replica: Replica,
         clock: Clock,
         role: LeaderRole,
         dependencies: TermDependencies,
@@ -99,12 +93,14 @@
     ) -> None:
         self._store = store
         self._view = view
+        self._replica = replica
         self._clock = clock
         self._role = role
         self._ended_job_retention_s = dependencies.ended_job_retention_s
         self._stop = stop
         self._ended = threading.Event()
         self._report_changes: list[Item] = []
+        self._stored_progress: dict[JobId, Progress | None] = {}
         self._report_replica = Replica(
             store, REPORTS_PREFIX, self._queue_report_items, clock, wait_s=REPORT_WATCH_TIMEOUT_S
         )
@@ -113,6 +109,7 @@
             dependencies.machines, dependencies.worker_lost_timeout_s
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
+        self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
 
     def serve(self) -> None:
         """Plan until the role is lost or the process stops.
@@ -163,27 +160,29 @@
         Only the holder of the role writes progress, so the records do not change meanwhile.
         """
         planner = self._planner
-        progress_by_id = self._read_progress()
+        self._stored_progress = self._read_progress()
+        # A watch that has heard nothing for a while lacks jobs and cancellations.
+        self._read_until_answered(self._replica.refresh)
         self._set_time()
         with self._view.lock:
             self._view.pop_changed_keys()
             self._apply_config()
-            for job_id, job in self._view.jobs_by_id.items():
-                progress = progress_by_id.pop(job_id, Progress())
-                if progress is not None:
-                    planner.add_job(job, progress)
+            add_jobs(planner, self._view, self._stored_progress)
             planner.crashes.explain_restored(planner)
-            for job_id in self._view.cancelled:
-                planner.cancel(job_id)
+            cancel_jobs(planner, self._view.cancelled)
             # The previous leader may have written the progress of a job, but not its state.
             planner.changes.jobs.update(
-                job_id for job_id in planner.jobs_by_id if self._changed_state(job_id) is not None
+                job_id
+                for job_id in planner.jobs_by_id
+                if self._writer.changed_state(planner, job_id) is not None
             )
-        for job_id in progress_by_id:
-            logger.warning("event=progress_without_job job=%s", job_id)
+        for job_id, progress in self._stored_progress.items():
+            if progress is not None:
+                logger.warning("event=progress_without_job job=%s", job_id)
         # The previous leader may not have written all of its orders, so the orders of all workers
-        # with assigned work are written again.
+        # with assigned work are written again, which may start that work.
         planner.changes.workers.update(planner.members_by_worker)
+        planner.changes.started_jobs.update(planner.active_jobs)
 
     def _read_progress(self) -> dict[JobId, Progress | None]:
         """Read the progress of all jobs; it is None if a record is unreadable.
@@ -192,52 +191,45 @@
 
         :raises RoleLostError: the role is lost, or the process stops, before the store responds
         """
+        items = self._read_until_answered(lambda: self._store.read_all(PROGRESS_PREFIX)).items
+        return {
+            JobId(item.key.removeprefix(PROGRESS_PREFIX)): _decode_progress(item) for item in items
+        }
+
+    def _read_until_answered(self, read: Callable[[], Answer]) -> Answer:
         while True:
             self._raise_if_ended()
             try:
-                items = self._store.read_all(PROGRESS_PREFIX).items
+                return read()
             except StoreUnavailableError as error:
-                logger.warning("event=progress_read_failed error=%s", error)
+                logger.warning("event=records_read_failed error=%s", error)
                 self._stop.wait(COMMIT_RETRY_S)
-            else:
-                return {
-                    JobId(item.key.removeprefix(PROGRESS_PREFIX)): _decode_progress(item)
-                    for item in items
-                }
-
-    def _changed_state(self, job_id: JobId) -> StateRecord | None:
-        """Return the state of a job if its record in the store has to be written."""
-        progress = self._planner.progress_by_id[job_id]
-        state = state_of(progress)
-        record = StateRecord(state, progress.reason if state is BatchState.FAILED else "")
-        written = self._view.state_by_id.get(job_id, NOT_STARTED)
-        return None if record == written else record
 
     def _plan_once(self) -> None:
         """Apply pending changes, plan, and write the changed records."""
         self._set_time()
         with self._view.lock:
-            changed_keys = self._view.pop_changed_keys()
             reports, self._report_changes = self._report_changes, []
-            self._apply_changes(changed_keys)
+            self._apply_changes()
         for item in reports:
             self._apply_report_item(item)
-        self._mark_lost_workers()
+        self._reassign_lost_work()
         withdraw(self._planner, self._write_conditionally)
         self._advice_cache.update(self._planner)
         self._planner.plan()
-        self._write_changes()
+        self._writer.write_changes(self._planner, self._remove_expired_jobs())
+
+    def _write_conditionally(
+        self, values: dict[str, bytes], expected: Mapping[str, Revision]
+    ) -> bool:
+        return self._writer.write(values, expected=expected)
 
-    def _apply_changes(self, keys: list[str]) -> None:
+    def _apply_changes(self) -> None:
         """Apply new jobs, cancellations and the configuration."""
+        self._view.pop_changed_keys()
         self._apply_config()
-        for key in keys:
-            job_id = JobId(key.removeprefix(JOBS_PREFIX))
-            job = self._view.jobs_by_id.get(job_id) if key.startswith(JOBS_PREFIX) else None
-            if job is not None:
-                self._planner.add_job(job, None)
-        for job_id in self._view.cancelled - self._planner.cancelled:
-            self._planner.cancel(job_id)
+        add_jobs(self._planner, self._view, self._stored_progress)
+        cancel_jobs(self._planner, self._view.cancelled)
 
     def _apply_config(self) -> None:
         planner = self._planner
@@ -250,6 +242,10 @@
         if item.key.startswith(PRESENCE_PREFIX):
             worker = TargetId(item.key.removeprefix(PRESENCE_PREFIX))
             planner.workers.set_present(worker, item.value is not None)
+        elif item.key.startswith(RESUMPTION_PREFIX):
+            worker = TargetId(item.key.removeprefix(RESUMPTION_PREFIX))
+            if item.value is not None:
+                planner.workers.set_resumption(worker, item.revision)
         elif item.key.startswith(REPORT_STATE_PREFIX):
             worker = TargetId(item.key.removeprefix(REPORT_STATE_PREFIX))
             if item.value is None:
@@ -263,61 +259,13 @@
             planner.apply_report(worker, report)
             planner.workers.by_id[worker].revision = item.revision
 
-    def _mark_lost_workers(self) -> None:
+    def _reassign_lost_work(self) -> None:
         planner = self._planner
         busy = {worker for worker, members in planner.members_by_worker.items() if members}
         for worker in self._lost_worker_detector.find_lost(planner.workers, busy):
-            planner.mark_worker_lost(worker)
-
-    def _write_changes(self) -> None:
-        planner = self._planner
-        changes = planner.changes
-        deletes = self._remove_expired_jobs()
-        if not changes and not deletes:
-            return
-        changed_jobs = changes.jobs & planner.progress_by_id.keys()
-        with self._view.lock:
-            changed_states = {job_id: self._changed_state(job_id) for job_id in changed_jobs}
-        values: dict[str, bytes] = {}
-        for job_id, state in changed_states.items():
-            values[progress_key(job_id)] = encode(planner.progress_by_id[job_id])
-            if state is not None:
-                values[state_key(job_id)] = encode(state)
-        for worker in changes.workers:
-            values[order_key(worker)] = encode(planner.order_for(worker))
-        keys = list(values)
-        while keys or deletes:
-            batch, keys = keys[:MAX_KEYS_PER_WRITE], keys[MAX_KEYS_PER_WRITE:]
-            free_keys = MAX_KEYS_PER_WRITE - len(batch)
-            deleted, deletes = deletes[:free_keys], deletes[free_keys:]
-            self._write_until_confirmed({key: values[key] for key in batch}, deleted)
-        with self._view.lock:
-            for job_id, state in changed_states.items():
-                if state is not None:
-                    self._view.state_by_id[job_id] = state
-        for worker in changes.workers & planner.workers.by_id.keys():
-            planner.workers.by_id[worker].order_written_at = self._clock.monotonic()
-        changes.jobs.clear()
-        changes.workers.clear()
-
-    def _write_conditionally(
-        self, values: dict[str, bytes], expected: Mapping[str, Revision]
-    ) -> bool:
-        return self._write_until_confirmed(values, [], expected)
-
-    def _write_until_confirmed(
-        self,
-        values: dict[str, bytes],
-        deletes: list[str],
-        expected: Mapping[str, Revision] = NO_CONDITIONS,
-    ) -> bool:
-        while True:
-            self._raise_if_ended()
-            try:
-                return self._role.write(values, deletes, expected)
-            except StoreUnavailableError as error:
-                logger.warning("event=leader_write_failed error=%s", error)
-                self._stop.wait(COMMIT_RETRY_S)
+            if not reassign_work(planner, worker, self._write_conditionally):
+                # What the watch of the reports has not brought yet.
+                self._report_replica.apply_own(list(self._role.conflicting_items.values()))
 
     def _remove_expired_jobs(self) -> list[str]:
         """Remove ended jobs whose retention time is over, and return their keys."""
@@ -357,7 +305,8 @@
 
     def _set_time(self) -> None:
         now_ms = int(self._clock.now().timestamp() * 1000)
-        self._planner.set_time(self._clock.monotonic(), now_ms)
+        now_s = self._clock.monotonic()
+        self._planner.set_time(now_s, now_ms, now_s - self._replica.confirmed_at)
 
 
 def _decode_progress(item: Item) -> Progress | None:
