--- a/src/chicorycrank_standin/platform/heartbeats.py
+++ b/src/chicorycrank_standin/platform/heartbeats.py
@@ -39,6 +39,7 @@
     :param agent_address: ``host:port`` of the agent
     :param next_heartbeat: returns the next heartbeat, or None if the executor sends none now
     :param on_acknowledged: called with each heartbeat that the agent has acknowledged
+    :ivar is_held: no heartbeat is sent
     :ivar acknowledged: number of acknowledged heartbeats
     """
 
@@ -49,6 +50,7 @@
         next_heartbeat: Callable[[], Message | None],
         on_acknowledged: Callable[[Message], None],
     ) -> None:
+        self.is_held = False
         self.acknowledged = 0
         self._agent_address = agent_address
         self._next_heartbeat = next_heartbeat
@@ -81,7 +83,7 @@
         while not self._stop.is_set():
             self._is_due.wait(wait_s)
             self._is_due.clear()
-            message = self._next_heartbeat()
+            message = None if self.is_held else self._next_heartbeat()
             if message is None:
                 continue
             is_acknowledged = self.send(message)
--- a/src/chicorycrank_standin/platform/kv_store.py
+++ b/src/chicorycrank_standin/platform/kv_store.py
@@ -4,7 +4,8 @@
 import threading
 import time
 from base64 import b64decode
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -91,16 +92,17 @@
             self._events.clear()
             self._discarded_revision = self._revision
 
-    def compact(self, silence_s: float) -> None:
-        """Discard the history after a time in which watches get no changes, and cut them.
+    @contextmanager
+    def compacting(self) -> Iterator[None]:
+        """Let watches wait in vain for the body of the ``with`` statement.
 
-        Reads and writes work all the while.
-
-        :param silence_s: time in seconds for which watches wait in vain
+        Reads and writes work all the while. Then the history is discarded and watches are cut.
+        PROTOCOL.md, "The platform's metadata store": a 410 response means that history is no longer
+        available, and a watch that is waiting may be cut.
         """
         with self._condition:
             self._silences += 1
-        time.sleep(silence_s)
+        yield
         with self._condition:
             self._silences -= 1
             self._watch_cuts += 1
--- a/src/chicorycrank_standin/soak/faults.py
+++ b/src/chicorycrank_standin/soak/faults.py
@@ -97,8 +97,8 @@
         with disturbances.lasting(STORE):
             deployment.store.expire_leases()
     elif fault.kind is FaultKind.STORE_COMPACTS:
-        with disturbances.lasting(STORE):
-            deployment.store.compact(SILENCE_S)
+        with disturbances.lasting(STORE), deployment.store.compacting():
+            time.sleep(SILENCE_S)
     else:
         inject_executor_fault(fault, deployment)
 
--- a/tests/incident/test_incident_processes.py
+++ b/tests/incident/test_incident_processes.py
@@ -1,21 +1,18 @@
 """Disturbances of entries and agents as processes, judged by what executors and callers saw."""
 
-import json
 import signal
-import threading
 import time
 from collections.abc import Callable, Iterator
 from functools import partial
 from pathlib import Path
 
 import pytest
-import urllib3
 from tests.incident.scenario import Job, submit, wait_until
 
-from chicorycrank_standin.background import HOST
 from chicorycrank_standin.forwarder import Mode
+from chicorycrank_standin.platform.heartbeats import Message
 from chicorycrank_standin.soak.callers import Callers
-from chicorycrank_standin.soak.deployment import Deployment
+from chicorycrank_standin.soak.deployment import Deployment, restart_killed
 
 READY_TIMEOUT_S = 30.0
 START_TIMEOUT_S = 10.0
@@ -75,20 +72,27 @@
 
 
 def send_heartbeat_of_another_writer(job: Job, *, service: str) -> None:
-    agent = job.deployment.agents[job.executor_index()]
-    body = {
-        "service": service,
-        "address": f"{HOST}:1",
-        "zone": "zone-a",
-        "state": "ready",
-        "seq": 1,
-        "born": round(time.time() * 1000) + 1000,
-        "clockMs": 1000,
-        "labels": ["a", "r1"],
-        "capacity": {"cpu": 64000, "memMb": 256000, "gpus": 4},
-    }
-    url = f"http://{HOST}:{agent.port}/-/instances/i-other"
-    urllib3.request("PUT", url, body=json.dumps(body), timeout=START_TIMEOUT_S, retries=False)
+    executor = job.executor()
+    fields = executor.heartbeat_fields()
+    later = {**fields, "service": service, "born": fields["born"] + 60_000, "seq": 1}
+    executor.heartbeats.send(Message.heartbeat("i-other", later))
+
+
+def send_exit_notice_of_an_earlier_life(job: Job) -> None:
+    executor = job.executor()
+    executor.heartbeats.send(Message(instance=executor.instance, body=None))
+
+
+def send_heartbeat_of_an_earlier_life_to_a_restarted_agent(job: Job, *, instance: str) -> None:
+    index = job.executor_index()
+    executor, agent = job.deployment.executors[index], job.deployment.agents[index]
+    fields = executor.heartbeat_fields()
+    earlier = {**fields, "born": fields["born"] - 60_000, "seq": 900}
+    message = Message.heartbeat(instance or executor.instance, earlier)
+    executor.heartbeats.is_held = True
+    restart_killed(agent)
+    wait_until(lambda: executor.heartbeats.send(message), START_TIMEOUT_S)
+    executor.heartbeats.is_held = False
 
 
 @pytest.mark.parametrize(
@@ -104,6 +108,15 @@
         pytest.param(
             partial(send_heartbeat_of_another_writer, service="unknown"), id="other-service"
         ),
+        pytest.param(send_exit_notice_of_an_earlier_life, id="exit-notice-of-an-earlier-life"),
+        pytest.param(
+            partial(send_heartbeat_of_an_earlier_life_to_a_restarted_agent, instance=""),
+            id="heartbeat-of-an-earlier-life",
+        ),
+        pytest.param(
+            partial(send_heartbeat_of_an_earlier_life_to_a_restarted_agent, instance="i-earlier"),
+            id="heartbeat-of-an-earlier-life-with-another-id",
+        ),
     ],
 )
 def test_a_task_that_still_runs_does_not_start_a_second_time(
@@ -126,15 +139,14 @@
     deployment: Deployment,
 ) -> None:
     """Guards against a leader that applies a cancellation before it knows the job."""
-    compaction = threading.Thread(target=deployment.store.compact, args=(SILENCE_S,))
-    compaction.start()
-    jobs = [
-        submit(deployment, entry, number, tasks=1, work_s=ENDLESS_WORK_S)
-        for number, entry in enumerate(deployment.entries)
-    ]
-    limit_by_job = {job.job_id: job.cancel() + CANCEL_S for job in jobs}
-    assert compaction.is_alive(), "the cancellations came after the silence"
-    compaction.join()
+    with deployment.store.compacting():
+        silent_until = time.monotonic() + SILENCE_S
+        jobs = [
+            submit(deployment, entry, number, tasks=1, work_s=ENDLESS_WORK_S)
+            for number, entry in enumerate(deployment.entries)
+        ]
+        limit_by_job = {job.job_id: job.cancel() + CANCEL_S for job in jobs}
+        time.sleep(max(0.0, silent_until - time.monotonic()))
     wait_until(
         lambda: time.monotonic() > max(limit_by_job.values()) + STOP_S,
         CANCEL_S + STOP_S + START_TIMEOUT_S,
--- a/tests/standin/test_platform_standins.py
+++ b/tests/standin/test_platform_standins.py
@@ -174,17 +174,15 @@
         except urllib3.exceptions.HTTPError:
             answers.append("cut")
 
-    compaction = threading.Thread(target=stand_in.compact, args=(0.6,))
-    compaction.start()
-    time.sleep(0.1)
     body = {"setKeys": [{"key": "a", "value": ""}]}
-    assert call(address, "POST", "/-/kv-txn", body).status == 200
     watcher = threading.Thread(target=watch)
-    watcher.start()
-    assert call(address, "GET", "/-/kv-key?key=a").status == 200
-    assert compaction.is_alive() and answers == []
+    with stand_in.compacting():
+        assert call(address, "POST", "/-/kv-txn", body).status == 200
+        watcher.start()
+        time.sleep(0.5)
+        assert call(address, "GET", "/-/kv-key?key=a").status == 200
+        assert answers == []
     watcher.join()
-    compaction.join()
     assert answers == ["cut"]
     assert call(address, "GET", "/-/kv-watch?prefix=a&after=1&waitMs=100").status == 410
 
