--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 from typing import Any
@@ -30,8 +31,21 @@
 # A smaller capacity counts once the agent must know of it.
 CAPACITY_NOTICE_S = 4.0 + HEARTBEAT_INTERVAL_S
 
-# Handler of a request and the monotonic time of its arrival.
-OrderHandler = Callable[[HttpRequest, float], HttpResponse]
+
+@dataclass(frozen=True, kw_only=True)
+class _Call:
+    """Call that has arrived, and may be executed late.
+
+    :param arrived_at: monotonic time
+    :param life: incarnation that it has arrived at
+    """
+
+    request: HttpRequest
+    arrived_at: float
+    life: Incarnation
+
+
+_CallHandler = Callable[[_Call], HttpResponse]
 
 
 class ExecutorMode(Enum):
@@ -185,11 +199,11 @@
                 self._is_clock_stopped = False
                 self._is_thawed.set()
 
-    def _when_thawed(self, handler: OrderHandler) -> Handler:
+    def _when_thawed(self, handler: _CallHandler) -> Handler:
         def handle(request: HttpRequest) -> HttpResponse:
-            arrived_at = time.monotonic()
+            call = _Call(request=request, arrived_at=time.monotonic(), life=self._life)
             self._is_thawed.wait()
-            return handler(request, arrived_at)
+            return handler(call)
 
         return handle
 
@@ -232,13 +246,15 @@
             self.link.set_closed(False)
         self.heartbeats.send_soon()
 
-    def _check_preconditions(
-        self, request: HttpRequest, body: dict[str, Any]
-    ) -> HttpResponse | None:
-        """Record the fencing token, or return an error if it or the incarnation is outdated."""
-        if not self.is_up:
+    def _check_preconditions(self, call: _Call, body: dict[str, Any]) -> HttpResponse | None:
+        """Record the fencing token, or return an error if it or the incarnation is outdated.
+
+        PROTOCOL.md, "Service discovery": an executor that has started again holds and knows nothing
+        of before, so a late call ends with the incarnation that it has arrived at.
+        """
+        if not self._is_present(call.life):
             return _no_response()
-        if request.headers.get("expect-instance", self.instance) != self.instance:
+        if call.request.headers.get("expect-instance", self.instance) != self.instance:
             return self._response(status=421)
         if body.get("fencingToken", 0) < self._life.fencing_token:
             return self._response(status=409, reason="fence")
@@ -248,32 +264,30 @@
     def _response(self, *, status: int = 200, **fields: str) -> HttpResponse:
         return json_response({"clockMs": self._life.clock_ms(), **fields}, status=status)
 
-    def _handle_start(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
+    def _handle_start(self, call: _Call) -> HttpResponse:
         if self.mode is ExecutorMode.UNHEALTHY and self._rng.random() < 0.5:
             statuses = [HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE]
             return json_response({}, status=self._rng.choice(statuses))
         is_delaying = self.mode in (ExecutorMode.LATE_STARTS, ExecutorMode.LATE_CALLS)
-        return self._execute(self._start_run, request, arrived_at, is_delaying=is_delaying)
+        return self._execute(self._start_run, call, is_delaying=is_delaying)
 
-    def _handle_stop(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
+    def _handle_stop(self, call: _Call) -> HttpResponse:
         is_delaying = self.mode is ExecutorMode.LATE_CALLS
-        return self._execute(self._stop_run, request, arrived_at, is_delaying=is_delaying)
+        return self._execute(self._stop_run, call, is_delaying=is_delaying)
 
-    def _execute(
-        self, handler: OrderHandler, request: HttpRequest, arrived_at: float, *, is_delaying: bool
-    ) -> HttpResponse:
+    def _execute(self, handler: _CallHandler, call: _Call, *, is_delaying: bool) -> HttpResponse:
         """Execute an order now, or late and without an answer; or delay the answer."""
         if not is_delaying or self._rng.random() < 0.5:
-            return handler(request, arrived_at)
+            return handler(call)
         if self.mode is ExecutorMode.LATE_CALLS and self._rng.random() < 0.5:
-            response = handler(request, arrived_at)
+            response = handler(call)
             time.sleep(self._rng.uniform(*ANSWER_DELAY_RANGE_S))
             return response
         delay_s = self._rng.uniform(*CALL_DELAY_RANGE_S)
 
         def execute_late() -> None:
             self._is_thawed.wait()
-            handler(request, arrived_at)
+            handler(call)
 
         timer = threading.Timer(delay_s, execute_late)
         timer.daemon = True
@@ -281,10 +295,10 @@
         time.sleep(CALLER_TIMEOUT_S)
         return _no_response()
 
-    def _start_run(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
-        body = request.json()
+    def _start_run(self, call: _Call) -> HttpResponse:
+        body = call.request.json()
         with self._condition:
-            refusal = self._check_preconditions(request, body)
+            refusal = self._check_preconditions(call, body)
             if refusal is not None:
                 return refusal
             if (body["task"], body["run"]) in self._life.runs:
@@ -292,7 +306,7 @@
             reason = self._life.find_refusal(body)
             if reason:
                 return self._response(status=409, reason=reason)
-            record = self._life.start(body, arrived_at)
+            record = self._life.start(body, call.arrived_at)
             if json.loads(body["spec"]).get("crashes"):
                 self.run_recorder.record_crash_by(record.task)
                 self._end_life("crashed", self._rng.uniform(*DOWN_RANGE_S))
@@ -304,24 +318,24 @@
                 )
             return self._response()
 
-    def _stop_run(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
-        body = request.json()
+    def _stop_run(self, call: _Call) -> HttpResponse:
+        body = call.request.json()
         with self._condition:
-            refusal = self._check_preconditions(request, body)
+            refusal = self._check_preconditions(call, body)
             if refusal is not None:
                 return refusal
             stops_at = time.monotonic() + self._restart_rng.uniform(*STOP_RANGE_S)
             self._life.stop(body["task"], body["run"], stops_at)
             return self._response()
 
-    def _handle_hold(self, request: HttpRequest, arrived_at: float) -> HttpResponse:
+    def _handle_hold(self, call: _Call) -> HttpResponse:
         """Extend the lease, remove acknowledged ends and return runs and ends.
 
         Waits until there is an end to return, for at most the time that the request names.
         """
-        body = request.json()
+        body = call.request.json()
         with self._condition:
-            refusal = self._check_preconditions(request, body)
+            refusal = self._check_preconditions(call, body)
             if refusal is not None:
                 return refusal
             life = self._life
@@ -363,21 +377,8 @@
 
     def heartbeat_fields(self) -> dict[str, Any]:
         """Return the fields of a heartbeat."""
-        exits_at = self._life.exits_at
-        fields = {
-            "service": "service",
-            "address": self.link.address if self.link is not None else "",
-            "zone": "zone-a",
-            "state": "ready" if exits_at is None else "draining",
-            "seq": self._life.heartbeat_number,
-            "born": self._life.born_ms,
-            "clockMs": self._life.clock_ms(),
-            "labels": ["a", "r1"],
-            "capacity": {"cpu": 64000, "memMb": 256000, "gpus": self._accelerators},
-        }
-        if exits_at is not None:
-            fields["remainingMs"] = max(0, round((exits_at - time.monotonic()) * 1000))
-        return fields
+        address = self.link.address if self.link is not None else ""
+        return self._life.heartbeat_fields(address, self._accelerators)
 
     def _record_acknowledged_heartbeat(self, message: Message) -> None:
         fields = json.loads(message.body or b"{}")
--- a/src/chicorycrank_standin/platform/incarnation.py
+++ b/src/chicorycrank_standin/platform/incarnation.py
@@ -56,6 +56,23 @@
         """Return the reading of the executor's clock."""
         return round((time.monotonic() - self._clock_started_at) * 1000 * CLOCK_RATE)
 
+    def heartbeat_fields(self, address: str, accelerators: int) -> dict[str, Any]:
+        """Return the fields of a heartbeat."""
+        fields = {
+            "service": "service",
+            "address": address,
+            "zone": "zone-a",
+            "state": "ready" if self.exits_at is None else "draining",
+            "seq": self.heartbeat_number,
+            "born": self.born_ms,
+            "clockMs": self.clock_ms(),
+            "labels": ["a", "r1"],
+            "capacity": {"cpu": 64000, "memMb": 256000, "gpus": accelerators},
+        }
+        if self.exits_at is not None:
+            fields["remainingMs"] = max(0, round((self.exits_at - time.monotonic()) * 1000))
+        return fields
+
     def record_freeze(self, frozen_s: float, *, stops_clock: bool) -> None:
         """Put the ends of the runs off by the time in which they did not work."""
         if stops_clock:
--- a/src/chicorycrank_standin/soak/session.py
+++ b/src/chicorycrank_standin/soak/session.py
@@ -68,6 +68,7 @@
     finally:
         callers.stop_event.set()
         deployment.close()
+        _write_runs(deployment, folder / "runs.log")
     run_recorder = deployment.run_recorder
     return SoakResult(
         seed=seed,
@@ -90,6 +91,19 @@
     raise RuntimeError("the entries do not respond with status 200")
 
 
+def _write_runs(deployment: Deployment, path: Path) -> None:
+    """Write the runs and the disturbances that the judge knows, in monotonic seconds."""
+    run_recorder = deployment.run_recorder
+    lines = [f"{time.monotonic():.3f} is {time.strftime('%H:%M:%S')} local time"]
+    lines += [
+        f"{run} ordered={run.ordered_at:.3f} started={run.started_at:.3f} late={run.is_late}"
+        f" ended={run.ended_at} how={run.end_kind} seen={run.is_end_seen}"
+        for run in run_recorder.runs
+    ]
+    lines += [str(disturbance) for disturbance in run_recorder.disturbances.disturbances]
+    path.write_text("\n".join([*lines, *run_recorder.violations, ""]))
+
+
 def _check_jobs(callers: Callers, deployment: Deployment) -> None:
     run_recorder = deployment.run_recorder
     open_jobs = [job for job in callers.jobs if job.accepted_at is not None]
