--- a/src/chicorycrank/batch/pacing.py
+++ b/src/chicorycrank/batch/pacing.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from chicorycrank.batch.runs import Run
+from chicorycrank.batch.run import Run
 from chicorycrank.model.ids import TaskId
 from chicorycrank.ports.executor import BatchExecutor
 
--- /dev/null
+++ b/src/chicorycrank/batch/run.py
@@ -0,0 +1,92 @@
+"""Run of a task on one executor, as tracked by its agent."""
+
+from dataclasses import dataclass
+
+from chicorycrank.model.batch import Assignment
+from chicorycrank.model.ids import Incarnation, TaskId
+
+# A task without progress for this long is stalled. Progress is counted in whole percent: even on
+# an executor that is six times slower than declared, a task with a run time of 22 s gains one
+# percent in about 1.3 s. A much longer task may count as stalled although it works.
+STALL_TIMEOUT_S = 2.5
+# Limit for tasks at 0 percent, as the members of a gang wait for each other at first.
+START_STALL_TIMEOUT_S = 4.5
+
+
+@dataclass(kw_only=True)
+class Run:
+    """Run that the order names or that the executor lists.
+
+    :param should_stop: the run has to be stopped
+    :param is_accepted: stored as accepted, so it may have started and the leader waits for its end
+    :param is_adopted: accepted by an earlier process of the agent, and no status has shown yet
+        whether it is there
+    :param is_call_active: a call for the run is active or submitted
+    :param unresolved_starts: start calls without a final answer; each may still take effect
+    :param first_called_at: monotonic time of the first start call; None before it
+    :param listed_at: monotonic time at which the executor first listed the run
+    :param started_at: monotonic time of the answer to the start call, or ``listed_at``
+    :param starts_rejected_since: monotonic time of the answer that the executor has accepted the
+        stop of the run, or that its start is outdated; the executor does not start the run after
+        that, so the run has ended if a later status does not list it
+    :param rejection_reason: why the run was not started
+    :param percent: completed share of the work, 0 to 100; -1 if unknown
+    :param load: tail latency in milliseconds if the task serves users, otherwise cores in use
+    :param progressed_at: monotonic time at which ``percent`` last changed
+    """
+
+    assignment: Assignment
+    incarnation: Incarnation
+    should_stop: bool = False
+    is_accepted: bool = False
+    is_adopted: bool = False
+    is_call_active: bool = False
+    unresolved_starts: int = 0
+    first_called_at: float | None = None
+    listed_at: float | None = None
+    started_at: float | None = None
+    starts_rejected_since: float | None = None
+    rejection_reason: str = ""
+    checkpoint: str = ""
+    percent: int = -1
+    load: float = 0.0
+    progressed_at: float = 0.0
+
+    @property
+    def needs_call(self) -> bool:
+        """Whether a start or stop call is needed."""
+        if self.starts_rejected_since is not None:
+            return False
+        return self.should_stop or (self.started_at is None and self.is_accepted)
+
+    @property
+    def may_be_present(self) -> bool:
+        """Whether the executor may have the run."""
+        return self.is_adopted or self.first_called_at is not None
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        """Return task and run number."""
+        return self.assignment.task, self.assignment.run
+
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether the task makes no progress."""
+        timeout_s = STALL_TIMEOUT_S if self.percent else START_STALL_TIMEOUT_S
+        return (
+            self.percent >= 0
+            and not self.assignment.long_running
+            and not self.assignment.fills
+            and now_s - self.progressed_at > timeout_s
+        )
+
+    def is_cleared(self, now_s: float) -> bool:
+        """Return whether the run has outlasted its probation."""
+        return (
+            self.assignment.probation_ms > 0
+            and self.listed_at is not None
+            and (now_s - self.listed_at) * 1000 >= self.assignment.probation_ms
+        )
+
+    def age_s(self, now_s: float) -> float:
+        """Return the time since the first start call in seconds; 0 before it."""
+        return 0.0 if self.first_called_at is None else max(0.0, now_s - self.first_called_at)
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -6,7 +6,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-from chicorycrank.batch.runs import Run, RunTable
+from chicorycrank.batch.run import Run
+from chicorycrank.batch.runs import RunTable
 from chicorycrank.model.batch import EndKind
 from chicorycrank.model.ids import Incarnation
 from chicorycrank.ports.clock import Clock
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -2,8 +2,8 @@
 
 import logging
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+from chicorycrank.batch.run import Run
 from chicorycrank.model.batch import (
     Assignment,
     EndKind,
@@ -17,12 +17,6 @@
 
 # A started run that the executor does not list within this time is assumed to be lost.
 MISSING_TIMEOUT_S = 2.0
-# A task without progress for this long is stalled. Progress is counted in whole percent: even on
-# an executor that is six times slower than declared, a task with a run time of 22 s gains one
-# percent in about 1.3 s. A much longer task may count as stalled although it works.
-STALL_TIMEOUT_S = 2.5
-# Limit for tasks at 0 percent, as the members of a gang wait for each other at first.
-START_STALL_TIMEOUT_S = 4.5
 # Minimum time between updates of the reported checkpoints. It bounds the work that is lost with a
 # worker, which costs more than a report every few seconds.
 CHECKPOINT_REPORT_INTERVAL_S = 4.0
@@ -30,61 +24,6 @@
 logger = logging.getLogger("absl")
 
 
-@dataclass(kw_only=True)
-class Run:
-    """Run that the order names or that the executor lists.
-
-    :param should_stop: the run has to be stopped
-    :param is_accepted: stored as accepted, so it may have started and the leader waits for its end
-    :param is_adopted: accepted by an earlier process of the agent, so it may be there already
-    :param is_call_active: a call for the run is active or submitted
-    :param unresolved_starts: start calls without a final answer; each may still take effect
-    :param first_called_at: monotonic time of the first start call; None before it
-    :param listed_at: monotonic time at which the executor first listed the run
-    :param started_at: monotonic time of the answer to the start call
-    :param starts_rejected_since: monotonic time of the answer that the executor has accepted the
-        stop of the run, or that its start is outdated; the executor does not start the run after
-        that, so the run has ended if a later status does not list it
-    :param rejection_reason: why the run was not started
-    :param percent: completed share of the work, 0 to 100; -1 if unknown
-    :param load: tail latency in milliseconds if the task serves users, otherwise cores in use
-    :param progressed_at: monotonic time at which ``percent`` last changed
-    """
-
-    assignment: Assignment
-    incarnation: Incarnation
-    should_stop: bool = False
-    is_accepted: bool = False
-    is_adopted: bool = False
-    is_call_active: bool = False
-    unresolved_starts: int = 0
-    first_called_at: float | None = None
-    listed_at: float | None = None
-    started_at: float | None = None
-    starts_rejected_since: float | None = None
-    rejection_reason: str = ""
-    checkpoint: str = ""
-    percent: int = -1
-    load: float = 0.0
-    progressed_at: float = 0.0
-
-    @property
-    def needs_call(self) -> bool:
-        """Whether a start or stop call is needed."""
-        if self.starts_rejected_since is not None:
-            return False
-        return self.should_stop or (self.started_at is None and self.is_accepted)
-
-    @property
-    def may_be_present(self) -> bool:
-        """Whether the executor may have the run."""
-        return self.is_adopted or self.first_called_at is not None
-
-    def age_s(self, now_s: float) -> float:
-        """Return the time since the first start call in seconds; 0 before it."""
-        return 0.0 if self.first_called_at is None else max(0.0, now_s - self.first_called_at)
-
-
 class RunTable:
     """Runs of one incarnation of an executor, and the ends to report.
 
@@ -283,7 +222,9 @@
         for run in list(self.runs_by_task.values()):
             if (run.assignment.task, run.assignment.run) not in running:
                 self._end_or_stop_missing(run, sent_at)
-        self.suspects = self._find_stalled_tasks(sent_at)
+        self.suspects = {
+            task: run.percent for task, run in self.runs_by_task.items() if run.is_stalled(sent_at)
+        }
         if sent_at - self._checkpoints_reported_at >= CHECKPOINT_REPORT_INTERVAL_S:
             self._checkpoints_reported_at = sent_at
             self.checkpoints = {
@@ -291,29 +232,12 @@
                 for task, run in self.runs_by_task.items()
                 if run.checkpoint
             }
-        self.cleared = self._find_cleared_runs(sent_at)
-        return before != (len(self.ends), self.suspects, self.checkpoints, self.cleared)
-
-    def _find_cleared_runs(self, now_s: float) -> dict[TaskId, int]:
-        return {
+        self.cleared = {
             task: run.assignment.run
             for task, run in self.runs_by_task.items()
-            if run.assignment.probation_ms
-            and run.listed_at is not None
-            and (now_s - run.listed_at) * 1000 >= run.assignment.probation_ms
-        }
-
-    def _find_stalled_tasks(self, now_s: float) -> dict[TaskId, int]:
-        """Return the completed percentage of each task that makes no progress."""
-        return {
-            task: run.percent
-            for task, run in self.runs_by_task.items()
-            if run.percent >= 0
-            and not run.assignment.long_running
-            and not run.assignment.fills
-            and now_s - run.progressed_at
-            > (STALL_TIMEOUT_S if run.percent else START_STALL_TIMEOUT_S)
+            if run.is_cleared(sent_at)
         }
+        return before != (len(self.ends), self.suspects, self.checkpoints, self.cleared)
 
     def _apply_running(
         self, running_tasks: Sequence[RunningTask], incarnation: Incarnation, now_s: float
--- a/tests/batch/test_capacity_changes.py
+++ b/tests/batch/test_capacity_changes.py
@@ -9,7 +9,8 @@
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.batch.keys import encode, order_key, report_key
 from chicorycrank.batch.planner import Planner
-from chicorycrank.batch.runs import Run, RunTable
+from chicorycrank.batch.run import Run
+from chicorycrank.batch.runs import RunTable
 from chicorycrank.model.batch import Assignment, EndKind, Step, Submission, WorkOrder
 from chicorycrank.model.ids import Incarnation, TargetId, TaskId
 from chicorycrank.ports.executor import StartOrder
--- a/tests/batch/test_pacing.py
+++ b/tests/batch/test_pacing.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicorycrank.batch.pacing import SETTLING_TIME_S, Pacer
-from chicorycrank.batch.runs import Run
+from chicorycrank.batch.run import Run
 from chicorycrank.model.batch import Assignment
 from chicorycrank.model.ids import Incarnation, TaskId
 
