Let what an executor lists decide about a run, in full

Callers could see a task run twice, or run again after it was done. The run table read less than the executor lists:

- a run that is listed under another number than the order's was ignored, and the run of the order was started beside it;
- a list of ends that is cut at 500 entries counted as complete;
- an answer that a later one had overtaken brought an ended run back;
- an end that the agent had concluded (lost, crashed) hid the end that the executor listed later, and a run that was given up and is still listed was left running.

Now runs under other numbers are tracked apart, stopped, and gone before the run of the order starts; a cut list ends nothing; answers apply in the order of their requests; listed ends replace concluded ones.

--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -91,12 +91,8 @@
             while not self._stop.is_set():
                 with self._lock:
                     context = self._get_context()
-                    is_current = self._table.runs_by_task.get(assignment.task) is run
-                    if (
-                        run.incarnation != context.incarnation
-                        or not is_current
-                        or not run.needs_call
-                    ):
+                    needs_call = self._table.needs_call(run)
+                    if run.incarnation != context.incarnation or not needs_call:
                         run.is_call_active = False
                         return
                 self._attempt_call(run, context)
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -21,12 +21,17 @@
 # worker, which costs more than a report every few seconds.
 CHECKPOINT_REPORT_INTERVAL_S = 4.0
 
+# Ends that the agent concluded from the end of the executor; what the executor lists replaces them.
+CONCLUDED_KINDS = (EndKind.LOST, EndKind.CRASHED)
+
 logger = logging.getLogger("absl")
 
 
 class RunTable:
     """Runs of one incarnation of an executor, and the ends to report.
 
+    :ivar other_runs_by_key: runs under another number than the order's, by task and run number;
+        they have to be gone before the run of the order starts
     :ivar last_end_number: number of the last end that was read from the executor
     :ivar accepted: number of the run that is stored as accepted, by task
     :ivar cleared: number of the run that has outlasted its probation, by task
@@ -36,6 +41,7 @@
 
     def __init__(self) -> None:
         self.runs_by_task: dict[TaskId, Run] = {}
+        self.other_runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.order = WorkOrder(incarnation=Incarnation(""))
         self.ends: list[TaskEnd] = []
         self.last_end_number = 0
@@ -44,6 +50,7 @@
         self.suspects: dict[TaskId, int] = {}
         self.checkpoints: dict[TaskId, tuple[int, str]] = {}
         self._checkpoints_reported_at = float("-inf")
+        self._status_sent_at = float("-inf")
 
     def apply_order(self, order: WorkOrder, incarnation: Incarnation) -> None:
         """Apply an order; drop the ends that the leader has recorded.
@@ -69,6 +76,9 @@
         ended = {(end.task, end.run) for end in self.ends}
         for assignment in order.assignments:
             run = self.runs_by_task.get(assignment.task)
+            if run is not None and run.assignment.run != assignment.run:
+                self._set_aside(run)
+                run = None
             if run is None and (assignment.task, assignment.run) not in ended:
                 is_accepted = self.accepted.get(assignment.task) == assignment.run
                 self.runs_by_task[assignment.task] = Run(
@@ -85,6 +95,14 @@
                 run.should_stop = True
         self._end_withdrawn(named)
 
+    def _set_aside(self, run: Run) -> None:
+        """Make room for another run of the same task, which starts once this one is gone."""
+        if run.is_accepted:
+            run.should_stop = True
+            self.other_runs_by_key[run.key] = self.runs_by_task.pop(run.assignment.task)
+        else:
+            self.end_run(run, EndKind.STOPPED, "")
+
     def _end_withdrawn(self, named: set[tuple[TaskId, int]]) -> None:
         """End the runs that are not accepted and that the order no longer requests to start."""
         for run in list(self.runs_by_task.values()):
@@ -168,10 +186,22 @@
         self.cleared.clear()
         self.last_end_number = 0
 
+    def tracked_runs(self) -> list[Run]:
+        """Return the runs of the order, and those that have to be gone before."""
+        return [*self.runs_by_task.values(), *self.other_runs_by_key.values()]
+
+    def needs_call(self, run: Run) -> bool:
+        """Return whether a run is still tracked and needs a call now."""
+        task = run.assignment.task
+        if self.other_runs_by_key.get(run.key) is run:
+            return run.needs_call
+        is_free = run.should_stop or all(other != task for other, _ in self.other_runs_by_key)
+        return self.runs_by_task.get(task) is run and run.needs_call and is_free
+
     def claim_runs_to_call(self) -> list[Run]:
         """Return the runs that need a call and have none active, and mark their call as active."""
         runs = [
-            run for run in self.runs_by_task.values() if run.needs_call and not run.is_call_active
+            run for run in self.tracked_runs() if self.needs_call(run) and not run.is_call_active
         ]
         for run in runs:
             run.is_call_active = True
@@ -184,7 +214,7 @@
         """
         present = [
             other.assignment
-            for other in self.runs_by_task.values()
+            for other in self.tracked_runs()
             if other is not run and other.may_be_present
         ]
         needed = [*present, run.assignment]
@@ -196,32 +226,36 @@
 
     def end_run(self, run: Run, kind: EndKind, checkpoint: str, detail: str = "") -> None:
         """Record that a run has ended."""
-        assignment = run.assignment
-        if self.runs_by_task.get(assignment.task) is run:
-            del self.runs_by_task[assignment.task]
-        self._add_end(TaskEnd(assignment.task, assignment.run, kind, checkpoint, detail))
+        self._discard_run(*run.key)
+        self._add_end(TaskEnd(*run.key, kind, checkpoint, detail))
+
+    def _discard_run(self, task: TaskId, number: int) -> None:
+        self.other_runs_by_key.pop((task, number), None)
+        run = self.runs_by_task.get(task)
+        if run is not None and run.assignment.run == number:
+            del self.runs_by_task[task]
 
     def apply_status(self, status: ExecutorStatus, sent_at: float) -> bool:
-        """Apply a status of the executor.
+        """Apply a status of the executor, unless one that was requested later is known.
 
         :param sent_at: monotonic time at which the status was requested
         :returns: whether there is something new to report
         """
-        before = (len(self.ends), self.suspects, self.checkpoints, self.cleared)
+        if sent_at < self._status_sent_at:
+            return False
+        self._status_sent_at = sent_at
+        before = (list(self.ends), self.suspects, self.checkpoints, self.cleared)
         for numbered in status.ends:
-            if numbered.number <= self.last_end_number:
-                continue
-            self.last_end_number = numbered.number
-            end = numbered.end
-            run = self.runs_by_task.get(end.task)
-            if run is not None and run.assignment.run == end.run:
-                del self.runs_by_task[end.task]
-            self._add_end(end)
+            if numbered.number > self.last_end_number:
+                self.last_end_number = numbered.number
+                self._apply_listed_end(numbered.end)
         self._apply_running(status.running, status.incarnation, sent_at)
         running = {(running_task.task, running_task.run) for running_task in status.running}
-        for run in list(self.runs_by_task.values()):
-            if (run.assignment.task, run.assignment.run) not in running:
-                self._end_or_stop_missing(run, sent_at)
+        # The end of a run that is missing may be among those that are not listed yet.
+        if status.has_all_ends:
+            for run in self.tracked_runs():
+                if run.key not in running:
+                    self._end_or_stop_missing(run, sent_at)
         self.suspects = {
             task: run.percent for task, run in self.runs_by_task.items() if run.is_stalled(sent_at)
         }
@@ -237,44 +271,60 @@
             for task, run in self.runs_by_task.items()
             if run.is_cleared(sent_at)
         }
-        return before != (len(self.ends), self.suspects, self.checkpoints, self.cleared)
+        return before != (self.ends, self.suspects, self.checkpoints, self.cleared)
 
     def _apply_running(
         self, running_tasks: Sequence[RunningTask], incarnation: Incarnation, now_s: float
     ) -> None:
-        named = {
-            (assignment.task, assignment.run): assignment for assignment in self.order.assignments
-        }
         for running_task in running_tasks:
-            run = self.runs_by_task.get(running_task.task)
-            if run is not None and run.assignment.run == running_task.run:
-                run.checkpoint = running_task.checkpoint or run.checkpoint
-                run.load = running_task.load
-                run.is_accepted = True
-                if run.listed_at is None:
-                    run.listed_at = now_s
-                if run.first_called_at is None:
-                    # An earlier agent process has started it.
-                    run.first_called_at = now_s
-                if running_task.percent != run.percent:
-                    run.percent, run.progressed_at = running_task.percent, now_s
-            elif run is None:
-                assignment = named.get((running_task.task, running_task.run))
-                logger.info(
-                    "event=untracked_run_listed task=%s run=%d in_order=%s",
-                    running_task.task,
-                    running_task.run,
-                    bool(assignment),
-                )
-                self.runs_by_task[running_task.task] = Run(
-                    assignment=assignment
-                    or Assignment(task=running_task.task, run=running_task.run),
-                    incarnation=incarnation,
-                    should_stop=assignment is None or assignment.stop,
-                    is_accepted=True,
-                    first_called_at=now_s,
-                    started_at=0.0,
-                )
+            run = self._tracked_run(running_task.task, running_task.run)
+            if run is None:
+                run = self._track_listed_run(running_task, incarnation)
+            run.checkpoint = running_task.checkpoint or run.checkpoint
+            run.load = running_task.load
+            run.is_accepted = True
+            run.is_adopted = False
+            if run.listed_at is None:
+                run.listed_at = now_s
+            if run.first_called_at is None:
+                # An earlier agent process has started it.
+                run.first_called_at = now_s
+            if run.started_at is None:
+                run.started_at = now_s
+            if running_task.percent != run.percent:
+                run.percent, run.progressed_at = running_task.percent, now_s
+
+    def _tracked_run(self, task: TaskId, number: int) -> Run | None:
+        return next((run for run in self.tracked_runs() if run.key == (task, number)), None)
+
+    def _track_listed_run(self, running_task: RunningTask, incarnation: Incarnation) -> Run:
+        """Track a run that the executor lists.
+
+        It goes on only if the order names it and its end has not been reported.
+        """
+        task, number = running_task.task, running_task.run
+        assignment = next(
+            (a for a in self.order.assignments if (a.task, a.run) == (task, number)), None
+        )
+        has_ended = any((end.task, end.run) == (task, number) for end in self.ends)
+        logger.info(
+            "event=untracked_run_listed task=%s run=%d in_order=%s has_ended=%s",
+            task,
+            number,
+            assignment is not None,
+            has_ended,
+        )
+        run = Run(
+            assignment=assignment or Assignment(task=task, run=number),
+            incarnation=incarnation,
+            should_stop=assignment is None or assignment.stop or has_ended,
+        )
+        if task in self.runs_by_task:
+            run.should_stop = True
+            self.other_runs_by_key[run.key] = run
+        else:
+            self.runs_by_task[task] = run
+        return run
 
     def _end_or_stop_missing(self, run: Run, sent_at: float) -> None:
         """End a run that the executor does not list and that cannot start any more.
@@ -290,3 +340,18 @@
     def _add_end(self, end: TaskEnd) -> None:
         if not any(recorded.task == end.task and recorded.run == end.run for recorded in self.ends):
             self.ends.append(end)
+
+    def _apply_listed_end(self, end: TaskEnd) -> None:
+        """Add an end that the executor lists, in place of one that was concluded."""
+        self._discard_run(end.task, end.run)
+        self.ends = [
+            recorded
+            for recorded in self.ends
+            if (recorded.task, recorded.run) != (end.task, end.run)
+            or recorded.kind not in CONCLUDED_KINDS
+        ]
+        self._add_end(end)
+        run = self.runs_by_task.get(end.task)
+        if end.kind is EndKind.DONE and run is not None and not run.may_be_present:
+            # The work of the task is done under another run number.
+            self.end_run(run, EndKind.DONE, "")
--- a/src/chicorycrank/platform/executor.py
+++ b/src/chicorycrank/platform/executor.py
@@ -19,6 +19,8 @@
 CALL_TIMEOUT_S = 0.6
 # Time for the response of the executor after the wait of a long poll has ended.
 HOLD_TIMEOUT_MARGIN_S = 0.8
+# Ends in one response; the others come after these have been acknowledged.
+MAX_LISTED_ENDS = 500
 
 END_KIND_BY_NAME = {
     "done": EndKind.DONE,
@@ -146,6 +148,7 @@
             clock_ms=int(body["clockMs"]),
             running=running,
             ends=ends,
+            has_all_ends=len(ends) < MAX_LISTED_ENDS,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise ExecutorUnreachableError(f"/-/hold: malformed response: {error!r}") from error
--- a/src/chicorycrank/ports/executor.py
+++ b/src/chicorycrank/ports/executor.py
@@ -87,12 +87,14 @@
     """Running tasks of an executor, and the ends that its agent has not acknowledged.
 
     :param clock_ms: reading of the executor's clock in milliseconds
+    :param has_all_ends: no end is missing because the list has a limit
     """
 
     incarnation: Incarnation
     clock_ms: int
     running: Sequence[RunningTask]
     ends: Sequence[NumberedEnd]
+    has_all_ends: bool = True
 
 
 class BatchExecutor(Protocol):
--- a/tests/batch/test_runs.py
+++ b/tests/batch/test_runs.py
@@ -22,13 +22,16 @@
 
 
 def make_status(
-    running: Sequence[tuple[str, int]] = (), ends: Sequence[tuple[int, str, int, EndKind]] = ()
+    running: Sequence[tuple[str, int]] = (),
+    ends: Sequence[tuple[int, str, int, EndKind]] = (),
+    has_all_ends: bool = True,
 ) -> ExecutorStatus:
     return ExecutorStatus(
         incarnation=INCARNATION,
         clock_ms=0,
         running=[RunningTask(TaskId(t), r, "", 100, 0.0) for t, r in running],
         ends=[NumberedEnd(n, TaskEnd(TaskId(t), r, k)) for n, t, r, k in ends],
+        has_all_ends=has_all_ends,
     )
 
 
@@ -123,3 +126,82 @@
     table = RunTable()
     table.apply_order(make_order((TASK, 1, False), incarnation=Incarnation("i-1:2")), INCARNATION)
     assert table.claim_runs_to_call() == []
+
+
+def started_table(run: int = 1) -> RunTable:
+    """Return the table of an agent whose only run has been started."""
+    table = RunTable()
+    table.apply_order(make_order((TASK, run, False)), INCARNATION)
+    table.record_accepted(table.runs_to_accept())
+    (started,) = table.claim_runs_to_call()
+    started.first_called_at = started.started_at = 1.0
+    return table
+
+
+def test_a_list_of_ends_that_is_cut_does_not_show_that_a_run_is_missing() -> None:
+    """Guards against a run reported as stopped whose end comes with the next list."""
+    table = started_table()
+    table.runs_by_task[TASK].starts_rejected_since = 2.0
+    ends = [(1, "b.0.0.0", 1, EndKind.DONE)]
+    table.apply_status(make_status(ends=ends, has_all_ends=False), 3.0)
+    assert TASK in table.runs_by_task
+    table.apply_status(make_status(ends=[(2, TASK, 1, EndKind.DONE)]), 4.0)
+    assert [(end.task, end.kind) for end in table.ends if end.task == TASK] == [
+        (TASK, EndKind.DONE)
+    ]
+
+
+def test_a_status_that_was_requested_earlier_changes_nothing() -> None:
+    """Guards against an ended run that an overtaken answer brings back."""
+    table = started_table()
+    table.apply_status(make_status(ends=[(1, TASK, 1, EndKind.DONE)]), 3.0)
+    table.apply_status(make_status(running=[(TASK, 1)]), 2.0)
+    assert (table.runs_by_task, end_kinds(table)) == ({}, [EndKind.DONE])
+
+
+@pytest.mark.parametrize("is_listed_first", [False, True])
+def test_a_run_of_the_order_waits_until_another_run_of_its_task_is_gone(
+    is_listed_first: bool,
+) -> None:
+    """Guards against two runs of one task on one executor."""
+    table = RunTable()
+    if is_listed_first:
+        table.apply_status(make_status(running=[(TASK, 1)]), 1.0)
+    table.apply_order(make_order((TASK, 2, False)), INCARNATION)
+    table.record_accepted(table.runs_to_accept())
+    if not is_listed_first:
+        table.apply_status(make_status(running=[(TASK, 1)]), 1.0)
+    calls = table.claim_runs_to_call()
+    assert [(run.assignment.run, run.should_stop) for run in calls] == [(1, True)]
+    table.apply_status(make_status(ends=[(1, TASK, 1, EndKind.STOPPED)]), 2.0)
+    calls = table.claim_runs_to_call()
+    assert [(run.assignment.run, run.should_stop) for run in calls] == [(2, False)]
+
+
+def test_a_task_that_is_done_under_an_earlier_run_is_not_started_again() -> None:
+    """Guards against a start after the executor has listed the task as done."""
+    table = RunTable()
+    table.apply_order(make_order((TASK, 2, False)), INCARNATION)
+    table.record_accepted(table.runs_to_accept())
+    table.apply_status(make_status(ends=[(1, TASK, 1, EndKind.DONE)]), 1.0)
+    assert table.claim_runs_to_call() == []
+    assert [(end.run, end.kind) for end in table.ends] == [(1, EndKind.DONE), (2, EndKind.DONE)]
+
+
+@pytest.mark.parametrize("kind", [EndKind.LOST, EndKind.CRASHED])
+def test_an_end_that_the_executor_lists_replaces_one_that_was_concluded(kind: EndKind) -> None:
+    """Guards against a task that runs again although its executor lists it as done."""
+    table = started_table()
+    table.end_run(table.runs_by_task[TASK], kind, "")
+    table.apply_status(make_status(ends=[(1, TASK, 1, EndKind.DONE)]), 2.0)
+    assert end_kinds(table) == [EndKind.DONE]
+
+
+def test_a_run_that_was_given_up_and_is_listed_again_is_stopped() -> None:
+    """Guards against a run that goes on after the leader was told that it is lost."""
+    table = started_table()
+    table.end_run(table.runs_by_task[TASK], EndKind.LOST, "")
+    table.apply_status(make_status(running=[(TASK, 1)]), 2.0)
+    assert [(run.assignment.run, run.should_stop) for run in table.claim_runs_to_call()] == [
+        (1, True)
+    ]
