Take only proofs for the end of a run at the agent, and hints for hints

An agent took one message or failed call, or its own pause, as the end of its executor.

Why this works: an incarnation is registered only once it has answered a status call itself, under a fencing token above that of all starts; the status is applied before the first start or rejection. Other heartbeats wait as candidates. An exit notice, a refused port and silence make the worker unreachable (new field is_unreachable); its runs and what was accepted stay. They end when a later incarnation is confirmed, or after the lease, counted in time in which the agent ran; a silent executor may be frozen with its clock, so silence counts after 45 s only. Ends are added to the report one by one, and what the executor lists later replaces them. The agent reports GONE no more: the leader would end runs that the agent may accept a moment later.

test_an_executor_that_crashed_is_reported_as_gone asked for the state GONE; it now asks for the end of the run there, which is stricter, with the wait for a frozen executor shortened.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -3,14 +3,15 @@
 import logging
 import threading
 from collections.abc import Sequence
-from enum import Enum
 
 import msgspec
 
-from chicorycrank.batch.executor_clock import ExecutorClock
+from chicorycrank.batch.confirmation import Confirmation, Confirmer
+from chicorycrank.batch.executor_poller import ExecutorPoller
+from chicorycrank.batch.executor_state import ExecutorEnd, ExecutorState, Heartbeat
 from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
-from chicorycrank.batch.metrics import EXECUTORS_ENDED, HEARTBEATS_IGNORED, REPORTS_WRITTEN
+from chicorycrank.batch.metrics import REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pacer
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
@@ -21,12 +22,7 @@
 from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
 from chicorycrank.model.ids import Incarnation, TargetId
 from chicorycrank.ports.clock import Clock
-from chicorycrank.ports.executor import (
-    BatchExecutor,
-    ExecutorStatus,
-    ExecutorUnreachableError,
-    OtherIncarnationError,
-)
+from chicorycrank.ports.executor import BatchExecutor, ExecutorStatus
 from chicorycrank.ports.transactions import (
     MISSING,
     Conflict,
@@ -38,14 +34,8 @@
 )
 
 ORDER_WATCH_TIMEOUT_S = 2.0
-# Limit of a long poll, which occupies a thread on the executor's machine.
-LONG_POLL_S = 1.0
-# The executor lists no end for a run that was stopped before it started, so that does not complete
-# a long poll. Polls are short while runs may end in this way.
-ENDING_RUNS_POLL_S = 0.1
+REPORT_CHECK_INTERVAL_S = 1.0
 RETRY_DELAY_S = 0.15
-# Delay between polls while the executor lists ends that are not stored yet.
-UNACKNOWLEDGED_WAIT_S = 0.5
 # Ends that arrive within this time are reported in one write.
 REPORT_BATCHING_DELAY_S = 0.01
 COMMIT_TIMEOUT_S = 0.8
@@ -53,15 +43,6 @@
 logger = logging.getLogger("absl")
 
 
-class ExecutorEnd(Enum):
-    """How an agent noticed the end of an incarnation of its executor."""
-
-    EXITED = "exited"  # the executor announced its exit
-    REFUSED = "refused"  # its address refused connections
-    REPLACED = "replaced"  # the heartbeat of a later incarnation arrived
-    UNRESPONSIVE = "unresponsive"  # its lease expired without a response
-
-
 class BatchAgent:
     """Agent of one worker; one lock guards the state that its threads share.
 
@@ -82,9 +63,12 @@
         self._store = store
         self._executor = executor
         self._clock = clock
-        self._executor_clock = ExecutorClock(clock, executor_lease_s(max_lease_s))
         self._lock = threading.Condition()
         self._stop = threading.Event()
+        self._running_time = RunningTime(clock, self._stop)
+        self.executor_state = ExecutorState(
+            worker, clock, self._running_time, executor_lease_s(max_lease_s)
+        )
         self._order_replica = Replica(
             store, order_key(worker), self._apply_order_items, clock, wait_s=ORDER_WATCH_TIMEOUT_S
         )
@@ -98,28 +82,52 @@
             self._lock,
             self._stop,
             get_context=self._call_context,
+            granting=self.executor_state.clock.granting,
             has_room=lambda run: self.table.has_room(run, self.report),
             on_fenced=self._invalidate_registration,
         )
-        self.report = WorkerReport()
         self._written_report: WorkerReport | None = None
         self._revision = MISSING
         self._order_revision = MISSING
         self._is_registered = False
-        self._heartbeat_number = -1
-        self._executor_started_at_ms = 0
-        # The executor was reported as gone and has not answered since.
-        self._has_returned = False
-        self._running_time = RunningTime(clock, self._stop)
+        # Accepted runs that are not known here may have begun.
+        self._may_be_present = True
+        self._poller = ExecutorPoller(
+            worker,
+            executor,
+            clock,
+            self._running_time,
+            self.executor_state,
+            self.table,
+            self._lock,
+            self._stop,
+            get_context=self._call_context,
+            stored_end=self._last_stored_end_number,
+            apply_status=self._apply_status,
+            on_fenced=self._invalidate_registration,
+        )
+        self._confirmer = Confirmer(
+            worker,
+            executor,
+            clock,
+            self._running_time,
+            self.executor_state,
+            self._poller.record_failed_call,
+        )
         self._presence = Presence(store, presence_key(worker), clock, self._stop)
 
+    @property
+    def report(self) -> WorkerReport:
+        """The executor's part of the report, of the registered incarnation."""
+        return self.executor_state.report
+
     def start(self) -> None:
         """Start the threads."""
         self._order_replica.start()
         for work in (
             self._running_time.keep,
             self._presence.keep,
-            self._extend_lease_forever,
+            self._poller.run,
             self._report_forever,
         ):
             keep_running(work, work.__qualname__, self._stop)
@@ -137,6 +145,8 @@
             return {
                 "worker": self._worker,
                 "registered": self._is_registered,
+                "executor_ended": self.executor_state.end and self.executor_state.end.value,
+                "has_candidates": self.executor_state.has_candidates,
                 "presence_confirmed_s_ago": self._clock.monotonic() - self._presence.confirmed_at,
                 "report": self._current_report(),
                 "order": self.table.order,
@@ -154,55 +164,23 @@
         :param started_at_ms: start time of the incarnation in milliseconds
         :param clock_ms: reading of the executor's clock in milliseconds
         """
-        with self._lock:
-            current = self.report
-            if started_at_ms < self._executor_started_at_ms:
-                self._record_ignored_heartbeat(report, number, "earlier-life")
-                return False
-            is_new_incarnation = report.incarnation != current.incarnation
-            if not is_new_incarnation and number <= self._heartbeat_number:
-                self._record_ignored_heartbeat(report, number, "late-number")
-                return False
-            if is_new_incarnation:
-                logger.info(
-                    "event=executor_started target=%s incarnation=%s",
-                    self._worker,
-                    report.incarnation,
-                )
-                if current.incarnation and current.state is not WorkerState.GONE:
-                    self._record_executor_end(ExecutorEnd.REPLACED)
-                    self._record_crash()
-                self.table.discard_runs()
-                self._is_registered = False
-                self._executor_clock.reset()
-            elif report.state is not current.state:
-                logger.info("event=executor_state state=%s number=%d", report.state.name, number)
-                self._has_returned = current.state is WorkerState.GONE
-            self._heartbeat_number, self._executor_started_at_ms = number, started_at_ms
-            self._executor_clock.record_reading(clock_ms)
-            report.fence = current.fence
-            self.report = report
-            self._lock.notify_all()
-            return True
-
-    def _record_ignored_heartbeat(self, report: WorkerReport, number: int, reason: str) -> None:
-        HEARTBEATS_IGNORED.labels(reason).inc()
-        logger.info(
-            "event=heartbeat_ignored target=%s incarnation=%s number=%d known=%s reason=%s",
-            self._worker,
-            report.incarnation,
-            number,
-            self.report.incarnation,
-            reason,
+        heartbeat = Heartbeat(
+            report=report,
+            number=number,
+            started_at_ms=started_at_ms,
+            clock_ms=clock_ms,
+            received_at=self._clock.monotonic(),
         )
+        with self._lock:
+            is_new = self.executor_state.apply_heartbeat(heartbeat)
+            if is_new:
+                self._lock.notify_all()
+            return is_new
 
     def record_executor_exit(self, executor: str) -> None:
-        """Record that the executor has exited."""
+        """Record the notice of an executor that it ends."""
         with self._lock:
-            if self.report.executor == executor and self.report.state is not WorkerState.GONE:
-                self._record_executor_end(ExecutorEnd.EXITED)
-                self.report.state = WorkerState.GONE
-                self.table.discard_runs()
+            if self.executor_state.apply_exit_notice(executor):
                 self._lock.notify_all()
 
     def _deadline_ms(self) -> int | None:
@@ -215,23 +193,28 @@
         is_outdated = self._clock.monotonic() - confirmed_at >= MAX_CONFIRMATION_AGE_S
         if is_outdated or self._order_replica.confirmed_at < self._presence.resumed_at:
             return None
-        return self._executor_clock.deadline_ms()
+        return self.executor_state.clock.deadline_ms()
 
     def _call_context(self) -> CallContext:
         """Return the context of calls to the executor; the caller holds the lock."""
         return CallContext(
             incarnation=self.report.incarnation,
+            is_registered=self._is_registered,
+            may_start=self.executor_state.may_start,
             is_ready=self.report.state is WorkerState.READY,
             fence=self.report.fence,
             deadline_ms=self._deadline_ms(),
         )
 
-    def _invalidate_registration(self) -> None:
-        """Request a new registration, as the executor has received a higher fencing token."""
-        logger.warning(
-            "event=registration_fenced target=%s fence=%d", self._worker, self.report.fence
-        )
+    def _invalidate_registration(self, fence: int) -> None:
+        """Request a new registration, as the executor has received a higher fencing token.
+
+        :param fence: token of the call that it rejected
+        """
         with self._lock:
+            if fence != self.report.fence:
+                return
+            logger.warning("event=registration_fenced target=%s fence=%d", self._worker, fence)
             self._is_registered = False
             self._lock.notify_all()
 
@@ -248,138 +231,56 @@
                 except msgspec.DecodeError as error:
                     logger.warning("event=order_unreadable error=%s", error)
                     continue
-                self._apply_order(order or WorkOrder(incarnation=Incarnation("")))
+                order = order or WorkOrder(incarnation=Incarnation(""))
+                logger.info(
+                    "event=order_received incarnation=%s tasks=%s",
+                    order.incarnation,
+                    ",".join(f"{a.task}/{a.run}{'!' if a.stop else ''}" for a in order.assignments),
+                )
+                self._apply_order(order)
 
     def _apply_order(self, order: WorkOrder) -> None:
-        logger.info(
-            "event=order_received incarnation=%s tasks=%s",
-            order.incarnation,
-            ",".join(f"{a.task}/{a.run}{'!' if a.stop else ''}" for a in order.assignments),
-        )
         self.table.order = order
-        if self._is_registered:
-            self.table.apply_order(order, self.report.incarnation)
-            self._run_driver.submit_calls()
-            self._lock.notify_all()
-
-    # Lease extension and status of the executor.
-
-    def _extend_lease_forever(self) -> None:
-        while not self._stop.is_set():
-            with self._lock:
-                if not self._is_registered or self.report.state is WorkerState.GONE:
-                    self._lock.wait(LONG_POLL_S)
-                    continue
-                if self._last_stored_end_number() < self.table.last_end_number:
-                    # The executor does not delay its response while ends are unacknowledged.
-                    self._lock.wait(UNACKNOWLEDGED_WAIT_S)
-                context = self._call_context()
-                last_acknowledged_end = self._last_stored_end_number()
-                has_ending_runs = any(
-                    r.starts_rejected_since is not None for r in self.table.runs_by_task.values()
-                )
-            sent_at = self._clock.monotonic()
-            try:
-                status = self._executor.extend_lease(
-                    fence=context.fence,
-                    last_acknowledged_end=last_acknowledged_end,
-                    deadline_ms=context.deadline_ms,
-                    wait_s=ENDING_RUNS_POLL_S if has_ending_runs else LONG_POLL_S,
-                    incarnation=context.incarnation,
-                )
-                self._apply_status(status, sent_at)
-            except PermissionError:
-                self._invalidate_registration()
-                self._stop.wait(RETRY_DELAY_S)
-            except (ExecutorUnreachableError, OtherIncarnationError) as error:
-                self._record_unreachable(error)
-                self._stop.wait(RETRY_DELAY_S)
-
-    def _apply_status(self, status: ExecutorStatus, sent_at: float) -> None:
+        if not self._is_registered:
+            return
+        self.table.apply_order(order, self.report.incarnation, may_be_present=self._may_be_present)
+        if self.executor_state.end is not None:
+            self.table.end_unaccepted()
+        self._run_driver.submit_calls()
+        self._lock.notify_all()
+
+    def _apply_status(
+        self, status: ExecutorStatus, incarnation: Incarnation, sent_at: float
+    ) -> None:
         with self._lock:
-            if status.incarnation != self.report.incarnation:
-                logger.warning(
-                    "event=other_incarnation_answered target=%s known=%s answered=%s",
-                    self._worker,
-                    self.report.incarnation,
-                    status.incarnation,
-                )
+            if incarnation != self.report.incarnation:
                 return
-            if self._has_returned:
-                self._has_returned = False
-                logger.warning(
-                    "event=executor_answers_again target=%s incarnation=%s running=%s ends=%s",
-                    self._worker,
-                    status.incarnation,
-                    ",".join(f"{row.task}/{row.run}" for row in status.running),
-                    ",".join(f"{e.end.task}/{e.end.run}/{e.end.kind.name}" for e in status.ends),
-                )
-            self._executor_clock.record_reading(status.clock_ms)
-            if self.table.apply_status(status, sent_at):
-                self._lock.notify_all()
+            self.executor_state.record_answer(status, sent_at)
+            self.table.apply_status(status, sent_at)
+            self._lock.notify_all()
             self._run_driver.submit_calls()
             pace_changes = self._pacer.update(list(self.table.runs_by_task.values()), sent_at)
         for pace_change in pace_changes:
             self._pacer.send(pace_change, self._executor, self.report.fence)
 
-    def _record_unreachable(self, error: ExecutorUnreachableError | OtherIncarnationError) -> None:
-        """Record a failed call; report the executor as lost once nothing can be running there."""
-        is_refused = isinstance(error, ExecutorUnreachableError) and error.refused
-        with self._lock:
-            is_lost = self._executor_clock.record_failed_call(is_refused=is_refused)
-            if is_lost and self.report.state is not WorkerState.GONE:
-                logger.warning("event=executor_lost target=%s error=%s", self._worker, error)
-                self._record_executor_end(
-                    ExecutorEnd.REFUSED if is_refused else ExecutorEnd.UNRESPONSIVE
-                )
-                if is_refused:
-                    self._record_crash()
-                self.report.state = WorkerState.GONE
-                self._heartbeat_number = -1
-                self.table.discard_runs()
-                self._lock.notify_all()
-
-    def _record_crash(self) -> None:
-        """Report the runs of an executor that ended without notice as crashed.
-
-        An executor that drains may end without an announcement.
-        """
-        if self.report.state is WorkerState.READY:
-            self.table.record_crash(self._executor_clock.failed_since or self._clock.monotonic())
-
-    def _record_executor_end(self, how: ExecutorEnd) -> None:
-        """Log the end of an incarnation of the executor, with the runs that were there."""
-        now_s = self._clock.monotonic()
-        EXECUTORS_ENDED.labels(how.value).inc()
-        logger.info(
-            "event=executor_ended target=%s incarnation=%s how=%s state=%s runs=%s",
-            self._worker,
-            self.report.incarnation,
-            how.value,
-            self.report.state.name.lower(),
-            ",".join(
-                f"{task}/{run.assignment.run}/{run.age_s(now_s):.1f}s"
-                for task, run in sorted(self.table.runs_by_task.items())
-            ),
-        )
-
     # Reports to the store.
 
     def _report_forever(self) -> None:
         self._order_replica.is_loaded.wait()
         while not self._stop.is_set():
             with self._lock:
-                if not self._has_unwritten_changes():
-                    self._lock.wait(LONG_POLL_S)
+                candidate = self._next_registration()
+                if candidate is None and not self._has_unwritten_changes():
+                    self._lock.wait(REPORT_CHECK_INTERVAL_S)
                     continue
-                is_urgent = self.table.has_unaccepted()
+                is_urgent = candidate is not None or self._has_unaccepted()
             if not is_urgent:
                 self._stop.wait(REPORT_BATCHING_DELAY_S)
             try:
-                if self._is_registered:
+                if candidate is None:
                     self._write_report()
-                else:
-                    self._register()
+                elif not self._register(candidate):
+                    self._stop.wait(RETRY_DELAY_S)
             except StoreUnavailableError as error:
                 logger.warning("event=report_failed target=%s error=%s", self._worker, error)
                 self._stop.wait(RETRY_DELAY_S)
@@ -392,46 +293,53 @@
         return written.seen
 
     def _has_unwritten_changes(self) -> bool:
-        if not self.report.incarnation:
-            return False
-        return not self._is_registered or self._current_report() != self._written_report
+        return self._is_registered and self._current_report() != self._written_report
+
+    def _has_unaccepted(self) -> bool:
+        return self.table.has_unaccepted(includes_new=not self.report.is_unreachable)
 
     def _current_report(self) -> WorkerReport:
+        includes_new = not self.report.is_unreachable
         return msgspec.structs.replace(
             self.report,
             ends=list(self.table.ends),
             seen=self.table.last_end_number,
             suspects=dict(self.table.suspects),
             checkpoints=dict(self.table.checkpoints),
-            accepted=self.table.runs_to_accept(),
+            accepted=self.table.runs_to_accept(includes_new=includes_new),
             cleared=dict(self.table.cleared),
         )
 
-    def _register(self) -> None:
-        """Register with the next fencing token and restore the state of the last report.
+    def _next_registration(self) -> Heartbeat | None:
+        """Return the incarnation to register now: a candidate, or the registered one again."""
+        candidate = self.executor_state.next_candidate()
+        if candidate is None and self.report.incarnation and not self._is_registered:
+            return self.executor_state.last_heartbeat
+        return candidate
+
+    def _register(self, candidate: Heartbeat) -> bool:
+        """Register an incarnation, once it has answered a status call with the next fencing token.
 
-        The token makes the executor reject calls of an earlier agent, and delayed calls that were
-        meant for an earlier incarnation of the executor.
+        No start is sent before the token is stored, as the next agent process may use it again.
+
+        :returns: whether it is registered
         """
         item = self._store.read(report_key(self._worker))
-        stored = WorkerReport()
-        if item is not None and item.value:
-            try:
-                stored = decode(item.value, WorkerReport)
-            except msgspec.DecodeError as error:
-                logger.warning("event=report_unreadable target=%s error=%s", self._worker, error)
+        stored = self._decode_stored(item)
+        incarnation = candidate.report.incarnation
+        confirmation = self._confirmer.confirm(candidate, stored)
         with self._lock:
-            self.report.fence = max(stored.fence, self.report.fence) + 1
-            self.table.restore(
-                stored, is_same_incarnation=stored.incarnation == self.report.incarnation
-            )
+            is_known = incarnation == self.report.incarnation
+            if confirmation is None and not (is_known and self.executor_state.end is not None):
+                return False
+            self._is_registered = False
+            if not is_known:
+                self._replace_incarnation(candidate)
+            self._restore(stored, confirmation)
             self._revision = item.revision if item is not None else MISSING
-            incarnation = self.report.incarnation
         if not self._write_report():
-            return
+            return False
         with self._lock:
-            if self.report.incarnation != incarnation:
-                return
             self._is_registered = True
             logger.info(
                 "event=registered target=%s incarnation=%s fence=%d",
@@ -439,9 +347,44 @@
                 incarnation,
                 self.report.fence,
             )
-            self.table.apply_order(self.table.order, incarnation)
-            self._lock.notify_all()
-            self._run_driver.submit_calls()
+            self._apply_order(self.table.order)
+        return True
+
+    def _decode_stored(self, item: Item | None) -> WorkerReport:
+        try:
+            return decode(item.value, WorkerReport) if item and item.value else WorkerReport()
+        except msgspec.DecodeError as error:
+            logger.warning("event=report_unreadable target=%s error=%s", self._worker, error)
+            return WorkerReport()
+
+    def _replace_incarnation(self, candidate: Heartbeat) -> None:
+        """Begin with a new incarnation, and report the ends of all runs of the last one."""
+        if self.report.incarnation and self.executor_state.end is None:
+            self._poller.end_incarnation(ExecutorEnd.REPLACED, has_crashed=True)
+        self.table.begin_incarnation()
+        self.executor_state.register(candidate)
+
+    def _restore(self, stored: WorkerReport, confirmation: Confirmation | None) -> None:
+        """Restore the stored state, and compare it with what the registered incarnation lists."""
+        is_same_life = stored.incarnation == self.report.incarnation
+        self.report.fence = (
+            confirmation.fence if confirmation else self._confirmer.next_fence(stored)
+        )
+        self.table.restore(stored)
+        if not is_same_life:
+            if confirmation is not None:
+                self.table.apply_late_ends(confirmation.status)
+            self.table.end_unwitnessed(stored)
+        else:
+            self.table.resume_incarnation(stored)
+            if stored.state is WorkerState.DRAINING:
+                # The heartbeat may be a late one.
+                self.report.state = WorkerState.DRAINING
+        self._may_be_present = confirmation is None or not confirmation.status.has_all_ends
+        if confirmation is not None:
+            self.executor_state.record_answer(confirmation.status, confirmation.sent_at)
+            self.table.apply_status(confirmation.status, confirmation.sent_at)
+            self.table.resolve_starts(confirmation.status)
 
     def _write_report(self) -> bool:
         """Write the report; return whether it was written.
@@ -456,7 +399,7 @@
         with self._lock:
             report = self._current_report()
             expected = {key: self._revision}
-            if self.table.has_unaccepted():
+            if self._has_unaccepted():
                 expected[order_key(self._worker)] = self._order_revision
         value = encode(report)
         answer = self._store.commit(
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -1,66 +1,136 @@
-"""Estimate of an executor's clock, and the lease that its agent grants."""
+"""Estimate of an executor's clock, and of the expiry of the leases that its agent granted."""
 
-from chicorycrank.batch.leases import MAX_CLOCK_DRIFT
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from chicorycrank.batch.leases import LOSS_MARGIN_S, MAX_CLOCK_DRIFT
 from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.executor import ExecutorUnreachableError
 
 # The lease of an executor that has not responded for this long is not extended, so that a crash can
 # be distinguished from a pause once the lease has expired.
 MAX_READING_AGE_S = 2.5
-# An executor has crashed if its address refuses connections for this long.
+# An executor whose address refused connections for this long has crashed, unless it said that it
+# would end.
 REFUSED_TIMEOUT_S = 1.0
+# The clock of an executor that is frozen may stand still while its agent runs. A frozen executor
+# accepts connections and does not answer, so silence counts as its end only after this time.
+FROZEN_EXECUTOR_LIMIT_S = 45.0
 
 
 class ExecutorClock:
     """Estimate of one executor's clock and of the expiry of its lease.
 
+    A lease ends at a time on the executor's clock. How long that takes is measured in time in which
+    the agent itself ran, as a pause of the machine also stops the executor's clock.
+
+    :param running_s: returns the time in seconds in which this process has run
     :param lease_s: lease granted with each call, in seconds
     :ivar failed_since: monotonic time of the first failed call after the last response; None after
         a response
     """
 
-    def __init__(self, clock: Clock, lease_s: float) -> None:
+    def __init__(self, clock: Clock, running_s: Callable[[], float], lease_s: float) -> None:
         self._clock = clock
+        self._running_s = running_s
         self._lease_s = lease_s
+        self._grants_lock = threading.Lock()
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything, as another incarnation of the executor answers."""
         self._clock_ms = 0
         self._read_at = float("-inf")
-        self._lease_expires_at = float("inf")
-        self._refused_since: float | None = None
+        self._read_at_running_s = 0.0
+        self._last_deadline_ms: int | None = None
+        self._deadlines_in_flight: list[int] = []
+        self._refused_since_running_s: float | None = None
+        self._failed_since_running_s: float | None = None
         self.failed_since: float | None = None
 
-    def reset(self) -> None:
-        """Discard the lease, as a new incarnation of the executor has none."""
-        self._lease_expires_at = float("inf")
-        self._refused_since = None
-        self.failed_since = None
-
     def record_reading(self, clock_ms: int) -> None:
-        """Record the executor's clock from a response."""
-        self._clock_ms, self._read_at = clock_ms, self._clock.monotonic()
-        self._refused_since = None
-        self.failed_since = None
+        """Record the executor's clock from a heartbeat."""
+        self._clock_ms = clock_ms
+        self._read_at = self._clock.monotonic()
+        self._read_at_running_s = self._running_s()
+        if self._last_deadline_ms is None:
+            # An earlier process of the agent may just have granted a lease.
+            self._last_deadline_ms = clock_ms + round(self._lease_s * 1000)
+
+    def record_response(self, clock_ms: int) -> None:
+        """Record the executor's clock from a response, which ends a series of failed calls."""
+        self.record_reading(clock_ms)
+        self._refused_since_running_s = self._failed_since_running_s = self.failed_since = None
 
     def deadline_ms(self) -> int | None:
         """Return the end of a new lease on the executor's clock; None if it is unresponsive."""
-        age_s = self._clock.monotonic() - self._read_at
-        if age_s > MAX_READING_AGE_S:
+        if not self.is_responsive:
             return None
-        longest_s = self._lease_s * (1 + MAX_CLOCK_DRIFT) + 2 * MAX_CLOCK_DRIFT * age_s
-        self._lease_expires_at = self._clock.monotonic() + longest_s
+        age_s = self._running_s() - self._read_at_running_s
         return round(self._clock_ms + (age_s + self._lease_s) * 1000)
 
-    def record_failed_call(self, *, is_refused: bool) -> bool:
-        """Record a call without a response; return true if nothing can be running there.
+    @property
+    def is_responsive(self) -> bool:
+        """Whether the executor has responded a short time ago."""
+        return self._clock.monotonic() - self._read_at <= MAX_READING_AGE_S
 
-        :param is_refused: the executor's address refused the connection
+    @contextmanager
+    def granting(self, deadline_ms: int | None) -> Iterator[None]:
+        """Record a call that grants a lease; a call that was refused grants none.
+
+        :param deadline_ms: end of the lease on the executor's clock; None for a call without one
+        """
+        if deadline_ms is None:
+            yield
+            return
+        with self._grants_lock:
+            self._deadlines_in_flight.append(deadline_ms)
+        was_sent = True
+        try:
+            yield
+        except ExecutorUnreachableError as error:
+            was_sent = not error.refused
+            raise
+        finally:
+            with self._grants_lock:
+                # A reset may have removed it.
+                if deadline_ms in self._deadlines_in_flight:
+                    self._deadlines_in_flight.remove(deadline_ms)
+                    if was_sent:
+                        self._last_deadline_ms = max(self._last_deadline_ms or 0, deadline_ms)
+
+    def record_failed_call(self, sent_at_running_s: float, *, may_be_frozen: bool) -> bool:
+        """Record a call without a response; return true if it proves that nothing runs there.
+
+        :param sent_at_running_s: running time at which the call was sent
+        :param may_be_frozen: the executor may have received the call; false if its address refused
+            the connection or another incarnation answered
         """
-        now_s = self._clock.monotonic()
+        now_s = self._running_s()
         if self.failed_since is None:
-            self.failed_since = now_s
-        if not is_refused:
-            self._refused_since = None
-        elif self._refused_since is None:
-            self._refused_since = now_s
-        is_down = (
-            self._refused_since is not None and now_s - self._refused_since >= REFUSED_TIMEOUT_S
-        )
-        return is_down or now_s > self._lease_expires_at
+            self.failed_since = self._clock.monotonic()
+        if self._failed_since_running_s is None:
+            self._failed_since_running_s = now_s
+        if may_be_frozen:
+            self._refused_since_running_s = None
+        elif self._refused_since_running_s is None:
+            self._refused_since_running_s = now_s
+        silent_s = now_s - self._failed_since_running_s
+        is_excluded = not may_be_frozen or silent_s >= FROZEN_EXECUTOR_LIMIT_S
+        return is_excluded and sent_at_running_s > self._lease_expires_at_running_s()
+
+    @property
+    def has_refused(self) -> bool:
+        """Whether the executor's address has refused connections for a while until now."""
+        since_s = self._refused_since_running_s
+        return since_s is not None and self._running_s() - since_s >= REFUSED_TIMEOUT_S
+
+    def _lease_expires_at_running_s(self) -> float:
+        """Return the running time after which every lease has expired."""
+        if self._last_deadline_ms is None:
+            return float("inf")
+        with self._grants_lock:
+            deadline_ms = max([self._last_deadline_ms, *self._deadlines_in_flight])
+        remaining_s = max(0, deadline_ms - self._clock_ms) / 1000
+        return self._read_at_running_s + remaining_s * (1 + MAX_CLOCK_DRIFT) + LOSS_MARGIN_S
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 
 from chicorycrank.batch.run import Run
@@ -33,6 +34,8 @@
 class CallContext:
     """Current parameters of calls to the executor.
 
+    :param is_registered: the agent's fencing token is stored, so calls may be made
+    :param may_start: the executor is reachable, and no heartbeat says that it has been replaced
     :param is_ready: the executor accepts new work
     :param fence: fencing token of the agent
     :param deadline_ms: expiry of the lease to grant, as a time on the executor's clock; None if no
@@ -40,6 +43,8 @@
     """
 
     incarnation: Incarnation
+    is_registered: bool
+    may_start: bool
     is_ready: bool
     fence: int
     deadline_ms: int | None
@@ -51,9 +56,10 @@
     :param lock: guards ``table``; held while ``get_context`` is called
     :param stop: set when the process stops
     :param get_context: returns the current parameters of calls
+    :param granting: records a call that grants a lease until the given time on the executor's clock
     :param has_room: returns whether the executor's capacity fits a run; called with ``lock`` held
-    :param on_fenced: called when the executor rejects a call because it has seen a higher fencing
-        token
+    :param on_fenced: called with the fencing token of a call that the executor rejects because it
+        has seen a higher one
     """
 
     def __init__(
@@ -65,8 +71,9 @@
         stop: threading.Event,
         *,
         get_context: Callable[[], CallContext],
+        granting: Callable[[int], AbstractContextManager[None]],
         has_room: Callable[[Run], bool],
-        on_fenced: Callable[[], None],
+        on_fenced: Callable[[int], None],
     ) -> None:
         self._executor = executor
         self._clock = clock
@@ -74,6 +81,7 @@
         self._lock = lock
         self._stop = stop
         self._get_context = get_context
+        self._granting = granting
         self._has_room = has_room
         self._on_fenced = on_fenced
         self._pool = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="order")
@@ -91,16 +99,25 @@
             while not self._stop.is_set():
                 with self._lock:
                     context = self._get_context()
-                    needs_call = self._table.needs_call(run)
-                    if run.incarnation != context.incarnation or not needs_call:
+                    # The next status or registration triggers a call that has to wait.
+                    if not self._may_call(run, context):
                         run.is_call_active = False
                         return
                 self._attempt_call(run, context)
         except Exception:
             # The next status of the executor triggers the call again.
             logger.exception("event=run_call_failed task=%s", assignment.task)
+            run.unresolved_starts += 1
             run.is_call_active = False
 
+    def _may_call(self, run: Run, context: CallContext) -> bool:
+        return (
+            context.is_registered
+            and run.incarnation == context.incarnation
+            and self._table.needs_call(run)
+            and (run.should_stop or context.may_start)
+        )
+
     def _attempt_call(self, run: Run, context: CallContext) -> None:
         """Make one call for a run, and wait before it is repeated."""
         is_stop = run.should_stop
@@ -108,7 +125,8 @@
             is_done = self._stop_run(run, context) if is_stop else self._start_run(run, context)
         except ExecutorUnreachableError as error:
             is_done = False
-            run.unresolved_starts += not is_stop
+            if not is_stop:
+                self._record_unanswered_start(run, error)
             logger.warning(
                 "event=executor_unreachable task=%s run=%d stop=%s error=%s",
                 run.assignment.task,
@@ -121,10 +139,18 @@
         if not is_done:
             self._stop.wait(RETRY_DELAY_S)
 
+    def _record_unanswered_start(self, run: Run, error: ExecutorUnreachableError) -> None:
+        with self._lock:
+            if not error.refused:
+                run.unresolved_starts += 1
+            elif not run.unresolved_starts and run.started_at is None:
+                # No call has reached the executor.
+                run.first_called_at = None
+
     def _start_run(self, run: Run, context: CallContext) -> bool:
         """Start a run; return false if the call has to be repeated."""
         assignment = run.assignment
-        if not context.is_ready and not run.unresolved_starts:
+        if not context.is_ready:
             self._reject(run, "the executor drains")
             return True
         if context.deadline_ms is None:
@@ -136,18 +162,18 @@
         if not has_room:
             self._reject(run, "the executor lacks free capacity")
             return True
-        answer = self._executor.start(
-            StartOrder(
-                task=assignment.task,
-                run=assignment.run,
-                payload=assignment.payload,
-                checkpoint=assignment.checkpoint,
-                ticket=assignment.ticket,
-                deadline_ms=context.deadline_ms,
-                fence=context.fence,
-                incarnation=run.incarnation,
-            )
+        order = StartOrder(
+            task=assignment.task,
+            run=assignment.run,
+            payload=assignment.payload,
+            checkpoint=assignment.checkpoint,
+            ticket=assignment.ticket,
+            deadline_ms=context.deadline_ms,
+            fence=context.fence,
+            incarnation=run.incarnation,
         )
+        with self._granting(context.deadline_ms):
+            answer = self._executor.start(order)
         logger.info(
             "event=run_start_answered task=%s run=%d answer=%s",
             assignment.task,
@@ -166,14 +192,16 @@
             elif answer is StartAnswer.OUTDATED:
                 run.starts_rejected_since = self._clock.monotonic()
         if answer is StartAnswer.FENCED:
-            self._on_fenced()
+            self._on_fenced(context.fence)
         return answer is not StartAnswer.FENCED
 
     def _reject(self, run: Run, reason: str) -> None:
         """Report a run as rejected once no earlier call can start it any more."""
         with self._lock:
+            if run.started_at is not None or not self._table.needs_call(run):
+                return
             run.rejection_reason = reason
-            if run.unresolved_starts:
+            if run.unresolved_starts or run.is_adopted:
                 run.should_stop = True
             else:
                 self._table.end_run(run, EndKind.REJECTED, "", reason)
@@ -192,7 +220,7 @@
             is_accepted,
         )
         if not is_accepted:
-            self._on_fenced()
+            self._on_fenced(context.fence)
             return False
         with self._lock:
             run.starts_rejected_since = self._clock.monotonic()
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -52,10 +52,14 @@
         self._checkpoints_reported_at = float("-inf")
         self._status_sent_at = float("-inf")
 
-    def apply_order(self, order: WorkOrder, incarnation: Incarnation) -> None:
+    def apply_order(
+        self, order: WorkOrder, incarnation: Incarnation, *, may_be_present: bool = False
+    ) -> None:
         """Apply an order; drop the ends that the leader has recorded.
 
         An order names a run until the leader has recorded its end.
+
+        :param may_be_present: accepted runs that are not known here may have begun
         """
         self.order = order
         named = {(assignment.task, assignment.run) for assignment in order.assignments}
@@ -86,7 +90,7 @@
                     incarnation=incarnation,
                     should_stop=assignment.stop,
                     is_accepted=is_accepted,
-                    is_adopted=is_accepted,
+                    is_adopted=is_accepted and may_be_present,
                 )
             elif run is not None and run.assignment.run == assignment.run:
                 run.should_stop = run.should_stop or assignment.stop
@@ -110,18 +114,22 @@
             if not run.is_accepted and (run.should_stop or not is_named):
                 self.end_run(run, EndKind.STOPPED, "")
 
-    def runs_to_accept(self) -> dict[TaskId, int]:
-        """Return the numbers of the runs that are accepted or have to be started."""
+    def runs_to_accept(self, *, includes_new: bool = True) -> dict[TaskId, int]:
+        """Return the numbers of the runs that are accepted or have to be started.
+
+        :param includes_new: whether runs that are not accepted yet may be accepted
+        """
         run_by_task_to_accept = {
             task: run.assignment.run
             for task, run in self.runs_by_task.items()
-            if run.is_accepted or not run.should_stop
+            if run.is_accepted or (includes_new and not run.should_stop)
         }
         return {**self.accepted, **run_by_task_to_accept}
 
-    def has_unaccepted(self) -> bool:
+    def has_unaccepted(self, *, includes_new: bool = True) -> bool:
         """Return whether runs wait for their acceptance."""
-        return any(self.accepted.get(task) != run for task, run in self.runs_to_accept().items())
+        to_accept = self.runs_to_accept(includes_new=includes_new)
+        return any(self.accepted.get(task) != run for task, run in to_accept.items())
 
     def record_accepted(self, accepted: dict[TaskId, int]) -> None:
         """Record the runs that are stored as accepted."""
@@ -129,62 +137,92 @@
         for task, run in self.runs_by_task.items():
             run.is_accepted = run.is_accepted or accepted.get(task) == run.assignment.run
 
-    def restore(self, stored: WorkerReport, *, is_same_incarnation: bool) -> None:
-        """Restore the state from the last report of an earlier agent.
+    def restore(self, stored: WorkerReport) -> None:
+        """Restore ends and accepted runs from the last report of an earlier agent."""
+        ended = {(end.task, end.run) for end in self.ends}
+        self.ends += [end for end in stored.ends if (end.task, end.run) not in ended]
+        self.checkpoints = {**stored.checkpoints, **self.checkpoints}
+        self.accepted = {**stored.accepted, **self.accepted}
+
+    def resume_incarnation(self, stored: WorkerReport) -> None:
+        """Go on with the incarnation that the last report of an earlier agent is about."""
+        self.last_end_number = max(self.last_end_number, stored.seen)
 
-        :param is_same_incarnation: the report is about the current incarnation of the executor
+    def begin_incarnation(self) -> None:
+        """Begin with an incarnation that has answered, after the runs of the last one have ended.
+
+        Accepted runs stay until the order no longer names them.
         """
-        self.ends += [end for end in stored.ends if end not in self.ends]
-        self.checkpoints = {**stored.checkpoints, **self.checkpoints}
-        if is_same_incarnation:
-            self.last_end_number = max(self.last_end_number, stored.seen)
-            self.accepted = {**stored.accepted, **self.accepted}
-        elif stored.state is WorkerState.READY:
-            self._record_unwitnessed_crash(stored)
-
-    def _record_unwitnessed_crash(self, stored: WorkerReport) -> None:
-        """End the runs of an executor that crashed while the agent was not running."""
+        self.suspects.clear()
+        self.cleared.clear()
+        self.last_end_number = 0
+        self._status_sent_at = float("-inf")
+
+    def apply_late_ends(self, status: ExecutorStatus) -> None:
+        """Record tasks that a new incarnation has done on late orders for an earlier one."""
+        for numbered in status.ends:
+            self.last_end_number = max(self.last_end_number, numbered.number)
+            if numbered.end.kind is EndKind.DONE:
+                self._apply_listed_end(numbered.end)
+
+    def end_unwitnessed(self, stored: WorkerReport) -> None:
+        """End the runs of an executor that ended while the agent was not running."""
+        kind = EndKind.CRASHED if stored.state is WorkerState.READY else EndKind.LOST
         for task, run in stored.accepted.items():
             reported_run, checkpoint = stored.checkpoints.get(task, (0, ""))
             self._add_end(
                 TaskEnd(
                     task,
                     run,
-                    EndKind.CRASHED,
+                    kind,
                     checkpoint if reported_run == run else "",
                     is_witnessed=False,
                 )
             )
 
-    def record_crash(self, now_s: float) -> None:
-        """End all runs, as the executor that had them has ended without notice.
+    def end_all(self, now_s: float, *, has_crashed: bool) -> None:
+        """End all runs, as nothing runs on the executor that had them.
 
         :param now_s: monotonic time at which the executor was found to be down
+        :param has_crashed: the executor has ended without notice
         """
-        for run in list(self.runs_by_task.values()):
-            assignment = run.assignment
-            if not run.may_be_present:
+        for run in self.tracked_runs():
+            if not (has_crashed and run.may_be_present):
                 self.end_run(run, EndKind.LOST, run.checkpoint)
                 continue
-            del self.runs_by_task[assignment.task]
+            self._discard_run(*run.key)
             self._add_end(
                 TaskEnd(
-                    assignment.task,
-                    assignment.run,
+                    *run.key,
                     EndKind.CRASHED,
                     run.checkpoint,
                     age_ms=round(run.age_s(now_s) * 1000),
                     has_started=run.started_at is not None or run.listed_at is not None,
                 )
             )
-
-    def discard_runs(self) -> None:
-        """Discard all runs, as the executor that had them has exited or is lost."""
-        self.runs_by_task.clear()
+        for task, number in self.accepted.items():
+            self._add_end(TaskEnd(task, number, EndKind.LOST))
         self.suspects.clear()
-        self.accepted.clear()
         self.cleared.clear()
-        self.last_end_number = 0
+
+    def end_unaccepted(self) -> None:
+        """End the runs that have not been accepted, as their executor has ended."""
+        for run in self.tracked_runs():
+            if not run.is_accepted:
+                self.end_run(run, EndKind.LOST, "")
+
+    def resolve_starts(self, status: ExecutorStatus) -> None:
+        """Record that no earlier start call can take effect any more.
+
+        :param status: status under a fencing token that is higher than that of any start call
+        """
+        if not status.has_all_ends:
+            return
+        for run in self.runs_by_task.values():
+            if run.started_at is None:
+                run.unresolved_starts = 0
+                run.first_called_at = None
+                run.is_adopted = False
 
     def tracked_runs(self) -> list[Run]:
         """Return the runs of the order, and those that have to be gone before."""
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -244,10 +244,16 @@
                 self.end(order.task, EndKind.DONE)
         return StartAnswer.STARTED
 
+    def _check_id(self, incarnation: Incarnation) -> None:
+        """Raise an error if a call names another id; it names no start time."""
+        if incarnation.rpartition(":")[0] != self.incarnation.rpartition(":")[0]:
+            raise OtherIncarnationError(incarnation)
+
     def stop(self, task: TaskId, run: int, fence: int, incarnation: Incarnation) -> bool:
         """Stop a run."""
         if self.fault:
             raise ExecutorUnreachableError(self.fault, refused=self.fault == "refused")
+        self._check_id(incarnation)
         if fence < self.fence:
             return False
         self.closed_run_by_task[task] = max(run, self.closed_run_by_task.get(task, 0))
@@ -274,6 +280,7 @@
         time.sleep(min(wait_s, POLL_S))
         if self.fault:
             raise ExecutorUnreachableError(self.fault, refused=self.fault == "refused")
+        self._check_id(incarnation)
         if fence < self.fence:
             raise PermissionError
         self.fence = fence
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -16,6 +16,7 @@
 )
 
 from chicorycrank.adapters.clock import SystemClock
+from chicorycrank.batch import executor_clock
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.batch.intake import JobIntake, Outcome
 from chicorycrank.batch.keys import (
@@ -38,6 +39,7 @@
 from chicorycrank.batch.term import TermDependencies
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.batch import (
+    Assignment,
     BatchConfig,
     BatchState,
     BatchTeam,
@@ -45,7 +47,6 @@
     Progress,
     Step,
     WorkerReport,
-    WorkerState,
     WorkOrder,
 )
 from chicorycrank.model.ids import EntryId, Incarnation, JobId, TargetId, TaskId
@@ -282,23 +283,34 @@
 
 
 @pytest.mark.parametrize("refused", [False, True])
-def test_an_executor_that_crashed_is_reported_as_gone(refused: bool) -> None:
+def test_the_runs_of_an_executor_that_crashed_are_reported_as_ended(
+    refused: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against tasks that wait forever for an executor that ended without a notice."""
+    monkeypatch.setattr(executor_clock, "FROZEN_EXECUTOR_LIMIT_S", SHORT_LEASE_S)
     store, executor = MemoryStore(), FakeExecutor()
+    task = TaskId("a.0.0.0")
+    assignment = Assignment(task=task, run=1)
+    order = WorkOrder(incarnation=executor.incarnation, assignments=(assignment,))
+    store.apply(Write(values={order_key(TargetId("w")): encode(order)}))
     agent = BatchAgent(TargetId("w"), store, executor, SystemClock(), max_lease_s=SHORT_LEASE_S)
     agent.start()
     agent.apply_heartbeat(make_report(), number=1, started_at_ms=1, clock_ms=1000)
-    wait_until(lambda: executor.fence > 0)
+    wait_until(lambda: task in executor.runs)
     executor.fault = "refused" if refused else "no_response"
-    wait_until(lambda: stored_worker_state(store) is WorkerState.GONE)
+    wait_until(lambda: bool(stored_report(store).ends))
+    (end,) = stored_report(store).ends
     agent.stop()
+    assert (end.task, end.run) == (task, 1)
+    assert end.kind is (EndKind.CRASHED if refused else EndKind.LOST)
+    assert stored_report(store).is_unreachable
 
 
-def stored_worker_state(store: MemoryStore) -> WorkerState:
-    """Return the state in the stored report of the worker."""
+def stored_report(store: MemoryStore) -> WorkerReport:
+    """Return the stored report of the worker."""
     value = store.items[report_key(TargetId("w"))].value
     assert value is not None
-    return decode(value, WorkerReport).state
+    return decode(value, WorkerReport)
 
 
 def test_an_agent_that_was_disconnected_starts_nothing_from_an_old_order(
--- a/tests/batch/test_withdrawals.py
+++ b/tests/batch/test_withdrawals.py
@@ -9,7 +9,8 @@
 from tests.batch.test_whole_path import wait_until
 
 from chicorycrank.adapters.clock import SystemClock
-from chicorycrank.batch.agent import LONG_POLL_S, BatchAgent
+from chicorycrank.batch.agent import BatchAgent
+from chicorycrank.batch.executor_poller import LONG_POLL_S
 from chicorycrank.batch.keys import decode, encode, order_key, report_key
 from chicorycrank.batch.leases import PRESENCE_RESUME_DELAY_S
 from chicorycrank.batch.planner import Planner
@@ -204,7 +205,9 @@
     agent.apply_heartbeat(
         WorkerReport(incarnation=INCARNATION), number=1, started_at_ms=1, clock_ms=1
     )
-    agent._register()
+    candidate = agent.executor_state.next_candidate()
+    assert candidate is not None
+    assert agent._register(candidate)
     item = store.items[report_key(worker)]
     assert item.value is not None
     assert decode(item.value, WorkerReport).accepted == {TASK: 1}
