--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -9,7 +9,7 @@
 from chicorycrank.batch.confirmation import Confirmation, Confirmer
 from chicorycrank.batch.executor_poller import ExecutorPoller
 from chicorycrank.batch.executor_state import ExecutorEnd, ExecutorState, Heartbeat
-from chicorycrank.batch.keys import decode, encode, order_key, presence_key, report_key
+from chicorycrank.batch.keys import decode, encode, order_key, report_key
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
 from chicorycrank.batch.metrics import REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pacer
@@ -114,7 +114,7 @@
             self.executor_state,
             self._poller.record_failed_call,
         )
-        self._presence = Presence(store, presence_key(worker), clock, self._stop)
+        self._presence = Presence(store, worker, clock, self._stop)
 
     @property
     def report(self) -> WorkerReport:
