Give an unreachable executor no new work and leave its runs alone

Agents are to report such an executor with is_unreachable; the leader closes it for new work, and its runs stay until their ends are reported.

On the code before: test_an_unreachable_executor_keeps_its_runs_and_gets_no_new_ones[True]: assert True is not True.

--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -313,6 +313,8 @@
     :param executor: id of the executor
     :param cores: processor capacity in thousandths of a core
     :param remaining_ms: minimum time in milliseconds before a draining executor shuts down
+    :param is_unreachable: the executor does not answer, or has said that it ends; its runs may
+        still be there, but it gets no new ones
     :param seen: highest sequence number of all ends that this incarnation of the executor has
         listed
     :param ends: ends that the leader has not recorded yet
@@ -334,6 +336,7 @@
     labels: tuple[str, ...] = ()
     rack: RackId = RackId("")
     remaining_ms: int = 0
+    is_unreachable: bool = False
     seen: int = 0
     ends: list[TaskEnd] = field(default_factory=list)
     suspects: dict[TaskId, int] = field(default_factory=dict)
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -179,6 +179,21 @@
     assert progress_of(planner, job).units["0.0.0"].run == expected
 
 
+@pytest.mark.parametrize("is_unreachable", [False, True])
+def test_an_unreachable_executor_keeps_its_runs_and_gets_no_new_ones(is_unreachable: bool) -> None:
+    """Guards against a second run beside an executor that only doesn't answer."""
+    planner = make_planner(WORKERS[:1])
+    step = Step(count=1, accelerators=1, run_time_s=5.0)
+    job = submit(planner, make_job([step]))
+    planner.apply_report(WORKERS[0], make_report("i-w0:1", is_unreachable=is_unreachable))
+    other = submit(planner, make_job([step], name="b" * 16))
+    assert progress_of(planner, job).units["0.0.0"].run == 1
+    assert bool(progress_of(planner, other).units) is not is_unreachable
+    planner.apply_report(WORKERS[0], make_report("i-w0:1"))
+    planner.plan()
+    assert progress_of(planner, other).units["0.0.0"].run == 1
+
+
 @pytest.mark.parametrize(("checkpointing", "stopped"), [(True, True), (False, True)])
 def test_a_draining_worker_is_evacuated_in_time(checkpointing: bool, stopped: bool) -> None:
     """Guards against work that runs until the executor exits without saving it."""
