End no run by a report that names no incarnation

No agent writes such a report today, but the rule must not rest on that.

On the code before: test_a_report_that_names_no_incarnation_ends_no_run failed in all three states, assert 2 == 1.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -145,7 +145,7 @@
         for task, member in list(self.members_by_worker.get(worker, {}).items()):
             unit = self._unit(member.ref)
             place = unit.places[member.place_index]
-            if is_gone or place.incarnation != report.incarnation:
+            if report.incarnation and (is_gone or place.incarnation != report.incarnation):
                 self._end_lost_run(worker, task, member)
             elif report.cleared.get(task) == unit.run:
                 self.crashes.clear(self, member.ref, unit, "has outlasted its probation")
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -194,6 +194,17 @@
     assert progress_of(planner, other).units["0.0.0"].run == 1
 
 
+@pytest.mark.parametrize("state", list(WorkerState))
+def test_a_report_that_names_no_incarnation_ends_no_run(state: WorkerState) -> None:
+    """Guards against a second run as an agent has not heard of its executor yet."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE_WORKER]))
+    worker = TargetId(next(iter(tasks_by_worker(planner))))
+    planner.apply_report(worker, make_report("", state=state))
+    planner.plan()
+    assert progress_of(planner, job).units["0.0.0"].run == 1
+
+
 @pytest.mark.parametrize(("checkpointing", "stopped"), [(True, True), (False, True)])
 def test_a_draining_worker_is_evacuated_in_time(checkpointing: bool, stopped: bool) -> None:
     """Guards against work that runs until the executor exits without saving it."""
