Ignore a report that comes after a later one

The order of reports rested on the replica alone. The revision of the report decides now (report_outdated).

--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -248,8 +248,11 @@
                 planner.workers.set_resumption(worker, item.revision)
         elif item.key.startswith(REPORT_STATE_PREFIX):
             worker = TargetId(item.key.removeprefix(REPORT_STATE_PREFIX))
+            if planner.workers.is_outdated(worker, item.revision):
+                logger.warning("event=report_outdated target=%s revision=%d", worker, item.revision)
+                return
             if item.value is None:
-                planner.workers.mark_report_deleted(worker)
+                planner.workers.mark_report_deleted(worker, item.revision)
                 return
             try:
                 report = decode(item.value, WorkerReport)
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -83,13 +83,18 @@
         state.checkpoints = {**state.report.checkpoints, **report.checkpoints}
         state.report = report
 
-    def mark_report_deleted(self, worker: TargetId) -> None:
-        """Make a worker unavailable after its report was deleted."""
+    def mark_report_deleted(self, worker: TargetId, revision: Revision) -> None:
+        """Make a worker unavailable after its report was deleted at a revision of the store."""
         state = self.by_id.get(worker)
         if state is not None:
-            state.report.state = ExecutorState.GONE
+            state.report.state, state.revision = ExecutorState.GONE, revision
             self.update_cell(worker)
 
+    def is_outdated(self, worker: TargetId, revision: Revision) -> bool:
+        """Return whether a report of this revision or of a later one has been applied."""
+        state = self.by_id.get(worker)
+        return state is not None and revision <= state.revision
+
     def set_present(self, worker: TargetId, is_present: bool) -> None:
         """Record that the presence of an agent was created or has expired."""
         state = self.by_id.get(worker)
--- a/tests/batch/test_lost_workers.py
+++ b/tests/batch/test_lost_workers.py
@@ -11,11 +11,11 @@
     LostWorkerDetector,
 )
 from chicorycrank.batch.workers import WorkerRegistry
-from chicorycrank.model.batch import BatchState, EndKind, TaskEnd
+from chicorycrank.model.batch import BatchState, EndKind, TaskEnd, WorkerState
 from chicorycrank.model.ids import TargetId, TaskId
 from chicorycrank.policy.cell import Cell
 from chicorycrank.ports.machines import MachinesUnavailableError
-from chicorycrank.ports.transactions import Write
+from chicorycrank.ports.transactions import Item, Write
 
 WORKER_LOST_TIMEOUT_S = 20.0
 WORKER = TargetId("w")
@@ -145,6 +145,23 @@
         assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.COMPLETED
 
 
+@pytest.mark.parametrize("is_deletion", [False, True])
+def test_a_report_that_was_read_before_a_later_one_changes_nothing(is_deletion: bool) -> None:
+    """Guards against runs that end as an old report names an earlier life of the executor."""
+    harness = LeaderHarness()
+    old = harness.store.items[report_key(WORKER)]
+    harness.store.apply(Write(values={report_key(WORKER): encode(make_report("i-1:2"))}))
+    hear_reports(harness)
+    harness.leader.submit()
+    harness.plan()
+    late = Item(key=old.key, value=None, revision=old.revision) if is_deletion else old
+    harness.term._queue_report_items([late])
+    harness.plan()
+    report = harness.term._planner.workers.by_id[WORKER].report
+    assert (report.incarnation, report.state) == ("i-1:2", WorkerState.READY)
+    assert len(harness.started_tasks()) == 1
+
+
 def hear_reports(harness: LeaderHarness) -> None:
     """Let the leader hear of all reports and plan."""
     harness.term._report_replica.sync()
