--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -232,7 +232,9 @@
     REJECTED = 6  # the executor refused to start the task
     LOST = 7  # the executor of the task was lost
     WITHDRAWN = 8  # the leader withdrew the run before the agent accepted it
-    CRASHED = 9  # the executor ended without notice while the run may have been there
+    # The executor ended without notice while the run may have been there: a start call had reached
+    # it, or may have. A run whose start calls were all refused ends as LOST.
+    CRASHED = 9
 
 
 class TaskEnd(Struct, frozen=True, array_like=True):
@@ -243,7 +245,8 @@
     :param age_ms: for ``CRASHED``, time in milliseconds from the first start call until the
         executor was found to be down
     :param is_witnessed: for ``CRASHED``, whether the agent was running at the crash
-    :param has_started: for ``CRASHED``, whether the executor had confirmed the start
+    :param has_started: for ``CRASHED``, whether the executor had confirmed the start; if not, a
+        start call without an answer may have reached it
     """
 
     task: TaskId
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -291,6 +291,29 @@
     assert is_sole is not step.gang
 
 
+@pytest.mark.parametrize("has_company", [False, True])
+def test_starts_that_never_reached_a_crashed_executor_count_against_no_task(
+    has_company: bool,
+) -> None:
+    """Guards against a job that is given up though no executor has ever begun its task."""
+    fleet = SimulatedFleet()
+    job = fleet.submit("a", WHOLE_WORKER)
+    company = fleet.submit("b") if has_company else None
+    for _ in range(MAX_CRASHES + 1):
+        task = f"{job.job_id}.0.0.0"
+        worker = fleet.worker_of(task)
+        run = progress_of(fleet.planner, job).units["0.0.0"].run
+        fleet.lives[worker] += 1
+        ends = [TaskEnd(TaskId(task), run, EndKind.LOST)]
+        report = make_report(f"i-{worker}:{fleet.lives[worker]}", ends=ends)
+        fleet.planner.apply_report(worker, report)
+        fleet.advance(4000)
+    assert progress_of(fleet.planner, job).units["0.0.0"].run == MAX_CRASHES + 2
+    assert progress_of(fleet.planner, job).units["0.0.0"].crashes == []
+    assert fleet.state(job) is BatchState.RUNNING
+    assert company is None or fleet.state(company) is BatchState.RUNNING
+
+
 def test_an_unexplained_crash_of_the_worker_does_not_excuse_a_suspect_there() -> None:
     """Guards against a harmful task that gets more starts as crashes of others are unsolved."""
     fleet = SimulatedFleet(FLEET[:2])
