Place tasks without accelerators by their cores and memory

Such tasks also found no place where all accelerators were in use or the executor has none.

Placement searches the free accelerators. Shapes without any now take a path of their own, by cores and memory, as close as their gang asks; a block of size 0 is one empty block everywhere; nothing is reserved for them. What remains: without a reservation, a task of many cores may wait for long.

--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -49,12 +49,14 @@
 
 
 def reserve(cell: Cell, job: QueuedJob, now_s: float) -> Reservation | None:
-    """Return a reservation for a job, or None if no accelerators fit.
+    """Return a reservation for a job, or None if it needs no accelerators or none fit.
 
     An earlier reservation on open workers keeps its accelerators while it is recent or its cost
     has not risen. The cost is the latest expected free time of its accelerators, with
     :data:`GUARANTEE_PENALTY_S` added for those in the placement of a guarantee.
     """
+    if not job.shape.accelerators:
+        return None
     earlier = cell.reservations_by_id.get(job.job_id)
     if earlier is not None and all(cell.free.is_open(worker) for worker, _ in earlier.worker_masks):
         is_recent = now_s - earlier.created_s < MIN_RESERVATION_AGE_S
--- a/src/chicorycrank/policy/packing.py
+++ b/src/chicorycrank/policy/packing.py
@@ -33,7 +33,12 @@
 
 @lru_cache(maxsize=CACHE_SIZE)
 def blocks(mask: int, size: int) -> tuple[int, ...]:
-    """Return the disjoint aligned blocks of a size inside a bit mask."""
+    """Return the disjoint aligned blocks of a size inside a bit mask.
+
+    Any mask contains one block of size 0.
+    """
+    if size == 0:
+        return (0,)
     step = 1 << (size - 1).bit_length()
     block = (1 << size) - 1
     starts = range(0, mask.bit_length(), step)
--- a/src/chicorycrank/policy/placement.py
+++ b/src/chicorycrank/policy/placement.py
@@ -7,6 +7,8 @@
 from itertools import islice
 from math import inf
 
+from msgspec import structs
+
 from chicorycrank.model.ids import RackId, TargetId
 from chicorycrank.model.jobs import Adjacency, GangShape, MemberPlacement
 from chicorycrank.policy.packing import (
@@ -60,6 +62,8 @@
     pool: Pool, shape: GangShape, rule: PlacementRule = ANY_WORKER
 ) -> WorkerMasks | None:
     """Return the best fit of a gang in a pool, or None."""
+    if not shape.accelerators:
+        return _find_without_accelerators(pool, shape, rule)
     index = PIECE_SIZES.index(piece_class(shape.accelerators))
     if pool.piece_totals[index] < shape.members:
         return None
@@ -119,7 +123,7 @@
             return None
         loss, worker, block = best
         # Further members go to the same worker, so that no second worker is fragmented.
-        while block and len(worker_masks) < shape.members:
+        while len(worker_masks) < shape.members:
             total_loss += loss
             worker_masks.append((worker, block))
             masks[worker] &= ~block
@@ -180,6 +184,25 @@
     return tuple((int(part), "") if part.isdigit() else (0, part) for part in parts)
 
 
+def _find_without_accelerators(
+    pool: Pool, shape: GangShape, rule: PlacementRule
+) -> WorkerMasks | None:
+    """Return a fit by cores and memory, on workers with few free accelerators first."""
+    open_workers = [
+        (worker, mask)
+        for worker, mask in sorted(pool.masks.items(), key=lambda item: item[1].bit_count())
+        if pool.is_open(worker) and rule.member_limit(pool, worker, shape) > 0
+    ]
+    member_limit = partial(rule.member_limit, pool, shape=shape)
+    adjacencies = [Adjacency.WORKER, Adjacency.RACK, Adjacency.ANY]
+    for adjacency in adjacencies[: adjacencies.index(shape.adjacency) + 1]:
+        closer = structs.replace(shape, adjacency=adjacency)
+        worker_masks = fit_placement(open_workers, closer, member_limit, pool.rack_by_worker)
+        if worker_masks is not None:
+            return worker_masks
+    return None
+
+
 def _find_in_worker(pool: Pool, shape: GangShape, rule: PlacementRule) -> WorkerMasks | None:
     fits = []
     for mask in pool.workers_by_mask:
