--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -2,8 +2,8 @@
 
 import logging
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+from chicorycrank.batch.run import Run
 from chicorycrank.model.batch import (
     Assignment,
     EndKind,
@@ -17,77 +17,21 @@
 
 # A started run that the executor does not list within this time is assumed to be lost.
 MISSING_TIMEOUT_S = 2.0
-# A task without progress for this long is stalled. Progress is counted in whole percent: even on
-# an executor that is six times slower than declared, a task with a run time of 22 s gains one
-# percent in about 1.3 s. A much longer task may count as stalled although it works.
-STALL_TIMEOUT_S = 2.5
-# Limit for tasks at 0 percent, as the members of a gang wait for each other at first.
-START_STALL_TIMEOUT_S = 4.5
 # Minimum time between updates of the reported checkpoints. It bounds the work that is lost with a
 # worker, which costs more than a report every few seconds.
 CHECKPOINT_REPORT_INTERVAL_S = 4.0
 
-logger = logging.getLogger("absl")
-
-
-@dataclass(kw_only=True)
-class Run:
-    """Run that the order names or that the executor lists.
-
-    :param should_stop: the run has to be stopped
-    :param is_accepted: stored as accepted, so it may have started and the leader waits for its end
-    :param is_adopted: accepted by an earlier process of the agent, so it may be there already
-    :param is_call_active: a call for the run is active or submitted
-    :param unresolved_starts: start calls without a final answer; each may still take effect
-    :param first_called_at: monotonic time of the first start call; None before it
-    :param listed_at: monotonic time at which the executor first listed the run
-    :param started_at: monotonic time of the answer to the start call
-    :param starts_rejected_since: monotonic time of the answer that the executor has accepted the
-        stop of the run, or that its start is outdated; the executor does not start the run after
-        that, so the run has ended if a later status does not list it
-    :param rejection_reason: why the run was not started
-    :param percent: completed share of the work, 0 to 100; -1 if unknown
-    :param load: tail latency in milliseconds if the task serves users, otherwise cores in use
-    :param progressed_at: monotonic time at which ``percent`` last changed
-    """
-
-    assignment: Assignment
-    incarnation: Incarnation
-    should_stop: bool = False
-    is_accepted: bool = False
-    is_adopted: bool = False
-    is_call_active: bool = False
-    unresolved_starts: int = 0
-    first_called_at: float | None = None
-    listed_at: float | None = None
-    started_at: float | None = None
-    starts_rejected_since: float | None = None
-    rejection_reason: str = ""
-    checkpoint: str = ""
-    percent: int = -1
-    load: float = 0.0
-    progressed_at: float = 0.0
-
-    @property
-    def needs_call(self) -> bool:
-        """Whether a start or stop call is needed."""
-        if self.starts_rejected_since is not None:
-            return False
-        return self.should_stop or (self.started_at is None and self.is_accepted)
-
-    @property
-    def may_be_present(self) -> bool:
-        """Whether the executor may have the run."""
-        return self.is_adopted or self.first_called_at is not None
+# Ends that the agent concluded from the end of the executor; what the executor lists replaces them.
+CONCLUDED_KINDS = (EndKind.LOST, EndKind.CRASHED)
 
-    def age_s(self, now_s: float) -> float:
-        """Return the time since the first start call in seconds; 0 before it."""
-        return 0.0 if self.first_called_at is None else max(0.0, now_s - self.first_called_at)
+logger = logging.getLogger("absl")
 
 
 class RunTable:
     """Runs of one incarnation of an executor, and the ends to report.
 
+    :ivar other_runs_by_key: runs under another number than the order's, by task and run number;
+        they have to be gone before the run of the order starts
     :ivar last_end_number: number of the last end that was read from the executor
     :ivar accepted: number of the run that is stored as accepted, by task
     :ivar cleared: number of the run that has outlasted its probation, by task
@@ -97,6 +41,7 @@
 
     def __init__(self) -> None:
         self.runs_by_task: dict[TaskId, Run] = {}
+        self.other_runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.order = WorkOrder(incarnation=Incarnation(""))
         self.ends: list[TaskEnd] = []
         self.last_end_number = 0
@@ -105,11 +50,16 @@
         self.suspects: dict[TaskId, int] = {}
         self.checkpoints: dict[TaskId, tuple[int, str]] = {}
         self._checkpoints_reported_at = float("-inf")
+        self._status_sent_at = float("-inf")
 
-    def apply_order(self, order: WorkOrder, incarnation: Incarnation) -> None:
+    def apply_order(
+        self, order: WorkOrder, incarnation: Incarnation, *, may_be_present: bool = False
+    ) -> None:
         """Apply an order; drop the ends that the leader has recorded.
 
         An order names a run until the leader has recorded its end.
+
+        :param may_be_present: accepted runs that are not known here may have begun
         """
         self.order = order
         named = {(assignment.task, assignment.run) for assignment in order.assignments}
@@ -130,6 +80,9 @@
         ended = {(end.task, end.run) for end in self.ends}
         for assignment in order.assignments:
             run = self.runs_by_task.get(assignment.task)
+            if run is not None and run.assignment.run != assignment.run:
+                self._set_aside(run)
+                run = None
             if run is None and (assignment.task, assignment.run) not in ended:
                 is_accepted = self.accepted.get(assignment.task) == assignment.run
                 self.runs_by_task[assignment.task] = Run(
@@ -137,7 +90,7 @@
                     incarnation=incarnation,
                     should_stop=assignment.stop,
                     is_accepted=is_accepted,
-                    is_adopted=is_accepted,
+                    is_adopted=is_accepted and may_be_present,
                 )
             elif run is not None and run.assignment.run == assignment.run:
                 run.should_stop = run.should_stop or assignment.stop
@@ -146,6 +99,14 @@
                 run.should_stop = True
         self._end_withdrawn(named)
 
+    def _set_aside(self, run: Run) -> None:
+        """Make room for another run of the same task, which starts once this one is gone."""
+        if run.is_accepted:
+            run.should_stop = True
+            self.other_runs_by_key[run.key] = self.runs_by_task.pop(run.assignment.task)
+        else:
+            self.end_run(run, EndKind.STOPPED, "")
+
     def _end_withdrawn(self, named: set[tuple[TaskId, int]]) -> None:
         """End the runs that are not accepted and that the order no longer requests to start."""
         for run in list(self.runs_by_task.values()):
@@ -153,18 +114,22 @@
             if not run.is_accepted and (run.should_stop or not is_named):
                 self.end_run(run, EndKind.STOPPED, "")
 
-    def runs_to_accept(self) -> dict[TaskId, int]:
-        """Return the numbers of the runs that are accepted or have to be started."""
+    def runs_to_accept(self, *, includes_new: bool = True) -> dict[TaskId, int]:
+        """Return the numbers of the runs that are accepted or have to be started.
+
+        :param includes_new: whether runs that are not accepted yet may be accepted
+        """
         run_by_task_to_accept = {
             task: run.assignment.run
             for task, run in self.runs_by_task.items()
-            if run.is_accepted or not run.should_stop
+            if run.is_accepted or (includes_new and not run.should_stop)
         }
         return {**self.accepted, **run_by_task_to_accept}
 
-    def has_unaccepted(self) -> bool:
+    def has_unaccepted(self, *, includes_new: bool = True) -> bool:
         """Return whether runs wait for their acceptance."""
-        return any(self.accepted.get(task) != run for task, run in self.runs_to_accept().items())
+        to_accept = self.runs_to_accept(includes_new=includes_new)
+        return any(self.accepted.get(task) != run for task, run in to_accept.items())
 
     def record_accepted(self, accepted: dict[TaskId, int]) -> None:
         """Record the runs that are stored as accepted."""
@@ -172,67 +137,109 @@
         for task, run in self.runs_by_task.items():
             run.is_accepted = run.is_accepted or accepted.get(task) == run.assignment.run
 
-    def restore(self, stored: WorkerReport, *, is_same_incarnation: bool) -> None:
-        """Restore the state from the last report of an earlier agent.
+    def restore(self, stored: WorkerReport) -> None:
+        """Restore ends and accepted runs from the last report of an earlier agent."""
+        ended = {(end.task, end.run) for end in self.ends}
+        self.ends += [end for end in stored.ends if (end.task, end.run) not in ended]
+        self.checkpoints = {**stored.checkpoints, **self.checkpoints}
+        self.accepted = {**stored.accepted, **self.accepted}
+
+    def resume_incarnation(self, stored: WorkerReport) -> None:
+        """Go on with the incarnation that the last report of an earlier agent is about."""
+        self.last_end_number = max(self.last_end_number, stored.seen)
+
+    def begin_incarnation(self) -> None:
+        """Begin with an incarnation that has answered, after the runs of the last one have ended.
 
-        :param is_same_incarnation: the report is about the current incarnation of the executor
+        Accepted runs stay until the order no longer names them.
         """
-        self.ends += [end for end in stored.ends if end not in self.ends]
-        self.checkpoints = {**stored.checkpoints, **self.checkpoints}
-        if is_same_incarnation:
-            self.last_end_number = max(self.last_end_number, stored.seen)
-            self.accepted = {**stored.accepted, **self.accepted}
-        elif stored.state is WorkerState.READY:
-            self._record_unwitnessed_crash(stored)
-
-    def _record_unwitnessed_crash(self, stored: WorkerReport) -> None:
-        """End the runs of an executor that crashed while the agent was not running."""
+        self.suspects.clear()
+        self.cleared.clear()
+        self.last_end_number = 0
+        self._status_sent_at = float("-inf")
+
+    def apply_late_ends(self, status: ExecutorStatus) -> None:
+        """Record tasks that a new incarnation has done on late orders for an earlier one."""
+        for numbered in status.ends:
+            self.last_end_number = max(self.last_end_number, numbered.number)
+            if numbered.end.kind is EndKind.DONE:
+                self._apply_listed_end(numbered.end)
+
+    def end_unwitnessed(self, stored: WorkerReport) -> None:
+        """End the runs of an executor that ended while the agent was not running."""
+        kind = EndKind.CRASHED if stored.state is WorkerState.READY else EndKind.LOST
         for task, run in stored.accepted.items():
             reported_run, checkpoint = stored.checkpoints.get(task, (0, ""))
             self._add_end(
                 TaskEnd(
                     task,
                     run,
-                    EndKind.CRASHED,
+                    kind,
                     checkpoint if reported_run == run else "",
                     is_witnessed=False,
                 )
             )
 
-    def record_crash(self, now_s: float) -> None:
-        """End all runs, as the executor that had them has ended without notice.
+    def end_all(self, now_s: float, *, has_crashed: bool) -> None:
+        """End all runs, as nothing runs on the executor that had them.
 
         :param now_s: monotonic time at which the executor was found to be down
+        :param has_crashed: the executor has ended without notice
         """
-        for run in list(self.runs_by_task.values()):
-            assignment = run.assignment
-            if not run.may_be_present:
+        for run in self.tracked_runs():
+            if not (has_crashed and run.may_be_present):
                 self.end_run(run, EndKind.LOST, run.checkpoint)
                 continue
-            del self.runs_by_task[assignment.task]
+            self._discard_run(*run.key)
             self._add_end(
                 TaskEnd(
-                    assignment.task,
-                    assignment.run,
+                    *run.key,
                     EndKind.CRASHED,
                     run.checkpoint,
                     age_ms=round(run.age_s(now_s) * 1000),
                     has_started=run.started_at is not None or run.listed_at is not None,
                 )
             )
-
-    def discard_runs(self) -> None:
-        """Discard all runs, as the executor that had them has exited or is lost."""
-        self.runs_by_task.clear()
+        for task, number in self.accepted.items():
+            self._add_end(TaskEnd(task, number, EndKind.LOST))
         self.suspects.clear()
-        self.accepted.clear()
         self.cleared.clear()
-        self.last_end_number = 0
+
+    def end_unaccepted(self) -> None:
+        """End the runs that have not been accepted, as their executor has ended."""
+        for run in self.tracked_runs():
+            if not run.is_accepted:
+                self.end_run(run, EndKind.LOST, "")
+
+    def resolve_starts(self, status: ExecutorStatus) -> None:
+        """Record that no earlier start call can take effect any more.
+
+        :param status: status under a fencing token that is higher than that of any start call
+        """
+        if not status.has_all_ends:
+            return
+        for run in self.runs_by_task.values():
+            if run.started_at is None:
+                run.unresolved_starts = 0
+                run.first_called_at = None
+                run.is_adopted = False
+
+    def tracked_runs(self) -> list[Run]:
+        """Return the runs of the order, and those that have to be gone before."""
+        return [*self.runs_by_task.values(), *self.other_runs_by_key.values()]
+
+    def needs_call(self, run: Run) -> bool:
+        """Return whether a run is still tracked and needs a call now."""
+        task = run.assignment.task
+        if self.other_runs_by_key.get(run.key) is run:
+            return run.needs_call
+        is_free = run.should_stop or all(other != task for other, _ in self.other_runs_by_key)
+        return self.runs_by_task.get(task) is run and run.needs_call and is_free
 
     def claim_runs_to_call(self) -> list[Run]:
         """Return the runs that need a call and have none active, and mark their call as active."""
         runs = [
-            run for run in self.runs_by_task.values() if run.needs_call and not run.is_call_active
+            run for run in self.tracked_runs() if self.needs_call(run) and not run.is_call_active
         ]
         for run in runs:
             run.is_call_active = True
@@ -245,7 +252,7 @@
         """
         present = [
             other.assignment
-            for other in self.runs_by_task.values()
+            for other in self.tracked_runs()
             if other is not run and other.may_be_present
         ]
         needed = [*present, run.assignment]
@@ -257,33 +264,39 @@
 
     def end_run(self, run: Run, kind: EndKind, checkpoint: str, detail: str = "") -> None:
         """Record that a run has ended."""
-        assignment = run.assignment
-        if self.runs_by_task.get(assignment.task) is run:
-            del self.runs_by_task[assignment.task]
-        self._add_end(TaskEnd(assignment.task, assignment.run, kind, checkpoint, detail))
+        self._discard_run(*run.key)
+        self._add_end(TaskEnd(*run.key, kind, checkpoint, detail))
+
+    def _discard_run(self, task: TaskId, number: int) -> None:
+        self.other_runs_by_key.pop((task, number), None)
+        run = self.runs_by_task.get(task)
+        if run is not None and run.assignment.run == number:
+            del self.runs_by_task[task]
 
     def apply_status(self, status: ExecutorStatus, sent_at: float) -> bool:
-        """Apply a status of the executor.
+        """Apply a status of the executor, unless one that was requested later is known.
 
         :param sent_at: monotonic time at which the status was requested
         :returns: whether there is something new to report
         """
-        before = (len(self.ends), self.suspects, self.checkpoints, self.cleared)
+        if sent_at < self._status_sent_at:
+            return False
+        self._status_sent_at = sent_at
+        before = (list(self.ends), self.suspects, self.checkpoints, self.cleared)
         for numbered in status.ends:
-            if numbered.number <= self.last_end_number:
-                continue
-            self.last_end_number = numbered.number
-            end = numbered.end
-            run = self.runs_by_task.get(end.task)
-            if run is not None and run.assignment.run == end.run:
-                del self.runs_by_task[end.task]
-            self._add_end(end)
+            if numbered.number > self.last_end_number:
+                self.last_end_number = numbered.number
+                self._apply_listed_end(numbered.end)
         self._apply_running(status.running, status.incarnation, sent_at)
         running = {(running_task.task, running_task.run) for running_task in status.running}
-        for run in list(self.runs_by_task.values()):
-            if (run.assignment.task, run.assignment.run) not in running:
-                self._end_or_stop_missing(run, sent_at)
-        self.suspects = self._find_stalled_tasks(sent_at)
+        # The end of a run that is missing may be among those that are not listed yet.
+        if status.has_all_ends:
+            for run in self.tracked_runs():
+                if run.key not in running:
+                    self._end_or_stop_missing(run, sent_at)
+        self.suspects = {
+            task: run.percent for task, run in self.runs_by_task.items() if run.is_stalled(sent_at)
+        }
         if sent_at - self._checkpoints_reported_at >= CHECKPOINT_REPORT_INTERVAL_S:
             self._checkpoints_reported_at = sent_at
             self.checkpoints = {
@@ -291,66 +304,65 @@
                 for task, run in self.runs_by_task.items()
                 if run.checkpoint
             }
-        self.cleared = self._find_cleared_runs(sent_at)
-        return before != (len(self.ends), self.suspects, self.checkpoints, self.cleared)
-
-    def _find_cleared_runs(self, now_s: float) -> dict[TaskId, int]:
-        return {
+        self.cleared = {
             task: run.assignment.run
             for task, run in self.runs_by_task.items()
-            if run.assignment.probation_ms
-            and run.listed_at is not None
-            and (now_s - run.listed_at) * 1000 >= run.assignment.probation_ms
-        }
-
-    def _find_stalled_tasks(self, now_s: float) -> dict[TaskId, int]:
-        """Return the completed percentage of each task that makes no progress."""
-        return {
-            task: run.percent
-            for task, run in self.runs_by_task.items()
-            if run.percent >= 0
-            and not run.assignment.long_running
-            and not run.assignment.fills
-            and now_s - run.progressed_at
-            > (STALL_TIMEOUT_S if run.percent else START_STALL_TIMEOUT_S)
+            if run.is_cleared(sent_at)
         }
+        return before != (self.ends, self.suspects, self.checkpoints, self.cleared)
 
     def _apply_running(
         self, running_tasks: Sequence[RunningTask], incarnation: Incarnation, now_s: float
     ) -> None:
-        named = {
-            (assignment.task, assignment.run): assignment for assignment in self.order.assignments
-        }
         for running_task in running_tasks:
-            run = self.runs_by_task.get(running_task.task)
-            if run is not None and run.assignment.run == running_task.run:
-                run.checkpoint = running_task.checkpoint or run.checkpoint
-                run.load = running_task.load
-                run.is_accepted = True
-                if run.listed_at is None:
-                    run.listed_at = now_s
-                if run.first_called_at is None:
-                    # An earlier agent process has started it.
-                    run.first_called_at = now_s
-                if running_task.percent != run.percent:
-                    run.percent, run.progressed_at = running_task.percent, now_s
-            elif run is None:
-                assignment = named.get((running_task.task, running_task.run))
-                logger.info(
-                    "event=untracked_run_listed task=%s run=%d in_order=%s",
-                    running_task.task,
-                    running_task.run,
-                    bool(assignment),
-                )
-                self.runs_by_task[running_task.task] = Run(
-                    assignment=assignment
-                    or Assignment(task=running_task.task, run=running_task.run),
-                    incarnation=incarnation,
-                    should_stop=assignment is None or assignment.stop,
-                    is_accepted=True,
-                    first_called_at=now_s,
-                    started_at=0.0,
-                )
+            run = self._tracked_run(running_task.task, running_task.run)
+            if run is None:
+                run = self._track_listed_run(running_task, incarnation)
+            run.checkpoint = running_task.checkpoint or run.checkpoint
+            run.load = running_task.load
+            run.is_accepted = True
+            run.is_adopted = False
+            if run.listed_at is None:
+                run.listed_at = now_s
+            if run.first_called_at is None:
+                # An earlier agent process has started it.
+                run.first_called_at = now_s
+            if run.started_at is None:
+                run.started_at = now_s
+            if running_task.percent != run.percent:
+                run.percent, run.progressed_at = running_task.percent, now_s
+
+    def _tracked_run(self, task: TaskId, number: int) -> Run | None:
+        return next((run for run in self.tracked_runs() if run.key == (task, number)), None)
+
+    def _track_listed_run(self, running_task: RunningTask, incarnation: Incarnation) -> Run:
+        """Track a run that the executor lists.
+
+        It goes on only if the order names it and its end has not been reported.
+        """
+        task, number = running_task.task, running_task.run
+        assignment = next(
+            (a for a in self.order.assignments if (a.task, a.run) == (task, number)), None
+        )
+        has_ended = any((end.task, end.run) == (task, number) for end in self.ends)
+        logger.info(
+            "event=untracked_run_listed task=%s run=%d in_order=%s has_ended=%s",
+            task,
+            number,
+            assignment is not None,
+            has_ended,
+        )
+        run = Run(
+            assignment=assignment or Assignment(task=task, run=number),
+            incarnation=incarnation,
+            should_stop=assignment is None or assignment.stop or has_ended,
+        )
+        if task in self.runs_by_task:
+            run.should_stop = True
+            self.other_runs_by_key[run.key] = run
+        else:
+            self.runs_by_task[task] = run
+        return run
 
     def _end_or_stop_missing(self, run: Run, sent_at: float) -> None:
         """End a run that the executor does not list and that cannot start any more.
@@ -366,3 +378,18 @@
     def _add_end(self, end: TaskEnd) -> None:
         if not any(recorded.task == end.task and recorded.run == end.run for recorded in self.ends):
             self.ends.append(end)
+
+    def _apply_listed_end(self, end: TaskEnd) -> None:
+        """Add an end that the executor lists, in place of one that was concluded."""
+        self._discard_run(end.task, end.run)
+        self.ends = [
+            recorded
+            for recorded in self.ends
+            if (recorded.task, recorded.run) != (end.task, end.run)
+            or recorded.kind not in CONCLUDED_KINDS
+        ]
+        self._add_end(end)
+        run = self.runs_by_task.get(end.task)
+        if end.kind is EndKind.DONE and run is not None and not run.may_be_present:
+            # The work of the task is done under another run number.
+            self.end_run(run, EndKind.DONE, "")
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -232,7 +232,9 @@
     REJECTED = 6  # the executor refused to start the task
     LOST = 7  # the executor of the task was lost
     WITHDRAWN = 8  # the leader withdrew the run before the agent accepted it
-    CRASHED = 9  # the executor ended without notice while the run may have been there
+    # The executor ended without notice while the run may have been there: a start call had reached
+    # it, or may have. A run whose start calls were all refused ends as LOST.
+    CRASHED = 9
 
 
 class TaskEnd(Struct, frozen=True, array_like=True):
@@ -243,7 +245,8 @@
     :param age_ms: for ``CRASHED``, time in milliseconds from the first start call until the
         executor was found to be down
     :param is_witnessed: for ``CRASHED``, whether the agent was running at the crash
-    :param has_started: for ``CRASHED``, whether the executor had confirmed the start
+    :param has_started: for ``CRASHED``, whether the executor had confirmed the start; if not, a
+        start call without an answer may have reached it
     """
 
     task: TaskId
@@ -302,7 +305,7 @@
 
     READY = 0
     DRAINING = 1
-    GONE = 2  # The executor has sent no heartbeat yet, has exited, or cannot run any task now.
+    GONE = 2  # The executor has not answered yet.
 
 
 class WorkerReport(Struct, kw_only=True, omit_defaults=True):
@@ -313,6 +316,8 @@
     :param executor: id of the executor
     :param cores: processor capacity in thousandths of a core
     :param remaining_ms: minimum time in milliseconds before a draining executor shuts down
+    :param is_unreachable: the executor does not answer, or has said that it ends; its runs may
+        still be there, but it gets no new ones
     :param seen: highest sequence number of all ends that this incarnation of the executor has
         listed
     :param ends: ends that the leader has not recorded yet
@@ -334,6 +339,7 @@
     labels: tuple[str, ...] = ()
     rack: RackId = RackId("")
     remaining_ms: int = 0
+    is_unreachable: bool = False
     seen: int = 0
     ends: list[TaskEnd] = field(default_factory=list)
     suspects: dict[TaskId, int] = field(default_factory=dict)
