--- a/src/chicorycrank_standin/soak/callers.py
+++ b/src/chicorycrank_standin/soak/callers.py
@@ -28,9 +28,10 @@
 MAX_SUBMIT_ATTEMPTS = 5
 CANCEL_SHARE = 0.15
 # Jobs that run until they are cancelled.
+LONG_JOB_THREADS = 2
 LONG_WORK_S = 300
 LONG_JOB_INTERVAL_S = 1.0
-MAX_CANCEL_DELAY_S = 4.0
+MAX_CANCEL_DELAY_S = 6.0
 FINAL_CANCEL_TIMEOUT_S = 10.0
 FINAL_CANCEL_RETRY_S = 0.3
 HARMFUL_SHARE = 0.04  # share of the jobs whose tasks crash their executors
@@ -90,10 +91,15 @@
 
     def start(self, seed: int) -> list[threading.Thread]:
         """Start the caller threads, each with a random generator derived from the seed."""
-        cancel_long_jobs = partial(self._cancel_long_jobs_forever, random.Random(f"long {seed}"))
+        return [*self._start_callers(seed), *self._start_callers_of_long_jobs(seed)]
+
+    def _start_callers_of_long_jobs(self, seed: int) -> list[threading.Thread]:
         return [
-            start_daemon_thread(cancel_long_jobs, "long-jobs"),
-            *self._start_callers(seed),
+            start_daemon_thread(
+                partial(self._cancel_long_jobs_forever, random.Random(f"long {seed} {number}")),
+                f"long-jobs-{number}",
+            )
+            for number in range(LONG_JOB_THREADS)
         ]
 
     def _start_callers(self, seed: int) -> list[threading.Thread]:
--- a/src/chicorycrank_standin/soak/executor_faults.py
+++ b/src/chicorycrank_standin/soak/executor_faults.py
@@ -21,6 +21,7 @@
 )
 
 DRAIN_S = 2.5  # a draining executor serves at least this long
+RESTART_AFTER_DRAIN_S = 0.5  # until an agent is killed beside its draining executor
 MAX_DOWN_S = 3.0
 MESSAGE_INTERVAL_S = 0.2
 # Time in which a message is repeated until an agent that starts has acknowledged it.
@@ -58,6 +59,10 @@
             executor.set_capacity(None)
         case FaultKind.EXECUTOR_DRAIN:
             executor.drain(DRAIN_S + fault.duration_s, down_s=down_s)
+            if fault.target_index % 2:
+                time.sleep(RESTART_AFTER_DRAIN_S)
+                with disturbances.lasting(agent.name):
+                    restart_killed(agent)
         case FaultKind.EXECUTOR_FREEZE:
             with disturbances.lasting(executor.name):
                 executor.freeze(fault.duration_s, stops_clock=False)
--- a/src/chicorycrank_standin/soak/faults.py
+++ b/src/chicorycrank_standin/soak/faults.py
@@ -29,6 +29,7 @@
 MEAN_INTERVAL_S = 1.5
 MIN_DURATION_S, MAX_DURATION_S = 0.5, 6.0
 SILENCE_S = 1.0  # time in which watches hear nothing before the history is discarded
+SILENCE_INTERVAL_S = 0.5
 FOLLOW_UP_SHARE = 0.3  # share of the faults that soon follow another on the same target
 FOLLOW_UP_DELAY_S = 0.2
 
@@ -38,7 +39,7 @@
 CAPACITY_KINDS = [FaultKind.EXECUTOR_CAPACITY]
 CAPACITY_MEAN_INTERVAL_S = 6.0
 PROOF_KINDS = list(FaultKind)[len(FIRST_KINDS) + len(CAPACITY_KINDS) :]
-PROOF_MEAN_INTERVAL_S = 2.5
+PROOF_MEAN_INTERVAL_S = 1.5
 
 
 def plan_faults(seed: int, duration_s: float) -> list[Fault]:
@@ -97,8 +98,12 @@
         with disturbances.lasting(STORE):
             deployment.store.expire_leases()
     elif fault.kind is FaultKind.STORE_COMPACTS:
-        with disturbances.lasting(STORE), deployment.store.compacting():
-            time.sleep(SILENCE_S)
+        with disturbances.lasting(STORE):
+            ends_at = time.monotonic() + fault.duration_s
+            while time.monotonic() < ends_at:
+                with deployment.store.compacting():
+                    time.sleep(SILENCE_S)
+                time.sleep(SILENCE_INTERVAL_S)
     else:
         inject_executor_fault(fault, deployment)
 
