--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -308,7 +308,7 @@
                 return self._response(status=409, reason=reason)
             record = self._life.start(body, call.arrived_at)
             if json.loads(body["spec"]).get("crashes"):
-                self.run_recorder.record_crash_by(record.task)
+                self.run_recorder.record_crash_by(record)
                 self._end_life("crashed", self._rng.uniform(*DOWN_RANGE_S))
                 return _no_response()
             used_accelerators = sum(run.accelerators for run in self._life.runs.values())
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -46,6 +46,9 @@
                 self.recorder.record_start(record)
             case "end", [run, how]:
                 self.recorder.record_end(self.run_by_number[run], how)
+            case "crash", [run]:
+                self.recorder.record_crash_by(self.run_by_number[run])
+                self.recorder.record_end(self.run_by_number[run], "crashed")
             case "seen", [run]:
                 self.recorder.record_acknowledged_end(self.run_by_number[run])
             case "cancel", []:
@@ -58,6 +61,16 @@
 
 
 LATE = {"is_late": True}
+
+
+def crashes(count: int) -> list[tuple[Any, ...]]:
+    """Return the starts of a task that crashes each executor at once, one in each second."""
+    events: list[tuple[Any, ...]] = []
+    for run in range(1, count + 1):
+        events += [(run, "start", run, "a", {}), (run, "crash", run)]
+    return events
+
+
 DRAINING = {"draining_since": 100.0}
 
 
@@ -222,6 +235,14 @@
             "",
             id="agent-disturbed-before-the-drain",
         ),
+        pytest.param(crashes(6), "job.0.0.0 was started again after 3 crashes", id="harmful"),
+        pytest.param(crashes(5), "", id="harmful-and-given-up"),
+        pytest.param([(0, "disturb", STORE, 0.5), *crashes(6)], "", id="harmful-while-disturbed"),
+        pytest.param(
+            [(-4, "disturb", STORE, -3.5), *crashes(6)],
+            "job.0.0.0 was started again after 3 crashes",
+            id="harmful-after-a-disturbance",
+        ),
         pytest.param([(2.6, "start", 1, "a", {**DRAINING, **LATE})], "", id="late-start-on-drain"),
     ],
 )
