Take a worker for absent until its presence is seen, also when another key comes first

Cause: a new leader reads report/resumed/WORKER before report/state/WORKER. The first created the worker without an expiry, which means a valid presence; so the work of a VM that had been lost before the takeover was never reassigned. Evidence: a debug line in a trial copy showed no absent worker after the takeover; tests/batch/test_worker_records.py failed in the order resumption-report ('assert False is True') and holds in all orders now.

--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -113,7 +113,8 @@
         """
         state = self.by_id.get(worker)
         if state is None:
-            state = self.by_id[worker] = Worker(report=WorkerReport())
+            state = Worker(report=WorkerReport(), presence_expired_at=self.now_s)
+            self.by_id[worker] = state
         if revision > state.resumption:
             state.resumption = revision
             if state.presence_expired_at is not None:
