Set a job aside whose planning raises an exception, and plan the others

A pass that fails is now repeated with one more job each time. The job with which it fails is left out for 10 s (plan_failed, job_set_aside, chicorycrank_jobs_set_aside_total), and its callers read the reason beside its state.

--- a/src/chicorycrank/batch/intake.py
+++ b/src/chicorycrank/batch/intake.py
@@ -45,7 +45,7 @@
 class StateAnswer:
     """State of a job; ``state`` is None unless the outcome is ``DONE``.
 
-    :param reason: why the job has failed
+    :param reason: why the job has failed, or why it is not planned
     """
 
     outcome: Outcome
@@ -99,7 +99,7 @@
         """Return the state of a job; read the store if the local view lacks the job."""
         state = self._view.state_of(job_id)
         if state is not None:
-            reason = self._view.failure_reason(job_id) if state is BatchState.FAILED else ""
+            reason = "" if state is BatchState.CANCELLED else self._view.state_reason(job_id)
             return StateAnswer(Outcome.DONE, state, reason)
         try:
             item = self._store.read(job_key(job_id))
--- a/src/chicorycrank/batch/keys.py
+++ b/src/chicorycrank/batch/keys.py
@@ -45,7 +45,7 @@
 class StateRecord(Struct, frozen=True, omit_defaults=True):
     """State of a job apart from its cancellation; a job without a record is queued.
 
-    :param reason: why the job has failed
+    :param reason: why the job has failed, or why it is not planned
     """
 
     state: BatchState
--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -22,6 +22,9 @@
 TASKS_ENDED = Counter("chicorycrank_tasks_ended", "Ends of runs", ["kind"])
 JOBS_ENDED = Counter("chicorycrank_jobs_ended", "Jobs that ended", ["state"])
 JOBS_FAILED = Counter("chicorycrank_jobs_failed", "Jobs that failed", ["cause"])
+JOBS_SET_ASIDE = Counter(
+    "chicorycrank_jobs_set_aside", "Jobs left out of planning, as planning them failed"
+)
 EXECUTOR_CRASHES = Counter(
     "chicorycrank_executor_crashes", "Crashes of executors that had runs", ["kind"]
 )
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from chicorycrank.batch.crash_tracker import CrashTracker
+from chicorycrank.batch.failing_jobs import FailingJobs
 from chicorycrank.batch.metrics import (
     JOBS_ENDED,
     JOBS_FAILED,
@@ -25,6 +26,7 @@
     Member,
     UnitRef,
     begin_run,
+    failed_attempts,
     is_complete,
     next_due_ms,
     parse_unit_key,
@@ -54,7 +56,6 @@
 from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId
 from chicorycrank.model.jobs import WorkKind
 from chicorycrank.policy.cell import Cell, RunningJob
-from chicorycrank.policy.decide import decide
 from chicorycrank.policy.decisions import Decision, Evict, Start
 from chicorycrank.policy.eviction import lost_accelerator_s
 from chicorycrank.policy.placement import placement_of
@@ -89,6 +90,7 @@
         self.active_jobs: dict[JobId, None] = {}
         self.workers = WorkerRegistry(self.cell, now_s, job_builder.clear_worker_caches)
         self.crashes = CrashTracker()
+        self.failing_jobs = FailingJobs()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         self.queues_by_id: Mapping[QueueId, Queue] = {}
         self.quota_by_team: dict[TeamId, int] = {}
@@ -192,13 +194,10 @@
         self.cell.headroom = self.job_builder.headroom_workers(self)
         self.cell.jobs_within_quota = self.job_builder.units_within_quota(self)
         # A unit that a pass stops waits again only after its runs have ended, in a later plan.
-        waiting = dict.fromkeys(
-            ref for ref in self._waiting_units() if not self.crashes.is_held(self, ref)
-        )
+        waiting = dict.fromkeys(self._waiting_units())
         started_on: set[TargetId] = set()
         for _ in range(MAX_DECISION_PASSES):
-            queue = self.job_builder.make_queue(self, waiting)
-            decisions = decide(self.cell, list(queue.values()), self.now_s)
+            queue, decisions = self.failing_jobs.decide(self, waiting)
             refs_by_name = {job.job_id: ref for ref, job in queue.items()}
             has_changed = False
             for decision in decisions:
@@ -272,8 +271,12 @@
 
     def _waiting_units(self) -> Iterator[UnitRef]:
         for job_id in self.active_jobs:
+            if self.failing_jobs.is_set_aside(job_id, self.now_s):
+                continue
             job = self.jobs_by_id[job_id]
-            yield from waiting_units(job, self.progress_by_id[job_id], self.now_ms)
+            for ref in waiting_units(job, self.progress_by_id[job_id], self.now_ms):
+                if not self.crashes.is_held(self, ref):
+                    yield ref
 
     def _apply_decision(self, decision: Decision, refs_by_name: Mapping[JobId, UnitRef]) -> bool:
         """Apply a decision; return false if it starts and stops nothing."""
@@ -450,7 +453,7 @@
         if progress.state in FINAL_BATCH_STATES:
             return
         if any(unit.state is UnitState.FAILED for unit in progress.units.values()):
-            self._fail_job(job_id, "attempts", _failed_attempts(job_id, progress))
+            self._fail_job(job_id, "attempts", failed_attempts(job_id, progress))
         elif is_complete(self.jobs_by_id[job_id], progress):
             self._end_job(job_id, BatchState.COMPLETED, "")
 
@@ -464,6 +467,7 @@
         progress = self.progress_by_id[job_id]
         progress.state, progress.reason, progress.ended_at_ms = state, reason, self.now_ms
         self.active_jobs.pop(job_id, None)
+        self.failing_jobs.discard_job(job_id)
         self.changes.jobs.add(job_id)
         for key, unit in progress.units.items():
             if unit.state is UnitState.ASSIGNED:
@@ -482,13 +486,3 @@
             reason = stop_reason(step, unit, task, report, self.now_ms)
             if reason:
                 self.stop_unit(member.ref, reason)
-
-
-def _failed_attempts(job_id: JobId, progress: Progress) -> str:
-    """Return which task, or gang, has failed too often, for the callers of its job."""
-    for key, unit in progress.units.items():
-        if unit.state is UnitState.FAILED:
-            ref = parse_unit_key(job_id, key)
-            workers = ",".join(unit.failed_on)
-            return f"task {ref.name} failed {unit.failures} times, on workers: {workers}"
-    return "a task failed too often"
--- a/src/chicorycrank/batch/record_writer.py
+++ b/src/chicorycrank/batch/record_writer.py
@@ -95,7 +95,8 @@
         """Return the state of a job if its record in the store has to be written."""
         progress = planner.progress_by_id[job_id]
         state = state_of(progress)
-        record = StateRecord(state, progress.reason if state is BatchState.FAILED else "")
+        reason = planner.failing_jobs.reason_by_id.get(job_id, "")
+        record = StateRecord(state, progress.reason if state is BatchState.FAILED else reason)
         written = self._view.state_by_id.get(job_id, NOT_STARTED)
         return None if record == written else record
 
--- a/src/chicorycrank/batch/units.py
+++ b/src/chicorycrank/batch/units.py
@@ -217,3 +217,13 @@
 def has_started(progress: Progress) -> bool:
     """Return whether a task of the job has been assigned to a worker."""
     return any(unit.run for unit in progress.units.values())
+
+
+def failed_attempts(job_id: JobId, progress: Progress) -> str:
+    """Return which task, or gang, has failed too often, for the callers of its job."""
+    for key, unit in progress.units.items():
+        if unit.state is UnitState.FAILED:
+            ref = parse_unit_key(job_id, key)
+            workers = ",".join(unit.failed_on)
+            return f"task {ref.name} failed {unit.failures} times, on workers: {workers}"
+    return "a task failed too often"
--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -148,8 +148,8 @@
             record = self.state_by_id.get(job_id, NOT_STARTED)
             return visible_state(record.state, is_cancelled=job_id in self.cancelled)
 
-    def failure_reason(self, job_id: JobId) -> str:
-        """Return why a job has failed, or an empty string."""
+    def state_reason(self, job_id: JobId) -> str:
+        """Return why a job has failed or is not planned, or an empty string."""
         with self.lock:
             return self.state_by_id.get(job_id, NOT_STARTED).reason
 
--- a/tests/batch/test_wide_steps.py
+++ b/tests/batch/test_wide_steps.py
@@ -6,7 +6,8 @@
 from tests.batch.fakes import make_job, make_queue
 from tests.batch.test_planner import end_task, make_planner, submit, tasks_by_worker
 
-from chicorycrank.batch import planner as planner_module
+from chicorycrank.batch import failing_jobs
+from chicorycrank.batch.planner import Planner
 from chicorycrank.model.batch import EndKind, Step
 from chicorycrank.model.ids import TargetId
 from chicorycrank.policy.cell import Cell, QueuedJob
@@ -28,7 +29,7 @@
         lengths.append(len(queue))
         return decide(cell, queue, now_s)
 
-    monkeypatch.setattr(planner_module, "decide", record)
+    monkeypatch.setattr(failing_jobs, "decide", record)
     return lengths
 
 
@@ -53,7 +54,7 @@
     assert sum(len(rows) for rows in tasks_by_worker(planner).values()) == ACCELERATORS
 
 
-def queued_names(planner: planner_module.Planner) -> set[str]:
+def queued_names(planner: Planner) -> set[str]:
     waiting = dict.fromkeys(planner._waiting_units())
     return {job.job_id for job in planner.job_builder.make_queue(planner, waiting).values()}
 
