Give no new work to a worker whose executor is unreachable

The agent's report has the field is_unreachable instead of ending the runs there; without the leader's part, new units went to that worker and waited for their withdrawal.

--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -171,6 +171,7 @@
         is_available = (
             state.presence_expired_at is None
             and state.report.state is ExecutorState.READY
+            and not state.report.is_unreachable
             and state.backoff_until <= self.now_s
             and not state.report.suspects
             and worker not in self.testing
--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 import pytest
-from tests.batch.fakes import FakeExecutor, MemoryStore, make_report
+from tests.batch.fakes import FakeExecutor, MemoryStore, make_job, make_report
+from tests.batch.test_planner import WORKERS, make_planner, submit
 from tests.batch.test_whole_path import wait_until
 
 from chicorycrank.adapters.clock import SystemClock
@@ -14,6 +15,7 @@
 from chicorycrank.model.batch import (
     Assignment,
     EndKind,
+    Step,
     TaskEnd,
     WorkerReport,
     WorkerState,
@@ -309,6 +311,19 @@
     assert not world.report().is_unreachable
 
 
+def test_a_worker_whose_executor_is_unreachable_gets_no_new_work() -> None:
+    """Guards against new work that waits for a crashed executor while its runs stay."""
+    planner = make_planner(WORKERS[:1])
+    job = submit(planner, make_job([Step(count=1, accelerators=4, run_time_s=5.0)], name="a" * 16))
+    report = make_report(f"i-{WORKERS[0]}:1", is_unreachable=True)
+    planner.apply_report(WORKERS[0], report)
+    submit(planner, make_job([Step(count=1, accelerators=4, run_time_s=5.0)], name="b" * 16))
+    assert list(planner.members_by_worker[WORKERS[0]]) == [f"{job.job_id}.0.0.0"]
+    planner.apply_report(WORKERS[0], make_report(f"i-{WORKERS[0]}:1"))
+    planner.plan()
+    assert len(planner.members_by_worker[WORKERS[0]]) == 2
+
+
 def test_a_late_run_of_a_new_life_is_gone_before_the_report_names_that_life(world: World) -> None:
     """Guards against a task that an old order starts on a new life while it starts elsewhere."""
     world.restart_executor()
