--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -9,12 +9,16 @@
 from chicorycrank.batch.confirmation import Confirmation, Confirmer
 from chicorycrank.batch.executor_poller import ExecutorPoller
 from chicorycrank.batch.executor_state import ExecutorEnd, ExecutorState, Heartbeat
-from chicorycrank.batch.keys import decode, encode, order_key, report_key
+from chicorycrank.batch.keys import decode, order_key
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
-from chicorycrank.batch.metrics import REPORTS_WRITTEN
 from chicorycrank.batch.pacing import Pacer
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.report_store import (
+    OrderChangedError,
+    ReportConflictError,
+    ReportStore,
+)
 from chicorycrank.batch.run_driver import CallContext, RunDriver
 from chicorycrank.batch.running_time import RunningTime
 from chicorycrank.batch.runs import RunTable
@@ -25,12 +29,9 @@
 from chicorycrank.ports.executor import BatchExecutor, ExecutorStatus
 from chicorycrank.ports.transactions import (
     MISSING,
-    Conflict,
     Item,
-    Revision,
     StoreUnavailableError,
     TransactionalStore,
-    Write,
 )
 
 ORDER_WATCH_TIMEOUT_S = 2.0
@@ -38,7 +39,6 @@
 RETRY_DELAY_S = 0.15
 # Ends that arrive within this time are reported in one write.
 REPORT_BATCHING_DELAY_S = 0.01
-COMMIT_TIMEOUT_S = 0.8
 
 logger = logging.getLogger("absl")
 
@@ -60,7 +60,6 @@
         max_lease_s: float,
     ) -> None:
         self._worker = worker
-        self._store = store
         self._executor = executor
         self._clock = clock
         self._lock = threading.Condition()
@@ -86,8 +85,7 @@
             has_room=lambda run: self.table.has_room(run, self.report),
             on_fenced=self._invalidate_registration,
         )
-        self._written_report: WorkerReport | None = None
-        self._revision = MISSING
+        self._report_store = ReportStore(worker, store)
         self._order_revision = MISSING
         self._is_registered = False
         # Accepted runs that are not known here may have begun.
@@ -287,13 +285,13 @@
 
     def _last_stored_end_number(self) -> int:
         """Return the number of the last stored end of this incarnation of the executor."""
-        written = self._written_report
+        written = self._report_store.written
         if written is None or written.incarnation != self.report.incarnation:
             return 0
         return written.seen
 
     def _has_unwritten_changes(self) -> bool:
-        return self._is_registered and self._current_report() != self._written_report
+        return self._is_registered and self._current_report() != self._report_store.written
 
     def _has_unaccepted(self) -> bool:
         return self.table.has_unaccepted(includes_new=not self.report.is_unreachable)
@@ -324,8 +322,7 @@
 
         :returns: whether it is registered
         """
-        item = self._store.read(report_key(self._worker))
-        stored = self._decode_stored(item)
+        stored = self._report_store.read()
         incarnation = candidate.report.incarnation
         confirmation = self._confirmer.confirm(candidate, stored)
         with self._lock:
@@ -336,7 +333,6 @@
             if not is_known:
                 self._replace_incarnation(candidate)
             self._restore(stored, confirmation)
-            self._revision = item.revision if item is not None else MISSING
         if not self._write_report():
             return False
         with self._lock:
@@ -350,13 +346,6 @@
             self._apply_order(self.table.order)
         return True
 
-    def _decode_stored(self, item: Item | None) -> WorkerReport:
-        try:
-            return decode(item.value, WorkerReport) if item and item.value else WorkerReport()
-        except msgspec.DecodeError as error:
-            logger.warning("event=report_unreadable target=%s error=%s", self._worker, error)
-            return WorkerReport()
-
     def _replace_incarnation(self, candidate: Heartbeat) -> None:
         """Begin with a new incarnation, and report the ends of all runs of the last one."""
         if self.report.incarnation and self.executor_state.end is None:
@@ -395,34 +384,19 @@
         Runs are accepted on condition that the order that names them is unchanged, so that the
         leader can withdraw runs that have not been accepted.
         """
-        key = report_key(self._worker)
         with self._lock:
             report = self._current_report()
-            expected = {key: self._revision}
-            if self._has_unaccepted():
-                expected[order_key(self._worker)] = self._order_revision
-        value = encode(report)
-        answer = self._store.commit(
-            Write(expected=expected, values={key: value}), timeout_s=COMMIT_TIMEOUT_S
-        )
-        if isinstance(answer, Conflict):
-            item = answer.items.get(key)
-            if item is not None and item.revision == self._revision:
-                logger.info("event=order_changed target=%s", self._worker)
-                self._apply_order_items(list(answer.items.values()))
-                return False
-            if item is None or item.value != value:
-                logger.warning("event=report_conflict target=%s", self._worker)
-                with self._lock:
-                    self._revision = MISSING
-                    self._is_registered = False
-                return False
-            self._revision = item.revision
-        else:
-            self._revision = Revision(answer.revision)
-        REPORTS_WRITTEN.inc()
+            order_revision = self._order_revision if self._has_unaccepted() else None
+        try:
+            self._report_store.write(report, order_revision)
+        except OrderChangedError as error:
+            self._apply_order_items([error.item] if error.item is not None else [])
+            return False
+        except ReportConflictError:
+            with self._lock:
+                self._is_registered = False
+            return False
         with self._lock:
-            self._written_report = report
             if report.incarnation == self.report.incarnation:
                 self.table.record_accepted(report.accepted)
                 self._run_driver.submit_calls()
--- /dev/null
+++ b/src/chicorycrank/batch/report_store.py
@@ -0,0 +1,94 @@
+"""Stored report of a worker, which is written only if no other agent has written it since."""
+
+import logging
+
+import msgspec
+
+from chicorycrank.batch.keys import decode, encode, order_key, report_key
+from chicorycrank.batch.metrics import REPORTS_WRITTEN
+from chicorycrank.model.batch import WorkerReport
+from chicorycrank.model.ids import TargetId
+from chicorycrank.ports.transactions import (
+    MISSING,
+    Conflict,
+    Item,
+    Revision,
+    TransactionalStore,
+    Write,
+)
+
+COMMIT_TIMEOUT_S = 0.8
+
+logger = logging.getLogger("absl")
+
+
+class OrderChangedError(Exception):
+    """The order has changed, so the report was not written.
+
+    :param item: the order; None if it was deleted
+    """
+
+    def __init__(self, item: Item | None) -> None:
+        super().__init__("the order has changed")
+        self.item = item
+
+
+class ReportConflictError(Exception):
+    """Another agent has written the report."""
+
+
+class ReportStore:
+    """Reader and writer of the report; used by one thread.
+
+    :ivar written: last report that was written; None before
+    """
+
+    def __init__(self, worker: TargetId, store: TransactionalStore) -> None:
+        self._worker = worker
+        self._store = store
+        self._revision = MISSING
+        self.written: WorkerReport | None = None
+
+    def read(self) -> WorkerReport:
+        """Return the stored report; the next write depends on it.
+
+        :raises StoreUnavailableError: the store did not respond
+        """
+        item = self._store.read(report_key(self._worker))
+        self._revision = item.revision if item is not None else MISSING
+        try:
+            return decode(item.value, WorkerReport) if item and item.value else WorkerReport()
+        except msgspec.DecodeError as error:
+            logger.warning("event=report_unreadable target=%s error=%s", self._worker, error)
+            return WorkerReport()
+
+    def write(self, report: WorkerReport, order_revision: Revision | None) -> None:
+        """Write the report.
+
+        :param order_revision: revision that the order must have; None for any
+        :raises OrderChangedError: the order has another revision
+        :raises ReportConflictError: another agent has written the report since
+        :raises StoreUnavailableError: the store did not respond
+        """
+        key = report_key(self._worker)
+        expected = {key: self._revision}
+        if order_revision is not None:
+            expected[order_key(self._worker)] = order_revision
+        value = encode(report)
+        answer = self._store.commit(
+            Write(expected=expected, values={key: value}), timeout_s=COMMIT_TIMEOUT_S
+        )
+        if isinstance(answer, Conflict):
+            item = answer.items.get(key)
+            if item is not None and item.revision == self._revision:
+                logger.info("event=order_changed target=%s", self._worker)
+                raise OrderChangedError(answer.items.get(order_key(self._worker)))
+            # An earlier attempt may have been applied without an answer.
+            if item is None or item.value != value:
+                logger.warning("event=report_conflict target=%s", self._worker)
+                raise ReportConflictError
+            self._revision = item.revision
+        else:
+            self._revision = answer.revision
+        REPORTS_WRITTEN.inc()
+        self.written = report
