Keep the remaining time of a draining executor over a late heartbeat

A restarted agent keeps the state of its last report when the first heartbeat is a late one. Without the remaining time, the leader stopped runs that would have ended in time. The case of test_end_proofs.py failed before on remaining_ms (0 == 6000).

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -366,9 +366,9 @@
             self.table.end_unwitnessed(stored)
         else:
             self.table.resume_incarnation(stored)
-            if stored.state is WorkerState.DRAINING:
-                # The heartbeat may be a late one.
-                self.report.state = WorkerState.DRAINING
+            if stored.state is WorkerState.DRAINING and self.report.state is WorkerState.READY:
+                # The heartbeat is a late one; an executor that drains gets ready no more.
+                self.report.state, self.report.remaining_ms = stored.state, stored.remaining_ms
         self._may_be_present = confirmation is None or not confirmation.status.has_all_ends
         if confirmation is not None:
             self.executor_state.record_answer(confirmation.status, confirmation.sent_at)
--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -32,6 +32,7 @@
 # The agent has had some polls, each of a second at most, and a lease would have expired.
 SETTLED_S = 3.0
 SUSPENSION_S = 21.0
+REMAINING_MS = 6000
 
 
 class JumpingClock(SystemClock):
@@ -89,7 +90,11 @@
         """Send a heartbeat to the agent."""
         self.number += 1
         self.agent.apply_heartbeat(
-            make_report(incarnation, state=state),
+            make_report(
+                incarnation,
+                state=state,
+                remaining_ms=REMAINING_MS if state is WorkerState.DRAINING else 0,
+            ),
             number=self.number if number is None else number,
             started_at_ms=int(incarnation.rpartition(":")[2]),
             clock_ms=1000,
@@ -408,3 +413,4 @@
     world.beat(number=1)
     wait_until(lambda: world.report().fence == 2)
     assert (world.report().state is WorkerState.DRAINING) is is_draining
+    assert world.report().remaining_ms == (REMAINING_MS if is_draining else 0)
