--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -83,13 +83,18 @@
         state.checkpoints = {**state.report.checkpoints, **report.checkpoints}
         state.report = report
 
-    def mark_report_deleted(self, worker: TargetId) -> None:
-        """Make a worker unavailable after its report was deleted."""
+    def mark_report_deleted(self, worker: TargetId, revision: Revision) -> None:
+        """Make a worker unavailable after its report was deleted at a revision of the store."""
         state = self.by_id.get(worker)
         if state is not None:
-            state.report.state = ExecutorState.GONE
+            state.report.state, state.revision = ExecutorState.GONE, revision
             self.update_cell(worker)
 
+    def is_outdated(self, worker: TargetId, revision: Revision) -> bool:
+        """Return whether a report of this revision or of a later one has been applied."""
+        state = self.by_id.get(worker)
+        return state is not None and revision <= state.revision
+
     def set_present(self, worker: TargetId, is_present: bool) -> None:
         """Record that the presence of an agent was created or has expired."""
         state = self.by_id.get(worker)
@@ -108,7 +113,8 @@
         """
         state = self.by_id.get(worker)
         if state is None:
-            state = self.by_id[worker] = Worker(report=WorkerReport())
+            state = Worker(report=WorkerReport(), presence_expired_at=self.now_s)
+            self.by_id[worker] = state
         if revision > state.resumption:
             state.resumption = revision
             if state.presence_expired_at is not None:
@@ -171,6 +177,7 @@
         is_available = (
             state.presence_expired_at is None
             and state.report.state is ExecutorState.READY
+            and bool(state.report.incarnation)
             and not state.report.is_unreachable
             and state.backoff_until <= self.now_s
             and not state.report.suspects
