--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -22,7 +22,7 @@
     WorkOrder,
 )
 from chicorycrank.model.ids import Incarnation, TargetId, TaskId
-from chicorycrank.ports.executor import StartOrder
+from chicorycrank.ports.executor import ExecutorUnreachableError, StartAnswer, StartOrder
 from chicorycrank.ports.transactions import Write
 
 WORKER = TargetId("w")
@@ -316,6 +316,32 @@
     assert not world.report().is_unreachable
 
 
+def test_a_start_that_was_refused_is_no_crash_under_its_task() -> None:
+    """Guards against a job that is given up because executors were down before its starts."""
+    store, executor = MemoryStore(), FakeExecutor()
+    agent = BatchAgent(WORKER, store, executor, SystemClock(), max_lease_s=MAX_LEASE_S)
+    agent.start()
+    agent.apply_heartbeat(make_report(), number=1, started_at_ms=1, clock_ms=1000)
+    try:
+        wait_until(lambda: executor.fence > 0)
+        calls: list[StartOrder] = []
+
+        def refuse(order: StartOrder) -> StartAnswer:
+            calls.append(order)
+            executor.fault = "refused"
+            raise ExecutorUnreachableError("refused", refused=True)
+
+        executor.start = refuse  # type: ignore[method-assign]
+        order = WorkOrder(
+            incarnation=executor.incarnation, assignments=(Assignment(task=TASK, run=1),)
+        )
+        store.apply(Write(values={order_key(WORKER): encode(order)}))
+        wait_until(lambda: bool(calls) and bool(agent.table.ends))
+        assert [end.kind for end in agent.table.ends] == [EndKind.LOST]
+    finally:
+        agent.stop()
+
+
 def test_a_worker_whose_executor_is_unreachable_gets_no_new_work() -> None:
     """Guards against new work that waits for a crashed executor while its runs stay."""
     planner = make_planner(WORKERS[:1])
