End the runs of an executor that has drained, announced its exit and refuses calls

Cause: an exit notice alone ends no run any more, since it doesn't name the life of its sender. An executor left as planned; its agent waited for the lease, 5 s, and was stopped with its VM a second after the exit. So the leader waited for the lost worker, 20 s more.

--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -143,10 +143,12 @@
             elif not state.clock.is_responsive:
                 state.mark_unreachable("no-answer")
             state.is_candidate_due = is_other and state.has_candidates
-            if has_expired and state.end is None:
+            has_left = is_refused and state.has_left(sent_at_running_s)
+            if (has_expired or has_left) and state.end is None:
                 logger.warning("event=executor_lost target=%s error=%s", self._worker, error)
                 state.mark_unreachable("no-answer")
-                self.end_incarnation(ExecutorEnd.LEASE_EXPIRED, has_crashed=state.clock.has_refused)
+                how = ExecutorEnd.LEFT if has_left else ExecutorEnd.LEASE_EXPIRED
+                self.end_incarnation(how, has_crashed=state.clock.has_refused)
             self._lock.notify_all()
 
     def end_incarnation(self, how: ExecutorEnd, *, has_crashed: bool) -> None:
--- a/src/chicorycrank/batch/executor_state.py
+++ b/src/chicorycrank/batch/executor_state.py
@@ -13,13 +13,16 @@
 from chicorycrank.batch.executor_clock import ExecutorClock
 from chicorycrank.batch.metrics import HEARTBEATS_IGNORED
 from chicorycrank.batch.running_time import RunningTime
-from chicorycrank.model.batch import WorkerReport
+from chicorycrank.model.batch import WorkerReport, WorkerState
 from chicorycrank.model.ids import Incarnation, TargetId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import ExecutorStatus
 
 # Heartbeats of other writers and of earlier lives that are kept until one of them is confirmed.
 MAX_CANDIDATES = 4
+# Messages are held back by a partition for as long as it lasts. An exit notice that comes this long
+# after the start of an executor is not one of its earlier life.
+LATE_MESSAGE_LIMIT_S = 15.0
 
 logger = logging.getLogger("absl")
 
@@ -29,6 +32,7 @@
 
     REPLACED = "replaced"  # a later incarnation answered at its address
     LEASE_EXPIRED = "lease-expired"  # a call after the expiry of all leases had no answer
+    LEFT = "left"  # it drained, announced its exit and refused a call after that
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,7 +67,8 @@
         self, worker: TargetId, clock: Clock, running_time: RunningTime, lease_s: float
     ) -> None:
         self._worker = worker
-        self._now_s = clock.monotonic
+        self._clock = clock
+        self._running_time = running_time
         self.clock = ExecutorClock(clock, lambda: running_time.seconds, lease_s)
         self.report = WorkerReport()
         self.end: ExecutorEnd | None = None
@@ -72,6 +77,8 @@
         self.last_heartbeat: Heartbeat | None = None
         self._hinted_at = float("-inf")
         self.has_exit_notice = False
+        # Running time at which the registered incarnation announced its exit.
+        self._announced_at_running_s: float | None = None
 
     @property
     def may_start(self) -> bool:
@@ -123,12 +130,29 @@
         if not executor or self.report.executor != executor:
             return False
         self.has_exit_notice = True
+        if self.report.state is WorkerState.DRAINING and self._is_notice_its_own():
+            self._announced_at_running_s = self._running_time.seconds
         self.mark_unreachable("exit-notice")
         return True
 
+    def _is_notice_its_own(self) -> bool:
+        """Return whether an exit notice cannot be a late one of an earlier life."""
+        if self.last_heartbeat is None:
+            return False
+        age_s = self._clock.now().timestamp() - self.last_heartbeat.started_at_ms / 1000
+        return age_s >= LATE_MESSAGE_LIMIT_S
+
+    def has_left(self, refused_at_running_s: float) -> bool:
+        """Return whether a refused call proves an announced exit.
+
+        :param refused_at_running_s: running time at which the call was sent
+        """
+        announced_at = self._announced_at_running_s
+        return announced_at is not None and refused_at_running_s > announced_at
+
     def mark_unreachable(self, hint: str) -> None:
         """Close the worker for new work until the registered incarnation answers again."""
-        self._hinted_at = self._now_s()
+        self._hinted_at = self._clock.monotonic()
         if not self.report.is_unreachable:
             logger.info(
                 "event=executor_hint target=%s incarnation=%s hint=%s",
@@ -157,7 +181,7 @@
             self.end = None
         if sent_at >= self._hinted_at:
             self.report.is_unreachable = False
-            self.has_exit_notice = False
+            self._discard_exit_notice()
         self.is_candidate_due = False
         for candidate in list(self._candidates.values()):
             if candidate.received_at <= sent_at:
@@ -201,11 +225,15 @@
         candidate = self._candidates.pop(candidate.report.incarnation, candidate)
         self.is_candidate_due = False
         self.end = None
-        self.has_exit_notice = False
+        self._discard_exit_notice()
         self.report.is_unreachable = False
         self._adopt_report(candidate)
         self.clock.reset()
 
+    def _discard_exit_notice(self) -> None:
+        self.has_exit_notice = False
+        self._announced_at_running_s = None
+
     def _adopt_report(self, heartbeat: Heartbeat) -> None:
         self.last_heartbeat = heartbeat
         self.report = msgspec.structs.replace(
