--- a/src/chicorycrank_standin/soak/executor_faults.py
+++ b/src/chicorycrank_standin/soak/executor_faults.py
@@ -23,6 +23,7 @@
 DRAIN_S = 2.5  # a draining executor serves at least this long
 RESTART_AFTER_DRAIN_S = 0.5  # until an agent is killed beside its draining executor
 MAX_DOWN_S = 3.0
+MACHINE_FREEZE_FACTOR = 4  # machines are suspended for longer than other faults last
 MESSAGE_INTERVAL_S = 0.2
 # Time in which a message is repeated until an agent that starts has acknowledged it.
 RESTART_TIMEOUT_S = 5.0
@@ -95,7 +96,7 @@
 
 def _freeze_machine(fault: Fault, executor: BatchExecutorStandIn, agent: Program) -> None:
     agent.pause()
-    executor.freeze(fault.duration_s, stops_clock=True)
+    executor.freeze(fault.duration_s * MACHINE_FREEZE_FACTOR, stops_clock=True)
     agent.resume()
 
 
