Assume the longest lease after an incarnation is registered

Cause: an executor that restarts under its id accepts a poll whose deadline was meant for its earlier life, as calls name the executor by its id only. Change: after a registration the longest lease that the executor grants is assumed, until the clock shows that it is over.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -10,7 +10,7 @@
 from chicorycrank.batch.executor_poller import ExecutorPoller
 from chicorycrank.batch.executor_state import ExecutorEnd, ExecutorState, Heartbeat
 from chicorycrank.batch.keys import decode, order_key
-from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, executor_lease_s
+from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S
 from chicorycrank.batch.pacing import Pacer
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
@@ -65,9 +65,7 @@
         self._lock = threading.Condition()
         self._stop = threading.Event()
         self._running_time = RunningTime(clock, self._stop)
-        self.executor_state = ExecutorState(
-            worker, clock, self._running_time, executor_lease_s(max_lease_s)
-        )
+        self.executor_state = ExecutorState(worker, clock, self._running_time, max_lease_s)
         self._order_replica = Replica(
             store, order_key(worker), self._apply_order_items, clock, wait_s=ORDER_WATCH_TIMEOUT_S
         )
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -27,14 +27,18 @@
 
     :param running_s: returns the time in seconds in which this process has run
     :param lease_s: lease granted with each call, in seconds
+    :param max_lease_s: longest lease that the executor grants, in seconds
     :ivar failed_since: monotonic time of the first failed call after the last response; None after
         a response
     """
 
-    def __init__(self, clock: Clock, running_s: Callable[[], float], lease_s: float) -> None:
+    def __init__(
+        self, clock: Clock, running_s: Callable[[], float], lease_s: float, max_lease_s: float
+    ) -> None:
         self._clock = clock
         self._running_s = running_s
         self._lease_s = lease_s
+        self._max_lease_s = max_lease_s
         self._grants_lock = threading.Lock()
         self.reset()
 
@@ -55,8 +59,9 @@
         self._read_at = self._clock.monotonic()
         self._read_at_running_s = self._running_s()
         if self._last_deadline_ms is None:
-            # An earlier process of the agent may just have granted a lease.
-            self._last_deadline_ms = clock_ms + round(self._lease_s * 1000)
+            # A call of an earlier process of the agent, or one that was meant for an earlier
+            # incarnation with another clock, may have granted any lease.
+            self._last_deadline_ms = clock_ms + round(self._max_lease_s * 1000)
 
     def record_response(self, clock_ms: int) -> None:
         """Record the executor's clock from a response, which ends a series of failed calls."""
--- a/src/chicorycrank/batch/executor_state.py
+++ b/src/chicorycrank/batch/executor_state.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from chicorycrank.batch.executor_clock import ExecutorClock
+from chicorycrank.batch.leases import executor_lease_s
 from chicorycrank.batch.metrics import HEARTBEATS_IGNORED
 from chicorycrank.batch.running_time import RunningTime
 from chicorycrank.model.batch import WorkerReport, WorkerState
@@ -64,12 +65,14 @@
     """
 
     def __init__(
-        self, worker: TargetId, clock: Clock, running_time: RunningTime, lease_s: float
+        self, worker: TargetId, clock: Clock, running_time: RunningTime, max_lease_s: float
     ) -> None:
         self._worker = worker
         self._clock = clock
         self._running_time = running_time
-        self.clock = ExecutorClock(clock, lambda: running_time.seconds, lease_s)
+        self.clock = ExecutorClock(
+            clock, lambda: running_time.seconds, executor_lease_s(max_lease_s), max_lease_s
+        )
         self.report = WorkerReport()
         self.end: ExecutorEnd | None = None
         self.is_candidate_due = False
