Count a lease from the first refused call after calls without an answer

Cause: the estimate counted the time of the freeze as lease time. Change: after a call without an answer, the lease is counted from the first refused call on. Evidence: test_no_run_is_given_up_by_a_refused_port_after_a_freeze failed before and passes now.

--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -49,6 +49,7 @@
         self._read_at_running_s = 0.0
         self._last_deadline_ms: int | None = None
         self._deadlines_in_flight: list[int] = []
+        self._has_unanswered_calls = False
         self._refused_since_running_s: float | None = None
         self._failed_since_running_s: float | None = None
         self.failed_since: float | None = None
@@ -58,6 +59,7 @@
         self._clock_ms = clock_ms
         self._read_at = self._clock.monotonic()
         self._read_at_running_s = self._running_s()
+        self._has_unanswered_calls = False
         if self._last_deadline_ms is None:
             # A call of an earlier process of the agent, or one that was meant for an earlier
             # incarnation with another clock, may have granted any lease.
@@ -118,6 +120,7 @@
         if self._failed_since_running_s is None:
             self._failed_since_running_s = now_s
         if may_be_frozen:
+            self._has_unanswered_calls = True
             self._refused_since_running_s = None
         elif self._refused_since_running_s is None:
             self._refused_since_running_s = now_s
@@ -138,4 +141,8 @@
         with self._grants_lock:
             deadline_ms = max([self._last_deadline_ms, *self._deadlines_in_flight])
         remaining_s = max(0, deadline_ms - self._clock_ms) / 1000
-        return self._read_at_running_s + remaining_s * (1 + MAX_CLOCK_DRIFT) + LOSS_MARGIN_S
+        counted_from = self._read_at_running_s
+        if self._has_unanswered_calls and self._refused_since_running_s is not None:
+            # The executor's clock may have stood still until its address refused a call.
+            counted_from = self._refused_since_running_s
+        return counted_from + remaining_s * (1 + MAX_CLOCK_DRIFT) + LOSS_MARGIN_S
