Ignore heartbeats of another writer in the name of the executor

Cause: a heartbeat in the executor's name was adopted whole: its number made all later ones late, and its clock let the lease expire. Change: a heartbeat that disagrees in service or labels is ignored, and the lease is counted by the clock of answered calls only.

--- a/src/chicorycrank/batch/executor_state.py
+++ b/src/chicorycrank/batch/executor_state.py
@@ -102,6 +102,9 @@
         """
         report = heartbeat.report
         if report.incarnation == self.report.incarnation:
+            if not self._is_same_executor(report):
+                self._record_ignored(heartbeat, "other-writer")
+                return False
             if self.last_heartbeat is not None and heartbeat.number <= self.last_heartbeat.number:
                 self._record_ignored(heartbeat, "late-number")
                 return False
@@ -110,7 +113,6 @@
                     "event=executor_state state=%s number=%d", report.state.name, heartbeat.number
                 )
             self._adopt_report(heartbeat)
-            self.clock.record_reading(heartbeat.clock_ms)
             return True
         known = self._candidates.get(report.incarnation)
         if known is not None and heartbeat.number <= known.number:
@@ -233,6 +235,11 @@
         self._adopt_report(candidate)
         self.clock.reset()
 
+    def _is_same_executor(self, report: WorkerReport) -> bool:
+        """Return whether a report agrees in what an executor cannot change while it runs."""
+        current = self.report
+        return (report.service, report.labels) == (current.service, current.labels)
+
     def _discard_exit_notice(self) -> None:
         self.has_exit_notice = False
         self._announced_at_running_s = None
