Refuse heartbeats without a clock, and lists of machines that are unreadable in part

Cause: a list of machines without readable rows, or with a malformed one, looked like a list that doesn't name the executor. Change: such a list counts as unavailable, and the worker waits for the suspension limit. A heartbeat without clockMs is refused as unreadable.

--- a/src/chicorycrank/platform/documents.py
+++ b/src/chicorycrank/platform/documents.py
@@ -24,6 +24,7 @@
 
 CONFIG_STORE_KEY = "op/config"
 WORKER_STATE_BY_NAME = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
+MACHINE_STATES = frozenset({"up", "moving", "upkeep", "down"})
 MAX_PAYLOAD_BYTES = 4000
 RACK_LABEL_INDEX = 1  # The first label of an executor is the machine type, the second the rack.
 
@@ -165,10 +166,10 @@
     seq: int
     capacity: _Capacity
     labels: list[str]
+    clock_ms: int
     zone: str = ""
     born: int = 0
     remaining_ms: int = 0
-    clock_ms: int = 0
 
 
 def decode_config(data: bytes) -> BatchConfig:
@@ -344,14 +345,23 @@
 
 
 def decode_machines(rows: Iterable[Any]) -> list[Machine]:
-    """Decode a page of the list of machines; skip malformed rows."""
-    return [
-        Machine(
-            machine=row["machine"],
-            pool=str(row.get("pool", "")),
-            state=str(row.get("state", "")),
-            executor=str(row.get("id") or ""),
-        )
-        for row in rows
-        if isinstance(row, dict) and isinstance(row.get("machine"), str)
-    ]
+    """Decode a page of the list of machines.
+
+    :raises DocumentError: a row is malformed or has an unknown state
+    """
+    return [_decode_machine(row) for row in rows]
+
+
+def _decode_machine(row: Any) -> Machine:
+    if (
+        not isinstance(row, dict)
+        or not isinstance(row.get("machine"), str)
+        or row.get("state") not in MACHINE_STATES
+    ):
+        raise DocumentError(f"list of machines: malformed row {row!r:.100}")
+    return Machine(
+        machine=row["machine"],
+        pool=str(row.get("pool", "")),
+        state=row["state"],
+        executor=str(row.get("id") or ""),
+    )
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -157,10 +157,15 @@
         decode_report("i-7", b"\xff\x00")
 
 
-def test_malformed_rows_of_machines_are_skipped() -> None:
-    """Guards against losing the whole list because of a malformed row."""
-    rows = [{"machine": "m-1", "state": "up", "id": "i-1"}, {"machine": 3}, "text", None]
-    assert [row.machine for row in decode_machines(rows)] == ["m-1"]
+@pytest.mark.parametrize(
+    "malformed", [{"machine": 3, "state": "up"}, {"machine": "m-2", "state": "odd"}, "text", None]
+)
+def test_a_list_of_machines_with_a_malformed_row_is_refused(malformed: object) -> None:
+    """Guards against an executor that is taken for gone because its row cannot be read."""
+    row = {"machine": "m-1", "state": "up", "id": "i-1"}
+    assert [machine.machine for machine in decode_machines([row])] == ["m-1"]
+    with pytest.raises(DocumentError):
+        decode_machines([row, malformed])
 
 
 def test_settings_are_decoded_with_bounds() -> None:
