Report failed ends of late orders that a new incarnation has carried out

Evidence: test_no_end_of_a_new_life_is_acknowledged_without_being_reported failed before ('[CRASHED] == [FAILED]') and passes now.

--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -159,10 +159,13 @@
         self._status_sent_at = float("-inf")
 
     def apply_late_ends(self, status: ExecutorStatus) -> None:
-        """Record tasks that a new incarnation has done on late orders for an earlier one."""
+        """Record the ends of runs that a new incarnation began on late orders for an earlier one.
+
+        An end that the late order's own stop has caused says less than the end of its executor.
+        """
         for numbered in status.ends:
             self.last_end_number = max(self.last_end_number, numbered.number)
-            if numbered.end.kind is EndKind.DONE:
+            if numbered.end.kind in (EndKind.DONE, EndKind.FAILED):
                 self._apply_listed_end(numbered.end)
 
     def end_unwitnessed(self, stored: WorkerReport) -> None:
