Reserve only workers on which a job fits when they are empty

Cause: a reservation looked at accelerators alone; cores and memory were checked only at the start, which never came. Change: a reservation counts the cores and memory of empty workers, and an earlier one ends when the job no longer fits there.

--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -1,5 +1,6 @@
 """Reservations for waiting jobs, and the expected end times that backfill relies on."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
 from functools import partial
@@ -49,16 +50,17 @@
 
 
 def reserve(cell: Cell, job: QueuedJob, now_s: float) -> Reservation | None:
-    """Return a reservation for a job, or None if it needs no accelerators or none fit.
+    """Return a reservation for a job, or None if it needs no accelerators or never fits.
 
     An earlier reservation on open workers keeps its accelerators while it is recent or its cost
-    has not risen. The cost is the latest expected free time of its accelerators, with
-    :data:`GUARANTEE_PENALTY_S` added for those in the placement of a guarantee.
+    has not risen, as long as the job still fits there. The cost is the latest expected free time of
+    its accelerators, with :data:`GUARANTEE_PENALTY_S` added for those in the placement of a
+    guarantee.
     """
     if not job.shape.accelerators:
         return None
     earlier = cell.reservations_by_id.get(job.job_id)
-    if earlier is not None and all(cell.free.is_open(worker) for worker, _ in earlier.worker_masks):
+    if earlier is not None and _is_usable(cell, job, earlier):
         is_recent = now_s - earlier.created_s < MIN_RESERVATION_AGE_S
         cost_s = 0.0
         if not is_recent:
@@ -76,8 +78,7 @@
         if compared >= MAX_BLOCKS_COMPARED:
             break
         compared += sum(len(blocks(mask, job.shape.accelerators)) for _, mask in group)
-        # Cores and memory are not considered here: they are checked when the job starts.
-        member_limit = partial(_members_allowed, job)
+        member_limit = partial(_members_allowed, cell, job)
         placement_and_costs = cheapest_placement(group, job.shape, member_limit, cost)
         if placement_and_costs is not None and (
             best is None or max(placement_and_costs[1]) < best[0]
@@ -147,10 +148,25 @@
     return _free_at_s(cell, now_s, worker, block) + GUARANTEE_PENALTY_S
 
 
-def _members_allowed(job: QueuedJob, worker: TargetId) -> int:
+def _is_usable(cell: Cell, job: QueuedJob, reservation: Reservation) -> bool:
+    members_by_worker = Counter(worker for worker, _ in reservation.worker_masks)
+    return all(
+        cell.free.is_open(worker) and count <= _members_allowed(cell, job, worker)
+        for worker, count in members_by_worker.items()
+    )
+
+
+def _members_allowed(cell: Cell, job: QueuedJob, worker: TargetId) -> int:
+    """Return how many members the cores and memory of an empty worker and the job's rule allow."""
     if job.rule.workers is not None and worker not in job.rule.workers:
         return 0
-    return min(job.shape.members, job.rule.max_members or job.shape.members)
+    shape, capacity = job.shape, cell.workers_by_id[worker]
+    limits = [shape.members, job.rule.max_members or shape.members]
+    if shape.cores:
+        limits.append(capacity.cores // shape.cores)
+    if shape.memory_gb:
+        limits.append(capacity.memory_gb // shape.memory_gb)
+    return min(limits)
 
 
 def _candidate_groups(
