Choose workers by the kind and service of their current executor

Cause: the workers that suit a label are cached, and the cache was cleared by changes of capacity only. Change: a report with other labels or another service clears it too.

--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -50,7 +50,7 @@
 class WorkerRegistry:
     """Workers known to the leader, kept in sync with the cell.
 
-    :param on_change: called when a worker was added or its capacity changed
+    :param on_change: called when a worker was added or its capacity, labels or service changed
     :ivar testing: workers that get no other start, as a run there may crash them
     """
 
@@ -81,7 +81,10 @@
             state = self.by_id[worker] = Worker(report=report, presence_expired_at=self.now_s)
         # The checkpoints of an earlier incarnation of the executor are kept until they are used.
         state.checkpoints = {**state.report.checkpoints, **report.checkpoints}
+        has_other_kind = _kind(state.report) != _kind(report)
         state.report = report
+        if has_other_kind:
+            self._on_change()
 
     def mark_report_deleted(self, worker: TargetId, revision: Revision) -> None:
         """Make a worker unavailable after its report was deleted at a revision of the store."""
@@ -188,5 +191,9 @@
             self._cell.set_available(worker, is_available)
 
 
+def _kind(report: WorkerReport) -> tuple[str, tuple[str, ...]]:
+    return report.service, report.labels
+
+
 def _capacity(worker_state: WorkerState) -> tuple[str, int, int, int]:
     return worker_state.rack, worker_state.accelerators, worker_state.cores, worker_state.memory_gb
