Ask the advice service about all executors, in calls of 100

Callers saw: on more than 100 executors a step that only others than the first 100 may run would never start (read in the review). Cause: one call asks about 100 executors at the most, and only one was made. Change: the executors are asked about in parts; the tickets are joined, and the shortest validity holds.

--- a/src/chicorycrank/batch/advice.py
+++ b/src/chicorycrank/batch/advice.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.units import waiting_units
@@ -30,6 +31,17 @@
     advice: Advice
 
 
+@dataclass(frozen=True, slots=True)
+class _Tickets:
+    """Tickets for a step.
+
+    :param valid_until: monotonic time until which all of them may be used
+    """
+
+    ticket_by_executor: dict[str, str]
+    valid_until: float
+
+
 class AdviceCache:
     """Cache of tickets for one term of the leader; a background thread calls the service.
 
@@ -43,7 +55,7 @@
         self._clock = clock
         self._on_response = on_response
         self._requests: queue.SimpleQueue[_AdviceRequest | None] = queue.SimpleQueue()
-        self._responses: queue.SimpleQueue[tuple[_AdviceRequest, AllowedExecutors | None]] = (
+        self._responses: queue.SimpleQueue[tuple[_AdviceRequest, _Tickets | None]] = (
             queue.SimpleQueue()
         )
         self._pending_steps: set[str] = set()
@@ -70,20 +82,18 @@
 
     def _apply_responses(self, planner: Planner, now_s: float) -> None:
         while not self._responses.empty():
-            request, allowed = self._responses.get()
+            request, tickets = self._responses.get()
             self._pending_steps.discard(request.step)
-            if allowed is None:
+            if tickets is None:
                 self._retry_at_by_step[request.step] = now_s + RETRY_DELAY_S
                 continue
             workers = request.worker_by_executor
             planner.tickets_by_step[request.step] = {
                 workers[executor]: ticket
-                for executor, ticket in allowed.ticket_by_executor.items()
+                for executor, ticket in tickets.ticket_by_executor.items()
                 if executor in workers
             }
-            self._valid_until_by_step[request.step] = (
-                now_s + USABLE_VALIDITY_SHARE * allowed.validity_s
-            )
+            self._valid_until_by_step[request.step] = tickets.valid_until
 
     def _request_tickets(self, planner: Planner, step: str, advice: Advice) -> None:
         workers = {
@@ -97,24 +107,48 @@
             self._thread = threading.Thread(target=self._serve_requests, name="advice", daemon=True)
             self._thread.start()
         self._pending_steps.add(step)
-        executors_to_query = dict(list(workers.items())[:MAX_EXECUTORS_PER_CALL])
-        self._requests.put(_AdviceRequest(step, executors_to_query, advice))
+        self._requests.put(_AdviceRequest(step, workers, advice))
 
     def _serve_requests(self) -> None:
         while (request := self._requests.get()) is not None:
-            advice = request.advice
-            count = len(request.worker_by_executor)
-            timeout_s = RESPONSE_MARGIN_S + advice.decision_s + count * advice.per_worker_s
-            allowed = None
+            tickets = None
             try:
-                allowed = self._service.query_executors(
-                    request.step, list(request.worker_by_executor), timeout_s=timeout_s
-                )
+                tickets = self._query_in_parts(request)
             except AdviceUnavailableError as error:
                 logger.warning("event=advice_failed step=%s error=%s", request.step, error)
-            self._responses.put((request, allowed))
+            self._responses.put((request, tickets))
             self._on_response()
 
+    def _query_in_parts(self, request: _AdviceRequest) -> _Tickets:
+        """Ask about all executors, as many in one call as the service accepts.
+
+        :raises AdviceUnavailableError: no call had a usable answer
+        """
+        executors = list(request.worker_by_executor)
+        ticket_by_executor: dict[str, str] = {}
+        valid_until = inf
+        failure: AdviceUnavailableError | None = None
+        for start in range(0, len(executors), MAX_EXECUTORS_PER_CALL):
+            part = executors[start : start + MAX_EXECUTORS_PER_CALL]
+            try:
+                allowed = self._query(request, part)
+            except AdviceUnavailableError as error:
+                failure = error
+                continue
+            ticket_by_executor.update(allowed.ticket_by_executor)
+            usable_s = USABLE_VALIDITY_SHARE * allowed.validity_s
+            valid_until = min(valid_until, self._clock.monotonic() + usable_s)
+        if failure is not None:
+            if not ticket_by_executor:
+                raise failure
+            logger.warning("event=advice_partial step=%s error=%s", request.step, failure)
+        return _Tickets(ticket_by_executor, valid_until)
+
+    def _query(self, request: _AdviceRequest, executors: list[str]) -> AllowedExecutors:
+        advice = request.advice
+        timeout_s = RESPONSE_MARGIN_S + advice.decision_s + len(executors) * advice.per_worker_s
+        return self._service.query_executors(request.step, executors, timeout_s=timeout_s)
+
 
 def _waiting_steps(planner: Planner) -> dict[str, Advice]:
     advice_by_step: dict[str, Advice] = {}
