Take threads, locks, waits and tokens of the batch package from one replaceable source

A search over orders of events needs to decide who runs next. batch/threads.py now makes locks, conditions, events, queues, pools, threads and random tokens; the modules of batch/ import from it and change in nothing else. The incarnation of the executor stand-in takes its clock from the recorder, so that both can run on virtual time.

--- a/src/chicorycrank/batch/advice.py
+++ b/src/chicorycrank/batch/advice.py
@@ -1,13 +1,12 @@
 """Cache of the tickets that the advice service grants for waiting steps."""
 
 import logging
-import queue
-import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
 
 from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.threads import Queue, make_queue, start_thread
 from chicorycrank.batch.units import waiting_units
 from chicorycrank.model.batch import Advice, WorkerState
 from chicorycrank.model.ids import TargetId
@@ -54,14 +53,12 @@
         self._service = service
         self._clock = clock
         self._on_response = on_response
-        self._requests: queue.SimpleQueue[_AdviceRequest | None] = queue.SimpleQueue()
-        self._responses: queue.SimpleQueue[tuple[_AdviceRequest, _Tickets | None]] = (
-            queue.SimpleQueue()
-        )
+        self._requests: Queue[_AdviceRequest | None] = make_queue()
+        self._responses: Queue[tuple[_AdviceRequest, _Tickets | None]] = make_queue()
         self._pending_steps: set[str] = set()
         self._valid_until_by_step: dict[str, float] = {}
         self._retry_at_by_step: dict[str, float] = {}
-        self._thread: threading.Thread | None = None
+        self._is_serving = False
 
     def update(self, planner: Planner) -> None:
         """Apply the responses that have arrived and request tickets for waiting steps."""
@@ -103,9 +100,9 @@
         }
         if not workers:
             return
-        if self._thread is None:
-            self._thread = threading.Thread(target=self._serve_requests, name="advice", daemon=True)
-            self._thread.start()
+        if not self._is_serving:
+            self._is_serving = True
+            start_thread(self._serve_requests, "advice")
         self._pending_steps.add(step)
         self._requests.put(_AdviceRequest(step, workers, advice))
 
--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -1,7 +1,6 @@
 """Agent beside an executor: carries out the leader's order and reports the executor's state."""
 
 import logging
-import threading
 from collections.abc import Sequence
 
 import msgspec
@@ -22,7 +21,7 @@
 from chicorycrank.batch.run_driver import CallContext, RunDriver
 from chicorycrank.batch.running_time import RunningTime
 from chicorycrank.batch.runs import RunTable
-from chicorycrank.batch.threads import keep_running
+from chicorycrank.batch.threads import keep_running, make_condition, make_event
 from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
 from chicorycrank.model.ids import Incarnation, TargetId
 from chicorycrank.ports.clock import Clock
@@ -62,8 +61,8 @@
         self._worker = worker
         self._executor = executor
         self._clock = clock
-        self._lock = threading.Condition()
-        self._stop = threading.Event()
+        self._lock = make_condition()
+        self._stop = make_event()
         self._running_time = RunningTime(clock, self._stop)
         self.executor_state = ExecutorState(
             worker, clock, self._running_time, executor_lease_s(max_lease_s)
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -1,10 +1,10 @@
 """Estimate of an executor's clock, and of the expiry of the leases that its agent granted."""
 
-import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from chicorycrank.batch.leases import LOSS_MARGIN_S, MAX_CLOCK_DRIFT
+from chicorycrank.batch.threads import make_lock
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import ExecutorUnreachableError
 
@@ -35,7 +35,7 @@
         self._clock = clock
         self._running_s = running_s
         self._lease_s = lease_s
-        self._grants_lock = threading.Lock()
+        self._grants_lock = make_lock()
         self.reset()
 
     def reset(self) -> None:
--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -1,7 +1,6 @@
 """Polls of an executor: lease extension, status, and the proof that an incarnation has ended."""
 
 import logging
-import threading
 from collections.abc import Callable
 
 from chicorycrank.batch.confirmation import CallError, check_incarnation
@@ -10,6 +9,7 @@
 from chicorycrank.batch.run_driver import CallContext
 from chicorycrank.batch.running_time import RunningTime
 from chicorycrank.batch.runs import RunTable
+from chicorycrank.batch.threads import Condition, Event
 from chicorycrank.model.batch import WorkerState
 from chicorycrank.model.ids import Incarnation, TargetId
 from chicorycrank.ports.clock import Clock
@@ -52,8 +52,8 @@
         running_time: RunningTime,
         state: ExecutorState,
         table: RunTable,
-        lock: threading.Condition,
-        stop: threading.Event,
+        lock: Condition,
+        stop: Event,
         *,
         get_context: Callable[[], CallContext],
         stored_end: Callable[[], int],
--- a/src/chicorycrank/batch/intake.py
+++ b/src/chicorycrank/batch/intake.py
@@ -1,12 +1,12 @@
 """Submission, cancellation and state of batch jobs for callers."""
 
 import logging
-import threading
 from dataclasses import dataclass
 from enum import Enum
 
 from chicorycrank.batch.keys import cancel_key, encode, job_key
 from chicorycrank.batch.replica import Replica
+from chicorycrank.batch.threads import make_event
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.batch import FINAL_BATCH_STATES, BatchState, Submission
 from chicorycrank.model.ids import JobId
@@ -66,7 +66,7 @@
         self._view = view
         self._replica = replica
         self._clock = clock
-        self._delay_event = threading.Event()
+        self._delay_event = make_event()
 
     def submit(self, job: Submission, deadline_at: float) -> Outcome:
         """Store a job; a repeated submission with the same id changes nothing.
--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -1,13 +1,12 @@
 """Leader election: one entry at a time plans and writes progress and orders."""
 
 import logging
-import threading
 
 from chicorycrank.batch.metrics import IS_LEADER
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import LeaderRole, RoleLostError
 from chicorycrank.batch.term import Term, TermDependencies
-from chicorycrank.batch.threads import keep_running
+from chicorycrank.batch.threads import keep_running, make_event
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.ids import EntryId
 from chicorycrank.ports.clock import Clock
@@ -41,7 +40,7 @@
         self._clock = clock
         self._entry = entry
         self._dependencies = dependencies
-        self._stop = threading.Event()
+        self._stop = make_event()
         self.is_leading = False
 
     def start(self) -> None:
--- a/src/chicorycrank/batch/presence.py
+++ b/src/chicorycrank/batch/presence.py
@@ -1,7 +1,6 @@
 """Presence key of an agent in the store, under a lease that the agent renews."""
 
 import logging
-import threading
 
 from chicorycrank.batch.keys import presence_key, resumption_key
 from chicorycrank.batch.leases import (
@@ -9,6 +8,7 @@
     PRESENCE_RENEWAL_INTERVAL_S,
     PRESENCE_RESUME_DELAY_S,
 )
+from chicorycrank.batch.threads import Event
 from chicorycrank.model.ids import TargetId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import (
@@ -40,7 +40,7 @@
     """
 
     def __init__(
-        self, store: TransactionalStore, worker: TargetId, clock: Clock, stop: threading.Event
+        self, store: TransactionalStore, worker: TargetId, clock: Clock, stop: Event
     ) -> None:
         self._store = store
         self._key = presence_key(worker)
--- a/src/chicorycrank/batch/record_writer.py
+++ b/src/chicorycrank/batch/record_writer.py
@@ -1,7 +1,6 @@
 """Writing of the leader's records: progress and states of jobs, and orders of workers."""
 
 import logging
-import threading
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -20,6 +19,7 @@
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import NO_CONDITIONS, LeaderRole
+from chicorycrank.batch.threads import Event
 from chicorycrank.batch.units import state_of
 from chicorycrank.batch.view import NOT_STARTED, SharedView
 from chicorycrank.model.batch import BatchState
@@ -82,7 +82,7 @@
         replica: Replica,
         clock: Clock,
         raise_if_ended: Callable[[], None],
-        stop: threading.Event,
+        stop: Event,
     ) -> None:
         self._role = role
         self._view = view
--- a/src/chicorycrank/batch/replica.py
+++ b/src/chicorycrank/batch/replica.py
@@ -1,11 +1,10 @@
 """Local copy of the keys under a prefix, updated by a watch."""
 
 import logging
-import threading
 from collections import deque
 from collections.abc import Callable, Sequence
 
-from chicorycrank.batch.threads import keep_running
+from chicorycrank.batch.threads import keep_running, make_event, make_lock
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import (
     Changes,
@@ -49,16 +48,16 @@
         self._apply = apply
         self._clock = clock
         self._wait_s = wait_s
-        self._lock = threading.Lock()
+        self._lock = make_lock()
         self._revision_by_key: dict[str, Revision] = {}
         self._revision_by_deleted_key: dict[str, Revision] = {}
         # All changes up to this revision are known; None if the keys have to be read.
         self._last_revision: Revision | None = None
         # Times and store revisions of the answers without changes since then.
         self._empty_answers: deque[tuple[float, Revision]] = deque()
-        self._stop = threading.Event()
+        self._stop = make_event()
         self._is_available = False
-        self.is_loaded = threading.Event()
+        self.is_loaded = make_event()
         self.confirmed_at = float("-inf")
         self.failed_since: float | None = None
 
--- a/src/chicorycrank/batch/role.py
+++ b/src/chicorycrank/batch/role.py
@@ -1,11 +1,11 @@
 """Leader role, whose record in the store decides which entry may write."""
 
-import secrets
 from collections.abc import Mapping, Sequence
 
 import msgspec
 
 from chicorycrank.batch.keys import LEADER_KEY, LeaderRecord, decode, encode
+from chicorycrank.batch.threads import make_token
 from chicorycrank.model.ids import EntryId
 from chicorycrank.ports.transactions import (
     MISSING,
@@ -66,7 +66,7 @@
         """
         self._lease = self._store.grant(ROLE_LEASE_S)
         entry = self._record.entry
-        self._record = LeaderRecord(entry=entry, term=secrets.token_hex(4))
+        self._record = LeaderRecord(entry=entry, term=make_token(4))
         self._revision = replaced_revision
         return self._commit({}, ()) is not None
 
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -1,14 +1,13 @@
 """Start and stop calls for the runs of an executor, repeated until they are answered."""
 
 import logging
-import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 
 from chicorycrank.batch.run import Run
 from chicorycrank.batch.runs import RunTable
+from chicorycrank.batch.threads import Condition, Event, make_pool
 from chicorycrank.model.batch import EndKind
 from chicorycrank.model.ids import Incarnation
 from chicorycrank.ports.clock import Clock
@@ -67,8 +66,8 @@
         executor: BatchExecutor,
         clock: Clock,
         table: RunTable,
-        lock: threading.Condition,
-        stop: threading.Event,
+        lock: Condition,
+        stop: Event,
         *,
         get_context: Callable[[], CallContext],
         granting: Callable[[int], AbstractContextManager[None]],
@@ -84,7 +83,7 @@
         self._granting = granting
         self._has_room = has_room
         self._on_fenced = on_fenced
-        self._pool = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="order")
+        self._pool = make_pool(MAX_CONCURRENT_CALLS, "order")
 
     def submit_calls(self) -> None:
         """Submit the calls that are needed and not active yet; the caller holds the lock."""
--- a/src/chicorycrank/batch/running_time.py
+++ b/src/chicorycrank/batch/running_time.py
@@ -1,8 +1,8 @@
 """Time during which this process has run, without its own pauses and those of the machine."""
 
 import logging
-import threading
 
+from chicorycrank.batch.threads import Event
 from chicorycrank.ports.clock import Clock
 
 TICK_INTERVAL_S = 0.1
@@ -22,7 +22,7 @@
     :ivar seconds: counted time in seconds
     """
 
-    def __init__(self, clock: Clock, stop: threading.Event) -> None:
+    def __init__(self, clock: Clock, stop: Event) -> None:
         self._clock = clock
         self._stop = stop
         self._ticked_at = clock.monotonic()
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -1,7 +1,6 @@
 """One term of the leader: applies stored changes, plans, and writes progress and orders."""
 
 import logging
-import threading
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
@@ -28,7 +27,7 @@
 from chicorycrank.batch.record_writer import COMMIT_RETRY_S, RecordWriter
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import ROLE_RENEWAL_INTERVAL_S, LeaderRole, RoleLostError
-from chicorycrank.batch.threads import keep_running
+from chicorycrank.batch.threads import Event, keep_running, make_event
 from chicorycrank.batch.view import SharedView
 from chicorycrank.batch.withdrawals import withdraw
 from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
@@ -89,7 +88,7 @@
         clock: Clock,
         role: LeaderRole,
         dependencies: TermDependencies,
-        stop: threading.Event,
+        stop: Event,
     ) -> None:
         self._store = store
         self._view = view
@@ -98,7 +97,7 @@
         self._role = role
         self._ended_job_retention_s = dependencies.ended_job_retention_s
         self._stop = stop
-        self._ended = threading.Event()
+        self._ended = make_event()
         self._report_changes: list[Item] = []
         self._stored_progress: dict[JobId, Progress | None] = {}
         self._report_replica = Replica(
--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -1,7 +1,6 @@
 """An entry's view of the stored jobs, configuration and leader."""
 
 import logging
-import threading
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
@@ -17,6 +16,7 @@
     decode,
 )
 from chicorycrank.batch.metrics import CONFIG_VERSION
+from chicorycrank.batch.threads import make_condition
 from chicorycrank.batch.units import visible_state
 from chicorycrank.model.batch import (
     BatchConfig,
@@ -83,7 +83,7 @@
     ) -> None:
         self._config_key = config_key
         self._decode_config = decode_config
-        self.lock = threading.Condition()
+        self.lock = make_condition()
         self.config = ConfigView()
         self.jobs_by_id: dict[JobId, Submission] = {}
         self.state_by_id: dict[JobId, StateRecord] = {}
--- a/src/chicorycrank_standin/platform/incarnation.py
+++ b/src/chicorycrank_standin/platform/incarnation.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 from chicorycrank_standin.platform.run_recorder import RunRecord, RunRecorder
@@ -22,6 +23,7 @@
     :param instance: id of the executor, which may be that of the incarnation before
     :param executor: name of the executor in the records of runs
     :param agent: name of its agent in the records of runs
+    :param wall_s: returns the wall-clock time in seconds; the recorder has the monotonic clock
     :ivar runs: runs by task and number
     :ivar fencing_token: the highest that was seen
     :ivar exits_at: monotonic time at which the draining executor exits; None if it is ready
@@ -29,9 +31,17 @@
         drains; None before it
     """
 
-    def __init__(self, instance: str, executor: str, agent: str, run_recorder: RunRecorder) -> None:
+    def __init__(
+        self,
+        instance: str,
+        executor: str,
+        agent: str,
+        run_recorder: RunRecorder,
+        *,
+        wall_s: Callable[[], float] = time.time,
+    ) -> None:
         self.instance = instance
-        self.born_ms = round(time.time() * 1000)
+        self.born_ms = round(wall_s() * 1000)
         self.fencing_token = 0
         self.runs: dict[tuple[str, int], RunRecord] = {}
         self.heartbeat_number = 0
@@ -43,7 +53,8 @@
         self._executor = executor
         self._agent = agent
         self._run_recorder = run_recorder
-        self._clock_started_at = time.monotonic()
+        self._now_s = run_recorder.clock
+        self._clock_started_at = self._now_s()
         self._lease_deadline_ms = 0
         self._lapsed_at = float("-inf")
         self._stops_at: dict[tuple[str, int], float] = {}
@@ -54,7 +65,7 @@
 
     def clock_ms(self) -> int:
         """Return the reading of the executor's clock."""
-        return round((time.monotonic() - self._clock_started_at) * 1000 * CLOCK_RATE)
+        return round((self._now_s() - self._clock_started_at) * 1000 * CLOCK_RATE)
 
     def heartbeat_fields(self, address: str, accelerators: int) -> dict[str, Any]:
         """Return the fields of a heartbeat."""
@@ -70,7 +81,7 @@
             "capacity": {"cpu": 64000, "memMb": 256000, "gpus": accelerators},
         }
         if self.exits_at is not None:
-            fields["remainingMs"] = max(0, round((self.exits_at - time.monotonic()) * 1000))
+            fields["remainingMs"] = max(0, round((self.exits_at - self._now_s()) * 1000))
         return fields
 
     def record_freeze(self, frozen_s: float, *, stops_clock: bool) -> None:
@@ -98,7 +109,7 @@
         :param arrived_at: monotonic time at which the order arrived
         """
         payload = json.loads(order["spec"])
-        now = time.monotonic()
+        now = self._now_s()
         record = RunRecord(
             task=order["task"],
             run=order["run"],
@@ -129,7 +140,7 @@
     def extend_lease(self, deadline_ms: int) -> None:
         """Extend the lease of all runs; it is never shortened."""
         if self.clock_ms() > self._lease_deadline_ms:
-            self._lapsed_at = time.monotonic()
+            self._lapsed_at = self._now_s()
         latest_ms = self.clock_ms() + MAX_LEASE_MS
         self._lease_deadline_ms = max(self._lease_deadline_ms, min(deadline_ms, latest_ms))
 
@@ -154,13 +165,13 @@
     def lapse_if_due(self) -> None:
         """End all runs if the lease has expired."""
         if self.runs and self.clock_ms() > self._lease_deadline_ms:
-            self._lapsed_at = time.monotonic()
+            self._lapsed_at = self._now_s()
             for record in list(self.runs.values()):
                 self._end(record, "lapsed")
 
     def end_due_runs(self) -> None:
         """End the runs whose work is done, that were stopped or whose gang is incomplete."""
-        now = time.monotonic()
+        now = self._now_s()
         for key, record in list(self.runs.items()):
             if key in self._stops_at:
                 if now >= self._stops_at[key]:
