--- a/src/chicorycrank_standin/platform/incarnation.py
+++ b/src/chicorycrank_standin/platform/incarnation.py
@@ -192,6 +192,19 @@
         self._ended_run_by_number[self._last_end_number] = record
         self.unacknowledged_ends.append([self._last_end_number, record.task, record.run, kind, ""])
 
+    def break_gang(self, task: str, run: int) -> None:
+        """End the members of a complete gang here, as another member has ended.
+
+        PROTOCOL.md, "Running tasks": the tasks of a gang work only together.
+
+        :param task: task of the member that has ended
+        """
+        step = task.rpartition(".")[0]
+        for record in list(self.runs.values()):
+            is_member = record.task.rpartition(".")[0] == step and record.run == run
+            if is_member and record.ends_at is not None:
+                self._end(record, "broken")
+
     def end_all(self, kind: str) -> None:
         """End all runs together with the incarnation."""
         for record in self.runs.values():
