--- a/src/chicorycrank_standin/interleavings/choices.py
+++ b/src/chicorycrank_standin/interleavings/choices.py
@@ -9,6 +9,9 @@
 # Mean number of points between two choices, one of which applies to a schedule.
 MEAN_GAPS = (150, 400, 900, 2000)
 KINDS_PER_SCHEDULE = 6
+# Share of the choices of a schedule that have the same target, so that faults meet.
+FOCUSED_SHARE = 0.6
+TARGETS = 8
 
 
 class Kind(Enum):
@@ -90,6 +93,7 @@
         self._rng = rng
         self._mean_gap = rng.choice(MEAN_GAPS)
         self._kinds = rng.sample(list(Kind), KINDS_PER_SCHEDULE)
+        self._focus = rng.randrange(TARGETS)
         self._left = self._draw_gap()
         self.made: dict[Point, Choice] = {}
 
@@ -110,7 +114,8 @@
         least, most = AMOUNT_RANGES_S.get(kind, (0.0, 0.0))
         # Short times are as likely as long ones.
         amount_s = round(least + (most - least) * rng.random() ** 2, 3)
-        choice = self.made[Point(thread, number)] = Choice(kind, rng.randrange(8), amount_s)
+        target = self._focus if rng.random() < FOCUSED_SHARE else rng.randrange(TARGETS)
+        choice = self.made[Point(thread, number)] = Choice(kind, target, amount_s)
         return choice
 
 
--- a/src/chicorycrank_standin/interleavings/world.py
+++ b/src/chicorycrank_standin/interleavings/world.py
@@ -52,11 +52,14 @@
 from chicorycrank_standin.platform.disturbances import STORE, Disturbance, DisturbanceLog
 from chicorycrank_standin.platform.run_recorder import RunRecord, RunRecorder
 
+# The tasks never fail, so a job is given up only if executors crash under it.
+MIN_CRASHES_OF_FAILED_JOB = 2
 CONFIG_KEY = "op/config"
 FAULTS_S = 12.0  # choices strike in this first part of a schedule
 END_LIMIT_S = 60.0  # an accepted job ends within this time after the last fault
 SETTLING_S = 3.0  # time after the end of the last job in which nothing may start
 CALL_LIMIT_S = 3.0
+CANCELLED_SHARE = 0.4
 CHECK_INTERVAL_S = 0.1
 CALLER_RETRY_S = 0.5
 HEARTBEAT_INTERVAL_S = 1.5
@@ -225,12 +228,17 @@
 
     def _caller(self, number: int, seconds: float) -> Callable[[], None]:
         rng = self._rng
-        submits_at_s, cancels_after_s = rng.uniform(0.5, 4.0), rng.uniform(0.05, 6.0)
-        is_cancelled = rng.random() < 0.35
+        submits_at_s, cancels_after_s = rng.uniform(0.5, 3.0), rng.uniform(0.05, 6.0)
+        is_cancelled = rng.random() < CANCELLED_SHARE
         count, is_gang = rng.choice(((1, False), (2, False), (2, True)))
+        accelerators = rng.choice((ACCELERATORS, ACCELERATORS // 2))
         first, second = rng.sample(ENTRIES, 2)
         job_id = JobId(f"{number}" * 16)
-        spec = {"seconds": seconds, "members": count if is_gang else 1, "accelerators": 4}
+        spec = {
+            "seconds": seconds,
+            "members": count if is_gang else 1,
+            "accelerators": accelerators,
+        }
         job = Submission(
             job_id=job_id,
             queue=QUEUE,
@@ -239,7 +247,7 @@
             steps=(
                 Step(
                     count=count,
-                    accelerators=ACCELERATORS // 2,
+                    accelerators=accelerators,
                     run_time_s=seconds,
                     gang=is_gang,
                 ),
@@ -443,4 +451,11 @@
             done = {r.task for r in self.recorder.runs if r.end_kind == "done"}
             if is_done and not any(task.startswith(job_id) for task in done):
                 self.recorder.report_violation(f"job {job_id} is reported as done and never ran")
+        for job_id in sorted(self.accepted):
+            crashes = [
+                run for run in self.recorder.runs if run.job == job_id and run.end_kind == "crashed"
+            ]
+            is_failed = self.job_state(job_id) is BatchState.FAILED
+            if is_failed and len(crashes) < MIN_CRASHES_OF_FAILED_JOB:
+                self.recorder.report_violation(f"job {job_id} is given up")
         self.recorder.check_runs_of_cancelled_jobs(list(ENTRIES))
