--- a/tests/interleavings/test_search.py
+++ b/tests/interleavings/test_search.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chicorycrank.batch.executor_clock import ExecutorClock
 from chicorycrank_standin.interleavings.choices import (
     GivenChoices,
     format_choices,
@@ -9,12 +10,15 @@
 )
 from chicorycrank_standin.interleavings.search import (
     draw_schedule,
+    format_steps,
     run_schedule,
+    shrink,
     workload_seed_of,
 )
 
 SEED = 29
 SCHEDULES = 150
+MAX_SHRUNK_CHOICES = 6
 
 
 @pytest.mark.parametrize("number", range(5))
@@ -38,3 +42,14 @@
     """Guards against orders of events that break a promise."""
     broken = {n: draw_schedule(SEED, n).violations for n in range(SCHEDULES)}
     assert {n: violations for n, violations in broken.items() if violations} == {}
+
+
+def test_a_planted_fault_is_found_and_shrunk(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a search that sees nothing: one failed call counts as the end of all runs."""
+    monkeypatch.setattr(ExecutorClock, "record_failed_call", lambda *_, **__: True)
+    results = ((n, draw_schedule(SEED, n)) for n in range(SCHEDULES))
+    number, found = next((n, result) for n, result in results if result.violations)
+    shrunk = shrink(workload_seed_of(SEED, number), found.choices, found.violations)
+    assert shrunk.violations
+    assert len(shrunk.choices) <= min(MAX_SHRUNK_CHOICES, len(found.choices))
+    assert "STARTS" in format_steps(shrunk)
