--- a/tests/interleavings/test_search.py
+++ b/tests/interleavings/test_search.py
@@ -21,6 +21,20 @@
 MAX_SHRUNK_CHOICES = 6
 
 
+# Workload seed and choices of schedules that have broken a rule, as the search prints them.
+KEPT_SCHEDULES = {
+    "refused-while-a-run-is-done": (
+        2000124,
+        [
+            "entry-0#1/leader.1 27 CRASH 4 3.496",
+            "w-0#1/RunningTime.keep.1 92 CRASH 4 3.34",
+            "entry-0#1/leader.1 130 CRASH 5 0.809",
+            "w-0#1/RunningTime.keep.1 143 REFUSE 7 6.188",
+        ],
+    ),
+}
+
+
 @pytest.mark.parametrize("number", range(5))
 def test_a_seed_gives_the_same_run_each_time(number: int) -> None:
     """Guards against a failing schedule that can't be repeated."""
@@ -53,3 +67,10 @@
     assert shrunk.violations
     assert len(shrunk.choices) <= min(MAX_SHRUNK_CHOICES, len(found.choices))
     assert "STARTS" in format_steps(shrunk)
+
+
+@pytest.mark.parametrize("name", KEPT_SCHEDULES)
+def test_a_kept_schedule_breaks_no_rule(name: str) -> None:
+    """Guards against the return of a fault that the search has found."""
+    workload_seed, lines = KEPT_SCHEDULES[name]
+    assert run_schedule(workload_seed, GivenChoices(parse_choices(lines))).violations == ()
