--- /dev/null
+++ b/tests/interleavings/test_search.py
@@ -0,0 +1,76 @@
+"""The search over orders of events: determinism, the present code, and planted faults."""
+
+import pytest
+
+from chicorycrank.batch.executor_clock import ExecutorClock
+from chicorycrank_standin.interleavings.choices import (
+    GivenChoices,
+    format_choices,
+    parse_choices,
+)
+from chicorycrank_standin.interleavings.search import (
+    draw_schedule,
+    format_steps,
+    run_schedule,
+    shrink,
+    workload_seed_of,
+)
+
+SEED = 29
+SCHEDULES = 150
+MAX_SHRUNK_CHOICES = 6
+
+
+# Workload seed and choices of schedules that have broken a rule, as the search prints them.
+KEPT_SCHEDULES = {
+    "refused-while-a-run-is-done": (
+        2000124,
+        [
+            "entry-0#1/leader.1 27 CRASH 4 3.496",
+            "w-0#1/RunningTime.keep.1 92 CRASH 4 3.34",
+            "entry-0#1/leader.1 130 CRASH 5 0.809",
+            "w-0#1/RunningTime.keep.1 143 REFUSE 7 6.188",
+        ],
+    ),
+}
+
+
+@pytest.mark.parametrize("number", range(5))
+def test_a_seed_gives_the_same_run_each_time(number: int) -> None:
+    """Guards against a failing schedule that can't be repeated."""
+    first = draw_schedule(SEED, number, is_traced=True)
+    assert first.trace
+    assert draw_schedule(SEED, number, is_traced=True) == first
+
+
+def test_the_drawn_choices_of_a_schedule_repeat_it() -> None:
+    """Guards against a shrunk schedule that starts from another run."""
+    drawn = draw_schedule(SEED, 1, is_traced=True)
+    assert drawn.choices
+    choices = parse_choices(format_choices(drawn.choices))
+    given = run_schedule(workload_seed_of(SEED, 1), GivenChoices(choices), is_traced=True)
+    assert given == drawn
+
+
+def test_no_schedule_breaks_a_rule() -> None:
+    """Guards against orders of events that break a promise."""
+    broken = {n: draw_schedule(SEED, n).violations for n in range(SCHEDULES)}
+    assert {n: violations for n, violations in broken.items() if violations} == {}
+
+
+def test_a_planted_fault_is_found_and_shrunk(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a search that sees nothing: one failed call counts as the end of all runs."""
+    monkeypatch.setattr(ExecutorClock, "record_failed_call", lambda *_, **__: True)
+    results = ((n, draw_schedule(SEED, n)) for n in range(SCHEDULES))
+    number, found = next((n, result) for n, result in results if result.violations)
+    shrunk = shrink(workload_seed_of(SEED, number), found.choices, found.violations)
+    assert shrunk.violations
+    assert len(shrunk.choices) <= min(MAX_SHRUNK_CHOICES, len(found.choices))
+    assert "STARTS" in format_steps(shrunk)
+
+
+@pytest.mark.parametrize("name", KEPT_SCHEDULES)
+def test_a_kept_schedule_breaks_no_rule(name: str) -> None:
+    """Guards against the return of a fault that the search has found."""
+    workload_seed, lines = KEPT_SCHEDULES[name]
+    assert run_schedule(workload_seed, GivenChoices(parse_choices(lines))).violations == ()
