Write each order together with the conditions of all jobs that it may start

Cause: a plan of several writes put the conditions on the cancellations into the first one. If the store refused the next writes while it took renewals, the orders followed at any later time and depended on nothing. Change: an order stands in one write with the missing cancellations of the jobs whose runs there the agent has not accepted. A plan leaves at most 28 such jobs on a worker; a new leader that finds more writes the order in steps. This also covers an order that is written again before its acceptance, which had no condition; the list of started jobs in the changes is not needed any more.

--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -9,17 +9,19 @@
 from chicorycrank.policy.cell import Cell
 from chicorycrank.policy.pool import WorkerMask, WorkerMasks
 
+# The store accepts 32 keys and conditions per write. The leader record and its condition take one
+# each; one is kept free.
+MAX_KEYS_PER_WRITE = 29
+# An order is written under one condition for each job that it starts.
+MAX_JOBS_STARTED_PER_ORDER = MAX_KEYS_PER_WRITE - 1
+
 
 @dataclass(kw_only=True)
 class ChangedRecords:
-    """Records that a plan has changed and that have to be written.
-
-    :param started_jobs: jobs of which the changed orders start runs
-    """
+    """Records that a plan has changed and that have to be written."""
 
     jobs: set[JobId] = field(default_factory=set)
     workers: set[TargetId] = field(default_factory=set)
-    started_jobs: set[JobId] = field(default_factory=set)
 
     def __bool__(self) -> bool:
         return bool(self.jobs or self.workers)
@@ -28,7 +30,6 @@
         """Forget the changes once they are written."""
         self.jobs.clear()
         self.workers.clear()
-        self.started_jobs.clear()
 
 
 def make_assignment(
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -18,7 +18,12 @@
     UNITS_STOPPED,
     WAIT_SECONDS,
 )
-from chicorycrank.batch.orders import ChangedRecords, choose_accelerators, make_assignment
+from chicorycrank.batch.orders import (
+    MAX_JOBS_STARTED_PER_ORDER,
+    ChangedRecords,
+    choose_accelerators,
+    make_assignment,
+)
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.batch.stop_reasons import stop_reason
 from chicorycrank.batch.units import (
@@ -244,6 +249,20 @@
             assignments.append(make_assignment(job, member.ref, unit, task, ticket, probation_ms))
         return WorkOrder(incarnation=incarnation, assignments=tuple(assignments))
 
+    def unaccepted_tasks(self, worker: TargetId) -> dict[JobId, list[TaskId]]:
+        """Return the tasks that the next order of a worker may start, by job.
+
+        A run that the worker's agent has accepted was started by an earlier order.
+        """
+        state = self.workers.by_id.get(worker)
+        accepted = state.report.accepted if state is not None else {}
+        tasks_by_job: dict[JobId, list[TaskId]] = {}
+        for task, member in self.members_by_worker.get(worker, {}).items():
+            unit = self._unit(member.ref)
+            if unit.state is UnitState.ASSIGNED and accepted.get(task) != unit.run:
+                tasks_by_job.setdefault(member.ref.job_id, []).append(task)
+        return tasks_by_job
+
     def queue_of(self, job: Submission) -> Queue:
         """Return a job's current queue, or its queue at submission if that was removed."""
         return self.queues_by_id.get(job.queue.queue_id, job.queue)
@@ -263,9 +282,14 @@
     def _may_start_on(
         self, ref: UnitRef, workers: set[TargetId], started_on: set[TargetId]
     ) -> bool:
-        """Return whether no test run and no other start of this plan stands against a start."""
+        """Return whether the orders allow a start, and no test run and no start of this plan."""
         if self.crashes.is_held(self, ref) or workers & self.crashes.testing_workers(self):
             return False
+        if any(
+            len({*self.unaccepted_tasks(worker), ref.job_id}) > MAX_JOBS_STARTED_PER_ORDER
+            for worker in workers
+        ):
+            return False
         unit = self.progress_by_id[ref.job_id].units.get(ref.key)
         return not (self.crashes.needs_test(self, ref, unit) and workers & started_on)
 
@@ -317,7 +341,6 @@
         )
         self._index_members(ref, unit)
         self.changes.jobs.add(ref.job_id)
-        self.changes.started_jobs.add(ref.job_id)
         UNITS_STARTED.inc()
         # The first start of the first unit ends the wait of the job.
         if unit.run == 1 and len(progress.units) == 1:
--- a/src/chicorycrank/batch/record_writer.py
+++ b/src/chicorycrank/batch/record_writer.py
@@ -1,8 +1,9 @@
 """Writing of the leader's records: progress and states of jobs, and orders of workers."""
 
 import logging
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import chain
 
 from chicorycrank.batch.keys import (
     CANCELS_PREFIX,
@@ -16,6 +17,7 @@
 )
 from chicorycrank.batch.known_jobs import cancel_jobs
 from chicorycrank.batch.metrics import STARTS_PREVENTED
+from chicorycrank.batch.orders import MAX_JOBS_STARTED_PER_ORDER, MAX_KEYS_PER_WRITE
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import NO_CONDITIONS, LeaderRole
@@ -23,48 +25,47 @@
 from chicorycrank.batch.units import state_of
 from chicorycrank.batch.view import NOT_STARTED, SharedView
 from chicorycrank.model.batch import BatchState
-from chicorycrank.model.ids import JobId
+from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import MISSING, Item, Revision, StoreUnavailableError
 
 COMMIT_RETRY_S = 0.1
-# The store accepts 32 keys and conditions per write. The leader record and its condition take one
-# each; one is kept free.
-MAX_KEYS_PER_WRITE = 29
 
 logger = logging.getLogger("absl")
 
 
 @dataclass(kw_only=True)
 class PartialWrite:
-    """Values, deletions and conditions that fit into one write of the leader."""
+    """Values, deletions and conditions that go into one write of the leader."""
 
     values: dict[str, bytes] = field(default_factory=dict)
     deletes: list[str] = field(default_factory=list)
     expected: dict[str, Revision] = field(default_factory=dict)
 
+    def joined(self, other: "PartialWrite") -> "PartialWrite":
+        """Return the write that does what both do."""
+        return PartialWrite(
+            values={**self.values, **other.values},
+            deletes=[*self.deletes, *other.deletes],
+            expected={**self.expected, **other.expected},
+        )
+
     @property
-    def is_full(self) -> bool:
-        """Whether no further key fits."""
-        return len(self.values) + len(self.deletes) + len(self.expected) >= MAX_KEYS_PER_WRITE
-
-
-def split_write(
-    values: Mapping[str, bytes], deletes: Sequence[str], expected: Mapping[str, Revision]
-) -> Iterator[PartialWrite]:
-    """Split a write into writes that the store accepts, conditions first and deletions last."""
-    part = PartialWrite()
-    for key in (*expected, *values, *deletes):
-        if part.is_full:
-            yield part
-            part = PartialWrite()
-        if key in expected:
-            part.expected[key] = expected[key]
-        elif key in values:
-            part.values[key] = values[key]
-        else:
-            part.deletes.append(key)
-    yield part
+    def fits(self) -> bool:
+        """Whether the store accepts that many keys."""
+        return len(self.values) + len(self.deletes) + len(self.expected) <= MAX_KEYS_PER_WRITE
+
+
+def join_writes(parts: Iterable[PartialWrite]) -> Iterator[PartialWrite]:
+    """Join consecutive writes as far as the store accepts them; no single one is split."""
+    joined = PartialWrite()
+    for part in parts:
+        longer = joined.joined(part)
+        if not longer.fits:
+            yield joined
+            longer = part
+        joined = longer
+    yield joined
 
 
 class RecordWriter:
@@ -148,15 +149,34 @@
             values[progress_key(job_id)] = encode(planner.progress_by_id[job_id])
             if state is not None:
                 values[state_key(job_id)] = encode(state)
-        for worker in changes.workers:
-            values[order_key(worker)] = encode(planner.order_for(worker))
-        started_jobs = changes.started_jobs & planner.active_jobs.keys()
-        not_cancelled = {cancel_key(job_id): MISSING for job_id in started_jobs}
+        parts = chain(
+            (PartialWrite(values={key: value}) for key, value in values.items()),
+            chain.from_iterable(self._order_writes(planner, worker) for worker in changes.workers),
+            (PartialWrite(deletes=[key]) for key in deletes),
+        )
         return all(
-            self.write(part.values, part.deletes, part.expected)
-            for part in split_write(values, deletes, not_cancelled)
+            self.write(part.values, part.deletes, part.expected) for part in join_writes(parts)
         )
 
+    def _order_writes(self, planner: Planner, worker: TargetId) -> Iterator[PartialWrite]:
+        """Yield the writes of a worker's order, each of which starts no cancelled job.
+
+        A later write may come long after an earlier one, so each order depends on the missing
+        cancellations of all jobs that it starts. If these are more than a write can depend on, the
+        order grows from write to write.
+        """
+        tasks_by_job = planner.unaccepted_tasks(worker)
+        jobs = list(tasks_by_job)
+        for first in range(0, max(1, len(jobs)), MAX_JOBS_STARTED_PER_ORDER):
+            later = jobs[first + MAX_JOBS_STARTED_PER_ORDER :]
+            excluded = {task for job_id in later for task in tasks_by_job[job_id]}
+            order = planner.order_for(worker, excluded_tasks=excluded)
+            started = jobs[first : first + MAX_JOBS_STARTED_PER_ORDER]
+            yield PartialWrite(
+                values={order_key(worker): encode(order)},
+                expected={cancel_key(job_id): MISSING for job_id in started},
+            )
+
     def _cancel_conflicting_jobs(self, planner: Planner) -> None:
         items = self._role.conflicting_items
         job_ids = {
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -181,7 +181,6 @@
         # The previous leader may not have written all of its orders, so the orders of all workers
         # with assigned work are written again, which may start that work.
         planner.changes.workers.update(planner.members_by_worker)
-        planner.changes.started_jobs.update(planner.active_jobs)
 
     def _read_progress(self) -> dict[JobId, Progress | None]:
         """Read the progress of all jobs; it is None if a record is unreadable.
--- a/tests/batch/test_cancelling.py
+++ b/tests/batch/test_cancelling.py
@@ -7,7 +7,7 @@
 
 import pytest
 from tests.batch.fakes import make_job, make_report
-from tests.batch.leader_harness import JOB, RETENTION_S, LeaderHarness
+from tests.batch.leader_harness import JOB, RETENTION_S, WORKER, LeaderHarness
 from tests.batch.test_whole_path import STEP, Deployment, is_leading
 
 from chicorycrank.batch.intake import Outcome
@@ -19,14 +19,25 @@
     decode,
     encode,
     job_key,
+    order_key,
     presence_key,
+    progress_key,
     report_key,
     state_key,
 )
-from chicorycrank.batch.record_writer import MAX_KEYS_PER_WRITE
+from chicorycrank.batch.orders import MAX_KEYS_PER_WRITE
 from chicorycrank.batch.term import STATUS_RETENTION_MARGIN_S
-from chicorycrank.model.batch import BatchState, EndKind, Step, WorkOrder
-from chicorycrank.model.ids import TargetId, TaskId
+from chicorycrank.model.batch import (
+    BatchState,
+    EndKind,
+    Place,
+    Progress,
+    Step,
+    Unit,
+    UnitState,
+    WorkOrder,
+)
+from chicorycrank.model.ids import JobId, TargetId, TaskId
 from chicorycrank.ports.transactions import Item, Write
 
 STORE_LIMIT = 32  # keys and conditions of one write
@@ -121,6 +132,48 @@
     )
 
 
+def record_starts(harness: LeaderHarness) -> list[tuple[Write, set[str]]]:
+    """Return the writes of orders, each with the jobs that it starts and the one before did not."""
+    writes = []
+    known: set[str] = set()
+    for write in harness.store.writes:
+        if order_key(WORKER) in write.values:
+            order = decode(write.values[order_key(WORKER)], WorkOrder)
+            jobs = {a.task[:16] for a in order.assignments}
+            writes.append((write, jobs - known))
+            known = jobs
+    return writes
+
+
+@pytest.mark.parametrize("is_taken_over", [False, True])
+def test_no_order_starts_more_jobs_than_its_write_depends_on(is_taken_over: bool) -> None:
+    """Guards against a start that does not depend on its cancelling, as too many start at once."""
+    harness = LeaderHarness()
+    step = Step(count=1, cores=10, run_time_s=5.0)
+    jobs = [make_job([step], name=f"{number:016x}") for number in range(2 * MAX_KEYS_PER_WRITE)]
+    for job in jobs:
+        harness.leader.submit(job)
+    if is_taken_over:
+        # A leader of an earlier version has stored the progress of the jobs, but not the order.
+        place = Place(WORKER, make_report().incarnation)
+        unit = Unit(state=UnitState.ASSIGNED, run=1, places=[place])
+        progress = Progress(state=BatchState.RUNNING, units={"0.0.0": unit})
+        values = {progress_key(job.job_id): encode(progress) for job in jobs}
+        harness.store.apply(Write(values=values))
+        harness.take_over()
+    for _ in range(4):
+        harness.plan()
+        tasks = harness.started_tasks()
+        report = make_report(accepted={TaskId(task): 1 for task in tasks})
+        harness.store.apply(Write(values={report_key(WORKER): encode(report)}))
+        harness.term._report_replica.sync()
+    writes = record_starts(harness)
+    assert {job for _, started in writes for job in started} == {job.job_id for job in jobs}
+    for write, started in writes:
+        assert {cancel_key(JobId(job)) for job in started} <= write.expected.keys()
+        assert len(write.expected) + len(write.values) + len(write.deletes) <= STORE_LIMIT
+
+
 def test_a_worker_is_free_again_after_a_prevented_start() -> None:
     """Guards against a worker that keeps room for a run that was never started."""
     deployment = Deployment()
--- a/tests/batch/test_review_28.py
+++ b/tests/batch/test_review_28.py
@@ -31,7 +31,7 @@
 )
 from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S
 from chicorycrank.batch.lost_workers import SUSPENSION_LIMIT_S, LostWorkerDetector
-from chicorycrank.batch.record_writer import MAX_KEYS_PER_WRITE
+from chicorycrank.batch.orders import MAX_KEYS_PER_WRITE
 from chicorycrank.batch.workers import WorkerRegistry
 from chicorycrank.model.batch import (
     Assignment,
