Stop the runs that an order without assignments no longer names

Cause: an order that names nothing has no incarnation, so RunTable.apply_order took it for one of another incarnation. That branch ended the runs that were not accepted, and left those that were accepted as they are. Change: a run that an order does not name is stopped, whatever the incarnation of the order; WorkOrder says "the agent stops all others".

--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -72,32 +72,33 @@
             for task, run in self.accepted.items()
             if (task, run) in named or task in self.runs_by_task
         }
-        if order.incarnation != incarnation:
-            # The order names no run of this incarnation, so every run that is not accepted ends. An
-            # order without assignments has no incarnation, and ``named`` is then empty as well.
-            self._end_withdrawn(set() if order.assignments else named)
-            return
-        ended = {(end.task, end.run) for end in self.ends}
-        for assignment in order.assignments:
-            run = self.runs_by_task.get(assignment.task)
-            if run is not None and run.assignment.run != assignment.run:
-                self._set_aside(run)
-                run = None
-            if run is None and (assignment.task, assignment.run) not in ended:
-                is_accepted = self.accepted.get(assignment.task) == assignment.run
-                self.runs_by_task[assignment.task] = Run(
-                    assignment=assignment,
-                    incarnation=incarnation,
-                    should_stop=assignment.stop,
-                    is_accepted=is_accepted,
-                    is_adopted=is_accepted and may_be_present,
-                )
-            elif run is not None and run.assignment.run == assignment.run:
-                run.should_stop = run.should_stop or assignment.stop
+        if order.incarnation == incarnation:
+            for assignment in order.assignments:
+                self._apply_assignment(assignment, incarnation, may_be_present=may_be_present)
         for run in self.runs_by_task.values():
-            if (run.assignment.task, run.assignment.run) not in named:
+            if run.key not in named:
                 run.should_stop = True
-        self._end_withdrawn(named)
+        # An order without assignments, or for another incarnation, requests no start here.
+        self._end_withdrawn(named if order.incarnation == incarnation else set())
+
+    def _apply_assignment(
+        self, assignment: Assignment, incarnation: Incarnation, *, may_be_present: bool
+    ) -> None:
+        run = self.runs_by_task.get(assignment.task)
+        if run is not None and run.assignment.run != assignment.run:
+            self._set_aside(run)
+            run = None
+        if run is not None:
+            run.should_stop = run.should_stop or assignment.stop
+        elif all((end.task, end.run) != (assignment.task, assignment.run) for end in self.ends):
+            is_accepted = self.accepted.get(assignment.task) == assignment.run
+            self.runs_by_task[assignment.task] = Run(
+                assignment=assignment,
+                incarnation=incarnation,
+                should_stop=assignment.stop,
+                is_accepted=is_accepted,
+                is_adopted=is_accepted and may_be_present,
+            )
 
     def _set_aside(self, run: Run) -> None:
         """Make room for another run of the same task, which starts once this one is gone."""
--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -237,6 +237,14 @@
     assert world.executor.started == [(TASK, 1)]
 
 
+@pytest.mark.parametrize("incarnation", ["", "i-1:1", "i-1:2"])
+def test_a_run_that_the_order_names_no_more_is_stopped(world: World, incarnation: str) -> None:
+    """Guards against a run that goes on after the leader has given its task to another worker."""
+    world.write_order(incarnation=incarnation)
+    assert world.wait_ended().kind is EndKind.STOPPED
+    assert world.executor.runs == {}
+
+
 @dataclass(frozen=True, kw_only=True)
 class Proof:
     """Way in which an incarnation ends, and the end that is reported."""
