Read the order after a loss of presence, before a lease is granted

An agent was cut off for a minute after its acceptance of a run was stored; the leader gave the task to another worker; the agent came back, its watch was answered without the new order, and it started the run. Cause: the agent took an answered watch as proof that its order is current. The store may answer a watch without changes that it has made already. Change: once its presence is restored, the agent grants no lease, and so starts nothing, until it has read the order itself, a second later. The read is sent by the thread that renews the presence; one call for each loss.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -109,7 +109,7 @@
             self.executor_state,
             self._poller.record_failed_call,
         )
-        self._presence = Presence(store, worker, clock, self._stop)
+        self._presence = Presence(store, worker, clock, self._stop, self._confirm_order)
 
     @property
     def report(self) -> WorkerReport:
@@ -182,14 +182,34 @@
         """Return the end of a new lease on the executor's clock, or None for no extension.
 
         After a loss of presence, the leader may have withdrawn the order that is known here, so the
-        order has to be confirmed before the lease is extended.
+        order has to be read before the lease is extended.
         """
         confirmed_at = min(self._presence.confirmed_at, self._order_replica.confirmed_at)
         is_outdated = self._clock.monotonic() - confirmed_at >= MAX_CONFIRMATION_AGE_S
-        if is_outdated or self._order_replica.confirmed_at < self._presence.resumed_at:
+        if is_outdated or not self._is_order_read:
             return None
         return self.executor_state.clock.deadline_ms()
 
+    @property
+    def _is_order_read(self) -> bool:
+        """Whether the order was read since the presence was restored.
+
+        An answered watch does not show it, as a watch may hear nothing of changes for a while.
+        """
+        return self._order_replica.read_at >= self._presence.resumed_at
+
+    def _confirm_order(self) -> None:
+        """Read the order after a loss of presence."""
+        if self._is_order_read or self._presence.resumed_at > self._clock.monotonic():
+            return
+        try:
+            self._order_replica.refresh()
+        except StoreUnavailableError as error:
+            logger.warning("event=order_read_failed target=%s error=%s", self._worker, error)
+            return
+        with self._lock:
+            self._run_driver.submit_calls()
+
     def _call_context(self) -> CallContext:
         """Return the context of calls to the executor; the caller holds the lock."""
         return CallContext(
--- a/src/chicorycrank/batch/presence.py
+++ b/src/chicorycrank/batch/presence.py
@@ -1,6 +1,7 @@
 """Presence key of an agent in the store, under a lease that the agent renews."""
 
 import logging
+from collections.abc import Callable
 
 from chicorycrank.batch.keys import presence_key, resumption_key
 from chicorycrank.batch.leases import (
@@ -35,18 +36,25 @@
     has been missing ever since it was seen to expire.
 
     :param worker: worker of the agent
+    :param on_renewed: called after each renewal, and when :attr:`resumed_at` is reached
     :ivar confirmed_at: monotonic time at which the last successful renewal was sent
     :ivar resumed_at: monotonic time from which the leader knows that the presence was restored
     """
 
     def __init__(
-        self, store: TransactionalStore, worker: TargetId, clock: Clock, stop: Event
+        self,
+        store: TransactionalStore,
+        worker: TargetId,
+        clock: Clock,
+        stop: Event,
+        on_renewed: Callable[[], None],
     ) -> None:
         self._store = store
         self._key = presence_key(worker)
         self._resumption_key = resumption_key(worker)
         self._clock = clock
         self._stop = stop
+        self._on_renewed = on_renewed
         self._lease = Lease(0)
         self.confirmed_at = float("-inf")
         self.resumed_at = float("-inf")
@@ -57,7 +65,11 @@
         while not self._stop.wait(delay_s):
             try:
                 self.renew()
+                self._on_renewed()
                 delay_s = PRESENCE_RENEWAL_INTERVAL_S
+                resumes_in_s = self.resumed_at - self._clock.monotonic()
+                if resumes_in_s > 0:
+                    delay_s = min(delay_s, resumes_in_s)
             except (StoreUnavailableError, LeaseEndedError) as error:
                 logger.warning("event=presence_failed key=%s error=%s", self._key, error)
                 delay_s = RETRY_DELAY_S
--- a/src/chicorycrank/batch/replica.py
+++ b/src/chicorycrank/batch/replica.py
@@ -30,7 +30,9 @@
 
     :param apply: called with changed items, by one thread at a time
     :param wait_s: longest duration of a watch call in seconds
-    :ivar confirmed_at: monotonic time up to which all changes are known
+    :ivar confirmed_at: monotonic time up to which all changes are known, unless the store has
+        answered watches without changes that it had made already
+    :ivar read_at: monotonic time at which the last successful read of all keys was sent
     :ivar failed_since: monotonic time of the first failure since the last success, or None
     """
 
@@ -59,6 +61,7 @@
         self._is_available = False
         self.is_loaded = make_event()
         self.confirmed_at = float("-inf")
+        self.read_at = float("-inf")
         self.failed_since: float | None = None
 
     def start(self) -> None:
@@ -137,6 +140,7 @@
             )
 
     def _read_all(self) -> Changes:
+        sent_at = self._clock.monotonic()
         changes = self._store.read_all(self._prefix)
         listed = {item.key for item in changes.items}
         with self._lock:
@@ -146,6 +150,7 @@
                 if key not in listed
             ]
             self._apply_newer([*changes.items, *deleted])
+            self.read_at = max(self.read_at, sent_at)
         return changes
 
     def _known_revision(self, revision: Revision, changes: Changes) -> Revision:
--- a/tests/batch/test_presence.py
+++ b/tests/batch/test_presence.py
@@ -15,7 +15,7 @@
 
 
 def make_presence(store: MemoryStore) -> Presence:
-    return Presence(store, WORKER, ManualClock(), threading.Event())
+    return Presence(store, WORKER, ManualClock(), threading.Event(), lambda: None)
 
 
 def test_a_late_write_does_not_move_the_presence_to_an_old_lease() -> None:
