Stand-in: let the clock of a frozen machine stand still, and answer no poll

Trace of one run (clock of executor-0, ms): freezes at 3572; answers a waiting poll 0.8 s later with clockMs 4343; 4.0 s after the freeze the clock is set back by the freeze, from 7492 to about 3570. The agent counted the lease from a reading that the executor's clock reached 0.8 s later than the answer said, so it took a run for expired that had that time left. PROTOCOL.md measures a lease on the executor's own steady clock, and DEPLOY.md lets the steady clock stand still while a machine is suspended: neither runs on and then goes back, and a suspended machine sends nothing. Change: the clock stops with the freeze, a poll that waits is answered after the thaw, and the thaw concerns the life that was frozen. Evidence: test_a_poll_that_waits_as_an_executor_freezes_is_answered_after_the_thaw failed in both cases before.

--- a/src/chicorycrank_standin/interleavings/executor.py
+++ b/src/chicorycrank_standin/interleavings/executor.py
@@ -105,6 +105,8 @@
         self.frozen_until = now_s + duration_s
         self._is_clock_stopped = stops_clock
         life = self.life
+        if stops_clock and life is not None:
+            life.stop_clock()
 
         def thaw() -> None:
             self._is_clock_stopped = False
--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -189,15 +189,19 @@
         """
         with self._freeze_lock:
             with self._condition:
+                life = self._life
                 self._is_clock_stopped = stops_clock
                 self._is_thawed.clear()
-            frozen_at = time.monotonic()
+                frozen_at = time.monotonic()
+                if stops_clock:
+                    life.stop_clock()
             time.sleep(duration_s)
             with self._condition:
                 frozen_s = time.monotonic() - frozen_at
-                self._life.record_freeze(frozen_s, stops_clock=stops_clock)
+                life.record_freeze(frozen_s, stops_clock=stops_clock)
                 self._is_clock_stopped = False
                 self._is_thawed.set()
+                self._condition.notify_all()
 
     def _when_thawed(self, handler: _CallHandler) -> Handler:
         def handle(request: HttpRequest) -> HttpResponse:
@@ -345,6 +349,7 @@
                 lambda: bool(life.unacknowledged_ends) or not self._is_present(life),
                 body.get("waitMs", 0) / 1000,
             )
+            self._condition.wait_for(self._is_thawed.is_set)
             return json_response(life.status()) if self._is_present(life) else _no_response()
 
     def _is_present(self, life: Incarnation) -> bool:
--- a/src/chicorycrank_standin/platform/incarnation.py
+++ b/src/chicorycrank_standin/platform/incarnation.py
@@ -55,6 +55,7 @@
         self._run_recorder = run_recorder
         self._now_s = run_recorder.clock
         self._clock_started_at = self._now_s()
+        self._clock_stopped_at: float | None = None
         self._lease_deadline_ms = 0
         self._lapsed_at = float("-inf")
         self._stops_at: dict[tuple[str, int], float] = {}
@@ -65,7 +66,8 @@
 
     def clock_ms(self) -> int:
         """Return the reading of the executor's clock."""
-        return round((self._now_s() - self._clock_started_at) * 1000 * CLOCK_RATE)
+        now_s = self._now_s() if self._clock_stopped_at is None else self._clock_stopped_at
+        return round((now_s - self._clock_started_at) * 1000 * CLOCK_RATE)
 
     def heartbeat_fields(self, address: str, accelerators: int) -> dict[str, Any]:
         """Return the fields of a heartbeat."""
@@ -84,10 +86,15 @@
             fields["remainingMs"] = max(0, round((self.exits_at - self._now_s()) * 1000))
         return fields
 
+    def stop_clock(self) -> None:
+        """Let the clock stand still until :meth:`record_freeze` is called."""
+        self._clock_stopped_at = self._now_s()
+
     def record_freeze(self, frozen_s: float, *, stops_clock: bool) -> None:
         """Put the ends of the runs off by the time in which they did not work."""
         if stops_clock:
             self._clock_started_at += frozen_s
+            self._clock_stopped_at = None
         for record in self.runs.values():
             if record.ends_at is not None:
                 record.ends_at += frozen_s
--- a/tests/standin/test_platform_standins.py
+++ b/tests/standin/test_platform_standins.py
@@ -118,6 +118,30 @@
     assert run.end_kind == end_kind
 
 
+@pytest.mark.parametrize("stops_clock", [True, False])
+def test_a_poll_that_waits_as_an_executor_freezes_is_answered_after_the_thaw(
+    executor: ExecutorUnderTest, stops_clock: bool
+) -> None:
+    """Guards against a clock that goes back, as it is told by a machine that is suspended."""
+    freeze_s, wait_s = 1.5, 0.6
+    answers: list[tuple[float, int]] = []
+
+    def poll() -> None:
+        answer = executor.hold(deadlineMs=0, waitMs=round(wait_s * 1000))
+        answers.append((time.monotonic(), answer["clockMs"]))
+
+    waiting = threading.Thread(target=poll)
+    waiting.start()
+    time.sleep(wait_s / 2)
+    frozen_at = time.monotonic()
+    executor.executor.freeze(freeze_s, stops_clock=stops_clock)
+    clock_ms = executor.hold(deadlineMs=0)["clockMs"]
+    waiting.join()
+    ((answered_at, answered_clock_ms),) = answers
+    assert answered_at - frozen_at >= freeze_s
+    assert answered_clock_ms <= clock_ms
+
+
 def test_an_executor_lists_at_most_500_ends(executor: ExecutorUnderTest) -> None:
     """Guards against an agent that relies on one answer with all ends."""
     for number in range(MAX_LISTED_ENDS + 1):
