Apply the report that a withdrawal conflicts with, so that it is not repeated

Seen in a test: while the leader's watch of reports hears nothing, a withdrawal of a run that its agent has accepted meanwhile fails in each plan, one write each time. Cause: the write depends on the report as the leader knows it, and the answer, which holds the newer report, was used after a reassignment only. Change: both conditional writes apply what the answer holds. Evidence: test_a_withdrawal_that_fails_is_not_repeated failed before, with three refused writes in three plans in place of one.

--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -85,14 +85,12 @@
             logger.warning("event=machines_unavailable error=%s", error)
 
 
-def reassign_work(planner: Planner, worker: TargetId, write: ConditionalWrite) -> bool:
+def reassign_work(planner: Planner, worker: TargetId, write: ConditionalWrite) -> None:
     """Take a lost worker's runs out of its order and let their units start elsewhere.
 
     The store decides: the presence must be missing, its agent must not have created another one
     since the leader saw it expire, and the report must be the one that the leader knows. So neither
     a pause of the leader nor a watch that hears nothing makes a worker lost.
-
-    :returns: false if one of the conditions does not hold
     """
     state = planner.workers.by_id[worker]
     members = planner.members_by_worker[worker].keys()
@@ -114,4 +112,3 @@
     WORKERS_LOST.labels("lost" if is_done else "back").inc()
     if is_done:
         planner.mark_worker_lost(worker)
-    return is_done
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -220,7 +220,11 @@
     def _write_conditionally(
         self, values: dict[str, bytes], expected: Mapping[str, Revision]
     ) -> bool:
-        return self._writer.write(values, expected=expected)
+        is_written = self._writer.write(values, expected=expected)
+        if not is_written:
+            # What the watch of the reports has not brought yet.
+            self._report_replica.apply_own(list(self._role.conflicting_items.values()))
+        return is_written
 
     def _apply_changes(self) -> None:
         """Apply new jobs, cancellations and the configuration."""
@@ -264,9 +268,7 @@
         planner = self._planner
         busy = {worker for worker, members in planner.members_by_worker.items() if members}
         for worker in self._lost_worker_detector.find_lost(planner.workers, busy):
-            if not reassign_work(planner, worker, self._write_conditionally):
-                # What the watch of the reports has not brought yet.
-                self._report_replica.apply_own(list(self._role.conflicting_items.values()))
+            reassign_work(planner, worker, self._write_conditionally)
 
     def _remove_expired_jobs(self) -> list[str]:
         """Remove ended jobs whose retention time is over, and return their keys."""
--- a/tests/batch/test_withdrawals.py
+++ b/tests/batch/test_withdrawals.py
@@ -5,6 +5,7 @@
 
 import pytest
 from tests.batch.fakes import FakeExecutor, ManualClock, MemoryStore, make_job, make_report
+from tests.batch.leader_harness import WORKER, LeaderHarness
 from tests.batch.test_planner import WHOLE_WORKER, make_planner, submit, tasks_by_worker
 from tests.batch.test_whole_path import wait_until
 
@@ -30,7 +31,7 @@
     WorkOrder,
 )
 from chicorycrank.model.ids import EntryId, Incarnation, TargetId, TaskId
-from chicorycrank.ports.transactions import MISSING, Conflict, Revision, Write
+from chicorycrank.ports.transactions import MISSING, Committed, Conflict, Revision, Write
 
 INCARNATION = Incarnation("i-1:1")
 TASK = TaskId("a.0.0.0")
@@ -123,6 +124,29 @@
     assert list(tasks_by_worker(planner)) == [worker]
 
 
+def test_a_withdrawal_that_fails_is_not_repeated() -> None:
+    """Guards against a leader that writes in vain in each plan while its watch hears nothing."""
+    harness = LeaderHarness()
+    harness.leader.submit()
+    harness.plan()
+    (task,) = harness.started_tasks()
+    report = make_report(accepted={TaskId(task): 1})
+    harness.store.apply(Write(values={report_key(WORKER): encode(report)}))
+    attempts = []
+    apply = harness.store.apply
+
+    def record(write: Write) -> Committed | Conflict:
+        answer = apply(write)
+        attempts.append(isinstance(answer, Conflict))
+        return answer
+
+    harness.store.apply = record  # type: ignore[method-assign]
+    for _ in range(3):
+        harness.clock.seconds += ACCEPTANCE_TIMEOUT_S
+        harness.plan()
+    assert attempts == [True]
+
+
 def test_the_other_members_of_a_gang_are_stopped() -> None:
     """Guards against members that occupy their workers while they wait for the withdrawn one."""
     planner, job_id, workers = planner_with_written_order(GANG)
