Plan a job at the cost of the units that can start, whatever its size

Cause: each plan listed all units of a job that wait, asked for each step whether each of its tasks is done, listed all names of urgent jobs, and wrote the records of all tasks that had ever begun. Change: JobUnits numbers the units of a job through all steps and occurrences and keeps those that are done as ranges of numbers, in memory and in the record. A plan sees the units that wait for another run and at most as many new ones of each step as it may start. Units of different occurrences are one class for the policy unless a limit on a worker or tickets tell them apart. The units of urgent jobs are tested by the id of their job. An entry of the version before cannot read the new records, so it leaves such a job alone and starts nothing again; records of that version are read.

--- a/src/chicorycrank/batch/advice.py
+++ b/src/chicorycrank/batch/advice.py
@@ -7,7 +7,6 @@
 
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.threads import Queue, make_queue, start_thread
-from chicorycrank.batch.units import waiting_units
 from chicorycrank.model.batch import Advice, WorkerState
 from chicorycrank.model.ids import TargetId
 from chicorycrank.ports.advice import AdviceService, AdviceUnavailableError, AllowedExecutors
@@ -154,6 +153,6 @@
         advice = planner.queue_of(job).advice
         if advice is None:
             continue
-        for ref in waiting_units(job, planner.progress_by_id[job_id], planner.now_ms):
+        for ref in planner.waiting_units_of(job_id):
             advice_by_step[ref.step_key] = advice
     return advice_by_step
--- a/src/chicorycrank/batch/keys.py
+++ b/src/chicorycrank/batch/keys.py
@@ -7,9 +7,9 @@
 from typing import TypeVar
 
 import msgspec
-from msgspec import Struct
+from msgspec import Struct, field
 
-from chicorycrank.model.batch import BatchState
+from chicorycrank.model.batch import BatchState, Progress, Unit
 from chicorycrank.model.ids import EntryId, JobId, TargetId
 
 # The operator's keys start with the same letter, so one watch covers both.
@@ -52,6 +52,47 @@
     reason: str = ""
 
 
+class ProgressRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Stored form of :class:`Progress`.
+
+    :param units: units with their keys; a mapping in records of versions without ``done``. These
+        versions cannot read a list, so they do not start units that are done.
+    """
+
+    state: BatchState = BatchState.QUEUED
+    units: list[tuple[str, Unit]] | dict[str, Unit] = field(default_factory=dict)
+    done: list[tuple[int, int]] = []
+    ended_at_ms: int = 0
+    reason: str = ""
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Encode the progress of a job."""
+    record = ProgressRecord(
+        state=progress.state,
+        units=list(progress.units.items()),
+        done=progress.done,
+        ended_at_ms=progress.ended_at_ms,
+        reason=progress.reason,
+    )
+    return encode(record)
+
+
+def decode_progress(data: bytes) -> Progress:
+    """Decode the progress of a job.
+
+    :raises msgspec.DecodeError: the value is no progress record
+    """
+    record = decode(data, ProgressRecord)
+    return Progress(
+        state=record.state,
+        units=dict(record.units),
+        done=record.done,
+        ended_at_ms=record.ended_at_ms,
+        reason=record.reason,
+    )
+
+
 def job_key(job_id: JobId) -> str:
     """Return the key of a submission."""
     return f"{JOBS_PREFIX}{job_id}"
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -10,6 +10,7 @@
 
 from chicorycrank.batch.crash_tracker import CrashTracker
 from chicorycrank.batch.failing_jobs import FailingJobs
+from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.metrics import (
     JOBS_ENDED,
     JOBS_FAILED,
@@ -32,12 +33,9 @@
     UnitRef,
     begin_run,
     failed_attempts,
-    is_complete,
     next_due_ms,
     parse_unit_key,
     record_end,
-    units_of_step,
-    waiting_units,
 )
 from chicorycrank.batch.workers import WorkerRegistry
 from chicorycrank.model.batch import (
@@ -61,6 +59,7 @@
 from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId
 from chicorycrank.model.jobs import WorkKind
 from chicorycrank.policy.cell import Cell, RunningJob
+from chicorycrank.policy.decide import MAX_DECISIONS
 from chicorycrank.policy.decisions import Decision, Evict, Start
 from chicorycrank.policy.eviction import lost_accelerator_s
 from chicorycrank.policy.placement import placement_of
@@ -69,6 +68,7 @@
 # counts as much as eight cores.
 MILLICORES_PER_ACCELERATOR = 8000.0
 MAX_DECISION_PASSES = 8  # bounds the duration of one plan
+MAX_STARTS_PER_PLAN = MAX_DECISION_PASSES * MAX_DECISIONS
 
 logger = logging.getLogger("absl")
 
@@ -92,6 +92,7 @@
         self.changes = ChangedRecords()
         self.jobs_by_id: dict[JobId, Submission] = {}
         self.progress_by_id: dict[JobId, Progress] = {}
+        self.units_by_id: dict[JobId, JobUnits] = {}
         self.active_jobs: dict[JobId, None] = {}
         self.workers = WorkerRegistry(self.cell, now_s, job_builder.clear_worker_caches)
         self.crashes = CrashTracker()
@@ -121,6 +122,7 @@
             return
         self.jobs_by_id[job.job_id] = job
         self.progress_by_id[job.job_id] = progress = progress or Progress()
+        self.units_by_id[job.job_id] = JobUnits(job, progress)
         self.crashes.restore(job.job_id, progress)
         for key, unit in progress.units.items():
             if unit.places:
@@ -133,6 +135,7 @@
         """Remove a job that has ended and has no running units."""
         self.jobs_by_id.pop(job_id, None)
         self.progress_by_id.pop(job_id, None)
+        self.units_by_id.pop(job_id, None)
         self.active_jobs.pop(job_id, None)
         self.crashes.forget_job(job_id)
         self.job_builder.discard_job(job_id)
@@ -194,6 +197,8 @@
         """Start and stop units; :attr:`changes` collects the changed records."""
         for job_id, reason in self.crashes.find_culprits(self):
             self._fail_job(job_id, "crashes", reason)
+        for job_id in self.active_jobs:
+            self.units_by_id[job_id].discard_done()
         self.workers.testing = self.crashes.testing_workers(self)
         self.workers.update_all_availability()
         self.cell.headroom = self.job_builder.headroom_workers(self)
@@ -273,11 +278,7 @@
 
     def placed_units_of_step(self, ref: UnitRef) -> Iterator[tuple[UnitRef, Unit]]:
         """Yield the units of the same step and occurrence that have places on workers."""
-        units = self.progress_by_id[ref.job_id].units
-        for other in units_of_step(self.jobs_by_id[ref.job_id], ref.occurrence, ref.step):
-            unit = units.get(other.key)
-            if unit is not None and unit.places:
-                yield other, unit
+        yield from self.units_by_id[ref.job_id].placed(ref.occurrence, ref.step).items()
 
     def _may_start_on(
         self, ref: UnitRef, workers: set[TargetId], started_on: set[TargetId]
@@ -293,14 +294,16 @@
         unit = self.progress_by_id[ref.job_id].units.get(ref.key)
         return not (self.crashes.needs_test(self, ref, unit) and workers & started_on)
 
+    def waiting_units_of(self, job_id: JobId) -> Iterator[UnitRef]:
+        """Yield as many waiting units of a job as a plan may start."""
+        return self.units_by_id[job_id].waiting(self.now_ms, MAX_STARTS_PER_PLAN)
+
     def _waiting_units(self) -> Iterator[UnitRef]:
         for job_id in self.active_jobs:
-            if self.failing_jobs.is_set_aside(job_id, self.now_s):
-                continue
-            job = self.jobs_by_id[job_id]
-            for ref in waiting_units(job, self.progress_by_id[job_id], self.now_ms):
-                if not self.crashes.is_held(self, ref):
-                    yield ref
+            if not self.failing_jobs.is_set_aside(job_id, self.now_s):
+                for ref in self.waiting_units_of(job_id):
+                    if not self.crashes.is_held(self, ref):
+                        yield ref
 
     def _apply_decision(self, decision: Decision, refs_by_name: Mapping[JobId, UnitRef]) -> bool:
         """Apply a decision; return false if it starts and stops nothing."""
@@ -327,7 +330,9 @@
             for member in decision.placement
         ]
         begin_run(unit, places, self.now_ms)
+        self.units_by_id[ref.job_id].record_places(ref, unit)
         self.crashes.begin_run(self, ref, unit)
+        is_first_start = progress.state is BatchState.QUEUED
         progress.state = BatchState.RUNNING
         self.workers.quarantine.record_start(ref.job_id, decision.placement)
         self.cell.start(
@@ -342,8 +347,7 @@
         self._index_members(ref, unit)
         self.changes.jobs.add(ref.job_id)
         UNITS_STARTED.inc()
-        # The first start of the first unit ends the wait of the job.
-        if unit.run == 1 and len(progress.units) == 1:
+        if is_first_start:
             WAIT_SECONDS.observe(
                 max(0, self.now_ms - self.jobs_by_id[ref.job_id].submitted_at_ms) / 1000
             )
@@ -454,7 +458,11 @@
         )
         TASKS_ENDED.labels(end.kind.name.lower()).inc()
         self.workers.record_end(worker, ref.job_id, end)
+        units = self.units_by_id[ref.job_id]
+        if has_run_ended:
+            units.record_places(ref, unit)
         if unit.state is UnitState.DONE:
+            units.record_done(ref)
             self.crashes.clear(self, ref, unit, "has ended as done")
         elif has_run_ended:
             self.crashes.end_run(ref)
@@ -469,15 +477,16 @@
             self.cell.finish(ref.name, completed=is_done and not was_stopping, now_s=self.now_s)
             for worker_id in set(workers):
                 self.cell.renumber_accelerators(worker_id)
-        self._update_job_state(ref.job_id)
+        self._update_job_state(ref.job_id, unit)
 
-    def _update_job_state(self, job_id: JobId) -> None:
+    def _update_job_state(self, job_id: JobId, ended: Unit) -> None:
+        """End a job if a unit of it has failed, or its last one is done."""
         progress = self.progress_by_id[job_id]
         if progress.state in FINAL_BATCH_STATES:
             return
-        if any(unit.state is UnitState.FAILED for unit in progress.units.values()):
+        if ended.state is UnitState.FAILED:
             self._fail_job(job_id, "attempts", failed_attempts(job_id, progress))
-        elif is_complete(self.jobs_by_id[job_id], progress):
+        elif self.units_by_id[job_id].is_complete:
             self._end_job(job_id, BatchState.COMPLETED, "")
 
     def _fail_job(self, job_id: JobId, cause: str, reason: str) -> None:
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -3,18 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
-from dataclasses import replace
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from chicorycrank.batch.units import (
-    NO_WORKER,
-    UnitRef,
-    occurrence_count,
-    parse_unit_key,
-    units_of_step,
-)
-from chicorycrank.model.batch import Queue, Step, Submission, UnitState, WorkerReport
+from chicorycrank.batch.units import NO_WORKER, UnitRef, unit_count
+from chicorycrank.model.batch import Queue, Step, Submission, WorkerReport
 from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape
 from chicorycrank.policy.cell import QueuedJob
@@ -47,6 +41,21 @@
 HEADROOM_MIN_USED_SHARE = 0.5
 
 
+# Job, occurrence if it matters, step, and workers on which the unit has failed or seen crashes.
+UnitClass = tuple[JobId, int | None, int, tuple[TargetId, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class UnitsOfJobs(Container[JobId]):
+    """All units of some jobs, by their names among all units."""
+
+    job_ids: frozenset[JobId]
+
+    def __contains__(self, name: object) -> bool:
+        """Return whether a unit is one of these jobs."""
+        return isinstance(name, str) and name.partition(".")[0] in self.job_ids
+
+
 class QueuedJobBuilder:
     """Builder of queued jobs for units, with shapes and placement rules.
 
@@ -96,7 +105,7 @@
             can_wait=not step.long_running and waited_s < WAITABLE_SLACK_SHARE * slack_s,
         )
 
-    def units_within_quota(self, planner: Planner) -> frozenset[JobId]:
+    def units_within_quota(self, planner: Planner) -> UnitsOfJobs:
         """Return the units of urgent jobs within the quota of their team."""
         jobs_by_team: dict[TeamId, list[tuple[int, JobId, int]]] = {}
         for job_id in planner.active_jobs:
@@ -106,14 +115,14 @@
                 jobs_by_team.setdefault(job.team, []).append(
                     (job.submitted_at_ms, job_id, accelerators)
                 )
-        names: set[JobId] = set()
+        job_ids: set[JobId] = set()
         for team, jobs in jobs_by_team.items():
             remaining = planner.quota_by_team.get(team, 0)
             for _, job_id, accelerators in sorted(jobs):
                 if accelerators <= remaining:
                     remaining -= accelerators
-                    names.update(self._unit_names(planner.jobs_by_id[job_id]))
-        return frozenset(names)
+                    job_ids.add(job_id)
+        return UnitsOfJobs(frozenset(job_ids))
 
     def headroom_workers(self, planner: Planner) -> int:
         """Return how many workers to keep empty for the next urgent job."""
@@ -142,10 +151,10 @@
     def make_queue(self, planner: Planner, refs: Iterable[UnitRef]) -> dict[UnitRef, QueuedJob]:
         """Return the waiting units that a decision pass may start, as queued jobs.
 
-        Units of a step that have failed and seen crashes on the same workers are equal for the
-        policy but for their name. A pass starts at most ``MAX_DECISIONS`` jobs, so further equal
-        units are left out; the time of a pass then does not grow with the width of the waiting
-        steps.
+        Units of a step, of any occurrence, that have failed and seen crashes on the same workers
+        are equal for the policy but for their name. A pass starts at most ``MAX_DECISIONS`` jobs,
+        so further equal units are left out; the time of a pass then does not grow with the width of
+        the waiting steps.
 
         Of a step that limits its tasks per worker, one unit is kept: the limit of the others
         depends on where it is placed.
@@ -153,8 +162,8 @@
         cell = planner.cell
         held_names = {*cell.reservations_by_id, *cell.waiting_for_evictions}
         held_jobs = {name.partition(".")[0] for name in held_names}
-        first_by_class: dict[tuple[JobId, int, int, tuple[TargetId, ...]], QueuedJob] = {}
-        counts: Counter[tuple[JobId, int, int, tuple[TargetId, ...]]] = Counter()
+        first_by_class: dict[UnitClass, QueuedJob] = {}
+        counts: Counter[UnitClass] = Counter()
         queue: dict[UnitRef, QueuedJob] = {}
         for ref in refs:
             step = planner.step_of(ref)
@@ -163,7 +172,9 @@
             avoided: tuple[TargetId, ...] = ()
             if unit is not None and not is_spread:
                 avoided = (*unit.failed_on, *(crash.worker for crash in unit.crashes))
-            key = (ref.job_id, ref.occurrence, ref.step, avoided)
+            # Limits on a worker and tickets are those of one occurrence of the step.
+            has_own_rule = is_spread or planner.queue_of(planner.jobs_by_id[ref.job_id]).advice
+            key = (ref.job_id, ref.occurrence if has_own_rule else None, ref.step, avoided)
             counts[key] += 1
             if counts[key] > (1 if is_spread else MAX_DECISIONS):
                 is_held = ref.job_id in held_jobs and ref.name in held_names
@@ -180,28 +191,15 @@
         Short jobs come first, as callers gain nothing from a job before its last task ends. The
         discount moves long jobs forward while they wait.
         """
-        progress = planner.progress_by_id[job.job_id]
-        done: Counter[int] = Counter()
-        for key, unit in progress.units.items():
-            if unit.state is UnitState.DONE:
-                done[parse_unit_key(job.job_id, key).step] += 1
+        job_units = planner.units_by_id[job.job_id]
         remaining_s = 0.0
         for number, step in enumerate(job.steps):
-            units = 1 if step.gang else step.count
-            remaining = units - min(units, done[number])
+            units = unit_count(step)
+            remaining = units - min(units, job_units.done_count(number))
             weight = planner.cell.accelerator_equivalents(self._gang_shape(planner, step))
             remaining_s += remaining * step.run_time_s * weight
         return remaining_s / (1.0 + waited_s / WAIT_HALVING_S)
 
-    @staticmethod
-    def _unit_names(job: Submission) -> list[JobId]:
-        return [
-            ref.name
-            for occurrence in range(occurrence_count(job))
-            for number in range(len(job.steps))
-            for ref in units_of_step(job, occurrence, number)
-        ]
-
     @staticmethod
     def _gang_shape(planner: Planner, step: Step) -> GangShape:
         shape = GangShape(
--- a/src/chicorycrank/batch/record_writer.py
+++ b/src/chicorycrank/batch/record_writer.py
@@ -11,6 +11,7 @@
     StateRecord,
     cancel_key,
     encode,
+    encode_progress,
     order_key,
     progress_key,
     state_key,
@@ -146,7 +147,7 @@
             states = {job_id: self.changed_state(planner, job_id) for job_id in changed_jobs}
         values: dict[str, bytes] = {}
         for job_id, state in states.items():
-            values[progress_key(job_id)] = encode(planner.progress_by_id[job_id])
+            values[progress_key(job_id)] = encode_progress(planner.progress_by_id[job_id])
             if state is not None:
                 values[state_key(job_id)] = encode(state)
         parts = chain(
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -16,6 +16,7 @@
     RESUMPTION_PREFIX,
     cancel_key,
     decode,
+    decode_progress,
     job_key,
     progress_key,
     state_key,
@@ -314,7 +315,7 @@
 
 def _decode_progress(item: Item) -> Progress | None:
     try:
-        return decode(item.value or b"", Progress)
+        return decode_progress(item.value or b"")
     except msgspec.DecodeError as error:
         logger.warning("event=record_unreadable key=%s error=%s", item.key, error)
         return None
--- a/src/chicorycrank/batch/units.py
+++ b/src/chicorycrank/batch/units.py
@@ -1,6 +1,5 @@
-"""Units of a batch job: keys, order of steps, and effect of the end of a member."""
+"""Units of a batch job: keys, occurrences, and effect of the end of a member."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from chicorycrank.model.batch import (
@@ -75,11 +74,9 @@
     return UnitRef(job_id, occurrence, step, index[0] if index else None)
 
 
-def units_of_step(submission: Submission, occurrence: int, step_number: int) -> list[UnitRef]:
-    """Return the units of a step in one occurrence."""
-    step = submission.steps[step_number]
-    indexes = (None,) if step.gang else range(step.count)
-    return [UnitRef(submission.job_id, occurrence, step_number, index) for index in indexes]
+def unit_count(step: Step) -> int:
+    """Return the number of units of a step in one occurrence."""
+    return 1 if step.gang else step.count
 
 
 def occurrence_count(submission: Submission) -> int:
@@ -111,51 +108,6 @@
     return due_at_ms(submission, number) if number < occurrence_count(submission) else None
 
 
-def is_step_done(
-    submission: Submission, progress: Progress, occurrence: int, step_number: int
-) -> bool:
-    """Return whether all tasks of a step have ended as done."""
-    if submission.steps[step_number].long_running:
-        return False
-    for ref in units_of_step(submission, occurrence, step_number):
-        unit = progress.units.get(ref.key)
-        if unit is None or unit.state is not UnitState.DONE:
-            return False
-    return True
-
-
-def runnable_steps(
-    submission: Submission, progress: Progress, now_ms: int
-) -> Iterator[tuple[int, int]]:
-    """Yield the occurrence and number of each step that may run and is not done."""
-    for occurrence in due_occurrences(submission, now_ms):
-        done = [
-            is_step_done(submission, progress, occurrence, step_number)
-            for step_number in range(len(submission.steps))
-        ]
-        for step_number, step in enumerate(submission.steps):
-            if not done[step_number] and all(done[other] for other in step.after):
-                yield occurrence, step_number
-
-
-def waiting_units(submission: Submission, progress: Progress, now_ms: int) -> Iterator[UnitRef]:
-    """Yield the units that may start now."""
-    for occurrence, step_number in runnable_steps(submission, progress, now_ms):
-        for ref in units_of_step(submission, occurrence, step_number):
-            unit = progress.units.get(ref.key)
-            if unit is None or (unit.state is UnitState.WAITING and not unit.places):
-                yield ref
-
-
-def is_complete(submission: Submission, progress: Progress) -> bool:
-    """Return whether all tasks of all occurrences have ended as done."""
-    return all(
-        is_step_done(submission, progress, occurrence, step_number)
-        for occurrence in range(occurrence_count(submission))
-        for step_number in range(len(submission.steps))
-    )
-
-
 def begin_run(unit: Unit, places: list[Place], now_ms: int) -> None:
     """Assign a unit to workers under the next run number."""
     unit.run += 1
@@ -216,7 +168,7 @@
 
 def has_started(progress: Progress) -> bool:
     """Return whether a task of the job has been assigned to a worker."""
-    return any(unit.run for unit in progress.units.values())
+    return bool(progress.done) or any(unit.run for unit in progress.units.values())
 
 
 def failed_attempts(job_id: JobId, progress: Progress) -> str:
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -209,13 +209,16 @@
 
     :param units: progress by unit key, which is ``<occurrence>.<step>`` for a gang and
         ``<occurrence>.<step>.<index of the task>`` otherwise; units that were never assigned are
-        missing
+        missing, and units that are done may be
+    :param done: sorted ranges of the numbers of the done units, each from its first number to the
+        one after its last; units are numbered through all steps and occurrences
     :param ended_at_ms: Unix time in milliseconds at which the job reached its final state; 0 before
     :param reason: reason for the final state
     """
 
     state: BatchState = BatchState.QUEUED
     units: dict[str, Unit] = field(default_factory=dict)
+    done: list[tuple[int, int]] = field(default_factory=list)
     ended_at_ms: int = 0
     reason: str = ""
 
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -1,5 +1,6 @@
 """Scheduling state of a cell: workers, running jobs and queued jobs."""
 
+from collections.abc import Container
 from dataclasses import dataclass, replace
 from itertools import islice
 from math import inf
@@ -133,7 +134,7 @@
         self._worker_masks_by_id: dict[JobId, WorkerMasks] = {}
         # Jobs within the accelerator quota of their team. They are never evicted, and urgent ones
         # may also evict urgent work that is outside of a quota.
-        self.jobs_within_quota: frozenset[JobId] = frozenset()
+        self.jobs_within_quota: Container[JobId] = frozenset()
         self.headroom = 0  # number of empty workers kept for future urgent jobs
 
     def set_config(
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -13,14 +13,13 @@
     MAX_ATTRIBUTED_CRASHES,
     MAX_CRASHES,
 )
-from chicorycrank.batch.keys import decode, encode
+from chicorycrank.batch.keys import decode_progress, encode_progress
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.model.batch import (
     BatchState,
     BatchTeam,
     EndKind,
-    Progress,
     Step,
     Submission,
     TaskEnd,
@@ -131,13 +130,13 @@
     def take_over(self, *jobs: Submission) -> None:
         """Replace the planner by one that knows only the stored records."""
         old = self.planner
-        records = {job.job_id: encode(progress_of(old, job)) for job in jobs}
+        records = {job.job_id: encode_progress(progress_of(old, job)) for job in jobs}
         reports = {worker: state.report for worker, state in old.workers.by_id.items()}
         self.planner = Planner(QueuedJobBuilder(1.0, 0.0), self.now_ms / 1000)
         self.planner.set_config({}, [BatchTeam(team=RED)])
         self.planner.set_time(self.now_ms / 1000, self.now_ms)
         for job in jobs:
-            self.planner.add_job(job, decode(records[job.job_id], Progress))
+            self.planner.add_job(job, decode_progress(records[job.job_id]))
         self.planner.crashes.explain_restored(self.planner)
         for worker, report in reports.items():
             report.ends = []
--- a/tests/batch/test_executor_crashes.py
+++ b/tests/batch/test_executor_crashes.py
@@ -10,7 +10,7 @@
 
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.batch.agent import BatchAgent
-from chicorycrank.batch.keys import StateRecord, decode, progress_key, state_key
+from chicorycrank.batch.keys import StateRecord, decode, decode_progress, progress_key, state_key
 from chicorycrank.model.batch import BatchState, Crash, EndKind, Progress, Step
 from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId
 from chicorycrank.ports.executor import ExecutorUnreachableError, StartAnswer, StartOrder
@@ -99,7 +99,7 @@
     def crashes(self, job_id: str) -> list[Crash]:
         """Return the crashes in the stored record of a job's first task."""
         item = self.store.items.get(progress_key(JobId(job_id)))
-        progress = Progress() if item is None else decode(item.value or b"", Progress)
+        progress = Progress() if item is None else decode_progress(item.value or b"")
         unit = progress.units.get("0.0.0")
         return unit.crashes if unit is not None else []
 
--- a/tests/batch/test_units.py
+++ b/tests/batch/test_units.py
@@ -3,16 +3,15 @@
 import pytest
 from tests.batch.fakes import make_job
 
+from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.units import (
     begin_run,
     due_occurrences,
-    is_complete,
     next_due_ms,
     parse_unit_key,
     record_end,
     state_of,
     visible_state,
-    waiting_units,
 )
 from chicorycrank.model.batch import (
     BatchState,
@@ -48,9 +47,9 @@
 ) -> None:
     """Guards against the start of a step before all tasks of an earlier step are done."""
     progress = done_units(*finished)
-    found = {ref.key for ref in waiting_units(make_job(CHAIN), progress, 0)}
-    assert found == expected
-    assert is_complete(make_job(CHAIN), progress) is not bool(expected)
+    units = JobUnits(make_job(CHAIN), progress)
+    assert {ref.key for ref in units.waiting(0, 10)} == expected
+    assert units.is_complete is not bool(expected)
 
 
 @pytest.mark.parametrize(
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -25,6 +25,7 @@
     WATCHED_PREFIX,
     StateRecord,
     decode,
+    decode_progress,
     encode,
     job_key,
     order_key,
@@ -44,7 +45,6 @@
     BatchState,
     BatchTeam,
     EndKind,
-    Progress,
     Step,
     WorkerReport,
     WorkOrder,
@@ -373,7 +373,7 @@
     delay_ended.set()
     time.sleep(1.0)
     (item,) = deployment.store.read_all(PROGRESS_PREFIX).items
-    progress = decode(item.value or b"", Progress)
+    progress = decode_progress(item.value or b"")
     assert [unit.run for unit in progress.units.values()] == [1]
     assert list(deployment.executor.runs) == [task]
 
