Refuse a job whose numbers are out of their range, with the value and the limit

Callers saw a job whose step has a negative cpu, memMb or gpus accepted with 200; it stayed queued for good. A body over 262,144 bytes could not be stored and was answered 503, to be sent again. Change: all numbers of a job and its steps, the indexes in `after`, the number of steps (1 to 1000), the spec and the body are checked at submission; the answer is 400 at once, and its error names the field, the value and the range. Evidence: test_a_job_beyond_a_limit_is_refused_with_the_value_and_the_limit, 18 cases; on the code before none of these messages exists, and the negative resources, times and intervals were accepted.

--- a/src/chicorycrank/platform/documents.py
+++ b/src/chicorycrank/platform/documents.py
@@ -26,6 +26,21 @@
 WORKER_STATE_BY_NAME = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
 MACHINE_STATES = frozenset({"up", "moving", "upkeep", "down"})
 MAX_PAYLOAD_BYTES = 4000
+# A job is one value of the store, with its payload and the configuration of its queue.
+MAX_JOB_BYTES = 262_144
+# The time of a plan grows with the steps that may run.
+MAX_STEPS = 1000
+MAX_NUMBER = 2**53 - 1  # the largest integer that all JSON libraries keep
+NUMBERS_OF_A_STEP = (
+    "count",
+    "cpu",
+    "mem_mb",
+    "gpus",
+    "estimated_ms",
+    "anti_affinity",
+    "target_ms",
+    "max_unavailable",
+)
 RACK_LABEL_INDEX = 1  # The first label of an executor is the machine type, the second the rack.
 
 
@@ -224,13 +239,13 @@
 ) -> Submission:
     """Decode the body of a submission.
 
-    :raises DocumentError: the job cannot be decoded, or its steps are invalid
+    :raises DocumentError: the job cannot be decoded, or exceeds a limit
     """
     try:
         job = msgspec.json.decode(data, type=_Job)
     except msgspec.DecodeError as error:
         raise DocumentError(f"job: {error}") from error
-    _check_steps(job)
+    _check_job(job, len(data))
     return Submission(
         job_id=job_id,
         queue=queue,
@@ -244,17 +259,38 @@
     )
 
 
-def _check_steps(job: _Job) -> None:
-    if not job.steps or len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
-        raise DocumentError(
-            f"job: expected at least one step and a spec of at most {MAX_PAYLOAD_BYTES} bytes"
-        )
+def _check_job(job: _Job, size_bytes: int) -> None:
+    """Check the limits of a job; the message names the value and the limit.
+
+    :param size_bytes: size of the encoded job
+    """
+    _check_range("the body in bytes", size_bytes, 0, MAX_JOB_BYTES)
+    _check_range("`spec` in bytes", len(job.spec.encode()), 0, MAX_PAYLOAD_BYTES)
+    _check_range("the number of steps", len(job.steps), 1, MAX_STEPS)
+    for name in ("repeat_count", "start_at_ms", "interval_ms"):
+        _check_range(f"`{_camel_case(name)}`", getattr(job, name), 0, MAX_NUMBER)
     for number, step in enumerate(job.steps):
-        if step.count < 1 or any(not 0 <= other < number for other in step.after):
-            raise DocumentError(
-                f"job: step {number}: expected `count` of at least 1"
-                " and only indexes of earlier steps in `after`"
+        for name in NUMBERS_OF_A_STEP:
+            low = 1 if name == "count" else 0
+            _check_range(
+                f"`{_camel_case(name)}` of step {number}", getattr(step, name), low, MAX_NUMBER
             )
+        for other in step.after:
+            _check_range(f"an index in `after` of step {number}", other, 0, number - 1)
+
+
+def _check_range(what: str, value: float, low: int, high: int) -> None:
+    """Check a number.
+
+    :raises DocumentError: it is out of the range
+    """
+    if not low <= value <= high:
+        raise DocumentError(f"job: {what} is {value}, expected {low} to {high}")
+
+
+def _camel_case(name: str) -> str:
+    first, *others = name.split("_")
+    return first + "".join(map(str.title, others))
 
 
 def _decode_step(step: _Step) -> Step:
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's documents."""
 
 import json
+import re
 from typing import Any
 
 import pytest
@@ -8,6 +9,7 @@
 from chicorycrank.model.batch import Advice, Step, WorkerState
 from chicorycrank.model.ids import JobId, TeamId
 from chicorycrank.platform.documents import (
+    MAX_NUMBER,
     DocumentError,
     decode_config,
     decode_job,
@@ -113,6 +115,61 @@
     assert (job.repeat_count, job.first_at_ms, job.interval_ms) == (3, 10, 20)
 
 
+LIMITS: dict[str, tuple[dict[str, Any], str]] = {
+    **{
+        f"{field} of {value}": (
+            {"steps": [{"count": 1}, {"count": 1, field: value}]},
+            f"`{field}` of step 1 is {value}, expected {low} to {MAX_NUMBER}",
+        )
+        for field, value, low in [
+            ("cpu", -1, 0),
+            ("memMb", -256, 0),
+            ("gpus", -2, 0),
+            ("gpus", 2**53, 0),
+            ("estimatedMs", -0.5, 0),
+            ("antiAffinity", -1, 0),
+            ("targetMs", -1.0, 0),
+            ("maxUnavailable", -1, 0),
+            ("count", 0, 1),
+            ("count", -3, 1),
+            ("count", 2**70, 1),
+        ]
+    },
+    "repeatCount": (
+        {"steps": [{}], "repeatCount": -1},
+        f"`repeatCount` is -1, expected 0 to {MAX_NUMBER}",
+    ),
+    "intervalMs": (
+        {"steps": [{}], "repeatCount": 1, "intervalMs": -5},
+        f"`intervalMs` is -5, expected 0 to {MAX_NUMBER}",
+    ),
+    "no steps": ({"steps": []}, "the number of steps is 0, expected 1 to 1000"),
+    "steps": ({"steps": [{}] * 1001}, "the number of steps is 1001, expected 1 to 1000"),
+    "spec": (
+        {"steps": [{}], "spec": "é" * 2001},
+        "`spec` in bytes is 4002, expected 0 to 4000",
+    ),
+    "own step": (
+        {"steps": [{}, {"after": [1]}]},
+        "an index in `after` of step 1 is 1, expected 0 to 0",
+    ),
+    "body": (
+        {"steps": [{"image": "x" * 300_000}]},
+        "the body in bytes is 300026, expected 0 to 262144",
+    ),
+}
+
+
+@pytest.mark.parametrize(("body", "message"), LIMITS.values(), ids=LIMITS)
+def test_a_job_beyond_a_limit_is_refused_with_the_value_and_the_limit(
+    body: dict[str, Any], message: str
+) -> None:
+    """Guards against a job that is accepted, can never run and stays queued."""
+    queue = decode_config(encode(CONFIG)).queues[0]
+    with pytest.raises(DocumentError, match=re.escape(message)):
+        decode_job(encode(body), job_id=JobId("a" * 16), queue=queue, team=TeamId("t"), now_ms=0)
+
+
 @pytest.mark.parametrize(
     "body",
     [
