Count the remaining work of a job once for each of its ends, not for each step

Cause: the order of the queue asks each unit for the remaining work of its job, which summed all steps: a million sums in each of eight passes. Change: the sum is kept until another unit of the job is done.

--- a/src/chicorycrank/batch/job_units.py
+++ b/src/chicorycrank/batch/job_units.py
@@ -24,6 +24,7 @@
 
     :param progress: progress of the job; its done units are added to :attr:`Progress.done`, and
         their records can be removed by :meth:`discard_done`
+    :ivar total_done: number of the done units
     """
 
     def __init__(self, job: Submission, progress: Progress) -> None:
@@ -36,6 +37,7 @@
         self._placed_by_step: dict[tuple[int, int], dict[UnitRef, Unit]] = {}
         self._discardable: list[UnitRef] = []
         self._done_count_by_step = [self._count_done(number) for number in range(len(job.steps))]
+        self.total_done = sum(self._done_count_by_step)
         for key, unit in progress.units.items():
             ref = parse_unit_key(job.job_id, key)
             if unit.places:
@@ -62,6 +64,7 @@
         if first_missing(self._progress.done, number) == number:
             add_number(self._progress.done, number)
             self._done_count_by_step[ref.step] += 1
+            self.total_done += 1
         self._discardable.append(ref)
 
     def discard_done(self) -> None:
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -68,6 +68,8 @@
         self._max_headroom_share = max_headroom_share
         self._workers_by_label: dict[tuple[str, str], frozenset[TargetId]] = {}
         self._workers_needed_by_job: dict[JobId, int] = {}
+        # Number of done units and the remaining work then.
+        self._remaining_by_job: dict[JobId, tuple[int, float]] = {}
 
     def clear_worker_caches(self) -> None:
         """Discard the values that depend on workers, after one was added or changed."""
@@ -147,6 +149,7 @@
     def discard_job(self, job_id: JobId) -> None:
         """Discard the cached values of a job."""
         self._workers_needed_by_job.pop(job_id, None)
+        self._remaining_by_job.pop(job_id, None)
 
     def make_queue(self, planner: Planner, refs: Iterable[UnitRef]) -> dict[UnitRef, QueuedJob]:
         """Return the waiting units that a decision pass may start, as queued jobs.
@@ -191,14 +194,22 @@
         Short jobs come first, as callers gain nothing from a job before its last task ends. The
         discount moves long jobs forward while they wait.
         """
+        return self._remaining_s(planner, job) / (1.0 + waited_s / WAIT_HALVING_S)
+
+    def _remaining_s(self, planner: Planner, job: Submission) -> float:
+        """Return the remaining work of a job in accelerator seconds."""
         job_units = planner.units_by_id[job.job_id]
+        known_done, remaining_s = self._remaining_by_job.get(job.job_id, (-1, 0.0))
+        if known_done == job_units.total_done:
+            return remaining_s
         remaining_s = 0.0
         for number, step in enumerate(job.steps):
             units = unit_count(step)
             remaining = units - min(units, job_units.done_count(number))
             weight = planner.cell.accelerator_equivalents(self._gang_shape(planner, step))
             remaining_s += remaining * step.run_time_s * weight
-        return remaining_s / (1.0 + waited_s / WAIT_HALVING_S)
+        self._remaining_by_job[job.job_id] = job_units.total_done, remaining_s
+        return remaining_s
 
     @staticmethod
     def _gang_shape(planner: Planner, step: Step) -> GangShape:
--- a/tests/batch/test_job_units.py
+++ b/tests/batch/test_job_units.py
@@ -25,6 +25,7 @@
     UnitState,
 )
 from chicorycrank.model.ids import Incarnation, TargetId, TaskId
+from chicorycrank.platform.documents import MAX_STEPS
 
 MILLION = 1_000_000
 NOW_MS = MILLION
@@ -53,6 +54,7 @@
     "occurrences of a chain": recurring(Step(count=2, cores=10), Step(count=2, after=(0,))),
     "occurrences of wide steps": recurring(Step(count=MILLION, cores=10)),
     "steps": make_job([Step(count=MILLION, cores=10)] * 50),
+    "narrow steps": make_job([Step(count=1, cores=10)] * MAX_STEPS),
 }
 
 
