Bound the orders of workers and the records of jobs below the largest value

Cause: an order repeats the spec for each task. With 256 of them on one worker it is longer than the largest value of the store, which refuses the write; the leader repeats it for good. Progress records had no bound either. Change: a worker whose order names 256 runs or has 262,144 bytes gets no more work until runs have ended; a gang is spread by the room in orders; a job has at most 4,000 units that have begun and are not done. The limits are part of a worker's availability, so they take no decision from other jobs.

--- a/src/chicorycrank/batch/job_units.py
+++ b/src/chicorycrank/batch/job_units.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Mapping
 
 from chicorycrank.batch.number_ranges import add_number, first_missing
+from chicorycrank.batch.orders import assignment_bytes
 from chicorycrank.batch.units import (
     UnitRef,
     due_occurrences,
@@ -25,11 +26,13 @@
     :param progress: progress of the job; its done units are added to :attr:`Progress.done`, and
         their records can be removed by :meth:`discard_done`
     :ivar total_done: number of the done units
+    :ivar assignment_bytes: largest size of the assignment of a task
     """
 
     def __init__(self, job: Submission, progress: Progress) -> None:
         self._job = job
         self._progress = progress
+        self.assignment_bytes = assignment_bytes(job)
         self._step_starts = [0]
         for step in job.steps:
             self._step_starts.append(self._step_starts[-1] + unit_count(step))
--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from chicorycrank.batch.units import UnitRef
 from chicorycrank.model.batch import Assignment, Submission, Unit, UnitState
 from chicorycrank.model.ids import JobId, TargetId, TaskId
@@ -14,6 +16,14 @@
 MAX_KEYS_PER_WRITE = 29
 # An order is written under one condition for each job that it starts.
 MAX_JOBS_STARTED_PER_ORDER = MAX_KEYS_PER_WRITE - 1
+# A worker whose order has reached one of these limits gets no more work until runs have ended. A
+# value of the store may have 1,048,576 bytes.
+MAX_RUNS_PER_ORDER = 256
+FULL_ORDER_BYTES = 262_144
+# Limit of an order that the last starts of a pass may reach.
+MAX_ORDER_BYTES = 3 * FULL_ORDER_BYTES
+# Size of an assignment without its payload.
+ASSIGNMENT_BYTES = 400
 
 
 @dataclass(kw_only=True)
@@ -32,6 +42,11 @@
         self.workers.clear()
 
 
+def assignment_bytes(job: Submission) -> int:
+    """Return the largest size of the assignment of a task in an encoded order."""
+    return ASSIGNMENT_BYTES + len(msgspec.json.encode(job.payload))
+
+
 def make_assignment(
     job: Submission, ref: UnitRef, unit: Unit, task: TaskId, ticket: str, probation_ms: int
 ) -> Assignment:
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from chicorycrank.batch.crash_tracker import CrashTracker
@@ -20,7 +21,10 @@
     WAIT_SECONDS,
 )
 from chicorycrank.batch.orders import (
+    FULL_ORDER_BYTES,
     MAX_JOBS_STARTED_PER_ORDER,
+    MAX_ORDER_BYTES,
+    MAX_RUNS_PER_ORDER,
     ChangedRecords,
     choose_accelerators,
     make_assignment,
@@ -57,7 +61,7 @@
 )
 from chicorycrank.model.config import Team
 from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId
-from chicorycrank.model.jobs import WorkKind
+from chicorycrank.model.jobs import MemberPlacement, WorkKind
 from chicorycrank.policy.cell import Cell, RunningJob
 from chicorycrank.policy.decide import MAX_DECISIONS
 from chicorycrank.policy.decisions import Decision, Evict, Start
@@ -69,6 +73,8 @@
 MILLICORES_PER_ACCELERATOR = 8000.0
 MAX_DECISION_PASSES = 8  # bounds the duration of one plan
 MAX_STARTS_PER_PLAN = MAX_DECISION_PASSES * MAX_DECISIONS
+# Units of a job that have begun and are not done. Their records are one value of the store.
+MAX_OPEN_UNITS = 4000
 
 logger = logging.getLogger("absl")
 
@@ -200,6 +206,7 @@
         for job_id in self.active_jobs:
             self.units_by_id[job_id].discard_done()
         self.workers.testing = self.crashes.testing_workers(self)
+        self.workers.full = {worker for worker in self.members_by_worker if self._is_full(worker)}
         self.workers.update_all_availability()
         self.cell.headroom = self.job_builder.headroom_workers(self)
         self.cell.jobs_within_quota = self.job_builder.units_within_quota(self)
@@ -213,16 +220,17 @@
             for decision in decisions:
                 if isinstance(decision, Start):
                     ref = refs_by_name[decision.job_id]
-                    workers = {member.worker for member in decision.placement}
-                    if not self._may_start_on(ref, workers, started_on):
+                    if not self._may_start(ref, decision.placement, started_on):
                         continue
-                    started_on |= workers
+                    started_on |= {member.worker for member in decision.placement}
                     del waiting[ref]
                 has_changed = self._apply_decision(decision, refs_by_name) or has_changed
             if not has_changed:
                 return
-            if self.workers.testing != self.crashes.testing_workers(self):
-                self.workers.testing = self.crashes.testing_workers(self)
+            testing = self.crashes.testing_workers(self)
+            full = self.workers.full | {worker for worker in started_on if self._is_full(worker)}
+            if (self.workers.testing, self.workers.full) != (testing, full):
+                self.workers.testing, self.workers.full = testing, full
                 self.workers.update_all_availability()
 
     def next_due_ms(self) -> int | None:
@@ -280,23 +288,46 @@
         """Yield the units of the same step and occurrence that have places on workers."""
         yield from self.units_by_id[ref.job_id].placed(ref.occurrence, ref.step).items()
 
-    def _may_start_on(
-        self, ref: UnitRef, workers: set[TargetId], started_on: set[TargetId]
+    def _may_start(
+        self,
+        ref: UnitRef,
+        placement: Collection[MemberPlacement],
+        started_on: set[TargetId],
     ) -> bool:
         """Return whether the orders allow a start, and no test run and no start of this plan."""
+        tasks_by_worker = Counter(member.worker for member in placement)
+        workers = tasks_by_worker.keys()
         if self.crashes.is_held(self, ref) or workers & self.crashes.testing_workers(self):
             return False
-        if any(
-            len({*self.unaccepted_tasks(worker), ref.job_id}) > MAX_JOBS_STARTED_PER_ORDER
-            for worker in workers
-        ):
-            return False
+        size = self.units_by_id[ref.job_id].assignment_bytes
+        for worker, count in tasks_by_worker.items():
+            started_jobs = {*self.unaccepted_tasks(worker), ref.job_id}
+            if len(started_jobs) > MAX_JOBS_STARTED_PER_ORDER:
+                return False
+            if self._order_bytes(worker) + count * size > MAX_ORDER_BYTES:
+                return False
         unit = self.progress_by_id[ref.job_id].units.get(ref.key)
         return not (self.crashes.needs_test(self, ref, unit) and workers & started_on)
 
+    def _is_full(self, worker: TargetId) -> bool:
+        """Return whether the order of a worker has no room for all that a pass may start."""
+        return (
+            len(self.members_by_worker[worker]) >= MAX_RUNS_PER_ORDER
+            or self._order_bytes(worker) >= FULL_ORDER_BYTES
+            or len(self.unaccepted_tasks(worker)) > MAX_JOBS_STARTED_PER_ORDER - MAX_DECISIONS
+        )
+
+    def _order_bytes(self, worker: TargetId) -> int:
+        """Return the largest size of a worker's order."""
+        return sum(
+            self.units_by_id[member.ref.job_id].assignment_bytes
+            for member in self.members_by_worker.get(worker, {}).values()
+        )
+
     def waiting_units_of(self, job_id: JobId) -> Iterator[UnitRef]:
         """Yield as many waiting units of a job as a plan may start."""
-        return self.units_by_id[job_id].waiting(self.now_ms, MAX_STARTS_PER_PLAN)
+        free = max(0, MAX_OPEN_UNITS - len(self.progress_by_id[job_id].units))
+        return self.units_by_id[job_id].waiting(self.now_ms, min(MAX_STARTS_PER_PLAN, free))
 
     def _waiting_units(self) -> Iterator[UnitRef]:
         for job_id in self.active_jobs:
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from chicorycrank.batch.orders import MAX_ORDER_BYTES
 from chicorycrank.batch.units import NO_WORKER, UnitRef, unit_count
 from chicorycrank.model.batch import Queue, Step, Submission, WorkerReport
 from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
@@ -261,7 +262,7 @@
             workers = frozenset(in_data_rack) or workers
         return PlacementRule(
             workers=None if len(workers) == len(planner.cell.workers_by_id) else workers,
-            max_members=step.max_per_worker if step.gang else 0,
+            max_members=_max_gang_members(step, planner.units_by_id[ref.job_id].assignment_bytes),
         )
 
     def _suitable_workers(self, planner: Planner, service: str, label: str) -> frozenset[TargetId]:
@@ -279,6 +280,19 @@
     return report.service == service and (not label or label in report.labels)
 
 
+def _max_gang_members(step: Step, size: int) -> int:
+    """Return how many members of a gang a worker's order has room for; 0 for no limit.
+
+    :param size: size of an assignment in bytes
+    """
+    if not step.gang:
+        return 0
+    most = MAX_ORDER_BYTES // size
+    if step.max_per_worker:
+        return min(step.max_per_worker, most)
+    return most if step.count > most else 0
+
+
 def _fits_one_rack(planner: Planner, shape: GangShape) -> bool:
     members_by_rack: Counter[RackId] = Counter()
     for worker_id, members in members_by_worker(planner.cell, shape).items():
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -59,6 +59,7 @@
         self.now_s = now_s
         self.quarantine = Quarantine(lambda: self.now_s, SHORT_JOB_RULES)
         self.testing: set[TargetId] = set()
+        self.full: set[TargetId] = set()
         self._cell = cell
         self._on_change = on_change
 
@@ -185,6 +186,7 @@
             and state.backoff_until <= self.now_s
             and not state.report.suspects
             and worker not in self.testing
+            and worker not in self.full
             and not self.quarantine.rejects_jobs(worker)
         )
         if self._cell.workers_by_id[worker].available != is_available:
