Leave room in the orders of workers for other jobs than a wide one

Change: a job that has half of what an order has room for gets nothing more on that worker. The limits are twice as high, 512 runs and 524,288 bytes.

--- a/src/chicorycrank/batch/job_units.py
+++ b/src/chicorycrank/batch/job_units.py
@@ -1,9 +1,15 @@
 """Units of one job by state: done, placed on workers, or free to start."""
 
+from collections import Counter
 from collections.abc import Iterator, Mapping
 
 from chicorycrank.batch.number_ranges import add_number, first_missing
-from chicorycrank.batch.orders import assignment_bytes
+from chicorycrank.batch.orders import (
+    FULL_ORDER_BYTES,
+    MAX_RUNS_PER_ORDER,
+    MAX_SHARE_OF_JOB,
+    assignment_bytes,
+)
 from chicorycrank.batch.units import (
     UnitRef,
     due_occurrences,
@@ -12,6 +18,7 @@
     unit_count,
 )
 from chicorycrank.model.batch import Progress, Submission, Unit, UnitState
+from chicorycrank.model.ids import TargetId
 
 NO_UNITS: Mapping[UnitRef, Unit] = {}
 
@@ -38,6 +45,8 @@
             self._step_starts.append(self._step_starts[-1] + unit_count(step))
         self._width = self._step_starts[-1]
         self._placed_by_step: dict[tuple[int, int], dict[UnitRef, Unit]] = {}
+        self._workers_by_unit: dict[UnitRef, list[TargetId]] = {}
+        self._runs_by_worker: Counter[TargetId] = Counter()
         self._discardable: list[UnitRef] = []
         self._done_count_by_step = [self._count_done(number) for number in range(len(job.steps))]
         self.total_done = sum(self._done_count_by_step)
@@ -53,7 +62,11 @@
     def record_places(self, ref: UnitRef, unit: Unit) -> None:
         """Record that a unit has places on workers, or none any more."""
         step = ref.occurrence, ref.step
+        self._runs_by_worker.subtract(self._workers_by_unit.pop(ref, ()))
         if unit.places:
+            workers = [place.worker for place in unit.places if place.worker]
+            self._workers_by_unit[ref] = workers
+            self._runs_by_worker.update(workers)
             self._placed_by_step.setdefault(step, {})[ref] = unit
             return
         placed = self._placed_by_step.get(step, {})
@@ -98,6 +111,14 @@
         """Return how many units of a step are done, in all occurrences."""
         return self._done_count_by_step[step]
 
+    def workers_at_limit(self) -> set[TargetId]:
+        """Return the workers whose orders have no more room for this job.
+
+        The members of a gang count until all have ended.
+        """
+        most = MAX_SHARE_OF_JOB * min(MAX_RUNS_PER_ORDER, FULL_ORDER_BYTES / self.assignment_bytes)
+        return {worker for worker, runs in self._runs_by_worker.items() if runs >= most}
+
     def placed(self, occurrence: int, step: int) -> Mapping[UnitRef, Unit]:
         """Return the units of a step that have places on workers."""
         return self._placed_by_step.get((occurrence, step), NO_UNITS)
--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -18,10 +18,12 @@
 MAX_JOBS_STARTED_PER_ORDER = MAX_KEYS_PER_WRITE - 1
 # A worker whose order has reached one of these limits gets no more work until runs have ended. A
 # value of the store may have 1,048,576 bytes.
-MAX_RUNS_PER_ORDER = 256
-FULL_ORDER_BYTES = 262_144
+MAX_RUNS_PER_ORDER = 512
+FULL_ORDER_BYTES = 524_288
 # Limit of an order that the last starts of a pass may reach.
-MAX_ORDER_BYTES = 3 * FULL_ORDER_BYTES
+MAX_ORDER_BYTES = 786_432
+# One job gets no more of an order than this share, so that a wide job leaves room for others.
+MAX_SHARE_OF_JOB = 0.5
 # Size of an assignment without its payload.
 ASSIGNMENT_BYTES = 400
 
