Soak: take a job for failed with cause if two executors crashed under a task

The judge counted only the crashes that a task had caused. Change: the judge counts the executors that crashed under each task. One crash, or crashes under different tasks, are reported as before. Evidence: test_a_job_may_be_given_up_after_two_crashes_under_one_task.

--- a/src/chicorycrank_standin/platform/run_recorder.py
+++ b/src/chicorycrank_standin/platform/run_recorder.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -11,6 +12,8 @@
 # this again.
 MAX_CRASHES = 3
 FORBIDDEN_STARTS = 3
+# A job may be given up once this many executors have crashed under one of its tasks.
+MIN_CRASHES_TO_FAIL = 2
 # Bounds of the platform, in seconds.
 CONTACT_S = 4.0  # a program or the store counts as disturbed for this time after a disturbance
 CANCEL_S = 3.0  # a cancelled job starts nothing later than this after the acknowledgement
@@ -144,6 +147,18 @@
             if starts == FORBIDDEN_STARTS:
                 self.report_violation(f"{task} was started again after {MAX_CRASHES} crashes")
 
+    def may_be_given_up(self, job_id: str) -> bool:
+        """Return whether enough executors have crashed under one task of a job.
+
+        News of the pages: a task under which two executors have crashed may be given up. It doesn't
+        matter whether the task has caused the crashes.
+        """
+        with self.lock:
+            crashes = Counter(
+                run.task for run in self.runs if run.job == job_id and run.end_kind == "crashed"
+            )
+        return max(crashes.values(), default=0) >= MIN_CRASHES_TO_FAIL
+
     def _start_work_of_complete_gang(self, record: RunRecord) -> None:
         step = record.task.rpartition(".")[0]
         gang = [
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -255,3 +255,39 @@
         replay.apply(event)
     texts = [text.partition(" s: ")[2] for text in replay.recorder.violations]
     assert [text.partition(":")[0] for text in texts] == ([expected] if expected else [])
+
+
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        ([(0, "start", 1, "a", {})], False),
+        ([(0, "start", 1, "a", {}), (1, "end", 1, "crashed")], False),
+        (
+            [
+                (0, "start", 1, "a", {}),
+                (1, "end", 1, "lapsed"),
+                (2, "start", 2, "b", {}),
+                (3, "end", 2, "crashed"),
+            ],
+            False,
+        ),
+        (
+            [
+                (0, "start", 1, "a", {}),
+                (1, "end", 1, "crashed"),
+                (2, "start", 2, "b", {}),
+                (3, "end", 2, "crashed"),
+            ],
+            True,
+        ),
+    ],
+    ids=["none", "one-crash", "one-crash-and-a-lapse", "two-crashes"],
+)
+def test_a_job_may_be_given_up_after_two_crashes_under_one_task(
+    events: list[tuple[Any, ...]], expected: bool
+) -> None:
+    """Guards against a judge that is stricter, or less strict, than the news of the pages."""
+    replay = Replay()
+    for event in events:
+        replay.apply(event)
+    assert replay.recorder.may_be_given_up("job") is expected
