--- a/tests/batch/test_cancelling.py
+++ b/tests/batch/test_cancelling.py
@@ -25,6 +25,7 @@
     report_key,
     state_key,
 )
+from chicorycrank.batch.metrics import STARTS_PREVENTED
 from chicorycrank.batch.orders import MAX_KEYS_PER_WRITE
 from chicorycrank.batch.term import STATUS_RETENTION_MARGIN_S
 from chicorycrank.model.batch import (
@@ -62,6 +63,28 @@
     assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.CANCELLED
 
 
+@pytest.mark.parametrize("plans_between", [0, 1, 2])
+def test_a_cancelling_that_the_leader_knows_before_its_job_needs_no_refused_write(
+    plans_between: int,
+) -> None:
+    """Guards against a cancellation that is noted before its job comes, and forgotten.
+
+    The store would refuse the start, so only the attempt shows it.
+    """
+    harness = LeaderHarness()
+    harness.other.submit()
+    harness.other.cancel()
+    prevented = STARTS_PREVENTED._value.get()
+    harness.leader.replica.apply_own([harness.store.items[cancel_key(JOB.job_id)]])
+    for _ in range(plans_between):
+        harness.plan()
+    harness.leader.hear()
+    harness.plan()
+    assert STARTS_PREVENTED._value.get() == prevented
+    assert harness.started_tasks() == []
+    assert harness.leader.intake.job_state(JOB.job_id).state is BatchState.CANCELLED
+
+
 @pytest.mark.parametrize("fault", ["", "refuse", "no_response", "lose"])
 @pytest.mark.parametrize("steps", list(itertools.permutations(STEPS, 2)))
 @pytest.mark.parametrize("is_submitted_at_leader", [True, False])
