Test of the frozen stand-in: read the clock after the poll was answered

Both calls were under way after the thaw, the waiting poll and the one that reads the clock to compare with, so either could be answered first. The reading is now requested after the poll was answered; the check is the same.

--- a/tests/standin/test_platform_standins.py
+++ b/tests/standin/test_platform_standins.py
@@ -135,8 +135,8 @@
     time.sleep(wait_s / 2)
     frozen_at = time.monotonic()
     executor.executor.freeze(freeze_s, stops_clock=stops_clock)
-    clock_ms = executor.hold(deadlineMs=0)["clockMs"]
     waiting.join()
+    clock_ms = executor.hold(deadlineMs=0)["clockMs"]
     ((answered_at, answered_clock_ms),) = answers
     assert answered_at - frozen_at >= freeze_s
     assert answered_clock_ms <= clock_ms
