Take a start that was answered as not done for one that never began

Cause: a refused connection left a run as never called, but an answer 429 or 503, which says that the executor has done nothing, one that rejects the fencing token, and one of another incarnation counted as calls that may have started it. If that executor then crashed, the crash counted against the task. Change: all answers by which a call certainly does nothing are treated alike. Evidence: test_a_start_that_was_refused_is_no_crash_under_its_task, now for five first answers, failed before for unhealthy, fenced and other-incarnation ([CRASHED] == [LOST]); refused and no-answer passed. test_only_the_answers_that_the_pages_name_say_that_nothing_was_done is new.

--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -23,7 +23,9 @@
         whether it is there
     :param is_call_active: a call for the run is active or submitted
     :param unresolved_starts: start calls without a final answer; each may still take effect
-    :param first_called_at: monotonic time of the first start call; None before it
+    :param failed_starts: answers that the executor is unhealthy, or that are errors
+    :param first_called_at: monotonic time of the first start call that may have had an effect, or
+        may still; None before it
     :param listed_at: monotonic time at which the executor first listed the run
     :param started_at: monotonic time of the answer to the start call, or ``listed_at``
     :param starts_rejected_since: monotonic time of the answer that the executor has accepted the
@@ -42,6 +44,7 @@
     is_adopted: bool = False
     is_call_active: bool = False
     unresolved_starts: int = 0
+    failed_starts: int = 0
     first_called_at: float | None = None
     listed_at: float | None = None
     started_at: float | None = None
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -21,8 +21,9 @@
 
 MAX_CONCURRENT_CALLS = 8
 RETRY_DELAY_S = 0.15
-# Start attempts on an executor that reports itself as unhealthy.
-MAX_UNHEALTHY_ATTEMPTS = 6
+# Repetitions of a start that an executor answers as unhealthy, or by an error.
+MAX_FAILED_STARTS = 6
+FAILURES = (StartAnswer.UNHEALTHY, StartAnswer.ERROR, StartAnswer.FENCED)
 # FENCED rejects this agent, not the run.
 ANSWERS_THAT_KEEP_THE_RUN = (StartAnswer.STARTED, StartAnswer.OUTDATED, StartAnswer.FENCED)
 
@@ -125,7 +126,7 @@
         except ExecutorUnreachableError as error:
             is_done = False
             if not is_stop:
-                self._record_unanswered_start(run, error)
+                self._record_failed_start(run, had_no_effect=error.refused)
             logger.warning(
                 "event=executor_unreachable task=%s run=%d stop=%s error=%s",
                 run.assignment.task,
@@ -135,15 +136,21 @@
             )
         except OtherIncarnationError:
             is_done = False
+            if not is_stop:
+                self._record_failed_start(run, had_no_effect=True)
         if not is_done:
             self._stop.wait(RETRY_DELAY_S)
 
-    def _record_unanswered_start(self, run: Run, error: ExecutorUnreachableError) -> None:
+    def _record_failed_start(self, run: Run, *, had_no_effect: bool) -> None:
+        """Record a start call that has not started the run.
+
+        :param had_no_effect: the call certainly does nothing, so a crash of the executor is none
+            under the run unless an earlier call may have started it
+        """
         with self._lock:
-            if not error.refused:
+            if not had_no_effect:
                 run.unresolved_starts += 1
             elif not run.unresolved_starts and run.started_at is None:
-                # No call has reached the executor.
                 run.first_called_at = None
 
     def _start_run(self, run: Run, context: CallContext) -> bool:
@@ -179,9 +186,12 @@
             assignment.run,
             answer.value,
         )
-        if answer is StartAnswer.UNHEALTHY and run.unresolved_starts < MAX_UNHEALTHY_ATTEMPTS:
-            run.unresolved_starts += 1
-            return False
+        if answer in FAILURES:
+            self._record_failed_start(run, had_no_effect=answer is not StartAnswer.ERROR)
+        if answer in (StartAnswer.UNHEALTHY, StartAnswer.ERROR):
+            run.failed_starts += 1
+            if run.failed_starts <= MAX_FAILED_STARTS:
+                return False
         if answer not in ANSWERS_THAT_KEEP_THE_RUN:
             self._reject(run, answer.value)
             return True
--- a/src/chicorycrank/platform/executor.py
+++ b/src/chicorycrank/platform/executor.py
@@ -30,6 +30,11 @@
     "broken": EndKind.BROKEN,
     "alone": EndKind.ALONE,
 }
+START_ANSWER_BY_STATUS = {
+    400: StartAnswer.INVALID,
+    429: StartAnswer.UNHEALTHY,
+    503: StartAnswer.UNHEALTHY,
+}
 START_ANSWER_BY_REASON = {
     "fence": StartAnswer.FENCED,
     "old": StartAnswer.OUTDATED,
@@ -69,7 +74,7 @@
         if answer.status == 409:
             reason = answer.body.get("reason")
             return START_ANSWER_BY_REASON.get(str(reason), StartAnswer.INVALID)
-        return StartAnswer.INVALID if answer.status == 400 else StartAnswer.UNHEALTHY
+        return START_ANSWER_BY_STATUS.get(answer.status, StartAnswer.ERROR)
 
     def stop(self, task: TaskId, run: int, fence: int, incarnation: Incarnation) -> bool:
         """Stop a run and reject its start if that arrives later."""
--- a/src/chicorycrank/ports/executor.py
+++ b/src/chicorycrank/ports/executor.py
@@ -34,7 +34,8 @@
     NO_ROOM = "no-room"  # The executor lacks free capacity for the task.
     NO_TICKET = "no-ticket"  # The order lacks a valid ticket of the advice service.
     INVALID = "invalid"  # The order is malformed or was refused for an unknown reason.
-    UNHEALTHY = "unhealthy"  # The executor reports itself as unhealthy; a later start may succeed.
+    UNHEALTHY = "unhealthy"  # The executor is unhealthy and has done nothing.
+    ERROR = "error"  # The executor failed; it is not known whether it has started the run.
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -22,7 +22,12 @@
     WorkOrder,
 )
 from chicorycrank.model.ids import Incarnation, TargetId, TaskId
-from chicorycrank.ports.executor import ExecutorUnreachableError, StartAnswer, StartOrder
+from chicorycrank.ports.executor import (
+    ExecutorUnreachableError,
+    OtherIncarnationError,
+    StartAnswer,
+    StartOrder,
+)
 from chicorycrank.ports.transactions import Write
 
 WORKER = TargetId("w")
@@ -324,8 +329,24 @@
     assert not world.report().is_unreachable
 
 
-def test_a_start_that_was_refused_is_no_crash_under_its_task() -> None:
-    """Guards against a job that is given up because executors were down before its starts."""
+@pytest.mark.parametrize(
+    ("first_answer", "expected"),
+    [
+        (ExecutorUnreachableError("refused", refused=True), EndKind.LOST),
+        (StartAnswer.UNHEALTHY, EndKind.LOST),
+        (StartAnswer.FENCED, EndKind.LOST),
+        (OtherIncarnationError("another one answered"), EndKind.LOST),
+        (ExecutorUnreachableError("no answer"), EndKind.CRASHED),
+    ],
+    ids=["refused", "unhealthy", "fenced", "other-incarnation", "no-answer"],
+)
+def test_a_start_that_was_refused_is_no_crash_under_its_task(
+    first_answer: StartAnswer | Exception, expected: EndKind
+) -> None:
+    """Guards against a job that is given up because executors were down before its starts.
+
+    Only a call without an answer may have started the run.
+    """
     store, executor = MemoryStore(), FakeExecutor()
     agent = BatchAgent(WORKER, store, executor, SystemClock(), max_lease_s=MAX_LEASE_S)
     agent.start()
@@ -337,7 +358,11 @@
         def refuse(order: StartOrder) -> StartAnswer:
             calls.append(order)
             executor.fault = "refused"
-            raise ExecutorUnreachableError("refused", refused=True)
+            if len(calls) > 1:
+                raise ExecutorUnreachableError("refused", refused=True)
+            if isinstance(first_answer, Exception):
+                raise first_answer
+            return first_answer
 
         executor.start = refuse  # type: ignore[method-assign]
         order = WorkOrder(
@@ -345,7 +370,7 @@
         )
         store.apply(Write(values={order_key(WORKER): encode(order)}))
         wait_until(lambda: bool(calls) and bool(agent.table.ends))
-        assert [end.kind for end in agent.table.ends] == [EndKind.LOST]
+        assert [end.kind for end in agent.table.ends] == [expected]
     finally:
         agent.stop()
 
--- a/tests/platform_adapter/test_protocol.py
+++ b/tests/platform_adapter/test_protocol.py
@@ -31,7 +31,7 @@
     Write,
 )
 from chicorycrank_standin.background import HOST, free_port, serve_in_background
-from chicorycrank_standin.http import Handler
+from chicorycrank_standin.http import Handler, json_response
 from chicorycrank_standin.platform.executor import BatchExecutorStandIn
 from chicorycrank_standin.platform.kv_store import KvStoreStandIn, StoreMode
 from chicorycrank_standin.platform.run_recorder import RunRecorder
@@ -197,6 +197,27 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("status", "expected"),
+    [
+        (400, StartAnswer.INVALID),
+        (429, StartAnswer.UNHEALTHY),
+        (503, StartAnswer.UNHEALTHY),
+        (500, StartAnswer.ERROR),
+        (502, StartAnswer.ERROR),
+    ],
+)
+def test_only_the_answers_that_the_pages_name_say_that_nothing_was_done(
+    serve: Serve, status: int, expected: StartAnswer
+) -> None:
+    """Guards against a start that is taken for one without effect, as its answer is an error."""
+    routes: dict[str, Handler] = {
+        "POST /-/run-start": lambda request: json_response({}, status=status)
+    }
+    client = PlatformExecutor(PlatformClient(serve(routes)))
+    assert client.start(start_order(1, 1, Incarnation("executor-1:0"))) is expected
+
+
 def test_an_executor_crashes_under_a_harmful_task_and_is_back_later(
     executor: tuple[PlatformExecutor, BatchExecutorStandIn], monkeypatch: pytest.MonkeyPatch
 ) -> None:
