Let a wide job leave as much of an order free as it has

Cause: each job could have half of an order, so two could have all of it, and the oldest job takes each place that becomes free. Change: a job gets nothing more on a worker once it has as much of the order as is left free. Of n wide jobs each gets one part in n + 1. Jobs with up to 16 runs and 65,536 bytes on a worker are not limited. Evidence: test_jobs_that_have_reached_the_limit_of_orders_leave_room_for_others failed on the code before with two and with five large jobs, if their runs end one by one; with one it passed.

--- a/src/chicorycrank/batch/job_units.py
+++ b/src/chicorycrank/batch/job_units.py
@@ -4,12 +4,7 @@
 from collections.abc import Iterator, Mapping
 
 from chicorycrank.batch.number_ranges import add_number, first_missing
-from chicorycrank.batch.orders import (
-    FULL_ORDER_BYTES,
-    MAX_RUNS_PER_ORDER,
-    MAX_SHARE_OF_JOB,
-    assignment_bytes,
-)
+from chicorycrank.batch.orders import assignment_bytes
 from chicorycrank.batch.units import (
     UnitRef,
     due_occurrences,
@@ -34,6 +29,7 @@
         their records can be removed by :meth:`discard_done`
     :ivar total_done: number of the done units
     :ivar assignment_bytes: largest size of the assignment of a task
+    :ivar runs_by_worker: number of runs on each worker; those of a gang count until all have ended
     """
 
     def __init__(self, job: Submission, progress: Progress) -> None:
@@ -46,7 +42,7 @@
         self._width = self._step_starts[-1]
         self._placed_by_step: dict[tuple[int, int], dict[UnitRef, Unit]] = {}
         self._workers_by_unit: dict[UnitRef, list[TargetId]] = {}
-        self._runs_by_worker: Counter[TargetId] = Counter()
+        self.runs_by_worker: Counter[TargetId] = Counter()
         self._discardable: list[UnitRef] = []
         self._done_count_by_step = [self._count_done(number) for number in range(len(job.steps))]
         self.total_done = sum(self._done_count_by_step)
@@ -62,11 +58,11 @@
     def record_places(self, ref: UnitRef, unit: Unit) -> None:
         """Record that a unit has places on workers, or none any more."""
         step = ref.occurrence, ref.step
-        self._runs_by_worker.subtract(self._workers_by_unit.pop(ref, ()))
+        self.runs_by_worker.subtract(self._workers_by_unit.pop(ref, ()))
         if unit.places:
             workers = [place.worker for place in unit.places if place.worker]
             self._workers_by_unit[ref] = workers
-            self._runs_by_worker.update(workers)
+            self.runs_by_worker.update(workers)
             self._placed_by_step.setdefault(step, {})[ref] = unit
             return
         placed = self._placed_by_step.get(step, {})
@@ -111,14 +107,6 @@
         """Return how many units of a step are done, in all occurrences."""
         return self._done_count_by_step[step]
 
-    def workers_at_limit(self) -> set[TargetId]:
-        """Return the workers whose orders have no more room for this job.
-
-        The members of a gang count until all have ended.
-        """
-        most = MAX_SHARE_OF_JOB * min(MAX_RUNS_PER_ORDER, FULL_ORDER_BYTES / self.assignment_bytes)
-        return {worker for worker, runs in self._runs_by_worker.items() if runs >= most}
-
     def placed(self, occurrence: int, step: int) -> Mapping[UnitRef, Unit]:
         """Return the units of a step that have places on workers."""
         return self._placed_by_step.get((occurrence, step), NO_UNITS)
--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -22,8 +22,9 @@
 FULL_ORDER_BYTES = 524_288
 # Limit of an order that the last starts of a pass may reach.
 MAX_ORDER_BYTES = 786_432
-# One job gets no more of an order than this share, so that a wide job leaves room for others.
-MAX_SHARE_OF_JOB = 0.5
+# With no more than this, a job gets work on a worker whatever the other jobs there leave free.
+MIN_RUNS_OF_JOB = 16
+MIN_BYTES_OF_JOB = FULL_ORDER_BYTES // 8
 # Size of an assignment without its payload.
 ASSIGNMENT_BYTES = 400
 
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -25,6 +25,8 @@
     MAX_JOBS_STARTED_PER_ORDER,
     MAX_ORDER_BYTES,
     MAX_RUNS_PER_ORDER,
+    MIN_BYTES_OF_JOB,
+    MIN_RUNS_OF_JOB,
     ChangedRecords,
     choose_accelerators,
     make_assignment,
@@ -317,6 +319,26 @@
             or len(self.unaccepted_tasks(worker)) > MAX_JOBS_STARTED_PER_ORDER - MAX_DECISIONS
         )
 
+    def workers_without_room(self, job_id: JobId) -> set[TargetId]:
+        """Return the workers on which a job has as much of the order as is left free.
+
+        The oldest job takes each place that becomes free, so the others find room only in what it
+        may not use. Of n such jobs each gets one part in n + 1, and one part stays free.
+        """
+        units = self.units_by_id[job_id]
+        return {
+            worker
+            for worker, runs in units.runs_by_worker.items()
+            if (runs > MIN_RUNS_OF_JOB or runs * units.assignment_bytes > MIN_BYTES_OF_JOB)
+            and not self._leaves_room(worker, runs, runs * units.assignment_bytes)
+        }
+
+    def _leaves_room(self, worker: TargetId, runs: int, size: int) -> bool:
+        """Return whether more of a worker's order is free than the given part."""
+        all_runs = len(self.members_by_worker.get(worker, {}))
+        free_bytes = FULL_ORDER_BYTES - self._order_bytes(worker)
+        return runs < MAX_RUNS_PER_ORDER - all_runs and size < free_bytes
+
     def _order_bytes(self, worker: TargetId) -> int:
         """Return the largest size of a worker's order."""
         return sum(
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -253,7 +253,7 @@
             workers -= {
                 worker_id for worker_id, count in counts.items() if count >= step.max_per_worker
             }
-        workers -= planner.units_by_id[ref.job_id].workers_at_limit()
+        workers -= planner.workers_without_room(ref.job_id)
         if step.data_rack and waited_s < DATA_RACK_WAIT_SHARE * step.run_time_s:
             in_data_rack = {
                 worker_id
--- a/tests/batch/test_order_limits.py
+++ b/tests/batch/test_order_limits.py
@@ -5,7 +5,7 @@
 from tests.batch.test_planner import make_planner, submit
 
 from chicorycrank.batch.keys import encode, encode_progress
-from chicorycrank.batch.orders import MAX_RUNS_PER_ORDER, MAX_SHARE_OF_JOB
+from chicorycrank.batch.orders import MAX_RUNS_PER_ORDER
 from chicorycrank.batch.planner import MAX_OPEN_UNITS, Planner
 from chicorycrank.model.batch import BatchState, EndKind, Step, Submission, TaskEnd
 from chicorycrank.model.ids import TargetId, TaskId
@@ -82,25 +82,32 @@
             planner.apply_report(worker, report)
         planner.plan()
     counts = [len(planner.order_for(worker).assignments) for worker in WORKERS]
-    most = int(MAX_SHARE_OF_JOB * MAX_RUNS_PER_ORDER)
+    most = MAX_RUNS_PER_ORDER // 2
     assert all(most <= count < most + MAX_DECISIONS for count in counts)
 
 
-def test_a_job_that_has_reached_the_limit_of_orders_leaves_room_for_others() -> None:
-    """Guards against an old job of tiny tasks that takes each place that becomes free."""
+@pytest.mark.parametrize("large_jobs", [1, 2, 5])
+@pytest.mark.parametrize("ends_at_once", [1, 20])
+def test_jobs_that_have_reached_the_limit_of_orders_leave_room_for_others(
+    large_jobs: int, ends_at_once: int
+) -> None:
+    """Guards against old jobs of tiny tasks that take each place that becomes free."""
     planner = make_fleet()
-    submit(planner, make_job([Step(count=1_000_000, cores=10)]))
-    for number in range(12):
-        if number == 8:
+    rounds = 25
+    for number in range(rounds):
+        if number < large_jobs:
+            step = Step(count=1_000_000, cores=10)
+            planner.add_job(make_job([step], name=f"{number:016x}"), None)
+        if number == rounds - 5:
             planner.set_time(planner.now_s + 1.0, planner.now_ms + 1000)
-            submit(planner, SMALL)
+            planner.add_job(SMALL, None)
+        planner.plan()
         for worker in WORKERS:
             runs = planner.order_for(worker).assignments
             accepted = {a.task: a.run for a in runs}
-            ends = [TaskEnd(a.task, a.run, EndKind.DONE) for a in runs[:1]]
+            ends = [TaskEnd(a.task, a.run, EndKind.DONE) for a in runs[:ends_at_once]]
             report = make_report(f"i-{worker}:1", cores=CORES, accepted=accepted, ends=ends)
             planner.apply_report(worker, report)
-        planner.plan()
     assert planner.progress_by_id[SMALL.job_id].state is not BatchState.QUEUED
 
 
