--- a/tests/incident/test_incident_processes.py
+++ b/tests/incident/test_incident_processes.py
@@ -2,19 +2,16 @@
 
 import signal
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from functools import partial
-from pathlib import Path
 
 import pytest
 from tests.incident.scenario import Job, submit, wait_until
 
 from chicorycrank_standin.forwarder import Mode
 from chicorycrank_standin.platform.heartbeats import Message
-from chicorycrank_standin.soak.callers import Callers
 from chicorycrank_standin.soak.deployment import Deployment, restart_killed
 
-READY_TIMEOUT_S = 30.0
 START_TIMEOUT_S = 10.0
 TASK_COUNT = 3
 WORK_S = 5.0
@@ -29,18 +26,6 @@
 ENDLESS_WORK_S = 60.0
 
 
-@pytest.fixture
-def deployment(tmp_path: Path) -> Iterator[Deployment]:
-    deployment = Deployment(tmp_path, seed=1)
-    try:
-        deployment.start()
-        callers = Callers(deployment, deployment.run_recorder)
-        wait_until(lambda: callers.all_entries_answer("/plain/"), READY_TIMEOUT_S)
-        yield deployment
-    finally:
-        deployment.close()
-
-
 def leave_undisturbed(job: Job) -> None:
     pass
 
--- a/tests/incident/test_large_jobs.py
+++ b/tests/incident/test_large_jobs.py
@@ -1,17 +1,13 @@
 """Small jobs end in time beside a job of any size, with entries and agents as processes."""
 
 import json
-from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
 import pytest
 from tests.incident.scenario import Job, call, submit, wait_until
 
-from chicorycrank_standin.soak.callers import Callers
 from chicorycrank_standin.soak.deployment import Deployment
 
-READY_TIMEOUT_S = 30.0
 END_TIMEOUT_S = 10.0
 LARGE_WORK_S = 2.0
 SMALL_STEP = {"cpu": 10, "estimatedMs": 2000}
@@ -27,18 +23,6 @@
 }
 
 
-@pytest.fixture
-def deployment(tmp_path: Path) -> Iterator[Deployment]:
-    deployment = Deployment(tmp_path, seed=1)
-    try:
-        deployment.start()
-        callers = Callers(deployment, deployment.run_recorder)
-        wait_until(lambda: callers.all_entries_answer("/plain/"), READY_TIMEOUT_S)
-        yield deployment
-    finally:
-        deployment.close()
-
-
 @pytest.mark.parametrize("large", LARGE_JOBS.values(), ids=LARGE_JOBS)
 def test_a_small_job_ends_in_time_beside_a_large_one(
     deployment: Deployment, large: dict[str, Any]
