Let one job probe a quarantined worker

What callers see: once the delay of a quarantined worker is over, one plan starts tasks of many jobs there, and all fail or stall together. Cause: the first start makes its job the probe, but the availability of the worker was updated only before the next plan, and the answer of Quarantine.record_start was not used. Change: a start on a worker that accepts no job is not applied, and the worker is closed before the next pass. Evidence: test_one_job_probes_a_quarantined_worker failed before (two jobs) and passes.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -229,6 +229,8 @@
                 has_changed = self._apply_decision(decision, refs_by_name) or has_changed
             if not has_changed:
                 return
+            for worker in filter(self.workers.quarantine.rejects_jobs, started_on):
+                self.workers.update_cell(worker)
             testing = self.crashes.testing_workers(self)
             full = self.workers.full | {worker for worker in started_on if self._is_full(worker)}
             if (self.workers.testing, self.workers.full) != (testing, full):
@@ -296,11 +298,13 @@
         placement: Collection[MemberPlacement],
         started_on: set[TargetId],
     ) -> bool:
-        """Return whether the orders allow a start, and no test run and no start of this plan."""
+        """Return whether a start is allowed by orders, quarantine, tests and this plan's starts."""
         tasks_by_worker = Counter(member.worker for member in placement)
         workers = tasks_by_worker.keys()
         if self.crashes.is_held(self, ref) or workers & self.crashes.testing_workers(self):
             return False
+        if any(map(self.workers.quarantine.rejects_jobs, workers)):
+            return False
         size = self.units_by_id[ref.job_id].assignment_bytes
         for worker, count in tasks_by_worker.items():
             started_jobs = {*self.unaccepted_tasks(worker), ref.job_id}
--- a/tests/batch/test_stalled_workers.py
+++ b/tests/batch/test_quarantined_workers.py
@@ -1,12 +1,19 @@
-"""Workers on which a task has made no progress."""
+"""Quarantine of workers on which tasks fail or make no progress."""
 
 import pytest
 from tests.batch.fakes import make_job, make_report
-from tests.batch.test_planner import WHOLE_WORKER, end_task, make_planner, submit, tasks_by_worker
+from tests.batch.test_planner import (
+    WHOLE_WORKER,
+    WORKERS,
+    end_task,
+    make_planner,
+    submit,
+    tasks_by_worker,
+)
 
 from chicorycrank.batch.planner import Planner
 from chicorycrank.model.batch import EndKind, Step, Submission
-from chicorycrank.model.ids import TargetId, TaskId
+from chicorycrank.model.ids import JobId, TargetId, TaskId
 
 OTHER_JOBS = [f"{number:016x}" for number in range(8)]
 GANG = Step(count=2, accelerators=8, cores=1000, run_time_s=5.0, gang=True)
@@ -67,7 +74,7 @@
 
 
 def test_a_job_that_stalls_on_each_worker_closes_only_the_first() -> None:
-    """Guards against a job that makes no progress anywhere and closes one worker after the other."""
+    """Guards against a job that makes no progress anywhere and closes worker after worker."""
     planner = make_planner()
     job = submit(planner, make_job([WHOLE_WORKER]))
     first = stall(planner, job)
@@ -82,3 +89,16 @@
     job = submit(planner, make_job([GANG]))
     stall(planner, job)
     assert not planner.workers.quarantine.quarantined_by_worker
+
+
+def test_one_job_probes_a_quarantined_worker() -> None:
+    """Guards against a plan that starts many jobs on a worker that fails all of them."""
+    planner = make_planner()
+    for number in range(2):
+        planner.workers.quarantine.record_failure(WORKERS[0], JobId(f"failed-{number}"), "failed")
+    assert list(planner.workers.quarantine.quarantined_by_worker) == [WORKERS[0]]
+    for name in OTHER_JOBS:
+        planner.add_job(make_job([Step(count=1, accelerators=4, run_time_s=5.0)], name=name), None)
+    pass_time(planner, 3.1)
+    assert len(jobs_on(planner, WORKERS[0])) == 1
+    assert {len(jobs_on(planner, worker)) for worker in WORKERS[1:]} == {2}
