Quarantine a worker on which a task made no progress

What callers saw: an urgent job ended 8.6 s later than it could, as it was placed on an executor that hung. Cause: a worker is closed while its report names a stalled task. Stopping the task removes it from the report, so the worker was open again, and as the emptiest one it got the next job, or the same task once more. Change: a task that is stopped for lack of progress quarantines its worker as failures do: one job probes it after 3 s, and each probe that stalls doubles the delay. A job that stalls on several workers closes the first only, and a gang on several workers closes none, as the culprit is not known.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -32,7 +32,7 @@
     make_assignment,
 )
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
-from chicorycrank.batch.stop_reasons import stop_reason
+from chicorycrank.batch.stop_reasons import NO_PROGRESS, stop_reason
 from chicorycrank.batch.units import (
     NO_WORKER,
     Member,
@@ -575,3 +575,6 @@
             reason = stop_reason(step, unit, task, report, self.now_ms)
             if reason:
                 self.stop_unit(member.ref, reason)
+            # A gang may be held up by any of its workers.
+            if reason == NO_PROGRESS and len({place.worker for place in unit.places}) == 1:
+                self.workers.quarantine.record_stall(worker, member.ref.job_id, reason)
--- a/src/chicorycrank/batch/stop_reasons.py
+++ b/src/chicorycrank/batch/stop_reasons.py
@@ -7,6 +7,7 @@
 DRAIN_MARGIN_S = 2.0
 # A stall often ends by itself within seconds, so only little unsaved work is given up for it.
 MAX_RESTART_PERCENT = 25
+NO_PROGRESS = "no progress"
 
 
 def stop_reason(step: Step, unit: Unit, task: TaskId, report: WorkerReport, now_ms: int) -> str:
@@ -16,7 +17,7 @@
     """
     percent = report.suspects.get(task)
     if percent is not None and is_restart_cheap(step, percent):
-        return "no progress"
+        return NO_PROGRESS
     is_draining = report.state is WorkerState.DRAINING
     if is_draining and not ends_before_drain(step, unit, now_ms, report.remaining_ms):
         return "the worker drains"
--- a/src/chicorycrank/policy/quarantine.py
+++ b/src/chicorycrank/policy/quarantine.py
@@ -63,14 +63,10 @@
 
     def record_failure(self, worker: TargetId, job_id: JobId, reason: str) -> bool:
         """Record a failed task; return true if the failure counts against the job."""
-        workers = self._failed_workers_by_job.setdefault(job_id, set())
-        workers.add(worker)
-        quarantined = self.quarantined_by_worker.get(worker)
-        if quarantined is not None:
-            if quarantined.probe_job == job_id:
-                self._quarantine(worker, reason, quarantined.failed_probes + 1)
+        if worker in self.quarantined_by_worker:
+            self._record_failed_probe(worker, job_id, reason)
             return False
-        if len(workers) > 1:
+        if self._has_failed_elsewhere(worker, job_id):
             return True
         failures_by_job = self._failures_by_worker.setdefault(worker, {})
         failures_by_job[job_id] = failures_by_job.get(job_id, 0) + 1
@@ -84,6 +80,26 @@
             return False
         return True
 
+    def record_stall(self, worker: TargetId, job_id: JobId, reason: str) -> None:
+        """Quarantine a worker on which a job made no progress, unless it has failed elsewhere."""
+        if worker in self.quarantined_by_worker:
+            self._record_failed_probe(worker, job_id, reason)
+        elif not self._has_failed_elsewhere(worker, job_id):
+            self._quarantine(worker, reason, 0)
+
+    def _record_failed_probe(self, worker: TargetId, job_id: JobId, reason: str) -> None:
+        """Delay the next probe of a quarantined worker if this job was its probe."""
+        self._failed_workers_by_job.setdefault(job_id, set()).add(worker)
+        quarantined = self.quarantined_by_worker[worker]
+        if quarantined.probe_job == job_id:
+            self._quarantine(worker, reason, quarantined.failed_probes + 1)
+
+    def _has_failed_elsewhere(self, worker: TargetId, job_id: JobId) -> bool:
+        """Record that a job has failed on a worker; return whether it has on others, too."""
+        workers = self._failed_workers_by_job.setdefault(job_id, set())
+        workers.add(worker)
+        return len(workers) > 1
+
     def record_attempt_end(
         self, job_id: JobId, placement: Iterable[MemberPlacement], *, ok: bool
     ) -> None:
