Wait for the leader also after a presence that was created without an answer

Cause: an agent whose presence had expired reads its order again before it grants a lease, as the leader may have given the work to another worker meanwhile. It noticed the expiry only by the read before the write that is answered. If the answer to the first creation is lost, the second attempt finds the key, takes the presence for one that was never away, and starts accepted runs of an order that the leader has replaced, until its watch hears of the change.

Change: the agent remembers that the key was missing until a creation is confirmed.

Evidence: both tests fail before ([('a.0.0.0', 1)] == [] with presence-unanswered; resumed_at 1001.0 for 1031.0 with lose) and pass now. The test of the whole agent first lets it read its order once, as otherwise the read of its own start hides the fault.

--- a/src/chicorycrank/batch/presence.py
+++ b/src/chicorycrank/batch/presence.py
@@ -56,6 +56,8 @@
         self._stop = stop
         self._on_renewed = on_renewed
         self._lease = Lease(0)
+        # The key was missing, and no creation was confirmed since; an unanswered one may exist.
+        self._was_missing = False
         self.confirmed_at = float("-inf")
         self.resumed_at = float("-inf")
 
@@ -93,6 +95,7 @@
         self._lease = Lease(0)
         lease = self._store.grant(PRESENCE_LEASE_S)
         current = self._store.read(self._key)
+        self._was_missing = self._was_missing or current is None
         write = Write(
             expected={self._key: MISSING if current is None else current.revision},
             values={self._key: b"1", self._resumption_key: b"1"},
@@ -102,7 +105,8 @@
             logger.warning("event=presence_conflict key=%s", self._key)
             return False
         self._lease = lease
-        if current is None:
+        if self._was_missing:
+            self._was_missing = False
             self.resumed_at = self._clock.monotonic() + PRESENCE_RESUME_DELAY_S
         logger.info("event=presence_created key=%s lease=%d", self._key, lease)
         return True
--- a/tests/batch/test_presence.py
+++ b/tests/batch/test_presence.py
@@ -6,6 +6,7 @@
 from tests.batch.fakes import ManualClock, MemoryStore
 
 from chicorycrank.batch.keys import presence_key, resumption_key
+from chicorycrank.batch.leases import PRESENCE_RESUME_DELAY_S
 from chicorycrank.batch.presence import Presence
 from chicorycrank.model.ids import TargetId
 from chicorycrank.ports.transactions import Conflict, Lease, StoreUnavailableError
@@ -72,3 +73,19 @@
     store.expire_lease(Lease(2))
     assert KEY not in store.items
     assert store.items[resumption_key(WORKER)].revision > first
+
+
+@pytest.mark.parametrize("fault", ["lose", "no_response"])
+def test_a_presence_that_was_created_without_an_answer_waits_for_the_leader(fault: str) -> None:
+    """Guards against an agent that starts runs of an order that the leader has replaced."""
+    store, clock = MemoryStore(), ManualClock()
+    presence = Presence(store, WORKER, clock, threading.Event(), lambda: None)
+    presence.renew()
+    store.expire_lease(Lease(1))
+    clock.seconds += 30.0
+    store.fault = lambda operation: fault if operation == "commit" else ""
+    with pytest.raises(StoreUnavailableError):
+        presence.renew()
+    store.fault = lambda operation: ""
+    presence.renew()
+    assert presence.resumed_at == clock.seconds + PRESENCE_RESUME_DELAY_S
--- a/tests/batch/test_review_28.py
+++ b/tests/batch/test_review_28.py
@@ -29,7 +29,7 @@
     report_key,
     resumption_key,
 )
-from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S
+from chicorycrank.batch.leases import MAX_CONFIRMATION_AGE_S, PRESENCE_RESUME_DELAY_S
 from chicorycrank.batch.lost_workers import SUSPENSION_LIMIT_S, LostWorkerDetector
 from chicorycrank.batch.orders import MAX_KEYS_PER_WRITE
 from chicorycrank.batch.workers import WorkerRegistry
@@ -247,6 +247,7 @@
     is_cut = False
     is_silent = False
     loses_acceptance = False
+    loses_presence = False
 
     def _raise_fault(self, operation: str) -> str:
         if self.is_cut:
@@ -264,8 +265,14 @@
         return changes
 
     def commit(self, write: Write, *, timeout_s: float) -> Committed | Conflict:
-        """Lose the answer to the first acceptance, and be cut off from then on."""
+        """Lose the answer to the first acceptance, and be cut off from then on.
+
+        With ``loses_presence``, also lose the answer to the first presence after the cut.
+        """
         answer = super().commit(write, timeout_s=timeout_s)
+        if self.loses_presence and self.is_silent and presence_key(WORKER) in write.values:
+            self.loses_presence = False
+            raise StoreUnavailableError("lost", has_no_effect=False)
         value = write.values.get(report_key(WORKER))
         if self.loses_acceptance and value and decode(value, WorkerReport).accepted:
             self.loses_acceptance, self.is_cut = False, True
@@ -273,15 +280,20 @@
         return answer
 
 
-def test_an_agent_that_was_cut_off_starts_nothing_that_a_silent_watch_has_not_withdrawn() -> None:
+@pytest.mark.parametrize("loses_presence", [False, True], ids=["answered", "presence-unanswered"])
+def test_an_agent_that_was_cut_off_starts_nothing_that_a_silent_watch_has_not_withdrawn(
+    loses_presence: bool,
+) -> None:
     """Guards against a second run of a task that was reassigned while its agent was cut off."""
     store, executor, clock = CutStore(), FakeExecutor(), JumpingClock()
+    store.loses_presence = loses_presence
     agent = BatchAgent(WORKER, store, executor, clock, max_lease_s=MAX_HOLD_S)
     agent.start()
     try:
         agent.apply_heartbeat(make_report(), number=1, started_at_ms=1, clock_ms=1000)
         wait_until(lambda: agent.dump()["registered"] is True)
         wait_until(lambda: presence_key(WORKER) in store.items)
+        time.sleep(2 * PRESENCE_RESUME_DELAY_S)  # the order is read again
         store.loses_acceptance = True
         order = WorkOrder(
             incarnation=Incarnation("i-1:1"), assignments=(Assignment(task=TASK, run=1),)
