Log why urgent units wait, and how long the phases of a plan take

- event=unit_waiting: cause, earlier runs, suitable workers, closed ones by cause, free room.
At most 10 lines a second, one for a job in 5 s.

--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -38,6 +38,9 @@
     "Time from acceptance to the first start",
     buckets=WAIT_BUCKETS_S,
 )
+PLAN_SECONDS = Histogram(
+    "chicorycrank_plan_seconds", "Time of a phase of a plan", ["phase"], buckets=CALL_BUCKETS_S
+)
 IS_LEADER = Gauge("chicorycrank_is_leader", "1 while this entry has the leader role")
 CONFIG_VERSION = Gauge("chicorycrank_config_version", "Version of the configuration in force")
 EXECUTORS_ENDED = Counter(
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -23,12 +24,14 @@
 )
 from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
 from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
+from chicorycrank.batch.phase_timer import timed_phase
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.batch.record_writer import COMMIT_RETRY_S, RecordWriter
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import ROLE_RENEWAL_INTERVAL_S, LeaderRole, RoleLostError
 from chicorycrank.batch.threads import Event, keep_running, make_event
+from chicorycrank.batch.urgent_waits import UrgentWaitLog
 from chicorycrank.batch.view import SharedView
 from chicorycrank.batch.withdrawals import withdraw
 from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
@@ -109,6 +112,7 @@
             dependencies.machines, dependencies.worker_lost_timeout_s
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
+        self._urgent_wait_log = UrgentWaitLog()
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
 
     def serve(self) -> None:
@@ -207,16 +211,23 @@
     def _plan_once(self) -> None:
         """Apply pending changes, plan, and write the changed records."""
         self._set_time()
-        with self._view.lock:
-            reports, self._report_changes = self._report_changes, []
-            self._apply_changes()
-        for item in reports:
-            self._apply_report_item(item)
-        self._reassign_lost_work()
-        withdraw(self._planner, self._write_conditionally)
-        self._advice_cache.update(self._planner)
-        self._planner.plan()
-        self._writer.write_changes(self._planner, self._remove_expired_jobs())
+        with self._timed_phase("apply"):
+            with self._view.lock:
+                reports, self._report_changes = self._report_changes, []
+                self._apply_changes()
+            for item in reports:
+                self._apply_report_item(item)
+            self._reassign_lost_work()
+            withdraw(self._planner, self._write_conditionally)
+            self._advice_cache.update(self._planner)
+        with self._timed_phase("plan"):
+            self._planner.plan()
+            self._urgent_wait_log.update(self._planner)
+        with self._timed_phase("write"):
+            self._writer.write_changes(self._planner, self._remove_expired_jobs())
+
+    def _timed_phase(self, name: str) -> AbstractContextManager[None]:
+        return timed_phase(self._clock, name, len(self._planner.active_jobs))
 
     def _write_conditionally(
         self, values: dict[str, bytes], expected: Mapping[str, Revision]
--- /dev/null
+++ b/src/chicorycrank/batch/urgent_waits.py
@@ -0,0 +1,159 @@
+"""Log lines on urgent units that still wait after a while, with what keeps them from starting."""
+
+import logging
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from itertools import islice
+
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.queued_jobs import URGENT_PRIORITY
+from chicorycrank.batch.units import UnitRef, due_at_ms
+from chicorycrank.model.ids import JobId
+from chicorycrank.policy.cell import QueuedJob
+from chicorycrank.policy.packing import blocks
+
+MIN_WAIT_MS = 2000
+CHECK_INTERVAL_S = 1.0
+REPEAT_S = 5.0
+MAX_LINES_PER_CHECK = 10
+
+logger = logging.getLogger("absl")
+
+
+class WaitCause(Enum):
+    """What keeps a unit from starting."""
+
+    SET_ASIDE = "set-aside"
+    HELD = "held"  # a test run of its job, or the verdict on it, comes first
+    NO_SUITABLE_WORKER = "no-suitable-worker"
+    ALL_CLOSED = "all-closed"
+    EVICTIONS = "evictions"
+    RESERVED = "reserved"
+    NO_ROOM = "no-room"
+    NOT_CHOSEN = "not-chosen"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Room:
+    """Room for a unit on its suitable workers.
+
+    :param closed: number of closed workers by cause
+    :param accelerators: free accelerators of the open workers
+    :param cores: free cores of the open workers
+    :param members: members of the unit that fit there now
+    """
+
+    suitable: int
+    closed: Counter[str]
+    accelerators: int
+    cores: int
+    members: int
+
+
+class UrgentWaitLog:
+    """Writer of the log lines, which limits their number."""
+
+    def __init__(self) -> None:
+        self._next_check_s = 0.0
+        self._logged_at_by_id: dict[JobId, float] = {}
+
+    def update(self, planner: Planner) -> None:
+        """Log the first waiting unit of each urgent job that waits too long."""
+        if planner.now_s < self._next_check_s:
+            return
+        self._next_check_s = planner.now_s + CHECK_INTERVAL_S
+        self._logged_at_by_id = {
+            job_id: logged_at_s
+            for job_id, logged_at_s in self._logged_at_by_id.items()
+            if planner.now_s < logged_at_s + REPEAT_S
+        }
+        for ref in islice(self._late_units(planner), MAX_LINES_PER_CHECK):
+            self._logged_at_by_id[ref.job_id] = planner.now_s
+            _log_wait(planner, ref)
+
+    def _late_units(self, planner: Planner) -> Iterator[UnitRef]:
+        for job_id in planner.active_jobs:
+            if (
+                job_id not in self._logged_at_by_id
+                and planner.queue_of(planner.jobs_by_id[job_id]).priority == URGENT_PRIORITY
+            ):
+                late = (
+                    ref
+                    for ref in planner.waiting_units_of(job_id)
+                    if _waited_ms(planner, ref) >= MIN_WAIT_MS
+                )
+                yield from islice(late, 1)
+
+
+def _waited_ms(planner: Planner, ref: UnitRef) -> int:
+    job = planner.jobs_by_id[ref.job_id]
+    return planner.now_ms - max(job.submitted_at_ms, due_at_ms(job, ref.occurrence))
+
+
+def _log_wait(planner: Planner, ref: UnitRef) -> None:
+    job = planner.job_builder.make_queued_job(planner, ref)
+    room = _find_room(planner, job)
+    unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
+    logger.warning(
+        "event=unit_waiting job=%s unit=%s waited_s=%.1f runs=%d members=%d accelerators=%d"
+        " cores=%d cause=%s suitable=%d closed=%s free_accelerators=%d free_cores=%d"
+        " members_that_fit=%d within_quota=%s",
+        ref.job_id,
+        ref.key,
+        _waited_ms(planner, ref) / 1000,
+        unit.run if unit is not None else 0,
+        job.shape.members,
+        job.shape.accelerators,
+        job.shape.cores,
+        _wait_cause(planner, ref, job, room).value,
+        room.suitable,
+        ",".join(f"{cause}:{count}" for cause, count in sorted(room.closed.items())),
+        room.accelerators,
+        room.cores,
+        room.members,
+        job.job_id in planner.cell.jobs_within_quota,
+    )
+
+
+def _wait_cause(planner: Planner, ref: UnitRef, job: QueuedJob, room: Room) -> WaitCause:
+    if planner.failing_jobs.is_set_aside(ref.job_id, planner.now_s):
+        return WaitCause.SET_ASIDE
+    if planner.crashes.is_held(planner, ref):
+        return WaitCause.HELD
+    if not room.suitable:
+        return WaitCause.NO_SUITABLE_WORKER
+    if room.closed.total() == room.suitable:
+        return WaitCause.ALL_CLOSED
+    if job.job_id in planner.cell.waiting_for_evictions:
+        return WaitCause.EVICTIONS
+    if job.job_id in planner.cell.reservations_by_id:
+        return WaitCause.RESERVED
+    return WaitCause.NO_ROOM if room.members < job.shape.members else WaitCause.NOT_CHOSEN
+
+
+def _find_room(planner: Planner, job: QueuedJob) -> Room:
+    pool = planner.cell.free
+    workers = planner.cell.workers_by_id if job.rule.workers is None else job.rule.workers
+    closed: Counter[str] = Counter()
+    accelerators = cores = members = 0
+    for worker in workers:
+        cause = planner.workers.closed_cause(worker)
+        if cause is not None:
+            closed[cause.value] += 1
+            continue
+        mask = pool.masks[worker]
+        accelerators += mask.bit_count()
+        cores += pool.cores[worker]
+        limit = job.rule.member_limit(pool, worker, job.shape)
+        if job.shape.accelerators:
+            limit = min(limit, len(blocks(mask, job.shape.accelerators)))
+        members += limit
+    return Room(
+        suitable=len(workers),
+        closed=closed,
+        accelerators=accelerators,
+        cores=cores,
+        members=members,
+    )
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from chicorycrank.model.batch import EndKind, TaskEnd, WorkerReport
 from chicorycrank.model.batch import WorkerState as ExecutorState
@@ -25,6 +26,19 @@
 logger = logging.getLogger("absl")
 
 
+class ClosedCause(Enum):
+    """Why a worker gets no new work."""
+
+    ABSENT = "absent"  # its agent does not reach the store
+    NOT_READY = "not-ready"
+    UNREACHABLE = "unreachable"
+    BACKOFF = "backoff"
+    STALLED = "stalled"  # a task there makes no progress
+    TEST = "test"
+    FULL_ORDER = "full-order"
+    QUARANTINE = "quarantine"
+
+
 @dataclass(kw_only=True)
 class Worker:
     """Worker as reported by its agent.
@@ -176,19 +190,30 @@
                 )
         self._update_availability(worker)
 
-    def _update_availability(self, worker: TargetId) -> None:
+    def closed_cause(self, worker: TargetId) -> ClosedCause | None:
+        """Return the first cause for which a worker gets no new work, or None."""
         state = self.by_id[worker]
-        is_available = (
-            state.presence_expired_at is None
-            and state.report.state is ExecutorState.READY
-            and bool(state.report.incarnation)
-            and not state.report.is_unreachable
-            and state.backoff_until <= self.now_s
-            and not state.report.suspects
-            and worker not in self.testing
-            and worker not in self.full
-            and not self.quarantine.rejects_jobs(worker)
-        )
+        report = state.report
+        if state.presence_expired_at is not None:
+            return ClosedCause.ABSENT
+        if report.state is not ExecutorState.READY or not report.incarnation:
+            return ClosedCause.NOT_READY
+        if report.is_unreachable:
+            return ClosedCause.UNREACHABLE
+        if state.backoff_until > self.now_s:
+            return ClosedCause.BACKOFF
+        if report.suspects:
+            return ClosedCause.STALLED
+        if worker in self.testing:
+            return ClosedCause.TEST
+        if worker in self.full:
+            return ClosedCause.FULL_ORDER
+        if self.quarantine.rejects_jobs(worker):
+            return ClosedCause.QUARANTINE
+        return None
+
+    def _update_availability(self, worker: TargetId) -> None:
+        is_available = self.closed_cause(worker) is None
         if self._cell.workers_by_id[worker].available != is_available:
             self._cell.set_available(worker, is_available)
 
