Let an agent prove the end of its executor before it stops

What callers saw: urgent jobs that did not end for 50 s after their executors were taken away.

Cause: the agent stopped at once, although the platform leaves it 6 s and it alone could prove the end soon. The class of fault: a process gives up an observation that only it can make.

Change: an agent that is asked to stop while its executor refuses calls, and still has runs, stays until their end is proven and written, a second less than the grace at most. With an executor that answers, is silent or has no runs, it stops at once as before.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -127,8 +127,16 @@
         ):
             keep_running(work, work.__qualname__, self._stop)
 
-    def stop(self) -> None:
-        """Stop the threads; tasks run on under their lease until the agent restarts."""
+    def stop(self, grace_s: float = 0.0) -> None:
+        """Stop the threads; tasks run on under their lease until the agent restarts.
+
+        :param grace_s: longest time to wait for the ends of the runs of an executor that seems to
+            have ended; without them, these runs wait until the whole worker counts as lost
+        """
+        deadline = self._clock.monotonic() + grace_s
+        with self._lock:
+            while self._awaits_ends and (wait_s := deadline - self._clock.monotonic()) > 0:
+                self._lock.wait(min(wait_s, REPORT_CHECK_INTERVAL_S))
         self._stop.set()
         self._order_replica.stop()
         with self._lock:
@@ -280,6 +288,16 @@
 
     # Reports to the store.
 
+    @property
+    def _awaits_ends(self) -> bool:
+        """Whether ends that no other process can prove soon are to be proven or reported."""
+        state, written = self.executor_state, self._report_store.written
+        if not self._is_registered or written is None:
+            return False
+        if state.end is None:
+            return state.clock.is_refusing and bool(self.table.tracked_runs())
+        return written.ends != self.table.ends
+
     def _report_forever(self) -> None:
         self._order_replica.is_loaded.wait()
         while not self._stop.is_set():
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -128,6 +128,11 @@
         is_excluded = not may_be_frozen or silent_s >= FROZEN_EXECUTOR_LIMIT_S
         return is_excluded and sent_at_running_s > self._lease_expires_at_running_s()
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the executor's address has refused the last call."""
+        return self._refused_since_running_s is not None
+
     @property
     def has_refused(self) -> bool:
         """Whether the executor's address has refused connections for a while until now."""
--- a/src/chicorycrank/programs/batch_agent.py
+++ b/src/chicorycrank/programs/batch_agent.py
@@ -11,6 +11,7 @@
 from chicorycrank.programs.process import Process
 
 SERVER_THREADS = 3
+STOP_MARGIN_S = 1.0
 
 
 def main() -> None:
@@ -32,7 +33,7 @@
     process.serve_metrics(agent.dump)
     process.wait_for_stop(lambda new_settings: store.set_address(new_settings.store))
     # Running work continues under its lease. A quick exit lets the next agent start sooner.
-    agent.stop()
+    agent.stop(settings.bounds.stop_grace_s - STOP_MARGIN_S)
     process.exit()
 
 
