Renumber only jobs that have accelerators

Each end of a run renumbered the accelerators of its worker, and that went through all jobs there. With 200 tasks without accelerators on each worker, that was most of the leader's time. Jobs without accelerators are left out now.

--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -321,11 +321,12 @@
         This is only valid for cells whose workers allocate accelerators by count: there the numbers
         have no meaning outside of the cell. Running jobs stay on their workers. If they use more
         accelerators than the worker has, because its capacity has shrunk, none is free; the
-        missing ones get numbers above the capacity.
+        missing ones get numbers above the capacity. Jobs without accelerators keep their place, so
+        the time does not grow with their number.
         """
         if worker not in self.workers_by_id or worker not in self.masks_by_worker:
             return
-        jobs = list(self.masks_by_worker[worker])
+        jobs = [job_id for job_id, mask in self.masks_by_worker[worker].items() if mask]
         members = sorted(
             (
                 (mask.bit_count(), job_id, index)
