Keep the sizes of orders as sums

For each start, the planner went through all runs of the worker for the size of its order and for the jobs that it starts. The sizes are sums that starts and ends change now, and the jobs are found once for each plan.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -106,6 +106,10 @@
         self.crashes = CrashTracker()
         self.failing_jobs = FailingJobs()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
+        # Largest sizes of the orders in bytes.
+        self._order_bytes_by_worker: Counter[TargetId] = Counter()
+        # Jobs that the next orders may start, by worker, as far as this plan has asked for them.
+        self._starting_jobs_by_worker: dict[TargetId, set[JobId]] = {}
         self.queues_by_id: Mapping[QueueId, Queue] = {}
         self.quota_by_team: dict[TeamId, int] = {}
         self.tickets_by_step: dict[str, dict[TargetId, str]] = {}
@@ -207,6 +211,7 @@
             self._fail_job(job_id, "crashes", reason)
         for job_id in self.active_jobs:
             self.units_by_id[job_id].discard_done()
+        self._starting_jobs_by_worker.clear()
         self.workers.testing = self.crashes.testing_workers(self)
         self.workers.full = {worker for worker in self.members_by_worker if self._is_full(worker)}
         self.workers.update_all_availability()
@@ -303,10 +308,10 @@
             return False
         size = self.units_by_id[ref.job_id].assignment_bytes
         for worker, count in tasks_by_worker.items():
-            started_jobs = {*self.unaccepted_tasks(worker), ref.job_id}
+            started_jobs = {*self._starting_jobs(worker), ref.job_id}
             if len(started_jobs) > MAX_JOBS_STARTED_PER_ORDER:
                 return False
-            if self._order_bytes(worker) + count * size > MAX_ORDER_BYTES:
+            if self._order_bytes_by_worker[worker] + count * size > MAX_ORDER_BYTES:
                 return False
         unit = self.progress_by_id[ref.job_id].units.get(ref.key)
         return not (self.crashes.needs_test(self, ref, unit) and workers & started_on)
@@ -315,8 +320,8 @@
         """Return whether the order of a worker has no room for all that a pass may start."""
         return (
             len(self.members_by_worker[worker]) >= MAX_RUNS_PER_ORDER
-            or self._order_bytes(worker) >= FULL_ORDER_BYTES
-            or len(self.unaccepted_tasks(worker)) > MAX_JOBS_STARTED_PER_ORDER - MAX_DECISIONS
+            or self._order_bytes_by_worker[worker] >= FULL_ORDER_BYTES
+            or len(self._starting_jobs(worker)) > MAX_JOBS_STARTED_PER_ORDER - MAX_DECISIONS
         )
 
     def workers_without_room(self, job_id: JobId) -> set[TargetId]:
@@ -336,15 +341,14 @@
     def _leaves_room(self, worker: TargetId, runs: int, size: int) -> bool:
         """Return whether more of a worker's order is free than the given part."""
         all_runs = len(self.members_by_worker.get(worker, {}))
-        free_bytes = FULL_ORDER_BYTES - self._order_bytes(worker)
+        free_bytes = FULL_ORDER_BYTES - self._order_bytes_by_worker[worker]
         return runs < MAX_RUNS_PER_ORDER - all_runs and size < free_bytes
 
-    def _order_bytes(self, worker: TargetId) -> int:
-        """Return the largest size of a worker's order."""
-        return sum(
-            self.units_by_id[member.ref.job_id].assignment_bytes
-            for member in self.members_by_worker.get(worker, {}).values()
-        )
+    def _starting_jobs(self, worker: TargetId) -> set[JobId]:
+        """Return the jobs that the next order of a worker may start."""
+        if worker not in self._starting_jobs_by_worker:
+            self._starting_jobs_by_worker[worker] = set(self.unaccepted_tasks(worker))
+        return self._starting_jobs_by_worker[worker]
 
     def waiting_units_of(self, job_id: JobId) -> Iterator[UnitRef]:
         """Yield as many waiting units of a job as a plan may start."""
@@ -424,7 +428,10 @@
         unit.state = UnitState.STOPPING
         self.cell.mark_stopping(ref.name)
         self.changes.jobs.add(ref.job_id)
-        self.changes.workers.update(place.worker for place in unit.places if place != NO_WORKER)
+        workers = {place.worker for place in unit.places if place != NO_WORKER}
+        self.changes.workers |= workers
+        for worker in workers:
+            self._starting_jobs_by_worker.pop(worker, None)
         logger.info(
             "event=unit_stopped job=%s unit=%s run=%d lost_s=%.1f reason=%s",
             ref.job_id,
@@ -441,9 +448,13 @@
 
     def _index_members(self, ref: UnitRef, unit: Unit) -> None:
         tasks = ref.tasks(self.step_of(ref))
+        size = self.units_by_id[ref.job_id].assignment_bytes
         for place_index, (task, place) in enumerate(zip(tasks, unit.places, strict=True)):
             if place != NO_WORKER:
                 self.members_by_worker.setdefault(place.worker, {})[task] = Member(ref, place_index)
+                self._order_bytes_by_worker[place.worker] += size
+                if place.worker in self._starting_jobs_by_worker:
+                    self._starting_jobs_by_worker[place.worker].add(ref.job_id)
                 self.changes.workers.add(place.worker)
 
     def _restore_allocation(self, ref: UnitRef, unit: Unit) -> None:
@@ -496,7 +507,9 @@
         has_run_ended = record_end(
             unit, member.place_index, end, step, self.queue_of(job).max_attempts
         )
-        self.members_by_worker[worker].pop(end.task, None)
+        del self.members_by_worker[worker][end.task]
+        units = self.units_by_id[ref.job_id]
+        self._order_bytes_by_worker[worker] -= units.assignment_bytes
         self.changes.jobs.add(ref.job_id)
         self.changes.workers.add(worker)
         logger.info(
@@ -511,7 +524,6 @@
         )
         TASKS_ENDED.labels(end.kind.name.lower()).inc()
         self.workers.record_end(worker, ref.job_id, end)
-        units = self.units_by_id[ref.job_id]
         if has_run_ended:
             units.record_places(ref, unit)
         if unit.state is UnitState.DONE:
