--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -318,10 +318,12 @@
     def _apply_running(
         self, running_tasks: Sequence[RunningTask], incarnation: Incarnation, now_s: float
     ) -> None:
+        tracked_by_key = {run.key: run for run in self.tracked_runs()}
         for running_task in running_tasks:
-            run = self._tracked_run(running_task.task, running_task.run)
+            key = (running_task.task, running_task.run)
+            run = tracked_by_key.get(key)
             if run is None:
-                run = self._track_listed_run(running_task, incarnation)
+                run = tracked_by_key[key] = self._track_listed_run(running_task, incarnation)
             run.checkpoint = running_task.checkpoint or run.checkpoint
             run.load = running_task.load
             run.is_accepted = True
@@ -336,9 +338,6 @@
             if running_task.percent != run.percent:
                 run.percent, run.progressed_at = running_task.percent, now_s
 
-    def _tracked_run(self, task: TaskId, number: int) -> Run | None:
-        return next((run for run in self.tracked_runs() if run.key == (task, number)), None)
-
     def _track_listed_run(self, running_task: RunningTask, incarnation: Incarnation) -> Run:
         """Track a run that the executor lists.
 
