Give each job its turn in a plan

Callers saw a job of one task that was not started for more than 10 s beside a job of short tasks. A plan starts 128 units at most, the oldest jobs first. The tasks of 0.2 s ended as fast as that, so the large job never filled the workers and took all starts of each plan. In the second half of a plan's passes, a job of which runs have ended since the last plan now starts a unit only if it has started none in this plan, unless no other job can start.

The unit test fails without this commit in all nine cases.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -75,6 +75,8 @@
 MILLICORES_PER_ACCELERATOR = 8000.0
 MAX_DECISION_PASSES = 8  # bounds the duration of one plan
 MAX_STARTS_PER_PLAN = MAX_DECISION_PASSES * MAX_DECISIONS
+# In the later passes of a plan, jobs that have started units in it come after the others.
+PASSES_IN_FULL_ORDER = MAX_DECISION_PASSES // 2
 # Units of a job that have begun and are not done. Their records are one value of the store.
 MAX_OPEN_UNITS = 4000
 
@@ -106,6 +108,8 @@
         self.crashes = CrashTracker()
         self.failing_jobs = FailingJobs()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
+        # Jobs of which a run has ended since the last plan.
+        self._jobs_with_ends: set[JobId] = set()
         # Largest sizes of the orders in bytes.
         self._order_bytes_by_worker: Counter[TargetId] = Counter()
         # Jobs that the next orders may start, by worker, as far as this plan has asked for them.
@@ -220,7 +224,13 @@
         # A unit that a pass stops waits again only after its runs have ended, in a later plan.
         waiting = dict.fromkeys(self._waiting_units())
         started_on: set[TargetId] = set()
-        for _ in range(MAX_DECISION_PASSES):
+        started_jobs: set[JobId] = set()
+        steady_jobs, self._jobs_with_ends = self._jobs_with_ends, set()
+        for number in range(MAX_DECISION_PASSES):
+            postponed: dict[UnitRef, None] = {}
+            if number >= PASSES_IN_FULL_ORDER:
+                postponed = self._postponed_units(waiting, steady_jobs, started_jobs)
+                waiting = {ref: None for ref in waiting if ref not in postponed}
             queue, decisions = self.failing_jobs.decide(self, waiting)
             refs_by_name = {job.job_id: ref for ref, job in queue.items()}
             has_changed = False
@@ -230,16 +240,45 @@
                     if not self._may_start(ref, decision.placement, started_on):
                         continue
                     started_on |= {member.worker for member in decision.placement}
+                    started_jobs.add(ref.job_id)
                     del waiting[ref]
                 has_changed = self._apply_decision(decision, refs_by_name) or has_changed
+            waiting |= postponed
             if not has_changed:
-                return
+                if not postponed:
+                    return
+                steady_jobs = set()  # no other job can start
             testing = self.crashes.testing_workers(self)
             full = self.workers.full | {worker for worker in started_on if self._is_full(worker)}
             if (self.workers.testing, self.workers.full) != (testing, full):
                 self.workers.testing, self.workers.full = testing, full
                 self.workers.update_all_availability()
 
+    def _postponed_units(
+        self,
+        waiting: Collection[UnitRef],
+        steady_jobs: Collection[JobId],
+        started_jobs: Collection[JobId],
+    ) -> dict[UnitRef, None]:
+        """Return the units that wait until each other job has had its turn in this plan.
+
+        A plan has a limit of starts. A job whose runs end as fast would take all of them in each
+        plan and never fill the workers, so the others would never have their turn.
+
+        :param steady_jobs: jobs of which a run has ended since the last plan
+        :param started_jobs: jobs of which this plan has started a unit
+        """
+        held_names = self.cell.reservations_by_id.keys() | self.cell.waiting_for_evictions
+        postponed: dict[UnitRef, None] = {}
+        jobs_in_turn: set[JobId] = set()
+        for ref in waiting:
+            had_turn = ref.job_id in started_jobs or ref.job_id in jobs_in_turn
+            if ref.job_id in steady_jobs and had_turn and ref.name not in held_names:
+                postponed[ref] = None
+            else:
+                jobs_in_turn.add(ref.job_id)
+        return postponed if len(postponed) < len(waiting) else {}
+
     def next_due_ms(self) -> int | None:
         """Return the Unix time in milliseconds of the next occurrence of a job."""
         due_times_ms = (
@@ -510,6 +549,7 @@
         del self.members_by_worker[worker][end.task]
         units = self.units_by_id[ref.job_id]
         self._order_bytes_by_worker[worker] -= units.assignment_bytes
+        self._jobs_with_ends.add(ref.job_id)
         self.changes.jobs.add(ref.job_id)
         self.changes.workers.add(worker)
         logger.info(
--- a/tests/batch/test_order_limits.py
+++ b/tests/batch/test_order_limits.py
@@ -1,12 +1,12 @@
 """Orders stay below the largest value of the store, whatever jobs come."""
 
 import pytest
-from tests.batch.fakes import make_job, make_report
+from tests.batch.fakes import make_job, make_queue, make_report
 from tests.batch.test_planner import make_planner, submit
 
 from chicorycrank.batch.keys import encode, encode_progress
 from chicorycrank.batch.orders import MAX_RUNS_PER_ORDER
-from chicorycrank.batch.planner import MAX_OPEN_UNITS, Planner
+from chicorycrank.batch.planner import MAX_OPEN_UNITS, MAX_STARTS_PER_PLAN, Planner
 from chicorycrank.model.batch import BatchState, EndKind, Step, Submission, TaskEnd
 from chicorycrank.model.ids import TargetId, TaskId
 from chicorycrank.policy.decide import MAX_DECISIONS
@@ -111,6 +111,30 @@
     assert planner.progress_by_id[SMALL.job_id].state is not BatchState.QUEUED
 
 
+@pytest.mark.parametrize("large_jobs", [1, 3, 12])
+@pytest.mark.parametrize("large_priority", [0, 1, 2])
+def test_jobs_whose_runs_end_between_plans_leave_starts_for_others(
+    large_jobs: int, large_priority: int
+) -> None:
+    """Guards against jobs of short tasks that take all starts of each plan."""
+    planner = make_fleet()
+    large_queue, queue = make_queue(priority=large_priority), make_queue(priority=1)
+    for number in range(large_jobs):
+        step = Step(count=1_000_000, cores=10)
+        job = make_job([step], name=f"{number:016x}", queue=large_queue)
+        planner.add_job(job, None)
+    planner.plan()
+    for _ in range(20):
+        assert end_all(planner)
+    planner.set_time(planner.now_s + 1.0, planner.now_ms + 1000)
+    small = make_job([Step(count=1, cores=10, accelerators=1)], name="b" * 16, queue=queue)
+    planner.add_job(small, None)
+    end_all(planner)
+    assert planner.progress_by_id[small.job_id].state is not BatchState.QUEUED
+    started = sum(len(planner.order_for(worker).assignments) for worker in WORKERS)
+    assert started > MAX_STARTS_PER_PLAN - MAX_DECISIONS
+
+
 def test_a_job_has_no_more_open_units_than_its_record_may_hold() -> None:
     """Guards against a record of progress that the store refuses for good."""
     workers = [TargetId(f"w{number}") for number in range(20)]
