Call an executor for the jobs in turn

Callers saw a job of one task that started up to 4 s after its plan: its agent makes eight calls at a time, and the start waited behind the start calls for hundreds of tasks of another job. The jobs take turns in the queue of calls now.

--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -5,6 +5,7 @@
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 
+from chicorycrank.batch.call_queue import CallQueue
 from chicorycrank.batch.run import Run
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import Condition, Event, make_pool
@@ -53,6 +54,8 @@
 class RunDriver:
     """Driver that starts and stops the runs of a table, each in a separate call.
 
+    The jobs take turns, so that calls for a job don't wait for those of all runs of another one.
+
     :param lock: guards ``table``; held while ``get_context`` is called
     :param stop: set when the process stops
     :param get_context: returns the current parameters of calls
@@ -84,6 +87,7 @@
         self._granting = granting
         self._has_room = has_room
         self._on_fenced = on_fenced
+        self._waiting = CallQueue()
         self._pool = make_pool(MAX_CONCURRENT_CALLS, "order")
 
     def submit_calls(self) -> None:
@@ -91,7 +95,13 @@
         if self._stop.is_set():
             return
         for run in self._table.claim_runs_to_call():
-            self._pool.submit(self._call_until_done, run)
+            self._waiting.add(run)
+            self._pool.submit(self._call_next)
+
+    def _call_next(self) -> None:
+        with self._lock:
+            run = self._waiting.take()
+        self._call_until_done(run)
 
     def _call_until_done(self, run: Run) -> None:
         assignment = run.assignment
--- a/src/chicorycrank/batch/units.py
+++ b/src/chicorycrank/batch/units.py
@@ -68,6 +68,11 @@
     place_index: int
 
 
+def job_of(task: TaskId) -> JobId:
+    """Return the job that a task belongs to."""
+    return JobId(task.partition(".")[0])
+
+
 def parse_unit_key(job_id: JobId, key: str) -> UnitRef:
     """Return the unit that a key refers to."""
     occurrence, step, *index = map(int, key.split("."))
