Count a crash against a job only once it is proven

Cause: a conclusion without proof. An executor that refuses connections may live. Once its lease has expired the agent reports its runs as crashed, which proves that they are over, but neither that the executor crashed nor that no run ended as done before. The leader counted it as one of the two crashes that end a job, and the answer of the same incarnation 0.2 s later changed nothing.

Change: a crash counts for the verdict once the worker's report names another incarnation than the crashed one. It is removed if the same incarnation answers again. Unproven, it still makes the next run a test, holds a job for 5 s at most, and counts towards the five crashes that end a job whatever explains them. No record changes: the proof follows from the stored reports.

--- /dev/null
+++ b/src/chicorycrank/batch/crash_records.py
@@ -0,0 +1,66 @@
+"""Runs on crashed executors, and what the recorded crashes of a unit show."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from chicorycrank.batch.units import UnitRef
+from chicorycrank.model.batch import Crash, Unit
+
+if TYPE_CHECKING:
+    from chicorycrank.batch.planner import Planner
+
+# A job that would be given up if its crashes were proven waits this long for the proof.
+PROOF_TIMEOUT_MS = 5000
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashedRun:
+    """Run that was on an executor when it crashed.
+
+    :param member: index of the task in its unit
+    :param age_ms: time in milliseconds from its start until the crash
+    :param is_witnessed: the agent was running at the crash
+    :param has_started: the executor had confirmed the start
+    :param is_test: the run was a test
+    """
+
+    ref: UnitRef
+    member: int
+    age_ms: int
+    is_witnessed: bool
+    has_started: bool
+    is_test: bool
+
+
+def is_proven(planner: Planner, crash: Crash) -> bool:
+    """Return whether another incarnation has answered at the address of the one that crashed."""
+    state = planner.workers.by_id.get(crash.worker)
+    return state is not None and state.report.incarnation not in ("", crash.incarnation)
+
+
+def waits_for_proof(planner: Planner, crashes: Collection[Crash]) -> bool:
+    """Return whether the newest of these crashes may still be proven soon."""
+    newest_ms = max(crash.at_ms for crash in crashes)
+    return planner.now_ms - newest_ms < PROOF_TIMEOUT_MS
+
+
+def crashes_by_member(unit: Unit) -> dict[int, list[Crash]]:
+    """Return the crashes that a unit has seen by the index of its task."""
+    by_member: dict[int, list[Crash]] = {}
+    for crash in unit.crashes:
+        for member in crash.members:
+            by_member.setdefault(member, []).append(crash)
+    return by_member
+
+
+def max_crashes_of_a_task(unit: Unit) -> int:
+    """Return the number of crashes under the unit's task that has seen the most."""
+    return max(map(len, crashes_by_member(unit).values()), default=0)
+
+
+def task_name(ref: UnitRef, member: int) -> str:
+    """Return the name of a task of a unit within its job."""
+    return f"{ref.step_key}.{member if ref.index is None else ref.index}"
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -4,6 +4,10 @@
 its end as done, or by a later run that lasts longer than it had run at the crash. A unit that had
 only just started, or that saw two crashes, is started as a test: on a worker that gets no other
 start until the unit is cleared, so that a further crash has one explanation.
+
+An agent also reports runs as crashed once the lease of an executor that refuses connections has
+expired. That proves their end but not the crash, which is proven by the next incarnation that
+answers, and refuted by an answer of the same one.
 """
 
 from __future__ import annotations
@@ -11,11 +15,18 @@
 import logging
 from collections import Counter
 from collections.abc import Collection, Iterator
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from chicorycrank.batch.crash_records import (
+    CrashedRun,
+    crashes_by_member,
+    is_proven,
+    max_crashes_of_a_task,
+    task_name,
+    waits_for_proof,
+)
 from chicorycrank.batch.metrics import EXECUTOR_CRASHES
 from chicorycrank.batch.units import UnitRef, parse_unit_key
 from chicorycrank.model.batch import BatchState, Crash, Progress, TaskEnd, Unit
@@ -41,25 +52,6 @@
 logger = logging.getLogger("absl")
 
 
-@dataclass(frozen=True, kw_only=True)
-class CrashedRun:
-    """Run that was on an executor when it crashed.
-
-    :param member: index of the task in its unit
-    :param age_ms: time in milliseconds from its start until the crash
-    :param is_witnessed: the agent was running at the crash
-    :param has_started: the executor had confirmed the start
-    :param is_test: the run was a test
-    """
-
-    ref: UnitRef
-    member: int
-    age_ms: int
-    is_witnessed: bool
-    has_started: bool
-    is_test: bool
-
-
 class CrashTracker:
     """Crashes of executors under the units of a planner.
 
@@ -141,6 +133,19 @@
                 ",".join(sorted({run.ref.name for run in suspects})),
             )
 
+    def refute(self, planner: Planner, incarnation: Incarnation) -> None:
+        """Remove the crash of an incarnation that has answered since."""
+        if not self.ledger.discard(incarnation):
+            return
+        logger.info("event=crash_refuted incarnation=%s", incarnation)
+        for job_id, units in list(self._units_by_job.items()):
+            for key, unit in list(units.items()):
+                ref = parse_unit_key(job_id, key)
+                for crash in [c for c in unit.crashes if c.incarnation == incarnation]:
+                    self._remove_crash(planner, ref, unit, crash)
+                if not unit.crashes:
+                    self.tests_by_unit.pop(ref.name, None)
+
     def clear(self, planner: Planner, ref: UnitRef, unit: Unit, reason: str) -> None:
         """Clear a unit of all crashes that it has seen."""
         self.tests_by_unit.pop(ref.name, None)
@@ -266,6 +271,9 @@
             return False
         if self._guilty_task(planner, ref.job_id) is not None:
             return True
+        accused = self._guilty_task(planner, ref.job_id, needs_proof=False)
+        if accused is not None and waits_for_proof(planner, accused[1]):
+            return True
         is_job_in_test = any(name.startswith(f"{ref.job_id}.") for name in self.tests_by_unit)
         return is_job_in_test and bool(self._attributed_crashes(planner, ref.job_id))
 
@@ -324,22 +332,32 @@
         """Clear the jobs whose crashes are explained by jobs that an earlier leader gave up."""
         for job_id in list(self._units_by_job):
             is_failed = planner.progress_by_id[job_id].state is BatchState.FAILED
-            if is_failed and self._guilty_task(planner, job_id) is not None:
+            accused = self._guilty_task(planner, job_id, needs_proof=False)
+            if is_failed and accused is not None:
                 self.clear_others(planner, job_id)
 
-    def _guilty_task(self, planner: Planner, job_id: JobId) -> tuple[str, Collection[Crash]] | None:
+    def _guilty_task(
+        self, planner: Planner, job_id: JobId, *, needs_proof: bool = True
+    ) -> tuple[str, Collection[Crash]] | None:
         """Return a task that is to be given up and the crashes that speak against it.
 
         If it is not known which of several tasks had started at a crash, the job is given up once
         more crashes are attributed to it than it has such tasks, as one of them then has two.
+
+        :param needs_proof: only crashes that are proven are attributed to the job
         """
         suspects: dict[str, None] = {}
         attributed_by_id: dict[Incarnation, Crash] = {}
         for key, unit in self._units_by_job.get(job_id, {}).items():
             ref = parse_unit_key(job_id, key)
             for member, crashes in crashes_by_member(unit).items():
-                name = _task_name(ref, member)
-                attributed = [c for c in crashes if self._is_attributed(planner, c, job_id)]
+                name = task_name(ref, member)
+                attributed = [
+                    crash
+                    for crash in crashes
+                    if self._is_attributed(planner, crash, job_id)
+                    and (not needs_proof or is_proven(planner, crash))
+                ]
                 certain = [crash for crash in attributed if member in crash.started]
                 if len(certain) >= MAX_ATTRIBUTED_CRASHES:
                     return name, certain
@@ -362,21 +380,3 @@
 
     def _is_attributed(self, planner: Planner, crash: Crash, job_id: JobId) -> bool:
         return self.ledger.is_attributed(crash.incarnation, job_id, len(planner.workers.by_id))
-
-
-def crashes_by_member(unit: Unit) -> dict[int, list[Crash]]:
-    """Return the crashes that a unit has seen by the index of its task."""
-    by_member: dict[int, list[Crash]] = {}
-    for crash in unit.crashes:
-        for member in crash.members:
-            by_member.setdefault(member, []).append(crash)
-    return by_member
-
-
-def max_crashes_of_a_task(unit: Unit) -> int:
-    """Return the number of crashes under the unit's task that has seen the most."""
-    return max(map(len, crashes_by_member(unit).values()), default=0)
-
-
-def _task_name(ref: UnitRef, member: int) -> str:
-    return f"{ref.step_key}.{member if ref.index is None else ref.index}"
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -170,6 +170,8 @@
         self.crashes.record_crashes(self, worker)
         if replaced is not None:
             self.crashes.ledger.record(replaced, worker, self.now_ms)
+        if not report.is_unreachable:
+            self.crashes.refute(self, report.incarnation)
         self._stop_affected_units(worker, report)
         self.workers.update_cell(worker)
 
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -236,7 +236,8 @@
     LOST = 7  # the executor of the task was lost
     WITHDRAWN = 8  # the leader withdrew the run before the agent accepted it
     # The executor ended without notice while the run may have been there: a start call had reached
-    # it, or may have. A run whose start calls were all refused ends as LOST.
+    # it, or may have. A run whose start calls were all refused ends as LOST. While the report names
+    # the same incarnation, the executor may live and refuse connections.
     CRASHED = 9
 
 
--- a/src/chicorycrank/policy/crashes.py
+++ b/src/chicorycrank/policy/crashes.py
@@ -72,6 +72,13 @@
             event.suspects.discard(job_id)
             self._discard_conclusions()
 
+    def discard(self, crash: Incarnation) -> bool:
+        """Discard a crash that has not happened; return false if it is not known."""
+        if self.events_by_id.pop(crash, None) is None:
+            return False
+        self._discard_conclusions()
+        return True
+
     def blame(self, job_id: JobId) -> list[tuple[Incarnation, JobId]]:
         """Attribute every crash at which a job was present to it.
 
--- a/tests/interleavings/test_search.py
+++ b/tests/interleavings/test_search.py
@@ -32,6 +32,15 @@
             "w-0#1/RunningTime.keep.1 143 REFUSE 7 6.188",
         ],
     ),
+    "refused-after-a-crash-elsewhere": (
+        32000885,
+        [
+            "entry-0#1/leader.1 54 RESTART 0 0.31",
+            "w-1#1/RunningTime.keep.1 96 RESTART 0 0.1",
+            "entry-0#3/replica-o.1 18 CRASH 0 0.362",
+            "w-0#1/RunningTime.keep.1 162 REFUSE 5 5.523",
+        ],
+    ),
 }
 
 
