--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -11,6 +11,7 @@
 
 from chicorycrank.batch.crash_tracker import CrashTracker
 from chicorycrank.batch.failing_jobs import FailingJobs
+from chicorycrank.batch.job_turns import postponed_units
 from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.metrics import (
     JOBS_ENDED,
@@ -20,17 +21,8 @@
     UNITS_STOPPED,
     WAIT_SECONDS,
 )
-from chicorycrank.batch.orders import (
-    FULL_ORDER_BYTES,
-    MAX_JOBS_STARTED_PER_ORDER,
-    MAX_ORDER_BYTES,
-    MAX_RUNS_PER_ORDER,
-    MIN_BYTES_OF_JOB,
-    MIN_RUNS_OF_JOB,
-    ChangedRecords,
-    choose_accelerators,
-    make_assignment,
-)
+from chicorycrank.batch.order_sizes import OrderSizes
+from chicorycrank.batch.orders import ChangedRecords, choose_accelerators, make_assignment
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.batch.stop_reasons import NO_PROGRESS, stop_reason
 from chicorycrank.batch.units import (
@@ -110,10 +102,7 @@
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         # Jobs of which a run has ended since the last plan.
         self._jobs_with_ends: set[JobId] = set()
-        # Largest sizes of the orders in bytes.
-        self._order_bytes_by_worker: Counter[TargetId] = Counter()
-        # Jobs that the next orders may start, by worker, as far as this plan has asked for them.
-        self._starting_jobs_by_worker: dict[TargetId, set[JobId]] = {}
+        self._order_sizes = OrderSizes(self.unaccepted_tasks)
         self.queues_by_id: Mapping[QueueId, Queue] = {}
         self.quota_by_team: dict[TeamId, int] = {}
         self.tickets_by_step: dict[str, dict[TargetId, str]] = {}
@@ -217,9 +206,9 @@
             self._fail_job(job_id, "crashes", reason)
         for job_id in self.active_jobs:
             self.units_by_id[job_id].discard_done()
-        self._starting_jobs_by_worker.clear()
+        self._order_sizes.begin_plan()
         self.workers.testing = self.crashes.testing_workers(self)
-        self.workers.full = {worker for worker in self.members_by_worker if self._is_full(worker)}
+        self.workers.full = self._order_sizes.full_workers()
         self.workers.update_all_availability()
         self.cell.headroom = self.job_builder.headroom_workers(self)
         self.cell.jobs_within_quota = self.job_builder.units_within_quota(self)
@@ -231,7 +220,8 @@
         for number in range(MAX_DECISION_PASSES):
             postponed: dict[UnitRef, None] = {}
             if number >= PASSES_IN_FULL_ORDER:
-                postponed = self._postponed_units(waiting, steady_jobs, started_jobs)
+                held_names = self.cell.reservations_by_id.keys() | self.cell.waiting_for_evictions
+                postponed = postponed_units(waiting, steady_jobs, started_jobs, held_names)
                 waiting = {ref: None for ref in waiting if ref not in postponed}
             queue, decisions = self.failing_jobs.decide(self, waiting)
             refs_by_name = {job.job_id: ref for ref, job in queue.items()}
@@ -253,36 +243,11 @@
             for worker in filter(self.workers.quarantine.rejects_jobs, started_on):
                 self.workers.update_cell(worker)
             testing = self.crashes.testing_workers(self)
-            full = self.workers.full | {worker for worker in started_on if self._is_full(worker)}
+            full = self.workers.full | set(filter(self._order_sizes.is_full, started_on))
             if (self.workers.testing, self.workers.full) != (testing, full):
                 self.workers.testing, self.workers.full = testing, full
                 self.workers.update_all_availability()
 
-    def _postponed_units(
-        self,
-        waiting: Collection[UnitRef],
-        steady_jobs: Collection[JobId],
-        started_jobs: Collection[JobId],
-    ) -> dict[UnitRef, None]:
-        """Return the units that wait until each other job has had its turn in this plan.
-
-        A plan has a limit of starts. A job whose runs end as fast would take all of them in each
-        plan and never fill the workers, so the others would never have their turn.
-
-        :param steady_jobs: jobs of which a run has ended since the last plan
-        :param started_jobs: jobs of which this plan has started a unit
-        """
-        held_names = self.cell.reservations_by_id.keys() | self.cell.waiting_for_evictions
-        postponed: dict[UnitRef, None] = {}
-        jobs_in_turn: set[JobId] = set()
-        for ref in waiting:
-            had_turn = ref.job_id in started_jobs or ref.job_id in jobs_in_turn
-            if ref.job_id in steady_jobs and had_turn and ref.name not in held_names:
-                postponed[ref] = None
-            else:
-                jobs_in_turn.add(ref.job_id)
-        return postponed if len(postponed) < len(waiting) else {}
-
     def next_due_ms(self) -> int | None:
         """Return the Unix time in milliseconds of the next occurrence of a job."""
         due_times_ms = (
@@ -352,49 +317,23 @@
         if any(map(self.workers.quarantine.rejects_jobs, workers)):
             return False
         size = self.units_by_id[ref.job_id].assignment_bytes
-        for worker, count in tasks_by_worker.items():
-            started_jobs = {*self._starting_jobs(worker), ref.job_id}
-            if len(started_jobs) > MAX_JOBS_STARTED_PER_ORDER:
-                return False
-            if self._order_bytes_by_worker[worker] + count * size > MAX_ORDER_BYTES:
-                return False
+        if not all(
+            self._order_sizes.has_room(worker, ref.job_id, count * size)
+            for worker, count in tasks_by_worker.items()
+        ):
+            return False
         unit = self.progress_by_id[ref.job_id].units.get(ref.key)
         return not (self.crashes.needs_test(self, ref, unit) and workers & started_on)
 
-    def _is_full(self, worker: TargetId) -> bool:
-        """Return whether the order of a worker has no room for all that a pass may start."""
-        return (
-            len(self.members_by_worker[worker]) >= MAX_RUNS_PER_ORDER
-            or self._order_bytes_by_worker[worker] >= FULL_ORDER_BYTES
-            or len(self._starting_jobs(worker)) > MAX_JOBS_STARTED_PER_ORDER - MAX_DECISIONS
-        )
-
     def workers_without_room(self, job_id: JobId) -> set[TargetId]:
-        """Return the workers on which a job has as much of the order as is left free.
-
-        The oldest job takes each place that becomes free, so the others find room only in what it
-        may not use. Of n such jobs each gets one part in n + 1, and one part stays free.
-        """
+        """Return the workers on which a job has as much of the order as is left free."""
         units = self.units_by_id[job_id]
         return {
             worker
             for worker, runs in units.runs_by_worker.items()
-            if (runs > MIN_RUNS_OF_JOB or runs * units.assignment_bytes > MIN_BYTES_OF_JOB)
-            and not self._leaves_room(worker, runs, runs * units.assignment_bytes)
+            if self._order_sizes.has_its_part(worker, runs, runs * units.assignment_bytes)
         }
 
-    def _leaves_room(self, worker: TargetId, runs: int, size: int) -> bool:
-        """Return whether more of a worker's order is free than the given part."""
-        all_runs = len(self.members_by_worker.get(worker, {}))
-        free_bytes = FULL_ORDER_BYTES - self._order_bytes_by_worker[worker]
-        return runs < MAX_RUNS_PER_ORDER - all_runs and size < free_bytes
-
-    def _starting_jobs(self, worker: TargetId) -> set[JobId]:
-        """Return the jobs that the next order of a worker may start."""
-        if worker not in self._starting_jobs_by_worker:
-            self._starting_jobs_by_worker[worker] = set(self.unaccepted_tasks(worker))
-        return self._starting_jobs_by_worker[worker]
-
     def waiting_units_of(self, job_id: JobId) -> Iterator[UnitRef]:
         """Yield as many waiting units of a job as a plan may start."""
         free = max(0, MAX_OPEN_UNITS - len(self.progress_by_id[job_id].units))
@@ -476,7 +415,7 @@
         workers = {place.worker for place in unit.places if place != NO_WORKER}
         self.changes.workers |= workers
         for worker in workers:
-            self._starting_jobs_by_worker.pop(worker, None)
+            self._order_sizes.record_stop(worker)
         logger.info(
             "event=unit_stopped job=%s unit=%s run=%d lost_s=%.1f reason=%s",
             ref.job_id,
@@ -497,9 +436,7 @@
         for place_index, (task, place) in enumerate(zip(tasks, unit.places, strict=True)):
             if place != NO_WORKER:
                 self.members_by_worker.setdefault(place.worker, {})[task] = Member(ref, place_index)
-                self._order_bytes_by_worker[place.worker] += size
-                if place.worker in self._starting_jobs_by_worker:
-                    self._starting_jobs_by_worker[place.worker].add(ref.job_id)
+                self._order_sizes.add_run(place.worker, ref.job_id, size)
                 self.changes.workers.add(place.worker)
 
     def _restore_allocation(self, ref: UnitRef, unit: Unit) -> None:
@@ -554,7 +491,7 @@
         )
         del self.members_by_worker[worker][end.task]
         units = self.units_by_id[ref.job_id]
-        self._order_bytes_by_worker[worker] -= units.assignment_bytes
+        self._order_sizes.remove_run(worker, units.assignment_bytes)
         self._jobs_with_ends.add(ref.job_id)
         self.changes.jobs.add(ref.job_id)
         self.changes.workers.add(worker)
