Keep a wait that cannot be described from ending the term

What callers would see: a leader that writes no plan, as its term ends in each first plan. Cause: the line on a late urgent unit builds the unit's queued job again, between the plan and its writes. For a job with which planning fails, and which is set aside for that, this raises outside of the protection of FailingJobs; the exception ends the term, and the next term meets the same job. Change: the exception is logged, and the other lines and the plan go on. Evidence: the test failed before (ValueError) and passes. Found by review, not seen in a run.

--- a/src/chicorycrank/batch/urgent_waits.py
+++ b/src/chicorycrank/batch/urgent_waits.py
@@ -71,7 +71,11 @@
         }
         for ref in islice(self._late_units(planner), MAX_LINES_PER_CHECK):
             self._logged_at_by_id[ref.job_id] = planner.now_s
-            _log_wait(planner, ref)
+            try:
+                _log_wait(planner, ref)
+            except Exception:
+                # A job that is set aside may fail here, too; the plan still has to be written.
+                logger.exception("event=wait_not_described job=%s unit=%s", ref.job_id, ref.key)
 
     def _late_units(self, planner: Planner) -> Iterator[UnitRef]:
         for job_id in planner.active_jobs:
--- a/tests/batch/test_urgent_waits.py
+++ b/tests/batch/test_urgent_waits.py
@@ -22,7 +22,7 @@
 )
 from chicorycrank.model.batch import Crash, EndKind, Step, Submission, TaskEnd, Unit, WorkerState
 from chicorycrank.model.ids import Incarnation, JobId, TaskId
-from chicorycrank.policy.cell import Reservation
+from chicorycrank.policy.cell import QueuedJob, Reservation
 
 URGENT = make_queue(priority=0, name="urgent")
 WHOLE_WORKER = Step(count=1, accelerators=8, cores=1000, run_time_s=5.0)
@@ -243,6 +243,31 @@
     assert waiting_lines(caplog) == []
 
 
+def test_a_wait_that_cannot_be_described_ends_no_plan(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a leader that fails in each plan, as it logs on a job set aside."""
+    planner = make_planner()
+    other = make_job([GANG], name="b" * 16, queue=URGENT)
+    make_queued_job = planner.job_builder.make_queued_job
+
+    def fail_for_one(planner: Planner, ref: UnitRef) -> QueuedJob:
+        if ref.job_id == JOB.job_id:
+            raise ValueError
+        return make_queued_job(planner, ref)
+
+    monkeypatch.setattr(planner.job_builder, "make_queued_job", fail_for_one)
+    planner.add_job(JOB, None)
+    planner.plan()
+    assert planner.failing_jobs.is_set_aside(JOB.job_id, planner.now_s)
+    close_all(planner)
+    planner.add_job(other, None)
+    set_late(planner)
+    with caplog.at_level(logging.WARNING, logger="absl"):
+        UrgentWaitLog().update(planner)
+    assert [line["job"] for line in waiting_lines(caplog)] == [other.job_id]
+
+
 def test_lines_on_waits_are_bounded(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a log that grows with the number of plans or of waiting jobs."""
     planner = make_planner([])
