Quarantine a worker only for a task that is stopped for lack of progress

Cause: each report that lists a stalled task counted, also of a unit that is stopping for another reason. The agent lists runs that stop as stalled, too. Change: only the report for which the unit is stopped counts. Evidence: the test failed before and passes. Found by review, not seen in a run.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -627,8 +627,10 @@
         for task, member in list(self.members_by_worker.get(worker, {}).items()):
             step, unit = self.step_of(member.ref), self._unit(member.ref)
             reason = stop_reason(step, unit, task, report, self.now_ms)
+            # A run that is stopped already may make no progress while it stops.
+            is_stall = reason == NO_PROGRESS and unit.state is UnitState.ASSIGNED
             if reason:
                 self.stop_unit(member.ref, reason)
             # A gang may be held up by any of its workers.
-            if reason == NO_PROGRESS and len({place.worker for place in unit.places}) == 1:
+            if is_stall and len({place.worker for place in unit.places}) == 1:
                 self.workers.quarantine.record_stall(worker, member.ref.job_id, reason)
--- a/tests/batch/test_quarantined_workers.py
+++ b/tests/batch/test_quarantined_workers.py
@@ -91,6 +91,15 @@
     assert not planner.workers.quarantine.quarantined_by_worker
 
 
+def test_a_run_that_is_stopped_for_another_reason_quarantines_no_worker() -> None:
+    """Guards against a worker that is closed as a cancelled run stops slowly."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE_WORKER]))
+    planner.cancel(job.job_id)
+    stall(planner, job)
+    assert not planner.workers.quarantine.quarantined_by_worker
+
+
 def test_one_job_probes_a_quarantined_worker() -> None:
     """Guards against a plan that starts many jobs on a worker that fails all of them."""
     planner = make_planner()
