--- a/tests/batch/test_call_queue.py
+++ b/tests/batch/test_call_queue.py
@@ -45,11 +45,21 @@
 
 
 class BlockedExecutor:
-    """Executor that answers no start before it is released, and records their order."""
+    """Executor that answers no start before it is released, and records their order.
+
+    :ivar starts_before_stop: number of start calls before the first stop call
+    """
 
     def __init__(self) -> None:
         self.is_released = threading.Event()
         self.tasks: list[str] = []
+        self.starts_before_stop: int | None = None
+
+    def stop(self, task: TaskId, run: int, fence: int, incarnation: Incarnation) -> bool:
+        """Accept a stop."""
+        if self.starts_before_stop is None:
+            self.starts_before_stop = len(self.tasks)
+        return True
 
     def start(self, order: StartOrder) -> StartAnswer:
         """Record a start and wait."""
@@ -58,18 +68,25 @@
         return StartAnswer.STARTED
 
 
-def test_a_start_does_not_wait_for_the_starts_of_another_job() -> None:
-    """Guards against a small job that starts seconds late, behind the tasks of a large one."""
-    tasks = [*(f"large.0.0.{number}" for number in range(200)), "small.0.0.0"]
-    assignments = tuple(Assignment(task=TaskId(task), run=1) for task in tasks)
+def make_table(tasks: list[str]) -> RunTable:
+    """Return a table of accepted runs that are to be started."""
     table = RunTable()
     table.apply_order(
-        WorkOrder(incarnation=INCARNATION, assignments=assignments),
+        WorkOrder(
+            incarnation=INCARNATION,
+            assignments=tuple(Assignment(task=TaskId(task), run=1) for task in tasks),
+        ),
         INCARNATION,
         may_be_present=False,
     )
     table.record_accepted({TaskId(task): 1 for task in tasks})
-    executor, lock, stop = BlockedExecutor(), threading.Condition(), threading.Event()
+    return table
+
+
+def make_driver(
+    executor: BlockedExecutor, table: RunTable, lock: threading.Condition, stop: threading.Event
+) -> RunDriver:
+    """Return a driver whose calls are all permitted."""
     context = CallContext(
         incarnation=INCARNATION,
         is_registered=True,
@@ -78,7 +95,7 @@
         fence=1,
         deadline_ms=1,
     )
-    driver = RunDriver(
+    return RunDriver(
         executor,  # type: ignore[arg-type]
         ManualClock(),
         table,
@@ -89,9 +106,36 @@
         has_room=lambda _: True,
         on_fenced=lambda _: None,
     )
+
+
+def test_a_start_does_not_wait_for_the_starts_of_another_job() -> None:
+    """Guards against a small job that starts seconds late, behind the tasks of a large one."""
+    table = make_table([*(f"large.0.0.{number}" for number in range(200)), "small.0.0.0"])
+    executor, lock, stop = BlockedExecutor(), threading.Condition(), threading.Event()
+    driver = make_driver(executor, table, lock, stop)
     with lock:
         driver.submit_calls()
     wait_until(lambda: len(executor.tasks) == MAX_CONCURRENT_CALLS, CALLS_TIMEOUT_S)
     assert "small.0.0.0" in executor.tasks
     stop.set()
     executor.is_released.set()
+
+
+def test_a_stop_does_not_wait_for_the_starts_of_its_job() -> None:
+    """Guards against an urgent job that waits for the room of a run whose job starts others."""
+    table = make_table([f"large.0.0.{number}" for number in range(200)])
+    running = table.runs_by_task[TaskId("large.0.0.199")]
+    running.started_at = running.first_called_at = 1.0
+    executor, lock, stop = BlockedExecutor(), threading.Condition(), threading.Event()
+    driver = make_driver(executor, table, lock, stop)
+    with lock:
+        driver.submit_calls()
+    wait_until(lambda: len(executor.tasks) == MAX_CONCURRENT_CALLS, CALLS_TIMEOUT_S)
+    with lock:
+        running.should_stop = True
+        driver.submit_calls()
+    executor.is_released.set()
+    wait_until(lambda: executor.starts_before_stop is not None, CALLS_TIMEOUT_S)
+    stop.set()
+    assert executor.starts_before_stop is not None
+    assert executor.starts_before_stop <= 4 * MAX_CONCURRENT_CALLS
