Wait for the proof of an end also without a registration

What callers would see: urgent jobs that wait for over 20 s, as before, if the agent of an executor that has ended is stopped while it is not registered. Cause: the wait ended as soon as the agent was not registered. It loses its registration by a conflict with a late write of an earlier process, and has none while it registers the next incarnation, whose first report holds the ends of the last one. With the store down this lasts. Change: the wait depends on what is written and on the executor alone. Evidence: two new cases of test_planned_stop.py failed before (no end was reported) and pass, as do the seven others.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -292,11 +292,12 @@
     def _awaits_ends(self) -> bool:
         """Whether ends that no other process can prove soon are to be proven or reported."""
         state, written = self.executor_state, self._report_store.written
-        if not self._is_registered or written is None:
+        if written is None:
             return False
-        if state.end is None:
-            return state.clock.is_refusing and bool(self.table.tracked_runs())
-        return written.ends != self.table.ends
+        # A registration may be lost, or not be written yet.
+        if state.end is not None or written.incarnation != self.report.incarnation:
+            return written.ends != self.table.ends
+        return state.clock.is_refusing and bool(self.table.tracked_runs())
 
     def _report_forever(self) -> None:
         self._order_replica.is_loaded.wait()
--- a/tests/batch/test_planned_stop.py
+++ b/tests/batch/test_planned_stop.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+import msgspec
 import pytest
-from tests.batch.test_end_proofs import LEASE_S, TASK, World
+from tests.batch.test_end_proofs import LEASE_S, TASK, WORKER, World
 from tests.batch.test_whole_path import wait_until
 
+from chicorycrank.batch.keys import encode, report_key
 from chicorycrank.model.batch import EndKind, WorkerState
+from chicorycrank.ports.transactions import Write
 
 GRACE_S = 5.0
 # The lease, the margins and one write.
@@ -49,6 +52,23 @@
     refuse(world)
 
 
+def lose_the_registration(world: World) -> None:
+    refuse(world)
+    late = msgspec.structs.replace(world.report(), checkpoints={TASK: (1, "late")})
+    world.store.apply(Write(values={report_key(WORKER): encode(late)}))
+    world.beat(state=WorkerState.DRAINING)
+    wait_until(lambda: world.agent.dump()["registered"] is False)
+
+
+def replace_while_the_store_is_down(world: World) -> None:
+    refuse(world)
+    world.store.fault = lambda operation: "refuse" if operation == "commit" else ""
+    world.restart_executor("i-1:2")
+    world.beat("i-1:2")
+    wait_until(lambda: world.agent.report.incarnation == "i-1:2")
+    threading.Timer(LEASE_S, lambda: setattr(world.store, "fault", lambda operation: "")).start()
+
+
 @dataclass(frozen=True, kw_only=True)
 class Case:
     """State of an executor when its agent is stopped.
@@ -69,12 +89,24 @@
         ends=(EndKind.CRASHED,),
         max_s=GRACE_S,
     ),
+    Case(prepare=lose_the_registration, ends=(EndKind.LOST,), max_s=PROOF_S),
+    Case(prepare=replace_while_the_store_is_down, ends=(EndKind.CRASHED,), max_s=PROOF_S),
     Case(prepare=refuse_for_a_moment, max_s=LEASE_S),
     Case(prepare=freeze),
     Case(prepare=refuse_without_runs, ends=(EndKind.STOPPED,)),
     Case(prepare=lambda world: None),
 ]
-IDS = ["crashed", "left", "store-down", "back", "frozen", "idle", "healthy"]
+IDS = [
+    "crashed",
+    "left",
+    "store-down",
+    "unregistered",
+    "replaced",
+    "back",
+    "frozen",
+    "idle",
+    "healthy",
+]
 
 
 @pytest.fixture
