Take the crash of four other executors at once for an outage

Cause: two outages, each of a sixth of the fleet. The first meets tasks of a job, which then run as tests; the second meets two of these. Only a third of the fleet counted as an outage, 22 workers on a fleet of 64, so three crashes were attributed to the job. Change: four other workers without a run of the job that crash within three seconds are an outage on any fleet, unless known culprits explain them. On fleets of up to twelve workers nothing changes.

--- a/src/chicorycrank/policy/crashes.py
+++ b/src/chicorycrank/policy/crashes.py
@@ -12,8 +12,10 @@
 
 # Crashes this close together may have one cause.
 OUTAGE_WINDOW_MS = 3000
-# An outage hits at least this share of the workers, and at least two besides the one in question.
+# An outage hits at least this share of the workers, or at least this number, and in any case two
+# besides the one in question.
 OUTAGE_MIN_SHARE = 1 / 3
+OUTAGE_SUFFICIENT_WORKERS = 4
 OUTAGE_MIN_WORKERS = 2
 # A worker that has crashed this recently with no job to explain it may do so again.
 WORKER_DOUBT_MS = 60_000
@@ -178,4 +180,5 @@
 
 def _are_many(events: Iterable[CrashEvent], worker_count: int) -> bool:
     workers = {event.worker for event in events}
-    return len(workers) >= max(OUTAGE_MIN_WORKERS, ceil(worker_count * OUTAGE_MIN_SHARE))
+    share = min(OUTAGE_SUFFICIENT_WORKERS, ceil(worker_count * OUTAGE_MIN_SHARE))
+    return len(workers) >= max(OUTAGE_MIN_WORKERS, share)
