Count no crash against a job whose starts got nothing back

Callers saw: a job was given up after one crash under it. Its next run was ordered on an executor that had just crashed behind a cut from its agent.

A start call without an answer was taken for one that had reached the executor.

Change: the client tells a call to which nothing came back (timed_out) from one that broke off. A run that no start call has certainly reached ends as crashed without a witness, which is attributed to no job and still counts towards the five that end it. If another run there was reached, only that one is a suspect.

Measured: tests/batch, tests/policy and tests/platform_adapter pass (-n 2).

--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -22,7 +22,7 @@
 
     :param member: index of the task in its unit
     :param age_ms: time in milliseconds from its start until the crash
-    :param is_witnessed: the agent was running at the crash
+    :param is_witnessed: the agent was running at the crash, and the run may have been its cause
     :param has_started: the executor had confirmed the start
     :param is_test: the run was a test
     """
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -98,9 +98,10 @@
         """Record the crashes of a worker's executor whose runs were added."""
         crashed_runs, self._crashed_runs = self._crashed_runs, {}
         for incarnation, runs in crashed_runs.items():
-            suspects = self._select_suspects(runs)
+            witnessed = [run for run in runs if run.is_witnessed]
+            suspects = self._select_suspects(witnessed or runs)
             # Without a witness, the machine may have failed.
-            is_outage = not all(run.is_witnessed for run in runs)
+            is_outage = not witnessed
             self.ledger.record(
                 incarnation,
                 worker,
--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chicorycrank.model.batch import Assignment
+from chicorycrank.model.batch import Assignment, EndKind, TaskEnd
 from chicorycrank.model.ids import Incarnation, TaskId
 
 # A task without progress for this long is stalled. Progress is counted in whole percent: even on
@@ -23,6 +23,7 @@
         whether it is there
     :param is_call_active: a call for the run is active or submitted
     :param unresolved_starts: start calls without a final answer; each may still take effect
+    :param has_reached_executor: one of these calls has reached the executor, as something came back
     :param failed_starts: answers that the executor is unhealthy, or that are errors
     :param first_called_at: monotonic time of the first start call that may have had an effect, or
         may still; None before it
@@ -44,6 +45,7 @@
     is_adopted: bool = False
     is_call_active: bool = False
     unresolved_starts: int = 0
+    has_reached_executor: bool = False
     failed_starts: int = 0
     first_called_at: float | None = None
     listed_at: float | None = None
@@ -67,6 +69,13 @@
         """Whether the executor may have the run."""
         return self.is_adopted or self.first_called_at is not None
 
+    @property
+    def is_witnessed(self) -> bool:
+        """Whether a start call has certainly reached the executor, as something came back."""
+        return (
+            self.started_at is not None or self.listed_at is not None or self.has_reached_executor
+        )
+
     @property
     def key(self) -> tuple[TaskId, int]:
         """Return task and run number."""
@@ -93,3 +102,17 @@
     def age_s(self, now_s: float) -> float:
         """Return the time since the first start call in seconds; 0 before it."""
         return 0.0 if self.first_called_at is None else max(0.0, now_s - self.first_called_at)
+
+    def crash_end(self, now_s: float) -> TaskEnd:
+        """Return the end of the run by a crash of its executor.
+
+        :param now_s: monotonic time at which the executor was found to be down
+        """
+        return TaskEnd(
+            *self.key,
+            EndKind.CRASHED,
+            self.checkpoint,
+            age_ms=round(self.age_s(now_s) * 1000),
+            is_witnessed=self.is_witnessed,
+            has_started=self.started_at is not None or self.listed_at is not None,
+        )
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -126,7 +126,9 @@
         except ExecutorUnreachableError as error:
             is_done = False
             if not is_stop:
-                self._record_failed_start(run, had_no_effect=error.refused)
+                self._record_failed_start(
+                    run, had_no_effect=error.refused, has_reached=not error.timed_out
+                )
             logger.warning(
                 "event=executor_unreachable task=%s run=%d stop=%s error=%s",
                 run.assignment.task,
@@ -141,15 +143,19 @@
         if not is_done:
             self._stop.wait(RETRY_DELAY_S)
 
-    def _record_failed_start(self, run: Run, *, had_no_effect: bool) -> None:
+    def _record_failed_start(
+        self, run: Run, *, had_no_effect: bool, has_reached: bool = True
+    ) -> None:
         """Record a start call that has not started the run.
 
         :param had_no_effect: the call certainly does nothing, so a crash of the executor is none
             under the run unless an earlier call may have started it
+        :param has_reached: the call has certainly reached the executor
         """
         with self._lock:
             if not had_no_effect:
                 run.unresolved_starts += 1
+                run.has_reached_executor = run.has_reached_executor or has_reached
             elif not run.unresolved_starts and run.started_at is None:
                 run.first_called_at = None
 
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -195,15 +195,7 @@
                 self.end_run(run, EndKind.LOST, run.checkpoint)
                 continue
             self._discard_run(*run.key)
-            self._add_end(
-                TaskEnd(
-                    *run.key,
-                    EndKind.CRASHED,
-                    run.checkpoint,
-                    age_ms=round(run.age_s(now_s) * 1000),
-                    has_started=run.started_at is not None or run.listed_at is not None,
-                )
-            )
+            self._add_end(run.crash_end(now_s))
         for task, number in self.accepted.items():
             self._add_end(TaskEnd(task, number, EndKind.LOST))
         self.suspects.clear()
--- a/src/chicorycrank/platform/client.py
+++ b/src/chicorycrank/platform/client.py
@@ -18,12 +18,16 @@
 
     :param sent: the call may have reached the platform
     :param refused: the connection was refused, so no process listens at the address
+    :param timed_out: nothing came back in time
     """
 
-    def __init__(self, text: str, *, sent: bool, refused: bool = False) -> None:
+    def __init__(
+        self, text: str, *, sent: bool, refused: bool = False, timed_out: bool = False
+    ) -> None:
         super().__init__(text)
         self.sent = sent
         self.refused = refused
+        self.timed_out = timed_out
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +82,14 @@
             return Answer(response.status, _decode(response.data))
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
             refused = isinstance(e.__cause__, ConnectionRefusedError)
-            raise NoAnswerError(f"{method} {path}: {e}", sent=False, refused=refused) from e
+            raise NoAnswerError(
+                f"{method} {path}: {e}", sent=False, refused=refused, timed_out=not refused
+            ) from e
         except urllib3.exceptions.HTTPError as error:
-            raise NoAnswerError(f"{method} {path}: {error}", sent=True) from error
+            timed_out = isinstance(error, urllib3.exceptions.TimeoutError)
+            raise NoAnswerError(
+                f"{method} {path}: {error}", sent=True, timed_out=timed_out
+            ) from error
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/src/chicorycrank/platform/executor.py
+++ b/src/chicorycrank/platform/executor.py
@@ -131,7 +131,9 @@
         try:
             answer = self._client.call("POST", path, body, headers=headers, timeout_s=timeout_s)
         except NoAnswerError as error:
-            raise ExecutorUnreachableError(str(error), refused=error.refused) from error
+            raise ExecutorUnreachableError(
+                str(error), refused=error.refused, timed_out=error.timed_out
+            ) from error
         if answer.status == 421:
             raise OtherIncarnationError(f"{path}: the executor that answered is not {executor_id}")
         return answer
--- a/src/chicorycrank/ports/executor.py
+++ b/src/chicorycrank/ports/executor.py
@@ -13,11 +13,13 @@
     """The executor gave no usable answer; the call may still take effect later.
 
     :param refused: the connection was refused, so the executor is not running
+    :param timed_out: nothing came back, so the call may not have reached the executor
     """
 
-    def __init__(self, text: str, *, refused: bool = False) -> None:
+    def __init__(self, text: str, *, refused: bool = False, timed_out: bool = False) -> None:
         super().__init__(text)
         self.refused = refused
+        self.timed_out = timed_out
 
 
 class OtherIncarnationError(Exception):
--- a/src/chicorycrank_standin/interleavings/executor.py
+++ b/src/chicorycrank_standin/interleavings/executor.py
@@ -43,6 +43,7 @@
     :ivar life: present incarnation; None while the executor is down
     :ivar frozen_until: virtual time until which it carries out no call
     :ivar refuses_until: virtual time until which its address refuses connections
+    :ivar cut_until: virtual time until which nothing passes between it and its agent
     """
 
     def __init__(self, name: str, agent: str, scheduler: Scheduler, recorder: RunRecorder) -> None:
@@ -50,6 +51,7 @@
         self.agent = agent
         self.frozen_until = 0.0
         self.refuses_until = 0.0
+        self.cut_until = 0.0
         self.earlier_heartbeats: list[dict[str, Any]] = []
         self.down_until = 0.0
         self._scheduler = scheduler
@@ -68,6 +70,11 @@
         """Whether it carries out no call now."""
         return self.frozen_until > self._scheduler.now_s
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether nothing passes between it and its agent now."""
+        return self.cut_until > self._scheduler.now_s
+
     def begin_life(self, *, keeps_id: bool) -> None:
         """Start an incarnation."""
         if self.life is not None:
@@ -226,7 +233,13 @@
     def _call(self, name: str, work: Callable[[], Any], timeout_s: float, late: Any = None) -> Any:
         executor, scheduler = self._executor, self._scheduler
 
+        def pass_cut() -> None:
+            if executor.is_cut:
+                scheduler.sleep(timeout_s)
+                raise ExecutorUnreachableError("cut")
+
         def arrive() -> Any:
+            pass_cut()
             if executor.life is None or executor.refuses_until > scheduler.now_s:
                 raise ExecutorUnreachableError("refused", refused=True)
             if executor.is_frozen:
@@ -235,7 +248,9 @@
                     scheduler.sleep(timeout_s)
                     raise ExecutorUnreachableError("frozen")
                 scheduler.sleep(executor.frozen_until - scheduler.now_s)
-            return work()
+            answer = work()
+            pass_cut()
+            return answer
 
         try:
             return self._calls.make(f"executor {name}", arrive, timeout_s, apply_late=late or work)
