--- a/src/chicorycrank_standin/interleavings/executor.py
+++ b/src/chicorycrank_standin/interleavings/executor.py
@@ -236,7 +236,7 @@
         def pass_cut() -> None:
             if executor.is_cut:
                 scheduler.sleep(timeout_s)
-                raise ExecutorUnreachableError("cut")
+                raise ExecutorUnreachableError("cut", timed_out=True)
 
         def arrive() -> Any:
             pass_cut()
@@ -246,7 +246,7 @@
                 if executor.frozen_until - scheduler.now_s > timeout_s:
                     scheduler.at(executor.frozen_until, lambda: self._carry_out_late(late or work))
                     scheduler.sleep(timeout_s)
-                    raise ExecutorUnreachableError("frozen")
+                    raise ExecutorUnreachableError("frozen", timed_out=True)
                 scheduler.sleep(executor.frozen_until - scheduler.now_s)
             answer = work()
             pass_cut()
@@ -255,7 +255,7 @@
         try:
             return self._calls.make(f"executor {name}", arrive, timeout_s, apply_late=late or work)
         except CallStruckError as error:
-            raise ExecutorUnreachableError(str(error)) from error
+            raise ExecutorUnreachableError(str(error), timed_out=True) from error
 
     def _carry_out_late(self, work: Callable[[], Any]) -> None:
         try:
