Give turns only after passes at the limit of decisions

A pass below the limit has left out no job that can start, so it is no reason to let others go first.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -75,7 +75,7 @@
 MILLICORES_PER_ACCELERATOR = 8000.0
 MAX_DECISION_PASSES = 8  # bounds the duration of one plan
 MAX_STARTS_PER_PLAN = MAX_DECISION_PASSES * MAX_DECISIONS
-# In the later passes of a plan, jobs that have started units in it come after the others.
+# After so many passes at the limit of decisions, jobs that have started units in a plan come last.
 PASSES_IN_FULL_ORDER = MAX_DECISION_PASSES // 2
 # Units of a job that have begun and are not done. Their records are one value of the store.
 MAX_OPEN_UNITS = 4000
@@ -226,12 +226,14 @@
         started_on: set[TargetId] = set()
         started_jobs: set[JobId] = set()
         steady_jobs, self._jobs_with_ends = self._jobs_with_ends, set()
-        for number in range(MAX_DECISION_PASSES):
+        full_passes = 0  # a pass below the limit has left out no job that can start
+        for _ in range(MAX_DECISION_PASSES):
             postponed: dict[UnitRef, None] = {}
-            if number >= PASSES_IN_FULL_ORDER:
+            if full_passes >= PASSES_IN_FULL_ORDER:
                 postponed = self._postponed_units(waiting, steady_jobs, started_jobs)
                 waiting = {ref: None for ref in waiting if ref not in postponed}
             queue, decisions = self.failing_jobs.decide(self, waiting)
+            full_passes += len(decisions) >= MAX_DECISIONS
             refs_by_name = {job.job_id: ref for ref, job in queue.items()}
             has_changed = False
             for decision in decisions:
