Judge a job once between changes of its crashes

What callers would see: after a crash of all workers under a job of many short tasks the leader plans for half a minute of processor time, in which no job starts. Cause: whether a unit is held, or needs a test, was concluded from all crashes of its job for each waiting unit, so a plan took a time that grows with the product of both. Judging with and without proof doubled it. Change: the conclusions are kept until a crash, a report or the next plan may change them.

--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -8,6 +8,7 @@
 
 from chicorycrank.batch.units import UnitRef
 from chicorycrank.model.batch import Crash, Unit
+from chicorycrank.model.ids import TargetId
 
 if TYPE_CHECKING:
     from chicorycrank.batch.planner import Planner
@@ -61,6 +62,16 @@
     return max(map(len, crashes_by_member(unit).values()), default=0)
 
 
+def workers_with_starts(planner: Planner, since_ms: int) -> set[TargetId]:
+    """Return the workers that have runs which were started after a Unix time in milliseconds."""
+    return {
+        worker
+        for worker, members in planner.members_by_worker.items()
+        for member in members.values()
+        if planner.progress_by_id[member.ref.job_id].units[member.ref.key].started_at_ms > since_ms
+    }
+
+
 def task_name(ref: UnitRef, member: int) -> str:
     """Return the name of a task of a unit within its job."""
     return f"{ref.step_key}.{member if ref.index is None else ref.index}"
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -26,6 +26,7 @@
     max_crashes_of_a_task,
     task_name,
     waits_for_proof,
+    workers_with_starts,
 )
 from chicorycrank.batch.metrics import EXECUTOR_CRASHES
 from chicorycrank.batch.units import UnitRef, parse_unit_key
@@ -64,11 +65,15 @@
         self.tests_by_unit: dict[JobId, int] = {}
         self._units_by_job: dict[JobId, dict[str, Unit]] = {}  # units with records of crashes
         self._crashed_runs: dict[Incarnation, list[CrashedRun]] = {}
+        # Conclusions on jobs, which each plan asks for once per waiting unit.
+        self._guilty_by_job: dict[tuple[JobId, bool], tuple[str, Collection[Crash]] | None] = {}
+        self._attributed_by_job: dict[JobId, list[Crash]] = {}
 
     # Records.
 
     def restore(self, job_id: JobId, progress: Progress) -> None:
         """Restore the crashes in the record of a job after a takeover."""
+        self._discard_conclusions()
         for key, unit in progress.units.items():
             for crash in unit.crashes:
                 self._units_by_job.setdefault(job_id, {})[key] = unit
@@ -96,6 +101,7 @@
 
     def record_crashes(self, planner: Planner, worker: TargetId) -> None:
         """Record the crashes of a worker's executor whose runs were added."""
+        self._discard_conclusions()
         crashed_runs, self._crashed_runs = self._crashed_runs, {}
         for incarnation, runs in crashed_runs.items():
             suspects = self._select_suspects(runs)
@@ -137,6 +143,7 @@
         """Remove the crash of an incarnation that has answered since."""
         if not self.ledger.discard(incarnation):
             return
+        self._discard_conclusions()
         logger.info("event=crash_refuted incarnation=%s", incarnation)
         for job_id, units in list(self._units_by_job.items()):
             for key, unit in list(units.items()):
@@ -181,12 +188,14 @@
 
     def forget_job(self, job_id: JobId) -> None:
         """Forget a job whose record is removed."""
+        self._discard_conclusions()
         for unit in self._units_by_job.pop(job_id, {}).values():
             for crash in unit.crashes:
                 self.ledger.clear(crash.incarnation, job_id)
 
     def clear_others(self, planner: Planner, job_id: JobId) -> None:
         """Clear the jobs that only shared executors with the culprit of their crashes."""
+        self._discard_conclusions()
         for incarnation, other in self.ledger.blame(job_id):
             for key, unit in list(self._units_by_job.get(other, {}).items()):
                 for crash in [c for c in unit.crashes if c.incarnation == incarnation]:
@@ -213,11 +222,13 @@
                 )
         others = [known for known in unit.crashes if known.incarnation != crash.incarnation]
         unit.crashes = [*others, crash]
+        self._discard_conclusions()
         self._units_by_job.setdefault(ref.job_id, {})[ref.key] = unit
         planner.changes.jobs.add(ref.job_id)
 
     def _remove_crash(self, planner: Planner, ref: UnitRef, unit: Unit, crash: Crash) -> None:
         unit.crashes = [other for other in unit.crashes if other != crash]
+        self._discard_conclusions()
         planner.changes.jobs.add(ref.job_id)
         units = self._units_by_job.get(ref.job_id, {})
         if not unit.crashes:
@@ -294,27 +305,18 @@
         if not self.needs_test(planner, ref, unit):
             return candidates
         candidates -= self.testing_workers(planner)
-        preferred = [candidates - self._workers_with_recent_starts(planner)]
+        preferred = [candidates - workers_with_starts(planner, planner.now_ms - START_WINDOW_MS)]
         if max_crashes_of_a_task(unit) >= MIN_CRASHES_FOR_EMPTY_WORKER:
             busy = {worker for worker, members in planner.members_by_worker.items() if members}
             preferred.insert(0, candidates - busy)
         return next((chosen for chosen in preferred if len(chosen) >= needed), candidates)
 
-    def _workers_with_recent_starts(self, planner: Planner) -> set[TargetId]:
-        since_ms = planner.now_ms - START_WINDOW_MS
-        return {
-            worker
-            for worker, members in planner.members_by_worker.items()
-            for member in members.values()
-            if planner.progress_by_id[member.ref.job_id].units[member.ref.key].started_at_ms
-            > since_ms
-        }
-
     # Verdict.
 
     def find_culprits(self, planner: Planner) -> Iterator[tuple[JobId, str]]:
         """Yield the active jobs that are given up, each with the reason for its callers."""
         self.ledger.forget(planner.now_ms)
+        self._discard_conclusions()
         for job_id in list(self._units_by_job):
             if job_id not in planner.active_jobs:
                 continue
@@ -336,8 +338,20 @@
             if is_failed and accused is not None:
                 self.clear_others(planner, job_id)
 
+    def _discard_conclusions(self) -> None:
+        self._guilty_by_job.clear()
+        self._attributed_by_job.clear()
+
     def _guilty_task(
         self, planner: Planner, job_id: JobId, *, needs_proof: bool = True
+    ) -> tuple[str, Collection[Crash]] | None:
+        key = job_id, needs_proof
+        if key not in self._guilty_by_job:
+            self._guilty_by_job[key] = self._find_guilty_task(planner, job_id, needs_proof)
+        return self._guilty_by_job[key]
+
+    def _find_guilty_task(
+        self, planner: Planner, job_id: JobId, needs_proof: bool
     ) -> tuple[str, Collection[Crash]] | None:
         """Return a task that is to be given up and the crashes that speak against it.
 
@@ -371,12 +385,14 @@
         return None
 
     def _attributed_crashes(self, planner: Planner, job_id: JobId) -> list[Crash]:
-        return [
-            crash
-            for unit in self._units_by_job.get(job_id, {}).values()
-            for crash in unit.crashes
-            if self._is_attributed(planner, crash, job_id)
-        ]
+        if job_id not in self._attributed_by_job:
+            self._attributed_by_job[job_id] = [
+                crash
+                for unit in self._units_by_job.get(job_id, {}).values()
+                for crash in unit.crashes
+                if self._is_attributed(planner, crash, job_id)
+            ]
+        return self._attributed_by_job[job_id]
 
     def _is_attributed(self, planner: Planner, crash: Crash, job_id: JobId) -> bool:
         return self.ledger.is_attributed(crash.incarnation, job_id, len(planner.workers.by_id))
--- a/tests/batch/test_unproven_crashes.py
+++ b/tests/batch/test_unproven_crashes.py
@@ -1,14 +1,20 @@
 """Crashes of executors that an expired lease suggests and no later incarnation has shown."""
 
+import time
+
 import pytest
-from tests.batch.fakes import make_report
+from tests.batch.fakes import make_job, make_report
 from tests.batch.test_crash_attribution import JUST_STARTED_MS, WHOLE_WORKER, SimulatedFleet
+from tests.batch.test_planner import make_planner
 
 from chicorycrank.batch.crash_records import PROOF_TIMEOUT_MS
-from chicorycrank.model.batch import BatchState, EndKind, Submission, TaskEnd
+from chicorycrank.model.batch import BatchState, EndKind, Step, Submission, TaskEnd
 from chicorycrank.model.ids import TargetId, TaskId
 from chicorycrank.policy.crashes import OUTAGE_WINDOW_MS
 
+CORES = 128_000
+MAX_PLAN_S = 2.0  # urgent jobs have slack of seconds
+
 
 @pytest.fixture
 def fleet() -> SimulatedFleet:
@@ -88,3 +94,26 @@
     assert not fleet.has_run(job)
     fleet.advance(PROOF_TIMEOUT_MS)
     assert fleet.has_run(job)
+
+
+def test_a_plan_after_a_crash_of_all_workers_takes_little_time() -> None:
+    """Guards against a leader that plans for half a minute, as it judges a job for each unit."""
+    workers = [TargetId(f"w{number}") for number in range(6)]
+    planner = make_planner(workers)
+    for worker in workers:
+        planner.apply_report(worker, make_report(f"i-{worker}:1", cores=CORES))
+    planner.add_job(make_job([Step(count=100_000, cores=10)]), None)
+    for _ in range(12):
+        planner.plan()
+    for worker in workers:
+        ends = [
+            TaskEnd(assignment.task, assignment.run, EndKind.CRASHED, age_ms=200, has_started=True)
+            for assignment in planner.order_for(worker).assignments
+        ]
+        report = make_report(f"i-{worker}:1", cores=CORES, ends=ends, is_unreachable=True)
+        planner.apply_report(worker, report)
+        planner.apply_report(worker, make_report(f"i-{worker}:2", cores=CORES))
+    planner.set_time(planner.now_s + 20.0, planner.now_ms + 20_000)
+    started_s = time.process_time()
+    planner.plan()
+    assert time.process_time() - started_s < MAX_PLAN_S
