--- a/tests/batch/test_unproven_crashes.py
+++ b/tests/batch/test_unproven_crashes.py
@@ -1,13 +1,16 @@
 """Crashes of executors that an expired lease suggests and no later incarnation has shown."""
 
+import time
+
 import pytest
-from tests.batch.fakes import FakeExecutor, MemoryStore, make_report
+from tests.batch.fakes import FakeExecutor, MemoryStore, make_job, make_report
 from tests.batch.test_crash_attribution import (
     JUST_STARTED_MS,
     TASK,
     WHOLE_WORKER,
     SimulatedFleet,
 )
+from tests.batch.test_planner import make_planner
 from tests.batch.test_whole_path import wait_until
 
 from chicorycrank.adapters.clock import SystemClock
@@ -19,6 +22,7 @@
     Assignment,
     BatchState,
     EndKind,
+    Step,
     Submission,
     TaskEnd,
     WorkOrder,
@@ -31,6 +35,9 @@
 WORKER = TargetId("w1")
 MAX_LEASE_S = 1.25
 
+CORES = 128_000
+MAX_PLAN_S = 2.0  # urgent jobs have slack of seconds
+
 
 @pytest.fixture
 def fleet() -> SimulatedFleet:
@@ -173,3 +180,26 @@
         fleet.advance(OUTAGE_WINDOW_MS)
     assert fleet.state(job) is BatchState.FAILED
     assert fleet.state(other) is not BatchState.FAILED
+
+
+def test_a_plan_after_a_crash_of_all_workers_takes_little_time() -> None:
+    """Guards against a leader that plans for half a minute, as it judges a job for each unit."""
+    workers = [TargetId(f"w{number}") for number in range(6)]
+    planner = make_planner(workers)
+    for worker in workers:
+        planner.apply_report(worker, make_report(f"i-{worker}:1", cores=CORES))
+    planner.add_job(make_job([Step(count=100_000, cores=10)]), None)
+    for _ in range(12):
+        planner.plan()
+    for worker in workers:
+        ends = [
+            TaskEnd(assignment.task, assignment.run, EndKind.CRASHED, age_ms=200, has_started=True)
+            for assignment in planner.order_for(worker).assignments
+        ]
+        report = make_report(f"i-{worker}:1", cores=CORES, ends=ends, is_unreachable=True)
+        planner.apply_report(worker, report)
+        planner.apply_report(worker, make_report(f"i-{worker}:2", cores=CORES))
+    planner.set_time(planner.now_s + 20.0, planner.now_ms + 20_000)
+    started_s = time.process_time()
+    planner.plan()
+    assert time.process_time() - started_s < MAX_PLAN_S
