Release a gang member's accelerators when its end is recorded

Cause: the cell knew only the end of a whole gang. A leader that takes over already allocates the members that are left alone.

Change: the end of a member releases what it used. The unit still runs again only after the ends of all its members.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -525,6 +525,9 @@
             self.cell.finish(ref.name, completed=is_done and not was_stopping, now_s=self.now_s)
             for worker_id in set(workers):
                 self.cell.renumber_accelerators(worker_id)
+        else:
+            self.cell.finish_member(ref.name, worker)
+            self.cell.renumber_accelerators(worker)
         self._update_job_state(ref.job_id, unit)
 
     def _update_job_state(self, job_id: JobId, ended: Unit) -> None:
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -5,6 +5,8 @@
 from itertools import islice
 from math import inf
 
+from msgspec import structs
+
 from chicorycrank.model.config import Guarantee, Team
 from chicorycrank.model.ids import GuaranteeId, JobId, RackId, TargetId, TeamId, ZoneId
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
@@ -262,6 +264,16 @@
         if is_guaranteed:
             self._promote(job.team)
 
+    def finish_member(self, job_id: JobId, worker: TargetId) -> None:
+        """Release what one member of a running gang uses on a worker; the others go on."""
+        running = self.running_by_id[job_id]
+        placement = list(running.placement)
+        placement.remove(next(member for member in placement if member.worker == worker))
+        shape = structs.replace(running.job.shape, members=running.job.shape.members - 1)
+        self.undo_start(job_id)
+        job = replace(running.job, shape=shape)
+        self.start(replace(running, job=job, placement=tuple(placement)))
+
     def undo_start(self, job_id: JobId) -> None:
         """Remove a running job and release its accelerators, without promoting other jobs."""
         job = self.running_by_id[job_id].job
