End the quarantine of a worker once its probe makes progress

What callers would see: after a stall of a few seconds a worker with eight accelerators runs one task, for as long as that task runs. Cause: a probe ends the quarantine only when it ends, which suits failures. A stall is known much sooner. Change: after a stall, a probe that has run for 5.5 s without a stall has succeeded, and the next job opens the worker.

--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from chicorycrank.batch.run import START_STALL_TIMEOUT_S
 from chicorycrank.model.batch import EndKind, TaskEnd, WorkerReport
 from chicorycrank.model.batch import WorkerState as ExecutorState
 from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId, ZoneId
@@ -13,9 +14,15 @@
 from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
 from chicorycrank.ports.transactions import MISSING, Revision
 
+# Time until the stall of a task reaches the leader.
+STALL_REPORT_MARGIN_S = 1.0
 # Batch jobs run for seconds, so a quarantined worker is probed again after seconds.
 SHORT_JOB_RULES = QuarantineRules(
-    max_failed_jobs=2, max_failures_per_job=2, probe_delay_min_s=3.0, probe_delay_max_s=12.0
+    max_failed_jobs=2,
+    max_failures_per_job=2,
+    probe_delay_min_s=3.0,
+    probe_delay_max_s=12.0,
+    stall_probation_s=START_STALL_TIMEOUT_S + STALL_REPORT_MARGIN_S,
 )
 # A worker that rejected a start gets no work until its report is likely to be up to date.
 REJECTION_BACKOFF_S = 0.5
--- a/src/chicorycrank/policy/quarantine.py
+++ b/src/chicorycrank/policy/quarantine.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from math import inf
 
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.model.jobs import MemberPlacement
@@ -19,12 +20,15 @@
         the job would never be tried on another worker
     :param probe_delay_min_s: delay before the first probe in seconds, doubled after each failed one
     :param probe_delay_max_s: upper limit of the delay in seconds
+    :param stall_probation_s: time in seconds without a stall after which a probe has succeeded on a
+        worker that is quarantined for a stall; longer than a stall takes to be noticed
     """
 
     max_failed_jobs: int = 3
     max_failures_per_job: int = 3
     probe_delay_min_s: float = 30.0
     probe_delay_max_s: float = 3600.0
+    stall_probation_s: float = 60.0
 
 
 DEFAULT_RULES = QuarantineRules()
@@ -37,12 +41,16 @@
     :param probe_at_s: monotonic time from which one probe job may start
     :param failed_probes: number of probes that failed
     :param probe_job: job that runs as probe now
+    :param probation_s: time in seconds after which a probe that still runs has succeeded
+    :param passes_at_s: monotonic time at which the present probe has succeeded
     """
 
     reason: str
     probe_at_s: float
     failed_probes: int = 0
     probe_job: JobId | None = None
+    probation_s: float = inf
+    passes_at_s: float = inf
 
 
 class Quarantine:
@@ -85,14 +93,15 @@
         if worker in self.quarantined_by_worker:
             self._record_failed_probe(worker, job_id, reason)
         elif not self._has_failed_elsewhere(worker, job_id):
-            self._quarantine(worker, reason, 0)
+            self._quarantine(worker, reason, 0, self._rules.stall_probation_s)
 
     def _record_failed_probe(self, worker: TargetId, job_id: JobId, reason: str) -> None:
         """Delay the next probe of a quarantined worker if this job was its probe."""
         self._failed_workers_by_job.setdefault(job_id, set()).add(worker)
         quarantined = self.quarantined_by_worker[worker]
         if quarantined.probe_job == job_id:
-            self._quarantine(worker, reason, quarantined.failed_probes + 1)
+            failed_probes = quarantined.failed_probes + 1
+            self._quarantine(worker, reason, failed_probes, quarantined.probation_s)
 
     def _has_failed_elsewhere(self, worker: TargetId, job_id: JobId) -> bool:
         """Record that a job has failed on a worker; return whether it has on others, too."""
@@ -152,18 +161,26 @@
         quarantined = self.quarantined_by_worker.get(worker)
         if quarantined is None:
             return False
-        return quarantined.probe_job is not None or self._now_s() < quarantined.probe_at_s
+        if quarantined.probe_job is not None:
+            return self._now_s() < quarantined.passes_at_s
+        return self._now_s() < quarantined.probe_at_s
 
     def record_start(self, job_id: JobId, placement: Iterable[MemberPlacement]) -> bool:
         """Record the start of a job, or return false if one of its workers accepts no job now.
 
-        The job becomes the probe of its quarantined workers.
+        The job becomes the probe of its quarantined workers, or ends the quarantine of those whose
+        probe has succeeded.
         """
         workers = {place.worker for place in placement}
         if any(map(self.rejects_jobs, workers)):
             return False
         for worker in workers & self.quarantined_by_worker.keys():
-            self.quarantined_by_worker[worker].probe_job = job_id
+            quarantined = self.quarantined_by_worker[worker]
+            if quarantined.probe_job is not None:
+                self.release(worker)
+                continue
+            quarantined.probe_job = job_id
+            quarantined.passes_at_s = self._now_s() + quarantined.probation_s
         return True
 
     def describe(self) -> dict[str, str]:
@@ -173,13 +190,18 @@
             for worker, quarantined in sorted(self.quarantined_by_worker.items())
         }
 
-    def _quarantine(self, worker: TargetId, reason: str, failed_probes: int) -> None:
+    def _quarantine(
+        self, worker: TargetId, reason: str, failed_probes: int, probation_s: float = inf
+    ) -> None:
         delay_s = min(
             self._rules.probe_delay_max_s,
             self._rules.probe_delay_min_s * 2.0 ** min(failed_probes, 10),
         )
         probe_at_s = self._now_s() + delay_s
         self.quarantined_by_worker[worker] = QuarantinedWorker(
-            reason=reason, probe_at_s=probe_at_s, failed_probes=failed_probes
+            reason=reason,
+            probe_at_s=probe_at_s,
+            failed_probes=failed_probes,
+            probation_s=probation_s,
         )
         logger.warning("event=quarantined target=%s reason=%s", worker, reason)
--- a/tests/batch/test_quarantined_workers.py
+++ b/tests/batch/test_quarantined_workers.py
@@ -57,6 +57,22 @@
     assert len(jobs_on(planner, worker)) == expected
 
 
+@pytest.mark.parametrize(
+    ("ran_s", "expected"), [(5.4, 1), (5.6, 8)], ids=["in probation", "after it"]
+)
+def test_a_long_probe_that_makes_progress_opens_its_worker(ran_s: float, expected: int) -> None:
+    """Guards against a worker that is closed to others for as long as its probe runs."""
+    planner = make_planner()
+    worker = stall(planner, submit(planner, make_job([WHOLE_WORKER])))
+    for number in range(32):
+        name = f"{number + 100:016x}"
+        submit(planner, make_job([Step(count=1, accelerators=1, run_time_s=600.0)], name=name))
+    pass_time(planner, 3.1)
+    assert len(jobs_on(planner, worker)) == 1
+    pass_time(planner, ran_s)
+    assert len(jobs_on(planner, worker)) == expected
+
+
 def test_the_delay_grows_while_probes_stall() -> None:
     """Guards against a probe each few seconds on an executor that hangs for long."""
     planner = make_planner()
--- a/tests/batch/test_review_28.py
+++ b/tests/batch/test_review_28.py
@@ -280,9 +280,13 @@
         return answer
 
 
-@pytest.mark.parametrize("loses_presence", [False, True], ids=["answered", "presence-unanswered"])
+@pytest.mark.parametrize(
+    ("loses_presence", "order_read_s"),
+    [(False, 0.0), (False, 2 * PRESENCE_RESUME_DELAY_S), (True, 2 * PRESENCE_RESUME_DELAY_S)],
+    ids=["just-started", "answered", "presence-unanswered"],
+)
 def test_an_agent_that_was_cut_off_starts_nothing_that_a_silent_watch_has_not_withdrawn(
-    loses_presence: bool,
+    loses_presence: bool, order_read_s: float
 ) -> None:
     """Guards against a second run of a task that was reassigned while its agent was cut off."""
     store, executor, clock = CutStore(), FakeExecutor(), JumpingClock()
@@ -293,7 +297,7 @@
         agent.apply_heartbeat(make_report(), number=1, started_at_ms=1, clock_ms=1000)
         wait_until(lambda: agent.dump()["registered"] is True)
         wait_until(lambda: presence_key(WORKER) in store.items)
-        time.sleep(2 * PRESENCE_RESUME_DELAY_S)  # the order is read again
+        time.sleep(order_read_s)  # the order is read again a second after the start
         store.loses_acceptance = True
         order = WorkOrder(
             incarnation=Incarnation("i-1:1"), assignments=(Assignment(task=TASK, run=1),)
