Keep the orders of workers out of the watch of entries

Cause: entries watch the prefix o, which was meant for op/ and own/, but order/ begins with it, too. An order carries the payload of each run and is rewritten for each start and end. After a store outage from 18.0 to 22.2 s the entries edge-shannon-a-3 and edge-shannon-b-2, on links of 10 Mbit/s, had one answer to their watch at 25.6 s and the next one at 30.1 s, which brought the versions 24 and 27; entries that had not been cut off before had version 24 at 22.9 s. Change: orders stand under work-order/. A leader removes orders that an earlier version has left; agents of that version stop what they name and accept nothing more.

--- a/src/chicorycrank/batch/keys.py
+++ b/src/chicorycrank/batch/keys.py
@@ -23,7 +23,9 @@
 REPORT_STATE_PREFIX = f"{REPORTS_PREFIX}state/"
 PRESENCE_PREFIX = f"{REPORTS_PREFIX}present/"
 RESUMPTION_PREFIX = f"{REPORTS_PREFIX}resumed/"
-ORDERS_PREFIX = "order/"
+ORDERS_PREFIX = "work-order/"
+# Orders of versions whose entries watched them.
+FORMER_ORDERS_PREFIX = "order/"
 PROGRESS_PREFIX = "progress/"
 
 Value = TypeVar("Value")
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -224,7 +224,9 @@
             self._planner.plan()
             self._urgent_wait_log.update(self._planner)
         with self._timed_phase("write"):
-            self._writer.write_changes(self._planner, self._remove_expired_jobs())
+            self._writer.write_changes(
+                self._planner, [*self._find_former_orders(), *self._remove_expired_jobs()]
+            )
 
     def _timed_phase(self, name: str) -> AbstractContextManager[None]:
         return timed_phase(self._clock, name, len(self._planner.active_jobs))
@@ -282,6 +284,11 @@
         for worker in self._lost_worker_detector.find_lost(planner.workers, busy):
             reassign_work(planner, worker, self._write_conditionally)
 
+    def _find_former_orders(self) -> list[str]:
+        """Return the orders of an earlier version; agents of that version stop what they name."""
+        with self._view.lock:
+            return sorted(self._view.former_orders)
+
     def _remove_expired_jobs(self) -> list[str]:
         """Remove ended jobs whose retention time is over, and return their keys."""
         planner = self._planner
--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -8,6 +8,7 @@
 
 from chicorycrank.batch.keys import (
     CANCELS_PREFIX,
+    FORMER_ORDERS_PREFIX,
     JOBS_PREFIX,
     LEADER_KEY,
     STATES_PREFIX,
@@ -76,6 +77,7 @@
 
     :param decode_config: decodes the operator's document; returns None if it is unusable
     :param config_key: key of the operator's document
+    :ivar former_orders: keys of orders that leaders of an earlier version have left
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self.jobs_by_id: dict[JobId, Submission] = {}
         self.state_by_id: dict[JobId, StateRecord] = {}
         self.cancelled: set[JobId] = set()
+        self.former_orders: set[str] = set()
         self.leader: LeaderRecord | None = None
         self.leader_revision = Revision(0)
         self._changed_keys: list[str] = []
@@ -126,6 +129,8 @@
                     self.state_by_id.get(job_id, NOT_STARTED).state.name.lower(),
                     item.revision,
                 )
+        elif key.startswith(FORMER_ORDERS_PREFIX):
+            (self.former_orders.discard if value is None else self.former_orders.add)(key)
         elif key == LEADER_KEY:
             self.leader = None if value is None else decode(value, LeaderRecord)
             self.leader_revision = Revision(0) if value is None else item.revision
--- a/tests/batch/test_review_28.py
+++ b/tests/batch/test_review_28.py
@@ -21,6 +21,7 @@
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.batch.keys import (
     LEADER_KEY,
+    ORDERS_PREFIX,
     cancel_key,
     decode,
     encode,
@@ -371,7 +372,7 @@
         answer = apply(write)
         if isinstance(answer, Committed) and LEADER_KEY in write.values:
             for key, value in write.values.items():
-                if key.startswith("order/"):
+                if key.startswith(ORDERS_PREFIX):
                     assignments = decode(value, WorkOrder).assignments
                     if any(a.task.startswith(first) and not a.stop for a in assignments):
                         ordered_at.append(harness.clock.seconds)
