Wait for the proof also after an exit notice, before the first refused call

Change: an announced exit makes a stopping agent wait, as a refused call does. Evidence: the case 'announced' of test_planned_stop.py failed before (no end reported) and passes.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -297,7 +297,8 @@
         # A registration may be lost, or not be written yet.
         if state.end is not None or written.incarnation != self.report.incarnation:
             return written.ends != self.table.ends
-        return state.clock.is_refusing and bool(self.table.tracked_runs())
+        seems_ended = state.clock.is_refusing or state.has_exit_notice
+        return seems_ended and bool(self.table.tracked_runs())
 
     def _report_forever(self) -> None:
         self._order_replica.is_loaded.wait()
--- a/tests/batch/test_planned_stop.py
+++ b/tests/batch/test_planned_stop.py
@@ -30,6 +30,14 @@
     refuse(world)
 
 
+def announce_exit(world: World) -> None:
+    world.beat(state=WorkerState.DRAINING)
+    world.executor.fault = "no_response"
+    wait_until(lambda: world.agent.executor_state.clock.failed_since is not None)
+    world.agent.record_executor_exit(world.agent.report.executor)
+    threading.Timer(LEASE_S / 4, lambda: setattr(world.executor, "fault", "refused")).start()
+
+
 def refuse_while_the_store_is_down(world: World) -> None:
     refuse(world)
     world.store.fault = lambda operation: "refuse" if operation == "commit" else ""
@@ -84,6 +92,7 @@
 CASES = [
     Case(prepare=refuse, ends=(EndKind.CRASHED,), max_s=PROOF_S),
     Case(prepare=drain_and_refuse, ends=(EndKind.LOST,), max_s=PROOF_S),
+    Case(prepare=announce_exit, ends=(EndKind.LOST,), max_s=LEASE_S),
     Case(
         prepare=refuse_while_the_store_is_down,
         ends=(EndKind.CRASHED,),
@@ -99,6 +108,7 @@
 IDS = [
     "crashed",
     "left",
+    "announced",
     "store-down",
     "unregistered",
     "replaced",
