--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,9 @@
 # 9201: a restarted agent reported the runs of its living executor as crashed, after a heartbeat of
 #   an earlier life; a job that was cancelled while watches were silent started.
 # 9203: agents took the heartbeat of another writer for their executor's and stayed with it.
-REGRESSION_SEEDS = (5, 2002, 9201, 9203)
+# 35003: a crash of an executor that starts may not have reached counted under a harmful job.
+# 35013: the verdict on another job cleared a harmful one of a crash, which was then started again.
+REGRESSION_SEEDS = (5, 2002, 9201, 9203, 35003, 35013)
 EARLIER_FAULTS_SHA256 = "14d30a14d186b04eaa32c8a22348ea2922a22b36f292bd51f45ec0a2cd0102e5"
 
 
