Log the evidence of each crash under a run

The lines about crashes had only an upper bound of the run's age. They now also have whether the start was confirmed and the time that the run certainly lived (TaskEnd.survived_ms, from the confirmed start until the request of the last status that lists it), and a job that is given up has a line with the evidence of each crash (job_given_up). No decision changes.

--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -26,6 +26,7 @@
     :param is_witnessed: the agent was running at the crash, and the run may have been its cause
     :param has_started: the executor had confirmed the start
     :param is_test: the run was a test
+    :param survived_ms: minimum time in milliseconds for which it had lived
     """
 
     ref: UnitRef
@@ -34,6 +35,12 @@
     is_witnessed: bool
     has_started: bool
     is_test: bool
+    survived_ms: int
+
+    def __str__(self) -> str:
+        return (
+            f"{self.ref.name}/{self.age_ms}ms/lived={self.survived_ms}ms/started={self.has_started}"
+        )
 
 
 def is_proven(planner: Planner, crash: Crash) -> bool:
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -96,6 +96,7 @@
             is_witnessed=end.is_witnessed,
             has_started=end.has_started,
             is_test=ref.name in self.tests_by_unit,
+            survived_ms=end.survived_ms,
         )
         self._crashed_runs.setdefault(incarnation, []).append(run)
 
@@ -128,6 +129,7 @@
                     members=(run.member,),
                     started=(run.member,) if has_started else (),
                     is_outage=is_outage,
+                    survived_ms=run.survived_ms,
                 )
                 self._add_crash(planner, run.ref, crash)
             EXECUTOR_CRASHES.labels("outage" if is_outage else "crash").inc()
@@ -136,7 +138,7 @@
                 worker,
                 incarnation,
                 is_outage,
-                ",".join(f"{run.ref.name}/{run.age_ms}ms" for run in runs),
+                ",".join(map(str, runs)),
                 ",".join(sorted({run.ref.name for run in suspects})),
             )
 
@@ -329,8 +331,23 @@
             # Crashes of other workers may still be reported, which would make it an outage.
             if planner.now_ms - newest_ms >= OUTAGE_WINDOW_MS or len(crashes) >= MAX_CRASHES:
                 workers = ",".join(crash.worker for crash in crashes)
+                logger.warning(
+                    "event=job_given_up job=%s task=%s crashes=%s",
+                    job_id,
+                    name,
+                    ",".join(self._describe(planner, crash, job_id) for crash in crashes),
+                )
                 yield job_id, f"task {name} crashed {len(crashes)} executors: {workers}"
 
+    def _describe(self, planner: Planner, crash: Crash, job_id: JobId) -> str:
+        """Return the evidence that a crash gives against a job."""
+        return (
+            f"{crash.worker}/{crash.age_ms}ms/lived={crash.survived_ms}ms"
+            f"/started={'+'.join(map(str, crash.started))}/outage={crash.is_outage}"
+            f"/proven={is_proven(planner, crash)}"
+            f"/attributed={self._is_attributed(planner, crash, job_id)}"
+        )
+
     def explain_restored(self, planner: Planner) -> None:
         """Clear the jobs whose crashes are explained by jobs that an earlier leader gave up."""
         for job_id in list(self._units_by_job):
--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -168,6 +168,7 @@
             state.report.state.name.lower(),
             ",".join(
                 f"{run.assignment.task}/{run.assignment.run}/{run.age_s(now_s):.1f}s"
+                f"/lived={run.survived_s:.1f}s"
                 for run in self._table.tracked_runs()
             ),
         )
--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -28,6 +28,7 @@
     :param first_called_at: monotonic time of the first start call that may have had an effect, or
         may still; None before it
     :param listed_at: monotonic time at which the executor first listed the run
+    :param last_listed_at: monotonic time at which the last status that listed it was requested
     :param started_at: monotonic time of the answer to the start call, or ``listed_at``
     :param starts_rejected_since: monotonic time of the answer that the executor has accepted the
         stop of the run, or that its start is outdated; the executor does not start the run after
@@ -49,6 +50,7 @@
     failed_starts: int = 0
     first_called_at: float | None = None
     listed_at: float | None = None
+    last_listed_at: float | None = None
     started_at: float | None = None
     starts_rejected_since: float | None = None
     rejection_reason: str = ""
@@ -103,6 +105,13 @@
         """Return the time since the first start call in seconds; 0 before it."""
         return 0.0 if self.first_called_at is None else max(0.0, now_s - self.first_called_at)
 
+    @property
+    def survived_s(self) -> float:
+        """Minimum time in seconds for which the run has lived after its confirmed start."""
+        if self.started_at is None or self.last_listed_at is None:
+            return 0.0
+        return max(0.0, self.last_listed_at - self.started_at)
+
     def crash_end(self, now_s: float) -> TaskEnd:
         """Return the end of the run by a crash of its executor.
 
@@ -115,4 +124,5 @@
             age_ms=round(self.age_s(now_s) * 1000),
             is_witnessed=self.is_witnessed,
             has_started=self.started_at is not None or self.listed_at is not None,
+            survived_ms=round(self.survived_s * 1000),
         )
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -320,6 +320,7 @@
             run.load = running_task.load
             run.is_accepted = True
             run.is_adopted = False
+            run.last_listed_at = now_s
             if run.listed_at is None:
                 run.listed_at = now_s
             if run.first_called_at is None:
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -154,6 +154,7 @@
     :param members: indexes of the unit's tasks that may have been there
     :param started: those of them that had certainly started there, if the unit is the cause
     :param is_outage: the agent did not see the crash, so the machine may have failed
+    :param survived_ms: minimum time in milliseconds for which the run had lived at the crash
     """
 
     incarnation: Incarnation
@@ -163,6 +164,7 @@
     members: tuple[int, ...]
     started: tuple[int, ...] = ()
     is_outage: bool = False
+    survived_ms: int = 0
 
 
 class Unit(Struct, array_like=True):
@@ -252,6 +254,8 @@
         something had come back to a start call
     :param has_started: for ``CRASHED``, whether the executor had confirmed the start; if not, a
         start call without an answer may have reached it
+    :param survived_ms: for ``CRASHED``, minimum time in milliseconds for which the run had lived:
+        from the confirmed start until the request of the last status that listed it
     """
 
     task: TaskId
@@ -262,6 +266,7 @@
     age_ms: int = 0
     is_witnessed: bool = True
     has_started: bool = True
+    survived_ms: int = 0
 
 
 class Assignment(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/tests/batch/test_runs.py
+++ b/tests/batch/test_runs.py
@@ -205,3 +205,29 @@
     assert [(run.assignment.run, run.should_stop) for run in table.claim_runs_to_call()] == [
         (1, True)
     ]
+
+
+@pytest.mark.parametrize(
+    ("answered_at", "listed_at", "expected"),
+    [
+        (10.0, [], (True, 0)),
+        (10.0, [9.5], (True, 0)),
+        (10.0, [10.1], (True, 100)),
+        (10.0, [10.1, 11.1, 12.1], (True, 2100)),
+        (None, [10.1, 11.1], (True, 1000)),
+        (None, [], (False, 0)),
+    ],
+    ids=["answer", "earlier-status", "one-status", "statuses", "statuses-only", "no-answer"],
+)
+def test_a_crashed_run_has_lived_from_its_start_until_the_last_status_that_lists_it(
+    answered_at: float | None, listed_at: Sequence[float], expected: tuple[bool, int]
+) -> None:
+    """Guards against a run that counts as alive although nothing shows that it was."""
+    table = RunTable()
+    table.apply_order(make_order((TASK, 1, False)), INCARNATION)
+    (run,) = table.tracked_runs()
+    run.first_called_at, run.started_at = 9.0, answered_at
+    for sent_at in listed_at:
+        table.apply_status(make_status([(TASK, 1)]), sent_at)
+    end = run.crash_end(20.0)
+    assert (end.has_started, end.survived_ms) == expected
