Give a job up only for crashes that its starts explain

A task that crashes the executor that starts it leaves the same evidence each time: a confirmed start, and nothing later from that executor. So three attributed and proven crashes with this evidence now give a job up; the platform bears three, and two come by chance in a series of crashes. The limit of five stays for what the start of a task may have caused, whatever else explains it, so a harmful task that no answer confirms is started five times at most. Crashes that a run has outlived its start to count towards the five only if attributed to the job.

Tests: the four cases of test_a_job_is_not_given_up_for_crashes_that_chance_explains and the four of test_a_task_that_crashes_each_executor_is_given_up failed before (given up after two crashes). Changed, as they demanded a verdict after the second crash: test_harmful_jobs_on_most_of_a_small_fleet..., test_an_executor_that_is_back_as_another_kind..., test_a_harmful_job_is_given_up_once_the_next_incarnation_answers and its two neighbours play one crash more; test_a_start_without_an_answer_counts_for_one_of_the_tasks_only and test_a_caller_is_told_why_a_job_failed, whose executors never answer a start, demand exactly five.

--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -13,6 +13,10 @@
 if TYPE_CHECKING:
     from chicorycrank.batch.planner import Planner
 
+# A task crashes its executor when it starts. The time covers the calls of a loaded machine.
+START_WINDOW_MS = 2000
+# A run that has certainly lived this long has not crashed its executor by starting.
+START_SURVIVAL_MS = 1000
 # A job that would be given up if its crashes were proven waits this long for the proof.
 PROOF_TIMEOUT_MS = 5000
 
@@ -49,6 +53,20 @@
     return state is not None and state.report.incarnation not in ("", crash.incarnation)
 
 
+def has_followed_start(crash: Crash, member: int) -> bool:
+    """Return whether an executor certainly crashed shortly after it had started a task."""
+    return (
+        member in crash.started
+        and crash.age_ms < START_WINDOW_MS
+        and may_have_followed_start(crash)
+    )
+
+
+def may_have_followed_start(crash: Crash) -> bool:
+    """Return whether nothing shows that the run had outlived its start."""
+    return crash.survived_ms < START_SURVIVAL_MS
+
+
 def waits_for_proof(planner: Planner, crashes: Collection[Crash]) -> bool:
     """Return whether the newest of these crashes may still be proven soon."""
     newest_ms = max(crash.at_ms for crash in crashes)
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -13,17 +13,19 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
 from collections.abc import Collection, Iterator
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from chicorycrank.batch.crash_records import (
+    START_WINDOW_MS,
     CrashedRun,
     crashes_by_member,
+    has_followed_start,
     is_proven,
     max_crashes_of_a_task,
+    may_have_followed_start,
     task_name,
     waits_for_proof,
     workers_with_starts,
@@ -37,15 +39,14 @@
 if TYPE_CHECKING:
     from chicorycrank.batch.planner import Planner
 
-# A task crashes its executor when it starts. The time covers the calls of a loaded machine.
-START_WINDOW_MS = 2000
 # A crash this long after the start of a run is not put down to the run.
 MAX_RUN_AGE_MS = 60_000
 # A run is cleared if it lasts this much longer than an earlier run had lasted at the crash.
 CLEARANCE_MARGIN_MS = 2000
-# Crashes attributed to a task after which it is given up.
-MAX_ATTRIBUTED_CRASHES = 2
-# Crashes under one task, whatever explains them, after which it is given up.
+# Crashes attributed to a task, each just after its start, after which it is given up.
+MAX_ATTRIBUTED_CRASHES = 3
+# Crashes under one task that its starts may have caused, whatever else explains them, or that are
+# attributed to it, after which it is given up.
 MAX_CRASHES = 5
 # A task under which this many executors have crashed starts on an empty worker if there is one.
 MIN_CRASHES_FOR_EMPTY_WORKER = 3
@@ -117,17 +118,14 @@
                 suspects={run.ref.job_id for run in suspects},
                 is_outage=is_outage,
             )
-            runs_by_job = Counter(run.ref.job_id for run in suspects)
             for run in suspects:
-                # The only start of the job is the one that crashed the executor, if the job did.
-                has_started = run.has_started or runs_by_job[run.ref.job_id] == 1
                 crash = Crash(
                     incarnation=incarnation,
                     worker=worker,
                     at_ms=planner.now_ms,
                     age_ms=run.age_ms,
                     members=(run.member,),
-                    started=(run.member,) if has_started else (),
+                    started=(run.member,) if run.has_started else (),
                     is_outage=is_outage,
                     survived_ms=run.survived_ms,
                 )
@@ -220,8 +218,10 @@
             if known.incarnation == crash.incarnation:
                 crash = msgspec.structs.replace(
                     known,
+                    age_ms=max(known.age_ms, crash.age_ms),
                     members=(*known.members, *crash.members),
                     started=(*known.started, *crash.started),
+                    survived_ms=min(known.survived_ms, crash.survived_ms),
                 )
         others = [known for known in unit.crashes if known.incarnation != crash.incarnation]
         unit.crashes = [*others, crash]
@@ -373,33 +373,27 @@
     ) -> tuple[str, Collection[Crash]] | None:
         """Return a task that is to be given up and the crashes that speak against it.
 
-        If it is not known which of several tasks had started at a crash, the job is given up once
-        more crashes are attributed to it than it has such tasks, as one of them then has two.
-
         :param needs_proof: only crashes that are proven are attributed to the job
         """
-        suspects: dict[str, None] = {}
-        attributed_by_id: dict[Incarnation, Crash] = {}
         for key, unit in self._units_by_job.get(job_id, {}).items():
             ref = parse_unit_key(job_id, key)
             for member, crashes in crashes_by_member(unit).items():
-                name = task_name(ref, member)
                 attributed = [
                     crash
                     for crash in crashes
                     if self._is_attributed(planner, crash, job_id)
                     and (not needs_proof or is_proven(planner, crash))
                 ]
-                certain = [crash for crash in attributed if member in crash.started]
+                certain = [crash for crash in attributed if has_followed_start(crash, member)]
                 if len(certain) >= MAX_ATTRIBUTED_CRASHES:
-                    return name, certain
-                if len(crashes) >= MAX_CRASHES:
-                    return name, crashes
-                if attributed:
-                    suspects[name] = None
-                    attributed_by_id.update({crash.incarnation: crash for crash in attributed})
-        if suspects and len(attributed_by_id) > len(suspects):
-            return " or ".join(suspects), list(attributed_by_id.values())
+                    return task_name(ref, member), certain
+                possible = [
+                    crash
+                    for crash in crashes
+                    if crash in attributed or may_have_followed_start(crash)
+                ]
+                if len(possible) >= MAX_CRASHES:
+                    return task_name(ref, member), possible
         return None
 
     def _attributed_crashes(self, planner: Planner, job_id: JobId) -> list[Crash]:
