Clear a unit whose run had outlasted its probation when its executor crashed

A run that outlasts its probation clears its unit, but only by a report that says so. If the executor crashed before that report, the run counted as one more crash beside those that it had refuted, so a long job could reach the limit of five in a long series of crashes.

The cases "outlived" and "irregular" of test_a_job_is_not_given_up_for_crashes_that_chance_explains failed before.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -106,6 +106,7 @@
         self._discard_conclusions()
         crashed_runs, self._crashed_runs = self._crashed_runs, {}
         for incarnation, runs in crashed_runs.items():
+            self._clear_outlived(planner, runs)
             witnessed = [run for run in runs if run.is_witnessed]
             suspects = self._select_suspects(witnessed or runs)
             # Without a witness, the machine may have failed.
@@ -140,6 +141,13 @@
                 ",".join(sorted({run.ref.name for run in suspects})),
             )
 
+    def _clear_outlived(self, planner: Planner, runs: list[CrashedRun]) -> None:
+        """Clear the units whose runs had outlasted their probation when their executor crashed."""
+        for run in runs:
+            unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
+            if unit.crashes and run.survived_ms >= self.probation_ms(run.ref, unit):
+                self.clear(planner, run.ref, unit, "had outlasted its probation")
+
     def refute(self, planner: Planner, incarnation: Incarnation) -> None:
         """Remove the crash of an incarnation that has answered since."""
         if not self.ledger.discard(incarnation):
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -189,8 +189,10 @@
         [AT_START, AT_START],
         [UNANSWERED] * 4,
         [SECONDS_AFTER_START] * 4,
+        [AT_START, AT_START, LastMoments(age_ms=4000, survived_ms=3000), AT_START, AT_START],
+        [LastMoments(age_ms=s * 1000, survived_ms=s * 1000 - 1000) for s in (9, 12, 4, 15, 6, 18)],
     ],
-    ids=["unanswered", "at-start", "no-answers", "seconds"],
+    ids=["unanswered", "at-start", "no-answers", "seconds", "outlived", "irregular"],
 )
 def test_a_job_is_not_given_up_for_crashes_that_chance_explains(
     fleet: SimulatedFleet, moments: Sequence[LastMoments]
