Take the age of a run that an earlier agent process has started as unknown

After a restart of its agent, the age of a run counted from the first status that listed it there. If the executor crashed within two seconds, a run of any length counted as one that had just started, with a confirmed start: evidence against its job that it did not give. Its start now counts as not confirmed.

test_the_start_of_a_run_of_an_earlier_agent_process_is_not_taken_for_recent[False] failed before.

--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -27,6 +27,8 @@
     :param failed_starts: answers that the executor is unhealthy, or that are errors
     :param first_called_at: monotonic time of the first start call that may have had an effect, or
         may still; None before it
+    :param is_age_unknown: an earlier process of the agent has started it, and ``first_called_at``
+        is the time at which this one found it
     :param listed_at: monotonic time at which the executor first listed the run
     :param last_listed_at: monotonic time at which the last status that listed it was requested
     :param started_at: monotonic time of the answer to the start call, or ``listed_at``
@@ -49,6 +51,7 @@
     has_reached_executor: bool = False
     failed_starts: int = 0
     first_called_at: float | None = None
+    is_age_unknown: bool = False
     listed_at: float | None = None
     last_listed_at: float | None = None
     started_at: float | None = None
@@ -115,14 +118,17 @@
     def crash_end(self, now_s: float) -> TaskEnd:
         """Return the end of the run by a crash of its executor.
 
+        A run of unknown age may have started long before, so its start is not reported.
+
         :param now_s: monotonic time at which the executor was found to be down
         """
+        is_confirmed = self.started_at is not None or self.listed_at is not None
         return TaskEnd(
             *self.key,
             EndKind.CRASHED,
             self.checkpoint,
             age_ms=round(self.age_s(now_s) * 1000),
             is_witnessed=self.is_witnessed,
-            has_started=self.started_at is not None or self.listed_at is not None,
+            has_started=is_confirmed and not self.is_age_unknown,
             survived_ms=round(self.survived_s * 1000),
         )
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -324,8 +324,7 @@
             if run.listed_at is None:
                 run.listed_at = now_s
             if run.first_called_at is None:
-                # An earlier agent process has started it.
-                run.first_called_at = now_s
+                run.first_called_at, run.is_age_unknown = now_s, True
             if run.started_at is None:
                 run.started_at = now_s
             if running_task.percent != run.percent:
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -252,8 +252,9 @@
         executor was found to be down
     :param is_witnessed: for ``CRASHED``, whether the agent was running at the crash and
         something had come back to a start call
-    :param has_started: for ``CRASHED``, whether the executor had confirmed the start; if not, a
-        start call without an answer may have reached it
+    :param has_started: for ``CRASHED``, whether the executor had confirmed the start, of which
+        ``age_ms`` is known; if not, a start call without an answer may have reached it, or an
+        earlier process of the agent has started it
     :param survived_ms: for ``CRASHED``, minimum time in milliseconds for which the run had lived:
         from the confirmed start until the request of the last status that listed it
     """
--- a/tests/batch/test_runs.py
+++ b/tests/batch/test_runs.py
@@ -231,3 +231,17 @@
         table.apply_status(make_status([(TASK, 1)]), sent_at)
     end = run.crash_end(20.0)
     assert (end.has_started, end.survived_ms) == expected
+
+
+@pytest.mark.parametrize("is_called_here", [True, False])
+def test_the_start_of_a_run_of_an_earlier_agent_process_is_not_taken_for_recent(
+    is_called_here: bool,
+) -> None:
+    """Guards against a long run that counts as just started, as its agent has restarted."""
+    table = RunTable()
+    table.apply_order(make_order((TASK, 1, False)), INCARNATION)
+    (run,) = table.tracked_runs()
+    if is_called_here:
+        run.first_called_at = run.started_at = 9.9
+    table.apply_status(make_status([(TASK, 1)]), 10.0)
+    assert run.crash_end(10.1).has_started is is_called_here
