Poll an executor often while a run there is on probation

A status lists the runs, and the last one that lists a run shows for how long it has lived. Polls last a second, so a run that crashed two seconds after its start could be known to have lived for none of them. While a run has a probation, polls last 0.25 s; that is a few seconds for each test.

test_a_run_on_probation_is_polled_often_until_it_is_cleared[300] failed before.

--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -25,6 +25,8 @@
 # The executor lists no end for a run that was stopped before it started, so that does not complete
 # a long poll. Polls are short while runs may end in this way.
 ENDING_RUNS_POLL_S = 0.1
+# Polls show for how long a run on probation has lived if the executor crashes.
+PROBATION_POLL_S = 0.25
 RETRY_DELAY_S = 0.15
 # Delay between polls while the executor lists ends that are not stored yet.
 UNACKNOWLEDGED_WAIT_S = 0.5
@@ -109,10 +111,13 @@
     def _wait_s(self, context: CallContext) -> float:
         if not context.may_start:
             return 0.0
-        has_ending_runs = any(
-            run.starts_rejected_since is not None for run in self._table.tracked_runs()
+        runs, now_s = self._table.tracked_runs(), self._clock.monotonic()
+        if any(run.starts_rejected_since is not None for run in runs):
+            return ENDING_RUNS_POLL_S
+        is_on_probation = any(
+            run.assignment.probation_ms > 0 and not run.is_cleared(now_s) for run in runs
         )
-        return ENDING_RUNS_POLL_S if has_ending_runs else LONG_POLL_S
+        return PROBATION_POLL_S if is_on_probation else LONG_POLL_S
 
     def _wait_after_failure(self) -> None:
         with self._lock:
--- a/tests/batch/test_unproven_crashes.py
+++ b/tests/batch/test_unproven_crashes.py
@@ -1,6 +1,7 @@
 """Crashes of executors that an expired lease suggests and no later incarnation has shown."""
 
 import time
+from typing import Any
 
 import pytest
 from tests.batch.fakes import FakeExecutor, MemoryStore, make_job, make_report
@@ -17,6 +18,7 @@
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.batch.crash_records import PROOF_TIMEOUT_MS
 from chicorycrank.batch.crash_tracker import MAX_ATTRIBUTED_CRASHES
+from chicorycrank.batch.executor_poller import LONG_POLL_S, PROBATION_POLL_S
 from chicorycrank.batch.keys import encode, order_key
 from chicorycrank.model.batch import (
     Assignment,
@@ -29,7 +31,12 @@
 )
 from chicorycrank.model.ids import TargetId, TaskId
 from chicorycrank.policy.crashes import OUTAGE_WINDOW_MS
-from chicorycrank.ports.executor import ExecutorUnreachableError, StartAnswer, StartOrder
+from chicorycrank.ports.executor import (
+    ExecutorStatus,
+    ExecutorUnreachableError,
+    StartAnswer,
+    StartOrder,
+)
 from chicorycrank.ports.transactions import Write
 
 WORKER = TargetId("w1")
@@ -205,3 +212,38 @@
     started_s = time.process_time()
     planner.plan()
     assert time.process_time() - started_s < MAX_PLAN_S
+
+
+@pytest.mark.parametrize(
+    ("probation_ms", "expected_s"), [(0, {LONG_POLL_S}), (300, {LONG_POLL_S, PROBATION_POLL_S})]
+)
+def test_a_run_on_probation_is_polled_often_until_it_is_cleared(
+    probation_ms: int, expected_s: set[float]
+) -> None:
+    """Guards against a run that counts as crashed at its start, as no status lists it in time."""
+    store, executor = MemoryStore(), FakeExecutor()
+    waits_s: list[float] = []
+    extend_lease = executor.extend_lease
+
+    def record_wait(**arguments: Any) -> ExecutorStatus:
+        waits_s.append(arguments["wait_s"])
+        return extend_lease(**arguments)
+
+    executor.extend_lease = record_wait  # type: ignore[method-assign]
+    agent = BatchAgent(WORKER, store, executor, SystemClock(), max_lease_s=MAX_LEASE_S)
+    agent.start()
+    agent.apply_heartbeat(make_report(), number=1, started_at_ms=1, clock_ms=1000)
+    try:
+        wait_until(lambda: executor.fence > 0)
+        task = TaskId("a.0.0.0")
+        assignments = (Assignment(task=task, run=1, probation_ms=probation_ms),)
+        order = WorkOrder(incarnation=executor.incarnation, assignments=assignments)
+        waits_s.clear()
+        store.apply(Write(values={order_key(WORKER): encode(order)}))
+        wait_until(lambda: task in executor.runs)
+        if probation_ms:
+            wait_until(lambda: agent.table.cleared == {task: 1})
+        wait_until(lambda: waits_s[-1] == LONG_POLL_S)
+        assert set(waits_s) == expected_s
+    finally:
+        agent.stop()
