Count a crash towards the limit although another job explains it

When a job was given up, the crashes that it had shared were removed from the records of the other jobs. A verdict on one job shows that it crashes executors, not that the others don't. Their units keep the crash, marked as explained: it is no evidence for an attribution and asks for no test, but counts towards the five until a run outlasts its probation.

test_a_crash_that_another_job_explains_still_counts_towards_the_limit failed before, with and without a change of the leader.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -82,7 +82,8 @@
                     crash.incarnation,
                     crash.worker,
                     crash.at_ms,
-                    suspects=[job_id],
+                    present=[job_id],
+                    suspects=[] if crash.is_explained else [job_id],
                     is_outage=crash.is_outage,
                 )
             if unit.crashes and unit.places:
@@ -203,12 +204,20 @@
                 self.ledger.clear(crash.incarnation, job_id)
 
     def clear_others(self, planner: Planner, job_id: JobId) -> None:
-        """Clear the jobs that only shared executors with the culprit of their crashes."""
+        """Clear the jobs that only shared executors with the culprit of their crashes.
+
+        Their units keep the crashes, which their starts may have caused too.
+        """
         self._discard_conclusions()
         for incarnation, other in self.ledger.blame(job_id):
-            for key, unit in list(self._units_by_job.get(other, {}).items()):
-                for crash in [c for c in unit.crashes if c.incarnation == incarnation]:
-                    self._remove_crash(planner, parse_unit_key(other, key), unit, crash)
+            planner.changes.jobs.add(other)
+            for unit in self._units_by_job.get(other, {}).values():
+                unit.crashes = [
+                    msgspec.structs.replace(crash, is_explained=True)
+                    if crash.incarnation == incarnation
+                    else crash
+                    for crash in unit.crashes
+                ]
 
     @staticmethod
     def _select_suspects(runs: list[CrashedRun]) -> list[CrashedRun]:
@@ -259,7 +268,8 @@
         """Return whether the next run of a unit has to be a test."""
         if ref.job_id not in self._units_by_job:
             return False
-        crashes = [c for c in unit.crashes if not c.is_outage] if unit is not None else []
+        crashes = [] if unit is None else unit.crashes
+        crashes = [crash for crash in crashes if not (crash.is_outage or crash.is_explained)]
         return (
             len(crashes) > 1
             or any(crash.age_ms < START_WINDOW_MS for crash in crashes)
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -155,6 +155,7 @@
     :param started: those of them that had certainly started there, if the unit is the cause
     :param is_outage: the agent did not see the crash, so the machine may have failed
     :param survived_ms: minimum time in milliseconds for which the run had lived at the crash
+    :param is_explained: another job that was there was given up for it
     """
 
     incarnation: Incarnation
@@ -165,6 +166,7 @@
     started: tuple[int, ...] = ()
     is_outage: bool = False
     survived_ms: int = 0
+    is_explained: bool = False
 
 
 class Unit(Struct, array_like=True):
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -526,3 +526,22 @@
     started_at = time.monotonic()
     fleet.crash(*workers, ages_ms={"": JUST_STARTED_MS})
     assert time.monotonic() - started_at < RECOVERY_S
+
+
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_a_crash_that_another_job_explains_still_counts_towards_the_limit(
+    fleet: SimulatedFleet, takes_over: bool
+) -> None:
+    """Guards against a sixth start of a harmful task that once crashed beside another one."""
+    job, other = fleet.submit("a"), fleet.submit("b")
+    worker = fleet.worker_of(f"{job.job_id}.0.0.0")
+    assert fleet.worker_of(f"{other.job_id}.0.0.0") == worker
+    fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+    crash_alone(fleet, other, [AT_START] * MAX_ATTRIBUTED_CRASHES)
+    assert fleet.state(other) is BatchState.FAILED
+    if takes_over:
+        fleet.take_over(job, other)
+    crash_alone(fleet, job, [UNANSWERED] * (MAX_CRASHES - 2))
+    assert fleet.state(job) is BatchState.RUNNING
+    crash_alone(fleet, job, [UNANSWERED])
+    assert fleet.state(job) is BatchState.FAILED
