Clear only the task of a gang that has outlasted its probation

A member of a gang that outlasted its probation cleared the whole unit. A gang of which one task crashes its executor at each start, while another one runs on until the gang is stopped, so lost the record of each crash and was started without end. The crashes of the other members stay now.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -147,7 +147,7 @@
         for run in runs:
             unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
             if unit.crashes and run.survived_ms >= self.probation_ms(run.ref, unit):
-                self.clear(planner, run.ref, unit, "had outlasted its probation")
+                self.clear(planner, run.ref, unit, "had outlasted its probation", member=run.member)
 
     def refute(self, planner: Planner, incarnation: Incarnation) -> None:
         """Remove the crash of an incarnation that has answered since."""
@@ -163,14 +163,36 @@
                 if not unit.crashes:
                     self.tests_by_unit.pop(ref.name, None)
 
-    def clear(self, planner: Planner, ref: UnitRef, unit: Unit, reason: str) -> None:
-        """Clear a unit of all crashes that it has seen."""
-        self.tests_by_unit.pop(ref.name, None)
-        if not unit.crashes:
-            return
+    def clear(
+        self,
+        planner: Planner,
+        ref: UnitRef,
+        unit: Unit,
+        reason: str,
+        *,
+        member: int | None = None,
+    ) -> None:
+        """Clear a unit, or one of its tasks, of all crashes that it has seen.
+
+        :param member: index of the task; None for all tasks of the unit
+        """
         for crash in unit.crashes:
-            self._remove_crash(planner, ref, unit, crash)
-        logger.info("event=crash_cleared job=%s unit=%s reason=%s", ref.job_id, ref.key, reason)
+            if member is None or crash.members == (member,):
+                self._remove_crash(planner, ref, unit, crash)
+            elif member in crash.members:
+                self._remove_member(planner, ref, unit, crash, member)
+            else:
+                continue
+            logger.info(
+                "event=crash_cleared job=%s unit=%s member=%s target=%s reason=%s",
+                ref.job_id,
+                ref.key,
+                "all" if member is None else member,
+                crash.worker,
+                reason,
+            )
+        if not unit.crashes:
+            self.tests_by_unit.pop(ref.name, None)
 
     def begin_run(self, planner: Planner, ref: UnitRef, unit: Unit) -> None:
         """Record the start of a unit, which may be a test."""
@@ -262,6 +284,16 @@
         ):
             self.ledger.clear(crash.incarnation, ref.job_id)
 
+    def _remove_member(
+        self, planner: Planner, ref: UnitRef, unit: Unit, crash: Crash, member: int
+    ) -> None:
+        others = tuple(other for other in crash.members if other != member)
+        started = tuple(other for other in crash.started if other != member)
+        kept = msgspec.structs.replace(crash, members=others, started=started)
+        unit.crashes = [kept if known == crash else known for known in unit.crashes]
+        self._discard_conclusions()
+        planner.changes.jobs.add(ref.job_id)
+
     # Test runs.
 
     def needs_test(self, planner: Planner, ref: UnitRef, unit: Unit | None) -> bool:
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -163,7 +163,8 @@
             if report.incarnation and (is_gone or place.incarnation != report.incarnation):
                 self._end_lost_run(worker, task, member)
             elif report.cleared.get(task) == unit.run:
-                self.crashes.clear(self, member.ref, unit, "has outlasted its probation")
+                reason = "has outlasted its probation"
+                self.crashes.clear(self, member.ref, unit, reason, member=member.place_index)
         self.crashes.record_crashes(self, worker)
         if replaced is not None:
             self.crashes.ledger.record(replaced, worker, self.now_ms)
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import pytest
@@ -545,3 +546,41 @@
     assert fleet.state(job) is BatchState.RUNNING
     crash_alone(fleet, job, [UNANSWERED])
     assert fleet.state(job) is BatchState.FAILED
+
+
+def test_a_wide_harmful_job_is_given_up_after_few_crashes(fleet: SimulatedFleet) -> None:
+    """Guards against a harmful job that crashes as many executors as it has tasks."""
+    job = fleet.submit("a", Step(count=30, accelerators=1, run_time_s=20.0))
+    crashes = 0
+    while fleet.state(job) is BatchState.RUNNING:
+        crashed = [TargetId(worker) for worker in tasks_by_worker(fleet.planner)]
+        fleet.crash(*crashed, ages_ms={"": JUST_STARTED_MS})
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+        crashes += 1
+    assert crashes == MAX_ATTRIBUTED_CRASHES
+
+
+@pytest.mark.parametrize("is_crash_later", [False, True])
+def test_a_member_of_a_gang_that_runs_on_does_not_clear_the_one_that_crashes(
+    fleet: SimulatedFleet, is_crash_later: bool
+) -> None:
+    """Guards against a harmful task that starts without end, as its gang has sound members."""
+    job = fleet.submit("a", Step(count=2, accelerators=8, run_time_s=20.0, gang=True))
+    sound, harmful = f"{job.job_id}.0.0.0", f"{job.job_id}.0.0.1"
+    for _ in range(MAX_ATTRIBUTED_CRASHES):
+        worker = fleet.worker_of(sound)
+        member = fleet.planner.members_by_worker[worker][TaskId(sound)]
+        run = fleet.planner.run_number(member)
+        crash = partial(fleet.crash, fleet.worker_of(harmful), ages_ms={"": JUST_STARTED_MS})
+        if not is_crash_later:
+            crash()
+        report = fleet.planner.workers.by_id[worker].report
+        report.cleared = {TaskId(sound): run}
+        fleet.planner.apply_report(worker, report)
+        if is_crash_later:
+            crash()
+        report.ends, report.cleared = [TaskEnd(TaskId(sound), run, EndKind.STOPPED)], {}
+        fleet.planner.apply_report(worker, report)
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+        report.ends = []
+    assert fleet.state(job) is BatchState.FAILED
