--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -17,6 +17,8 @@
 START_WINDOW_MS = 2000
 # A run that has certainly lived this long has not crashed its executor by starting.
 START_SURVIVAL_MS = 1000
+# A crash this long after the start of a run is not put down to the run.
+MAX_RUN_AGE_MS = 60_000
 # A job that would be given up if its crashes were proven waits this long for the proof.
 PROOF_TIMEOUT_MS = 5000
 
@@ -47,6 +49,15 @@
         )
 
 
+def select_suspects(runs: list[CrashedRun]) -> list[CrashedRun]:
+    """Return the job in test if nothing else had just started, otherwise all recent runs."""
+    tested = {run.ref.job_id for run in runs if run.is_test}
+    recent = {run.ref.job_id for run in runs if run.age_ms < START_WINDOW_MS}
+    if len(tested) == 1 and recent <= tested:
+        return [run for run in runs if run.ref.job_id in tested]
+    return [run for run in runs if run.age_ms <= MAX_RUN_AGE_MS]
+
+
 def is_proven(planner: Planner, crash: Crash) -> bool:
     """Return whether another incarnation has answered at the address of the one that crashed."""
     state = planner.workers.by_id.get(crash.worker)
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -21,15 +21,14 @@
 from chicorycrank.batch.crash_records import (
     START_WINDOW_MS,
     CrashedRun,
-    crashes_by_member,
-    has_followed_start,
     is_proven,
     max_crashes_of_a_task,
-    may_have_followed_start,
+    select_suspects,
     task_name,
     waits_for_proof,
     workers_with_starts,
 )
+from chicorycrank.batch.crash_verdict import MAX_CRASHES, describe_evidence, find_guilty_member
 from chicorycrank.batch.metrics import EXECUTOR_CRASHES
 from chicorycrank.batch.units import UnitRef, parse_unit_key
 from chicorycrank.model.batch import BatchState, Crash, Progress, TaskEnd, Unit
@@ -39,15 +38,8 @@
 if TYPE_CHECKING:
     from chicorycrank.batch.planner import Planner
 
-# A crash this long after the start of a run is not put down to the run.
-MAX_RUN_AGE_MS = 60_000
 # A run is cleared if it lasts this much longer than an earlier run had lasted at the crash.
 CLEARANCE_MARGIN_MS = 2000
-# Crashes attributed to a task, each just after its start, after which it is given up.
-MAX_ATTRIBUTED_CRASHES = 3
-# Crashes under one task that its starts may have caused, whatever else explains them, or that are
-# attributed to it, after which it is given up.
-MAX_CRASHES = 5
 # A task under which this many executors have crashed starts on an empty worker if there is one.
 MIN_CRASHES_FOR_EMPTY_WORKER = 3
 
@@ -109,7 +101,7 @@
         for incarnation, runs in crashed_runs.items():
             self._clear_outlived(planner, runs)
             witnessed = [run for run in runs if run.is_witnessed]
-            suspects = self._select_suspects(witnessed or runs)
+            suspects = select_suspects(witnessed or runs)
             # Without a witness, the machine may have failed.
             is_outage = not witnessed
             self.ledger.record(
@@ -241,15 +233,6 @@
                     for crash in unit.crashes
                 ]
 
-    @staticmethod
-    def _select_suspects(runs: list[CrashedRun]) -> list[CrashedRun]:
-        """Return the job in test if nothing else had just started, otherwise all recent runs."""
-        tested = {run.ref.job_id for run in runs if run.is_test}
-        recent = {run.ref.job_id for run in runs if run.age_ms < START_WINDOW_MS}
-        if len(tested) == 1 and recent <= tested:
-            return [run for run in runs if run.ref.job_id in tested]
-        return [run for run in runs if run.age_ms <= MAX_RUN_AGE_MS]
-
     def _add_crash(self, planner: Planner, ref: UnitRef, crash: Crash) -> None:
         """Add a crash to the record of a unit, or the members to a crash that it has."""
         unit = planner.progress_by_id[ref.job_id].units[ref.key]
@@ -385,19 +368,17 @@
                     "event=job_given_up job=%s task=%s crashes=%s",
                     job_id,
                     name,
-                    ",".join(self._describe(planner, crash, job_id) for crash in crashes),
+                    ",".join(
+                        describe_evidence(
+                            crash,
+                            is_attributed=self._is_attributed(planner, crash, job_id),
+                            is_proven=is_proven(planner, crash),
+                        )
+                        for crash in crashes
+                    ),
                 )
                 yield job_id, f"task {name} crashed {len(crashes)} executors: {workers}"
 
-    def _describe(self, planner: Planner, crash: Crash, job_id: JobId) -> str:
-        """Return the evidence that a crash gives against a job."""
-        return (
-            f"{crash.worker}/{crash.age_ms}ms/lived={crash.survived_ms}ms"
-            f"/started={'+'.join(map(str, crash.started))}/outage={crash.is_outage}"
-            f"/proven={is_proven(planner, crash)}"
-            f"/attributed={self._is_attributed(planner, crash, job_id)}"
-        )
-
     def explain_restored(self, planner: Planner) -> None:
         """Clear the jobs whose crashes are explained by jobs that an earlier leader gave up."""
         for job_id in list(self._units_by_job):
@@ -425,25 +406,17 @@
 
         :param needs_proof: only crashes that are proven are attributed to the job
         """
+
+        def is_attributed(crash: Crash) -> bool:
+            return self._is_attributed(planner, crash, job_id) and (
+                not needs_proof or is_proven(planner, crash)
+            )
+
         for key, unit in self._units_by_job.get(job_id, {}).items():
-            ref = parse_unit_key(job_id, key)
-            for member, crashes in crashes_by_member(unit).items():
-                attributed = [
-                    crash
-                    for crash in crashes
-                    if self._is_attributed(planner, crash, job_id)
-                    and (not needs_proof or is_proven(planner, crash))
-                ]
-                certain = [crash for crash in attributed if has_followed_start(crash, member)]
-                if len(certain) >= MAX_ATTRIBUTED_CRASHES:
-                    return task_name(ref, member), certain
-                possible = [
-                    crash
-                    for crash in crashes
-                    if crash in attributed or may_have_followed_start(crash)
-                ]
-                if len(possible) >= MAX_CRASHES:
-                    return task_name(ref, member), possible
+            guilty = find_guilty_member(unit, is_attributed)
+            if guilty is not None:
+                member, crashes = guilty
+                return task_name(parse_unit_key(job_id, key), member), crashes
         return None
 
     def _attributed_crashes(self, planner: Planner, job_id: JobId) -> list[Crash]:
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -10,11 +10,8 @@
 from tests.batch.fakes import RED, make_job, make_report
 from tests.batch.test_planner import end_task, make_planner, progress_of, submit, tasks_by_worker
 
-from chicorycrank.batch.crash_tracker import (
-    CLEARANCE_MARGIN_MS,
-    MAX_ATTRIBUTED_CRASHES,
-    MAX_CRASHES,
-)
+from chicorycrank.batch.crash_tracker import CLEARANCE_MARGIN_MS
+from chicorycrank.batch.crash_verdict import MAX_ATTRIBUTED_CRASHES, MAX_CRASHES
 from chicorycrank.batch.keys import decode_progress, encode_progress
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
--- a/tests/batch/test_executor_crashes.py
+++ b/tests/batch/test_executor_crashes.py
@@ -10,7 +10,7 @@
 
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.batch.agent import BatchAgent
-from chicorycrank.batch.crash_tracker import MAX_CRASHES
+from chicorycrank.batch.crash_verdict import MAX_CRASHES
 from chicorycrank.batch.keys import StateRecord, decode, decode_progress, progress_key, state_key
 from chicorycrank.model.batch import BatchState, Crash, EndKind, Progress, Step
 from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId
--- a/tests/batch/test_unproven_crashes.py
+++ b/tests/batch/test_unproven_crashes.py
@@ -17,7 +17,7 @@
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.batch.agent import BatchAgent
 from chicorycrank.batch.crash_records import PROOF_TIMEOUT_MS
-from chicorycrank.batch.crash_tracker import MAX_ATTRIBUTED_CRASHES
+from chicorycrank.batch.crash_verdict import MAX_ATTRIBUTED_CRASHES
 from chicorycrank.batch.executor_poller import LONG_POLL_S, PROBATION_POLL_S
 from chicorycrank.batch.keys import encode, order_key
 from chicorycrank.model.batch import (
