Show which ends use up the attempts of a task

An end `failed` counts once: not when it is listed again, after a takeover, by a new life of the executor, under another run number or by a worker that does not have the run. No other kind of end counts, and a job that fits nowhere waits. All cases pass without a change of the logic.

With the check of the run number taken out of Planner._record_end, four cases fail; with every end but `done` counted in record_end, eight do.

--- /dev/null
+++ b/tests/batch/test_attempts.py
@@ -0,0 +1,151 @@
+"""Attempts of tasks: which ends use them up, and when a job has failed."""
+
+from collections.abc import Callable
+
+import pytest
+from tests.batch.fakes import make_job, make_queue, make_report
+from tests.batch.test_planner import (
+    WHOLE_WORKER,
+    end_task,
+    make_planner,
+    progress_of,
+    submit,
+    tasks_by_worker,
+)
+
+from chicorycrank.batch.keys import decode_progress, encode_progress
+from chicorycrank.batch.planner import Planner
+from chicorycrank.model.batch import BatchState, EndKind, Step, TaskEnd, Unit, UnitState
+from chicorycrank.model.ids import TargetId, TaskId
+
+WORKER = TargetId("w0")
+OTHER_WORKER = TargetId("w1")
+JOB = make_job([WHOLE_WORKER], queue=make_queue(max_attempts=2))
+TASK = TaskId(f"{JOB.job_id}.0.0.0")
+KINDS_OF_NO_FAULT = [
+    EndKind.STOPPED,
+    EndKind.LAPSED,
+    EndKind.BROKEN,
+    EndKind.ALONE,
+    EndKind.REJECTED,
+    EndKind.LOST,
+    EndKind.WITHDRAWN,
+]
+# More than the passes and delays of any decision that depends on time.
+LONG_S = 3600.0
+
+
+def unit_of(planner: Planner) -> Unit:
+    return progress_of(planner, JOB).units["0.0.0"]
+
+
+def list_failure(planner: Planner, run: int, worker: TargetId = WORKER, life: int = 1) -> None:
+    """Let a worker report that a run has failed."""
+    report = make_report(f"i-{worker}:{life}", ends=[TaskEnd(TASK, run, EndKind.FAILED)])
+    planner.apply_report(worker, report)
+
+
+def take_over(planner: Planner) -> Planner:
+    """Return the planner of a new leader, which knows what is stored."""
+    successor = make_planner([WORKER])
+    successor.add_job(JOB, decode_progress(encode_progress(progress_of(planner, JOB))))
+    return successor
+
+
+def list_again(planner: Planner) -> Planner:
+    list_failure(planner, run=1)
+    return planner
+
+
+def list_again_after_the_next_start(planner: Planner) -> Planner:
+    planner.plan()
+    assert unit_of(planner).run == 2
+    list_failure(planner, run=1)
+    return planner
+
+
+def list_again_after_a_takeover(planner: Planner) -> Planner:
+    return list_again(take_over(planner))
+
+
+def list_again_after_a_start_and_a_takeover(planner: Planner) -> Planner:
+    planner.plan()
+    return list_again(take_over(planner))
+
+
+def list_in_a_new_life(planner: Planner) -> Planner:
+    planner.plan()
+    list_failure(planner, run=1, life=2)
+    return planner
+
+
+def list_a_run_that_was_not_assigned(planner: Planner) -> Planner:
+    planner.plan()
+    list_failure(planner, run=3)
+    return planner
+
+
+def list_on_another_worker(planner: Planner) -> Planner:
+    planner.plan()
+    list_failure(planner, run=2, worker=OTHER_WORKER)
+    return planner
+
+
+@pytest.mark.parametrize(
+    "list_late",
+    [
+        list_again,
+        list_again_after_the_next_start,
+        list_again_after_a_takeover,
+        list_again_after_a_start_and_a_takeover,
+        list_in_a_new_life,
+        list_a_run_that_was_not_assigned,
+        list_on_another_worker,
+    ],
+)
+def test_an_end_that_is_listed_again_or_for_another_run_is_no_attempt(
+    list_late: Callable[[Planner], Planner],
+) -> None:
+    """Guards against a job that has failed though its task has not failed so often."""
+    planner = make_planner([WORKER])
+    submit(planner, JOB)
+    list_failure(planner, run=1)
+    planner = list_late(planner)
+    planner.plan()
+    assert (unit_of(planner).failures, unit_of(planner).state) == (1, UnitState.ASSIGNED)
+    assert progress_of(planner, JOB).state is BatchState.RUNNING
+
+
+@pytest.mark.parametrize("kind", KINDS_OF_NO_FAULT)
+def test_only_failures_of_a_task_use_up_its_attempts(kind: EndKind) -> None:
+    """Guards against a job that fails as its runs were stopped, lost or not started."""
+    planner = make_planner()
+    job = submit(planner, make_job([WHOLE_WORKER], queue=make_queue(max_attempts=1)))
+    for run in range(1, 6):
+        planner.set_time(planner.now_s + LONG_S, 0)
+        planner.plan()
+        end_task(planner, TASK, kind, run)
+    unit = progress_of(planner, job).units["0.0.0"]
+    assert (unit.failures, progress_of(planner, job).state) == (0, BatchState.RUNNING)
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        Step(count=1, label="missing"),
+        Step(count=1, accelerators=9),
+        Step(count=1, cores=64001),
+        Step(count=1, memory_mb=256001),
+        Step(count=4, accelerators=8, gang=True),
+        Step(count=4, cores=1000, gang=True, max_per_worker=1),
+    ],
+)
+def test_a_job_that_no_worker_can_run_waits(step: Step) -> None:
+    """Guards against a job that fails, or is set aside, as it fits nowhere now."""
+    planner = make_planner()
+    job = submit(planner, make_job([step]))
+    planner.set_time(planner.now_s + LONG_S, 0)
+    planner.plan()
+    assert progress_of(planner, job).state is BatchState.QUEUED
+    assert not planner.failing_jobs.reason_by_id
+    assert tasks_by_worker(planner) == {}
