Start no task whose queue now allows fewer attempts

Cause: the limit was compared at the end of a run only, so neither the new configuration nor a takeover after it gave the job up. Now the next plan does, for the units that wait; one that runs may still end as done, and is not stopped.

After the change, tests/batch and tests/platform_adapter pass.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -102,6 +102,8 @@
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         # Jobs of which a run has ended since the last plan.
         self._jobs_with_ends: set[JobId] = set()
+        # Jobs whose queue may allow fewer attempts than when their units last ended.
+        self._jobs_with_other_limits: set[JobId] = set()
         self._order_sizes = OrderSizes(self.unaccepted_tasks)
         self.queues_by_id: Mapping[QueueId, Queue] = {}
         self.quota_by_team: dict[TeamId, int] = {}
@@ -120,6 +122,7 @@
         self.queues_by_id = queues
         self.quota_by_team = {team.team: team.quota for team in teams}
         self.cell.set_config({team: Team() for team in self.quota_by_team}, {})
+        self._jobs_with_other_limits.update(self.active_jobs)
 
     def add_job(self, job: Submission, progress: Progress | None) -> None:
         """Add a job and restore the allocations of its running units."""
@@ -135,6 +138,7 @@
         if progress.state not in FINAL_BATCH_STATES:
             self.active_jobs[job.job_id] = None
             self._restore_failures(job.job_id, progress)
+            self._jobs_with_other_limits.add(job.job_id)
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove a job that has ended and has no running units."""
@@ -202,6 +206,7 @@
 
     def plan(self) -> None:
         """Start and stop units; :attr:`changes` collects the changed records."""
+        self._fail_exhausted_jobs()
         for job_id, reason in self.crashes.find_culprits(self):
             self._fail_job(job_id, "crashes", reason)
         for job_id in self.active_jobs:
@@ -542,6 +547,20 @@
         elif self.units_by_id[job_id].is_complete:
             self._end_job(job_id, BatchState.COMPLETED, "")
 
+    def _fail_exhausted_jobs(self) -> None:
+        """End the jobs of which a waiting unit has used up the attempts that its queue now allows.
+
+        A unit that runs may still end as done.
+        """
+        for job_id in self.active_jobs.keys() & self._jobs_with_other_limits:
+            max_attempts = self.queue_of(self.jobs_by_id[job_id]).max_attempts
+            for unit in self.progress_by_id[job_id].units.values():
+                if unit.state is UnitState.WAITING and unit.failures >= max_attempts:
+                    unit.state = UnitState.FAILED
+                    self._update_job_state(job_id, unit)
+                    break
+        self._jobs_with_other_limits.clear()
+
     def _fail_job(self, job_id: JobId, cause: str, reason: str) -> None:
         JOBS_FAILED.labels(cause).inc()
         self._end_job(job_id, BatchState.FAILED, reason)
--- a/tests/batch/test_attempts.py
+++ b/tests/batch/test_attempts.py
@@ -149,3 +149,53 @@
     assert progress_of(planner, job).state is BatchState.QUEUED
     assert not planner.failing_jobs.reason_by_id
     assert tasks_by_worker(planner) == {}
+
+
+def set_limit(planner: Planner, limit: int) -> None:
+    queue = make_queue(max_attempts=limit)
+    planner.set_config({queue.queue_id: queue}, [])
+
+
+@pytest.mark.parametrize("is_taken_over", [False, True])
+@pytest.mark.parametrize(
+    ("limit", "state", "run"),
+    [(1, BatchState.FAILED, 1), (2, BatchState.RUNNING, 2)],
+    ids=["used-up", "left"],
+)
+def test_a_lowered_limit_holds_for_a_task_that_waits(
+    is_taken_over: bool, limit: int, state: BatchState, run: int
+) -> None:
+    """Guards against a start after the last attempt that the queue now allows."""
+    planner = make_planner([WORKER])
+    submit(planner, JOB)
+    list_failure(planner, run=1)
+    if is_taken_over:
+        stored = decode_progress(encode_progress(progress_of(planner, JOB)))
+        planner = make_planner([WORKER])
+        set_limit(planner, limit)
+        planner.add_job(JOB, stored)
+    else:
+        set_limit(planner, limit)
+    planner.plan()
+    assert (progress_of(planner, JOB).state, unit_of(planner).run) == (state, run)
+    assert bool(tasks_by_worker(planner)) is (state is BatchState.RUNNING)
+
+
+@pytest.mark.parametrize(
+    ("kind", "state"),
+    [
+        (EndKind.DONE, BatchState.COMPLETED),
+        (EndKind.STOPPED, BatchState.FAILED),
+        (EndKind.FAILED, BatchState.FAILED),
+    ],
+)
+def test_a_lowered_limit_ends_no_run(kind: EndKind, state: BatchState) -> None:
+    """Guards against a task that is stopped, or starts again, as its queue has changed."""
+    planner = make_planner([WORKER])
+    submit(planner, JOB)
+    end_task(planner, TASK, EndKind.FAILED)
+    set_limit(planner, 1)
+    planner.plan()
+    assert tasks_by_worker(planner) == {WORKER: [(TASK, 2, False)]}
+    end_task(planner, TASK, kind, run=2)
+    assert (progress_of(planner, JOB).state, tasks_by_worker(planner)) == (state, {})
