Let a unit return to workers on which it failed if no others hold it

What callers saw: a job of which one run had failed stayed `running` with nothing at work, and never ended, though its worker was free. So for a gang that needs more workers than those on which it has not failed, and for a task whose other workers are away, drain or are too small.

Cause: a unit keeps off the workers on which it has failed as long as any other suitable worker is known, whether or not the others are there and can hold it.

After the change, tests/batch and tests/policy pass.

--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -9,6 +9,7 @@
 
 from chicorycrank.batch.orders import MAX_ORDER_BYTES
 from chicorycrank.batch.units import NO_WORKER, UnitRef, unit_count
+from chicorycrank.batch.workers import ClosedCause
 from chicorycrank.model.batch import Queue, Step, Submission, WorkerReport
 from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId
 from chicorycrank.model.jobs import Adjacency, GangShape
@@ -16,6 +17,7 @@
 from chicorycrank.policy.decide import MAX_DECISIONS
 from chicorycrank.policy.headroom import members_by_worker, used_share, workers_needed
 from chicorycrank.policy.placement import PlacementRule
+from chicorycrank.policy.pool import members_that_fit
 
 if TYPE_CHECKING:
     from chicorycrank.batch.planner import Planner
@@ -40,7 +42,8 @@
 MAX_HEADROOM_SHARE = 0.3
 # With a smaller share of the fleet in use, urgent jobs find free workers without headroom.
 HEADROOM_MIN_USED_SHARE = 0.5
-
+# Workers that are closed for these causes may not come back.
+GONE_CAUSES = (ClosedCause.ABSENT, ClosedCause.NOT_READY, ClosedCause.UNREACHABLE)
 
 # Job, occurrence if it matters, step, and workers on which the unit has failed or seen crashes.
 UnitClass = tuple[JobId, int | None, int, tuple[TargetId, ...]]
@@ -241,7 +244,8 @@
             workers &= frozenset(planner.tickets_by_step[ref.step_key] if has_valid_tickets else ())
         if unit is not None and unit.failed_on:
             without_failures = workers - set(unit.failed_on)
-            workers = without_failures or workers
+            if self._can_hold(planner, ref, without_failures):
+                workers = without_failures
         workers = planner.crashes.select_workers(planner, ref, unit, workers)
         if step.max_per_worker and not step.gang:
             counts = Counter(
@@ -266,6 +270,28 @@
             max_members=_max_gang_members(step, planner.units_by_id[ref.job_id].assignment_bytes),
         )
 
+    def _can_hold(self, planner: Planner, ref: UnitRef, workers: Iterable[TargetId]) -> bool:
+        """Return whether a unit would fit on those of the workers that are there, were they empty.
+
+        A gang that is placed in one rack has to fit in one of theirs.
+        """
+        step = planner.step_of(ref)
+        shape = self._gang_shape(planner, step)
+        size = planner.units_by_id[ref.job_id].assignment_bytes
+        most = _max_gang_members(step, size) or shape.members
+        members_by_rack: Counter[RackId] = Counter()
+        for worker_id in workers:
+            if planner.workers.closed_cause(worker_id) in GONE_CAUSES:
+                continue
+            worker = planner.cell.workers_by_id[worker_id]
+            members = min(most, members_that_fit(shape, worker.cores, worker.memory_gb))
+            if shape.accelerators:
+                members = min(members, worker.accelerators // shape.accelerators)
+            members_by_rack[worker.rack] += members
+        if shape.adjacency is Adjacency.RACK:
+            return max(members_by_rack.values(), default=0) >= shape.members
+        return members_by_rack.total() >= shape.members
+
     def _suitable_workers(self, planner: Planner, service: str, label: str) -> frozenset[TargetId]:
         key = (service, label)
         if key not in self._workers_by_label:
--- a/tests/batch/test_attempts.py
+++ b/tests/batch/test_attempts.py
@@ -6,6 +6,7 @@
 from tests.batch.fakes import make_job, make_queue, make_report
 from tests.batch.test_planner import (
     WHOLE_WORKER,
+    WORKERS,
     end_task,
     make_planner,
     progress_of,
@@ -15,11 +16,19 @@
 
 from chicorycrank.batch.keys import decode_progress, encode_progress
 from chicorycrank.batch.planner import Planner
-from chicorycrank.model.batch import BatchState, EndKind, Step, TaskEnd, Unit, UnitState
-from chicorycrank.model.ids import TargetId, TaskId
+from chicorycrank.model.batch import (
+    BatchState,
+    EndKind,
+    Step,
+    TaskEnd,
+    Unit,
+    UnitState,
+    WorkerState,
+)
+from chicorycrank.model.ids import RackId, TargetId, TaskId
 
-WORKER = TargetId("w0")
-OTHER_WORKER = TargetId("w1")
+WORKER = WORKERS[0]
+OTHER_WORKER = WORKERS[1]
 JOB = make_job([WHOLE_WORKER], queue=make_queue(max_attempts=2))
 TASK = TaskId(f"{JOB.job_id}.0.0.0")
 KINDS_OF_NO_FAULT = [
@@ -199,3 +208,64 @@
     assert tasks_by_worker(planner) == {WORKER: [(TASK, 2, False)]}
     end_task(planner, TASK, kind, run=2)
     assert (progress_of(planner, JOB).state, tasks_by_worker(planner)) == (state, {})
+
+
+def lose_other_workers(planner: Planner) -> None:
+    for worker in WORKERS[1:]:
+        planner.workers.set_present(worker, False)
+
+
+def drain_other_workers(planner: Planner) -> None:
+    for worker in WORKERS[1:]:
+        report = make_report(f"i-{worker}:1", state=WorkerState.DRAINING, remaining_ms=9000)
+        planner.apply_report(worker, report)
+
+
+def shrink_other_workers(planner: Planner) -> None:
+    for worker in WORKERS[1:]:
+        planner.apply_report(worker, make_report(f"i-{worker}:1", accelerators=4))
+
+
+def remove_accelerators(planner: Planner) -> None:
+    for worker in WORKERS:
+        planner.apply_report(worker, make_report(f"i-{worker}:1", accelerators=0))
+
+
+def move_last_worker(planner: Planner) -> None:
+    rack = {"rack": RackId("r2"), "labels": ("a", "r2")}
+    planner.apply_report(WORKERS[2], make_report(f"i-{WORKERS[2]}:1", **rack))
+
+
+def keep_other_workers(planner: Planner) -> None:
+    """Leave the other workers as they are."""
+
+
+@pytest.mark.parametrize(
+    ("step", "change_others", "is_back"),
+    [
+        (WHOLE_WORKER, keep_other_workers, False),
+        (WHOLE_WORKER, lose_other_workers, True),
+        (WHOLE_WORKER, drain_other_workers, True),
+        (WHOLE_WORKER, shrink_other_workers, True),
+        (Step(count=1, cores=1000), remove_accelerators, False),
+        (Step(count=2, accelerators=8, gang=True), keep_other_workers, False),
+        (Step(count=3, accelerators=8, gang=True), keep_other_workers, True),
+        (Step(count=3, accelerators=4, gang=True, max_per_worker=1), keep_other_workers, True),
+        (Step(count=2, accelerators=8, gang=True, same_rack=True), keep_other_workers, False),
+        (Step(count=2, accelerators=8, gang=True, same_rack=True), move_last_worker, True),
+    ],
+)
+def test_a_unit_returns_to_a_worker_on_which_it_failed_if_the_others_cannot_hold_it(
+    step: Step, change_others: Callable[[Planner], None], is_back: bool
+) -> None:
+    """Guards against a job that waits for good as one of its tasks has failed once."""
+    planner = make_planner()
+    change_others(planner)
+    job = submit(planner, make_job([step]))
+    unit = next(iter(progress_of(planner, job).units.values()))
+    failed_on = unit.places[0].worker
+    for index in range(step.count):
+        kind = EndKind.BROKEN if index else EndKind.FAILED
+        end_task(planner, f"{job.job_id}.0.0.{index}", kind)
+    assert (unit.run, unit.state) == (2, UnitState.ASSIGNED)
+    assert (failed_on in {place.worker for place in unit.places}) is is_back
