Let a unit return to a worker that crashed under it if no others can hold it

A unit kept off the workers that had crashed under it as long as enough others were known, also if these drain or are too small. Its job stayed running with nothing at work. It is the same fault as with workers on which a unit has failed, and the same check decides now (QueuedJobBuilder.can_hold).

test_a_unit_returns_to_a_worker_that_crashed_if_the_others_cannot_hold_it failed before, in both cases.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -337,7 +337,7 @@
         step = planner.step_of(ref)
         needed = step.count if step.gang else 1
         others = workers - {crash.worker for crash in unit.crashes}
-        candidates = others if len(others) >= needed else workers
+        candidates = others if planner.job_builder.can_hold(planner, ref, others) else workers
         if not self.needs_test(planner, ref, unit):
             return candidates
         candidates -= self.testing_workers(planner)
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -244,7 +244,7 @@
             workers &= frozenset(planner.tickets_by_step[ref.step_key] if has_valid_tickets else ())
         if unit is not None and unit.failed_on:
             without_failures = workers - set(unit.failed_on)
-            if self._can_hold(planner, ref, without_failures):
+            if self.can_hold(planner, ref, without_failures):
                 workers = without_failures
         workers = planner.crashes.select_workers(planner, ref, unit, workers)
         if step.max_per_worker and not step.gang:
@@ -270,7 +270,7 @@
             max_members=_max_gang_members(step, planner.units_by_id[ref.job_id].assignment_bytes),
         )
 
-    def _can_hold(self, planner: Planner, ref: UnitRef, workers: Iterable[TargetId]) -> bool:
+    def can_hold(self, planner: Planner, ref: UnitRef, workers: Iterable[TargetId]) -> bool:
         """Return whether a unit would fit on those of the workers that are there, were they empty.
 
         A gang that is placed in one rack has to fit in one of theirs.
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -581,3 +581,20 @@
         fleet.advance(OUTAGE_WINDOW_MS + 1000)
         report.ends = []
     assert fleet.state(job) is BatchState.FAILED
+
+
+@pytest.mark.parametrize("state", [WorkerState.READY, WorkerState.DRAINING])
+def test_a_unit_returns_to_a_worker_that_crashed_if_the_others_cannot_hold_it(
+    state: WorkerState,
+) -> None:
+    """Guards against a job that waits for good as an executor has crashed under it once."""
+    fleet = SimulatedFleet(FLEET[:2])
+    job = fleet.submit("a", WHOLE_WORKER)
+    worker = fleet.worker_of(f"{job.job_id}.0.0.0")
+    (other,) = set(FLEET[:2]) - {worker}
+    incarnation = fleet.planner.workers.by_id[other].report.incarnation
+    report = make_report(incarnation, state=state, labels=("a", "r1"), accelerators=4)
+    fleet.planner.apply_report(other, report)
+    fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+    fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    assert fleet.worker_of(f"{job.job_id}.0.0.0") == worker
