Count a crash under a run that nothing shows to have outlived its start

A run to whose start calls nothing came back got no record if another run of the executor was witnessed, and neither did a run beside a job in test. A harmful task that crashes its executor before anything comes back was so started without end beside a long run. These runs now keep the crash as an explained one: no evidence for an attribution, but one of the five.

--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -58,6 +58,17 @@
     return [run for run in runs if run.age_ms <= MAX_RUN_AGE_MS]
 
 
+def select_uncertain(runs: list[CrashedRun], suspects: Collection[CrashedRun]) -> list[CrashedRun]:
+    """Return the runs beside the suspects that may have crashed the executor by starting too."""
+    return [
+        run
+        for run in runs
+        if run not in suspects
+        and run.age_ms <= MAX_RUN_AGE_MS
+        and run.survived_ms < START_SURVIVAL_MS
+    ]
+
+
 def is_proven(planner: Planner, crash: Crash) -> bool:
     """Return whether another incarnation has answered at the address of the one that crashed."""
     state = planner.workers.by_id.get(crash.worker)
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -24,6 +24,7 @@
     is_proven,
     max_crashes_of_a_task,
     select_suspects,
+    select_uncertain,
     task_name,
     waits_for_proof,
     workers_with_starts,
@@ -112,7 +113,8 @@
                 suspects={run.ref.job_id for run in suspects},
                 is_outage=is_outage,
             )
-            for run in suspects:
+            uncertain = select_uncertain(runs, suspects)
+            for run in [*suspects, *uncertain]:
                 crash = Crash(
                     incarnation=incarnation,
                     worker=worker,
@@ -122,6 +124,8 @@
                     started=(run.member,) if run.has_started else (),
                     is_outage=is_outage,
                     survived_ms=run.survived_ms,
+                    # No evidence for an attribution, but it counts towards the limit.
+                    is_explained=run in uncertain,
                 )
                 self._add_crash(planner, run.ref, crash)
             EXECUTOR_CRASHES.labels("outage" if is_outage else "crash").inc()
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -155,7 +155,8 @@
     :param started: those of them that had certainly started there, if the unit is the cause
     :param is_outage: the agent did not see the crash, so the machine may have failed
     :param survived_ms: minimum time in milliseconds for which the run had lived at the crash
-    :param is_explained: another job that was there was given up for it
+    :param is_explained: another run that was there explains it, or the job of one was given up
+        for it
     """
 
     incarnation: Incarnation
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -581,3 +581,46 @@
         fleet.advance(OUTAGE_WINDOW_MS + 1000)
         report.ends = []
     assert fleet.state(job) is BatchState.FAILED
+
+
+def crash_runs(fleet: SimulatedFleet, worker: TargetId, ends: dict[str, dict[str, Any]]) -> None:
+    """Crash an executor, which is back at once as a new incarnation.
+
+    :param ends: what is known of its runs, by job
+    """
+    reported = []
+    for task, member in fleet.planner.members_by_worker[worker].items():
+        known = ends[member.ref.job_id]
+        run = fleet.planner.run_number(member)
+        reported.append(TaskEnd(task, run, EndKind.CRASHED, **known))
+        fleet.crashes[task] = fleet.crashes.get(task, 0) + 1
+    fleet.lives[worker] += 1
+    report = make_report(f"i-{worker}:{fleet.lives[worker]}", ends=reported, labels=("a", "r1"))
+    fleet.planner.apply_report(worker, report)
+    fleet.planner.plan()
+
+
+@pytest.mark.parametrize("neighbour_age_ms", [10_000, 90_000])
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_a_start_without_a_witness_beside_a_witnessed_run_counts_towards_the_limit(
+    neighbour_age_ms: int, takes_over: bool
+) -> None:
+    """Guards against endless starts of a harmful task that crashes before anything comes back."""
+    fleet = SimulatedFleet(FLEET[:1])
+    (worker,) = fleet.workers
+    neighbour = fleet.submit("b", Step(count=1, accelerators=1, long_running=True))
+    harmful = fleet.submit("a")
+    ends: dict[str, dict[str, Any]] = {
+        neighbour.job_id: {"age_ms": neighbour_age_ms, "survived_ms": neighbour_age_ms - 1000},
+        harmful.job_id: {"age_ms": JUST_STARTED_MS, "is_witnessed": False, "has_started": False},
+    }
+    for _ in range(MAX_CRASHES + 2):
+        if fleet.has_run(harmful):
+            crash_runs(fleet, worker, ends)
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+        if takes_over:
+            fleet.take_over(harmful, neighbour)
+        fleet.clear_runs(except_of=harmful)
+    assert fleet.crashes[f"{harmful.job_id}.0.0.0"] == MAX_CRASHES
+    assert fleet.state(harmful) is BatchState.FAILED
+    assert fleet.state(neighbour) is BatchState.RUNNING
