Let a run refute each crash that it has lived well past

A run cleared its task only if it lived longer than the longest run that had crashed, so one long run kept all later ones from refuting anything, and five crashes of machines under one job that was alone gave it up, often after tens of seconds each. A run now clears the crashes with an age that it has outlived by the margin.

test_a_long_job_is_not_given_up_for_crashes_after_different_times failed before, in both cases.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -139,11 +139,18 @@
             )
 
     def _clear_outlived(self, planner: Planner, runs: list[CrashedRun]) -> None:
-        """Clear the units whose runs had outlasted their probation when their executor crashed."""
+        """Clear the tasks whose runs had lived well past earlier crashes of those crashes."""
         for run in runs:
             unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
-            if unit.crashes and run.survived_ms >= self.probation_ms(run.ref, unit):
-                self.clear(planner, run.ref, unit, "had outlasted its probation", member=run.member)
+            if unit.crashes:
+                self.clear(
+                    planner,
+                    run.ref,
+                    unit,
+                    "a run had lived well past it",
+                    member=run.member,
+                    lived_ms=run.survived_ms,
+                )
 
     def refute(self, planner: Planner, incarnation: Incarnation) -> None:
         """Remove the crash of an incarnation that has answered since."""
@@ -167,12 +174,17 @@
         reason: str,
         *,
         member: int | None = None,
+        lived_ms: int | None = None,
     ) -> None:
-        """Clear a unit, or one of its tasks, of all crashes that it has seen.
+        """Clear a unit, or one of its tasks, of crashes that it has seen.
 
         :param member: index of the task; None for all tasks of the unit
+        :param lived_ms: time in milliseconds for which a run has lived, which refutes only the
+            crashes that came earlier after their start; None for all crashes
         """
         for crash in unit.crashes:
+            if lived_ms is not None and lived_ms < crash.age_ms + CLEARANCE_MARGIN_MS:
+                continue
             if member is None or crash.members == (member,):
                 self._remove_crash(planner, ref, unit, crash)
             elif member in crash.members:
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -624,3 +624,15 @@
     assert fleet.crashes[f"{harmful.job_id}.0.0.0"] == MAX_CRASHES
     assert fleet.state(harmful) is BatchState.FAILED
     assert fleet.state(neighbour) is BatchState.RUNNING
+
+
+@pytest.mark.parametrize("ages_s", [(30, 20, 25, 15, 10), (50, 20, 40, 5, 30, 20, 45, 10)])
+def test_a_long_job_is_not_given_up_for_crashes_after_different_times(
+    fleet: SimulatedFleet, ages_s: Sequence[int]
+) -> None:
+    """Guards against a long first run that keeps the later ones from refuting the next crashes."""
+    job = fleet.submit("a", WHOLE_WORKER)
+    moments = [LastMoments(age_ms=s * 1000, survived_ms=s * 1000 - 1000) for s in ages_s]
+    for moment in moments:
+        crash_alone(fleet, job, [moment])
+        assert fleet.state(job) is BatchState.RUNNING
