Restore no test for a run whose crashes are explained

Explained crashes ask for no test, but a new leader took any run with a crash for one: its worker got no other start, and a crash there was blamed on its job alone although others ran beside it.

test_a_run_with_only_explained_crashes_is_no_test_after_a_takeover[True] failed before.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -79,7 +79,7 @@
                     suspects=[] if crash.is_explained else [job_id],
                     is_outage=crash.is_outage,
                 )
-            if unit.crashes and unit.places:
+            if unit.places and not all(crash.is_explained for crash in unit.crashes):
                 self.tests_by_unit[parse_unit_key(job_id, key).name] = unit.run
 
     def add_run(self, incarnation: Incarnation, ref: UnitRef, member: int, end: TaskEnd) -> None:
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -636,3 +636,25 @@
     for moment in moments:
         crash_alone(fleet, job, [moment])
         assert fleet.state(job) is BatchState.RUNNING
+
+
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_a_run_with_only_explained_crashes_is_no_test_after_a_takeover(
+    fleet: SimulatedFleet, takes_over: bool
+) -> None:
+    """Guards against a worker that is closed, and a job that is blamed alone, without a test."""
+    job, culprit = fleet.submit("a"), fleet.submit("b")
+    task = f"{job.job_id}.0.0.0"
+    assert fleet.worker_of(task) == fleet.worker_of(f"{culprit.job_id}.0.0.0")
+    fleet.crash(fleet.worker_of(task), ages_ms={"": JUST_STARTED_MS})
+    crash_alone(fleet, culprit, [AT_START] * MAX_ATTRIBUTED_CRASHES)
+    assert fleet.state(culprit) is BatchState.FAILED
+    run = progress_of(fleet.planner, job).units["0.0.0"].run
+    end_task(fleet.planner, task, EndKind.STOPPED, run=run)
+    fleet.advance(0)
+    assert fleet.has_run(job)
+    if takes_over:
+        fleet.take_over(job, culprit)
+    crashes = progress_of(fleet.planner, job).units["0.0.0"].crashes
+    assert [crash.is_explained for crash in crashes] == [True]
+    assert fleet.planner.crashes.testing_workers(fleet.planner) == set()
