Don't blame a job in test for a crash beside a start without an answer

A start call without an answer may take effect long after it was sent. Such a run counted as one that had started long ago, so a crash was put down to the job in test beside it alone, and three of these gave that job up (LOST).

test_a_late_start_beside_a_test_is_not_blamed_on_the_test failed before.

--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -50,9 +50,17 @@
 
 
 def select_suspects(runs: list[CrashedRun]) -> list[CrashedRun]:
-    """Return the job in test if nothing else had just started, otherwise all recent runs."""
+    """Return the job in test if nothing else may have just started, otherwise all recent runs.
+
+    A start without an answer may take effect long after its call.
+    """
     tested = {run.ref.job_id for run in runs if run.is_test}
-    recent = {run.ref.job_id for run in runs if run.age_ms < START_WINDOW_MS}
+    recent = {
+        run.ref.job_id
+        for run in runs
+        if run.age_ms < START_WINDOW_MS
+        or (not run.has_started and run.survived_ms < START_SURVIVAL_MS)
+    }
     if len(tested) == 1 and recent <= tested:
         return [run for run in runs if run.ref.job_id in tested]
     return [run for run in runs if run.age_ms <= MAX_RUN_AGE_MS]
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -658,3 +658,19 @@
     crashes = progress_of(fleet.planner, job).units["0.0.0"].crashes
     assert [crash.is_explained for crash in crashes] == [True]
     assert fleet.planner.crashes.testing_workers(fleet.planner) == set()
+
+
+def test_a_late_start_beside_a_test_is_not_blamed_on_the_test() -> None:
+    """Guards against a job in test that is given up for starts that executors carry out late."""
+    fleet = SimulatedFleet(FLEET[:1])
+    (worker,) = fleet.workers
+    tested = fleet.submit("b", Step(count=1, accelerators=1))
+    other = fleet.submit("a")
+    ends: dict[str, dict[str, Any]] = {
+        tested.job_id: {"age_ms": JUST_STARTED_MS},
+        other.job_id: {"age_ms": LATE_ORDER.age_ms, "has_started": False},
+    }
+    for _ in range(MAX_ATTRIBUTED_CRASHES + 1):
+        crash_runs(fleet, worker, ends)
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    assert fleet.state(tested) is BatchState.RUNNING
