Hold no job for as long as the clock of an earlier leader was ahead

Crashes have the wall-clock time of the leader that recorded them. If the next leader's clock is behind, or a clock is set back, a job with a verdict pending was held, neither started nor given up, until that time had come again.

test_a_job_does_not_wait_for_the_clock_of_the_leader_before failed before, in both cases (held for ten minutes).

--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -100,7 +100,8 @@
 def waits_for_proof(planner: Planner, crashes: Collection[Crash]) -> bool:
     """Return whether the newest of these crashes may still be proven soon."""
     newest_ms = max(crash.at_ms for crash in crashes)
-    return planner.now_ms - newest_ms < PROOF_TIMEOUT_MS
+    # The clock of an earlier leader may have been ahead.
+    return abs(planner.now_ms - newest_ms) < PROOF_TIMEOUT_MS
 
 
 def crashes_by_member(unit: Unit) -> dict[int, list[Crash]]:
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -378,7 +378,8 @@
             name, crashes = guilty
             newest_ms = max(crash.at_ms for crash in crashes)
             # Crashes of other workers may still be reported, which would make it an outage.
-            if planner.now_ms - newest_ms >= OUTAGE_WINDOW_MS or len(crashes) >= MAX_CRASHES:
+            age_ms = abs(planner.now_ms - newest_ms)  # clocks of leaders differ
+            if age_ms >= OUTAGE_WINDOW_MS or len(crashes) >= MAX_CRASHES:
                 workers = ",".join(crash.worker for crash in crashes)
                 logger.warning(
                     "event=job_given_up job=%s task=%s crashes=%s",
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -10,6 +10,7 @@
 from tests.batch.fakes import RED, make_job, make_report
 from tests.batch.test_planner import end_task, make_planner, progress_of, submit, tasks_by_worker
 
+from chicorycrank.batch.crash_records import PROOF_TIMEOUT_MS
 from chicorycrank.batch.crash_tracker import CLEARANCE_MARGIN_MS
 from chicorycrank.batch.crash_verdict import MAX_ATTRIBUTED_CRASHES, MAX_CRASHES
 from chicorycrank.batch.keys import decode_progress, encode_progress
@@ -674,3 +675,23 @@
         crash_runs(fleet, worker, ends)
         fleet.advance(OUTAGE_WINDOW_MS + 1000)
     assert fleet.state(tested) is BatchState.RUNNING
+
+
+@pytest.mark.parametrize("is_proven", [True, False])
+def test_a_job_does_not_wait_for_the_clock_of_the_leader_before(
+    fleet: SimulatedFleet, is_proven: bool
+) -> None:
+    """Guards against a job that is held for as long as the clock of an earlier leader was ahead."""
+    job = fleet.submit("a", WHOLE_WORKER)
+    crash_alone(fleet, job, [AT_START] * (MAX_ATTRIBUTED_CRASHES - 1))
+    worker = fleet.worker_of(f"{job.job_id}.0.0.0")
+    fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+    if not is_proven:
+        crashed = progress_of(fleet.planner, job).units["0.0.0"].crashes[-1].incarnation
+        fleet.planner.workers.by_id[worker].report.incarnation = crashed
+        fleet.planner.workers.by_id[worker].report.is_unreachable = True
+    fleet.now_ms -= 600_000
+    fleet.take_over(job)
+    fleet.advance(PROOF_TIMEOUT_MS)
+    assert (fleet.state(job) is BatchState.FAILED) is is_proven
+    assert fleet.has_run(job) is not is_proven
