Poll an executor often only in the first seconds of a run on probation

A probation lasts up to 62 s, as a crash up to a minute after the start counts. After an outage each executor with such a run was polled four times a second for that long. Whether a run has outlived its start is known after a second; later the usual polls tell enough.

The case 62000 of test_a_run_on_probation_is_polled_often_until_it_is_cleared_or_has_outlived_its_start (which was ..._until_it_is_cleared; its cases demand what they did) failed before.

--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -25,8 +25,10 @@
 # The executor lists no end for a run that was stopped before it started, so that does not complete
 # a long poll. Polls are short while runs may end in this way.
 ENDING_RUNS_POLL_S = 0.1
-# Polls show for how long a run on probation has lived if the executor crashes.
+# Polls show for how long a run on probation has lived if the executor crashes. Soon after its
+# start call this tells whether it has outlived its start; later the usual polls are enough.
 PROBATION_POLL_S = 0.25
+PROBATION_POLLS_FOR_S = 3.0
 RETRY_DELAY_S = 0.15
 # Delay between polls while the executor lists ends that are not stored yet.
 UNACKNOWLEDGED_WAIT_S = 0.5
@@ -115,7 +117,10 @@
         if any(run.starts_rejected_since is not None for run in runs):
             return ENDING_RUNS_POLL_S
         is_on_probation = any(
-            run.assignment.probation_ms > 0 and not run.is_cleared(now_s) for run in runs
+            run.assignment.probation_ms > 0
+            and not run.is_cleared(now_s)
+            and run.age_s(now_s) < PROBATION_POLLS_FOR_S
+            for run in runs
         )
         return PROBATION_POLL_S if is_on_probation else LONG_POLL_S
 
--- a/tests/batch/test_unproven_crashes.py
+++ b/tests/batch/test_unproven_crashes.py
@@ -215,12 +215,20 @@
 
 
 @pytest.mark.parametrize(
-    ("probation_ms", "expected_s"), [(0, {LONG_POLL_S}), (300, {LONG_POLL_S, PROBATION_POLL_S})]
+    ("probation_ms", "expected_s", "is_cleared"),
+    [
+        (0, {LONG_POLL_S}, False),
+        (300, {LONG_POLL_S, PROBATION_POLL_S}, True),
+        (62_000, {LONG_POLL_S, PROBATION_POLL_S}, False),
+    ],
 )
-def test_a_run_on_probation_is_polled_often_until_it_is_cleared(
-    probation_ms: int, expected_s: set[float]
+def test_a_run_on_probation_is_polled_often_until_it_is_cleared_or_has_outlived_its_start(
+    probation_ms: int, expected_s: set[float], is_cleared: bool
 ) -> None:
-    """Guards against a run that counts as crashed at its start, as no status lists it in time."""
+    """Guards against a run that counts as crashed at its start, as no status lists it in time.
+
+    Also guards against a minute of frequent polls of each executor after an outage.
+    """
     store, executor = MemoryStore(), FakeExecutor()
     waits_s: list[float] = []
     extend_lease = executor.extend_lease
@@ -241,8 +249,10 @@
         waits_s.clear()
         store.apply(Write(values={order_key(WORKER): encode(order)}))
         wait_until(lambda: task in executor.runs)
-        if probation_ms:
+        if is_cleared:
             wait_until(lambda: agent.table.cleared == {task: 1})
+        if probation_ms:
+            wait_until(lambda: PROBATION_POLL_S in waits_s)
         wait_until(lambda: waits_s[-1] == LONG_POLL_S)
         assert set(waits_s) == expected_s
     finally:
