--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -50,14 +50,33 @@
 
 
 def select_suspects(runs: list[CrashedRun]) -> list[CrashedRun]:
-    """Return the job in test if nothing else had just started, otherwise all recent runs."""
+    """Return the job in test if nothing else may have just started, otherwise all recent runs.
+
+    A start without an answer may take effect long after its call.
+    """
     tested = {run.ref.job_id for run in runs if run.is_test}
-    recent = {run.ref.job_id for run in runs if run.age_ms < START_WINDOW_MS}
+    recent = {
+        run.ref.job_id
+        for run in runs
+        if run.age_ms < START_WINDOW_MS
+        or (not run.has_started and run.survived_ms < START_SURVIVAL_MS)
+    }
     if len(tested) == 1 and recent <= tested:
         return [run for run in runs if run.ref.job_id in tested]
     return [run for run in runs if run.age_ms <= MAX_RUN_AGE_MS]
 
 
+def select_uncertain(runs: list[CrashedRun], suspects: Collection[CrashedRun]) -> list[CrashedRun]:
+    """Return the runs beside the suspects that may have crashed the executor by starting too."""
+    return [
+        run
+        for run in runs
+        if run not in suspects
+        and run.age_ms <= MAX_RUN_AGE_MS
+        and run.survived_ms < START_SURVIVAL_MS
+    ]
+
+
 def is_proven(planner: Planner, crash: Crash) -> bool:
     """Return whether another incarnation has answered at the address of the one that crashed."""
     state = planner.workers.by_id.get(crash.worker)
@@ -81,7 +100,8 @@
 def waits_for_proof(planner: Planner, crashes: Collection[Crash]) -> bool:
     """Return whether the newest of these crashes may still be proven soon."""
     newest_ms = max(crash.at_ms for crash in crashes)
-    return planner.now_ms - newest_ms < PROOF_TIMEOUT_MS
+    # The clock of an earlier leader may have been ahead.
+    return abs(planner.now_ms - newest_ms) < PROOF_TIMEOUT_MS
 
 
 def crashes_by_member(unit: Unit) -> dict[int, list[Crash]]:
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -24,6 +24,7 @@
     is_proven,
     max_crashes_of_a_task,
     select_suspects,
+    select_uncertain,
     task_name,
     waits_for_proof,
     workers_with_starts,
@@ -78,7 +79,7 @@
                     suspects=[] if crash.is_explained else [job_id],
                     is_outage=crash.is_outage,
                 )
-            if unit.crashes and unit.places:
+            if unit.places and not all(crash.is_explained for crash in unit.crashes):
                 self.tests_by_unit[parse_unit_key(job_id, key).name] = unit.run
 
     def add_run(self, incarnation: Incarnation, ref: UnitRef, member: int, end: TaskEnd) -> None:
@@ -112,7 +113,8 @@
                 suspects={run.ref.job_id for run in suspects},
                 is_outage=is_outage,
             )
-            for run in suspects:
+            uncertain = select_uncertain(runs, suspects)
+            for run in [*suspects, *uncertain]:
                 crash = Crash(
                     incarnation=incarnation,
                     worker=worker,
@@ -122,6 +124,8 @@
                     started=(run.member,) if run.has_started else (),
                     is_outage=is_outage,
                     survived_ms=run.survived_ms,
+                    # No evidence for an attribution, but it counts towards the limit.
+                    is_explained=run in uncertain,
                 )
                 self._add_crash(planner, run.ref, crash)
             EXECUTOR_CRASHES.labels("outage" if is_outage else "crash").inc()
@@ -135,11 +139,18 @@
             )
 
     def _clear_outlived(self, planner: Planner, runs: list[CrashedRun]) -> None:
-        """Clear the units whose runs had outlasted their probation when their executor crashed."""
+        """Clear the tasks whose runs had lived well past earlier crashes of those crashes."""
         for run in runs:
             unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
-            if unit.crashes and run.survived_ms >= self.probation_ms(run.ref, unit):
-                self.clear(planner, run.ref, unit, "had outlasted its probation", member=run.member)
+            if unit.crashes:
+                self.clear(
+                    planner,
+                    run.ref,
+                    unit,
+                    "a run had lived well past it",
+                    member=run.member,
+                    lived_ms=run.survived_ms,
+                )
 
     def refute(self, planner: Planner, incarnation: Incarnation) -> None:
         """Remove the crash of an incarnation that has answered since."""
@@ -163,12 +174,17 @@
         reason: str,
         *,
         member: int | None = None,
+        lived_ms: int | None = None,
     ) -> None:
-        """Clear a unit, or one of its tasks, of all crashes that it has seen.
+        """Clear a unit, or one of its tasks, of crashes that it has seen.
 
         :param member: index of the task; None for all tasks of the unit
+        :param lived_ms: time in milliseconds for which a run has lived, which refutes only the
+            crashes that came earlier after their start; None for all crashes
         """
         for crash in unit.crashes:
+            if lived_ms is not None and lived_ms < crash.age_ms + CLEARANCE_MARGIN_MS:
+                continue
             if member is None or crash.members == (member,):
                 self._remove_crash(planner, ref, unit, crash)
             elif member in crash.members:
@@ -362,7 +378,8 @@
             name, crashes = guilty
             newest_ms = max(crash.at_ms for crash in crashes)
             # Crashes of other workers may still be reported, which would make it an outage.
-            if planner.now_ms - newest_ms >= OUTAGE_WINDOW_MS or len(crashes) >= MAX_CRASHES:
+            age_ms = abs(planner.now_ms - newest_ms)  # clocks of leaders differ
+            if age_ms >= OUTAGE_WINDOW_MS or len(crashes) >= MAX_CRASHES:
                 workers = ",".join(crash.worker for crash in crashes)
                 logger.warning(
                     "event=job_given_up job=%s task=%s crashes=%s",
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -10,6 +10,7 @@
 from tests.batch.fakes import RED, make_job, make_report
 from tests.batch.test_planner import end_task, make_planner, progress_of, submit, tasks_by_worker
 
+from chicorycrank.batch.crash_records import PROOF_TIMEOUT_MS
 from chicorycrank.batch.crash_tracker import CLEARANCE_MARGIN_MS
 from chicorycrank.batch.crash_verdict import MAX_ATTRIBUTED_CRASHES, MAX_CRASHES
 from chicorycrank.batch.keys import decode_progress, encode_progress
@@ -598,3 +599,116 @@
     fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
     fleet.advance(OUTAGE_WINDOW_MS + 1000)
     assert fleet.worker_of(f"{job.job_id}.0.0.0") == worker
+
+
+def crash_runs(fleet: SimulatedFleet, worker: TargetId, ends: dict[str, dict[str, Any]]) -> None:
+    """Crash an executor, which is back at once as a new incarnation.
+
+    :param ends: what is known of its runs, by job
+    """
+    reported = []
+    for task, member in fleet.planner.members_by_worker[worker].items():
+        known = ends[member.ref.job_id]
+        run = fleet.planner.run_number(member)
+        reported.append(TaskEnd(task, run, EndKind.CRASHED, **known))
+        fleet.crashes[task] = fleet.crashes.get(task, 0) + 1
+    fleet.lives[worker] += 1
+    report = make_report(f"i-{worker}:{fleet.lives[worker]}", ends=reported, labels=("a", "r1"))
+    fleet.planner.apply_report(worker, report)
+    fleet.planner.plan()
+
+
+@pytest.mark.parametrize("neighbour_age_ms", [10_000, 90_000])
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_a_start_without_a_witness_beside_a_witnessed_run_counts_towards_the_limit(
+    neighbour_age_ms: int, takes_over: bool
+) -> None:
+    """Guards against endless starts of a harmful task that crashes before anything comes back."""
+    fleet = SimulatedFleet(FLEET[:1])
+    (worker,) = fleet.workers
+    neighbour = fleet.submit("b", Step(count=1, accelerators=1, long_running=True))
+    harmful = fleet.submit("a")
+    ends: dict[str, dict[str, Any]] = {
+        neighbour.job_id: {"age_ms": neighbour_age_ms, "survived_ms": neighbour_age_ms - 1000},
+        harmful.job_id: {"age_ms": JUST_STARTED_MS, "is_witnessed": False, "has_started": False},
+    }
+    for _ in range(MAX_CRASHES + 2):
+        if fleet.has_run(harmful):
+            crash_runs(fleet, worker, ends)
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+        if takes_over:
+            fleet.take_over(harmful, neighbour)
+        fleet.clear_runs(except_of=harmful)
+    assert fleet.crashes[f"{harmful.job_id}.0.0.0"] == MAX_CRASHES
+    assert fleet.state(harmful) is BatchState.FAILED
+    assert fleet.state(neighbour) is BatchState.RUNNING
+
+
+@pytest.mark.parametrize("ages_s", [(30, 20, 25, 15, 10), (50, 20, 40, 5, 30, 20, 45, 10)])
+def test_a_long_job_is_not_given_up_for_crashes_after_different_times(
+    fleet: SimulatedFleet, ages_s: Sequence[int]
+) -> None:
+    """Guards against a long first run that keeps the later ones from refuting the next crashes."""
+    job = fleet.submit("a", WHOLE_WORKER)
+    moments = [LastMoments(age_ms=s * 1000, survived_ms=s * 1000 - 1000) for s in ages_s]
+    for moment in moments:
+        crash_alone(fleet, job, [moment])
+        assert fleet.state(job) is BatchState.RUNNING
+
+
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_a_run_with_only_explained_crashes_is_no_test_after_a_takeover(
+    fleet: SimulatedFleet, takes_over: bool
+) -> None:
+    """Guards against a worker that is closed, and a job that is blamed alone, without a test."""
+    job, culprit = fleet.submit("a"), fleet.submit("b")
+    task = f"{job.job_id}.0.0.0"
+    assert fleet.worker_of(task) == fleet.worker_of(f"{culprit.job_id}.0.0.0")
+    fleet.crash(fleet.worker_of(task), ages_ms={"": JUST_STARTED_MS})
+    crash_alone(fleet, culprit, [AT_START] * MAX_ATTRIBUTED_CRASHES)
+    assert fleet.state(culprit) is BatchState.FAILED
+    run = progress_of(fleet.planner, job).units["0.0.0"].run
+    end_task(fleet.planner, task, EndKind.STOPPED, run=run)
+    fleet.advance(0)
+    assert fleet.has_run(job)
+    if takes_over:
+        fleet.take_over(job, culprit)
+    crashes = progress_of(fleet.planner, job).units["0.0.0"].crashes
+    assert [crash.is_explained for crash in crashes] == [True]
+    assert fleet.planner.crashes.testing_workers(fleet.planner) == set()
+
+
+def test_a_late_start_beside_a_test_is_not_blamed_on_the_test() -> None:
+    """Guards against a job in test that is given up for starts that executors carry out late."""
+    fleet = SimulatedFleet(FLEET[:1])
+    (worker,) = fleet.workers
+    tested = fleet.submit("b", Step(count=1, accelerators=1))
+    other = fleet.submit("a")
+    ends: dict[str, dict[str, Any]] = {
+        tested.job_id: {"age_ms": JUST_STARTED_MS},
+        other.job_id: {"age_ms": LATE_ORDER.age_ms, "has_started": False},
+    }
+    for _ in range(MAX_ATTRIBUTED_CRASHES + 1):
+        crash_runs(fleet, worker, ends)
+        fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    assert fleet.state(tested) is BatchState.RUNNING
+
+
+@pytest.mark.parametrize("is_proven", [True, False])
+def test_a_job_does_not_wait_for_the_clock_of_the_leader_before(
+    fleet: SimulatedFleet, is_proven: bool
+) -> None:
+    """Guards against a job that is held for as long as the clock of an earlier leader was ahead."""
+    job = fleet.submit("a", WHOLE_WORKER)
+    crash_alone(fleet, job, [AT_START] * (MAX_ATTRIBUTED_CRASHES - 1))
+    worker = fleet.worker_of(f"{job.job_id}.0.0.0")
+    fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+    if not is_proven:
+        crashed = progress_of(fleet.planner, job).units["0.0.0"].crashes[-1].incarnation
+        fleet.planner.workers.by_id[worker].report.incarnation = crashed
+        fleet.planner.workers.by_id[worker].report.is_unreachable = True
+    fleet.now_ms -= 600_000
+    fleet.take_over(job)
+    fleet.advance(PROOF_TIMEOUT_MS)
+    assert (fleet.state(job) is BatchState.FAILED) is is_proven
+    assert fleet.has_run(job) is not is_proven
