Count no crash under a run that only the next incarnation has started

Cause: calls name an executor by its id only. It crashed behind a cut, before any start call had come through. The next incarnation under the same id carried out the repeated call and answered "started". The agent took that for a start on the registered incarnation, and reported its replacement as a crash under a run with a confirmed start.

Change: if the first status of the next incarnation lists the run's end and no status of the replaced one ever listed the run, the answer is withdrawn. The run is then lost if no earlier call may have started it, and otherwise crashed without a confirmed start.

Not covered: the next incarnation ends or loses the run's end before its first status.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -367,8 +367,8 @@
             if confirmation is None and not (is_known and self.executor_state.end is not None):
                 return False
             self._is_registered = False
-            if not is_known:
-                self._replace_incarnation(candidate)
+            if confirmation is not None and not is_known:
+                self._replace_incarnation(candidate, confirmation.status)
             self._restore(stored, confirmation)
         if not self._write_report():
             return False
@@ -383,9 +383,13 @@
             self._apply_order(self.table.order)
         return True
 
-    def _replace_incarnation(self, candidate: Heartbeat) -> None:
-        """Begin with a new incarnation, and report the ends of all runs of the last one."""
+    def _replace_incarnation(self, candidate: Heartbeat, status: ExecutorStatus) -> None:
+        """Begin with a new incarnation, and report the ends of all runs of the last one.
+
+        :param status: first status of the new incarnation
+        """
         if self.report.incarnation and self.executor_state.end is None:
+            self.table.withdraw_start_answers(status)
             self._poller.end_incarnation(ExecutorEnd.REPLACED, has_crashed=True)
         self.table.begin_incarnation()
         self.executor_state.register(candidate)
--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -115,6 +115,12 @@
             return 0.0
         return max(0.0, self.last_listed_at - self.started_at)
 
+    def withdraw_start_answer(self) -> None:
+        """Forget the answer to the start call, as a later incarnation has given it."""
+        self.started_at = None
+        if not self.unresolved_starts:
+            self.first_called_at = None
+
     def crash_end(self, now_s: float) -> TaskEnd:
         """Return the end of the run by a crash of its executor.
 
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -169,6 +169,19 @@
             if numbered.end.kind in (EndKind.DONE, EndKind.FAILED):
                 self._apply_listed_end(numbered.end)
 
+    def withdraw_start_answers(self, status: ExecutorStatus) -> None:
+        """Withdraw the answers to start calls that a later incarnation has given.
+
+        Calls name an executor by its id only, so its next incarnation may answer them. It lists the
+        ends of what it has started.
+
+        :param status: first status of the later incarnation
+        """
+        started_later = {(numbered.end.task, numbered.end.run) for numbered in status.ends}
+        for run in self.tracked_runs():
+            if run.key in started_later and run.listed_at is None:
+                run.withdraw_start_answer()
+
     def end_unwitnessed(self, stored: WorkerReport) -> None:
         """End the runs of an executor that ended while the agent was not running."""
         kind = EndKind.CRASHED if stored.state is WorkerState.READY else EndKind.LOST
--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -390,6 +390,7 @@
 
 def test_a_late_run_of_a_new_life_is_gone_before_the_report_names_that_life(world: World) -> None:
     """Guards against a task that an old order starts on a new life while it starts elsewhere."""
+    wait_until(lambda: world.agent.table.runs_by_task[TASK].listed_at is not None)
     world.restart_executor()
     world.start_late()
     stopped_at: list[int] = []
--- a/tests/batch/test_unproven_crashes.py
+++ b/tests/batch/test_unproven_crashes.py
@@ -1,6 +1,8 @@
 """Crashes of executors that an expired lease suggests and no later incarnation has shown."""
 
+import threading
 import time
+from dataclasses import dataclass, replace
 from typing import Any
 
 import pytest
@@ -29,17 +31,19 @@
     TaskEnd,
     WorkOrder,
 )
-from chicorycrank.model.ids import TargetId, TaskId
+from chicorycrank.model.ids import Incarnation, TargetId, TaskId
 from chicorycrank.policy.crashes import OUTAGE_WINDOW_MS
 from chicorycrank.ports.executor import (
     ExecutorStatus,
     ExecutorUnreachableError,
+    OtherIncarnationError,
     StartAnswer,
     StartOrder,
 )
 from chicorycrank.ports.transactions import Write
 
 WORKER = TargetId("w1")
+TASK_ID = TaskId("a.0.0.0")
 MAX_LEASE_S = 1.25
 
 CORES = 128_000
@@ -157,6 +161,93 @@
         agent.stop()
 
 
+@dataclass(frozen=True, kw_only=True)
+class LateStart:
+    """Start of which the executor has restarted under the same id before its answer.
+
+    :param earlier: what the calls before the answered one ended with
+    :param is_listed_before: the earlier life has listed the run
+    :param reaches_next_life: the next life has carried out the start
+    :param expected: kind of the end, and whether the crash was seen and the start was confirmed;
+        the last two mean nothing for an end that is no crash
+    """
+
+    name: str
+    earlier: tuple[Exception, ...] = ()
+    is_listed_before: bool = False
+    reaches_next_life: bool = True
+    expected: tuple[EndKind, bool, bool]
+
+
+SILENCE = ExecutorUnreachableError("cut", timed_out=True)
+BROKEN_OFF = ExecutorUnreachableError("reset")
+OTHER = OtherIncarnationError("another one answered")
+LATE_STARTS = [
+    LateStart(name="first-call", expected=(EndKind.LOST, True, True)),
+    LateStart(name="after-a-rejection", earlier=(OTHER,), expected=(EndKind.LOST, True, True)),
+    LateStart(name="after-silence", earlier=(SILENCE,), expected=(EndKind.CRASHED, False, False)),
+    LateStart(name="broken-off", earlier=(BROKEN_OFF,), expected=(EndKind.CRASHED, True, False)),
+    LateStart(name="listed", is_listed_before=True, expected=(EndKind.CRASHED, True, True)),
+    LateStart(name="earlier-life", reaches_next_life=False, expected=(EndKind.CRASHED, True, True)),
+]
+
+
+@pytest.mark.parametrize("late", LATE_STARTS, ids=lambda late: late.name)
+def test_a_start_that_the_next_life_has_answered_is_none_on_the_life_before(
+    late: LateStart,
+) -> None:
+    """Guards against a crash that counts under a run which began only on the next incarnation."""
+    store, executor = MemoryStore(), FakeExecutor()
+    agent = BatchAgent(WORKER, store, executor, SystemClock(), max_lease_s=MAX_LEASE_S)
+    agent.start()
+    agent.apply_heartbeat(make_report(), number=1, started_at_ms=1, clock_ms=1000)
+    try:
+        wait_until(lambda: executor.fence > 0)
+        errors = list(late.earlier)
+        extend_lease = executor.extend_lease
+        # Polls wait until the start is answered, so that no status lists the run before.
+        is_answered = threading.Event()
+
+        def answer_status(**arguments: Any) -> ExecutorStatus:
+            is_answered.wait()
+            return extend_lease(**arguments)
+
+        def start(order: StartOrder) -> StartAnswer:
+            if errors:
+                raise errors.pop(0)
+            if not late.is_listed_before:
+                executor.incarnation = Incarnation("i-1:2")
+            if late.reaches_next_life:
+                # The id is all that a call names.
+                return executor.execute(replace(order, incarnation=executor.incarnation))
+            return StartAnswer.STARTED
+
+        if not late.is_listed_before:
+            executor.extend_lease = answer_status  # type: ignore[method-assign]
+        executor.start = start  # type: ignore[method-assign]
+        order = WorkOrder(
+            incarnation=executor.incarnation, assignments=(Assignment(task=TASK_ID, run=1),)
+        )
+        store.apply(Write(values={order_key(WORKER): encode(order)}))
+
+        def is_confirmed() -> bool:
+            run = agent.table.runs_by_task.get(TASK_ID)
+            confirmed_at = run and (run.listed_at if late.is_listed_before else run.started_at)
+            return confirmed_at is not None
+
+        wait_until(is_confirmed)
+        executor.incarnation = Incarnation("i-1:2")
+        executor.fence = 0
+        is_answered.set()
+        agent.apply_heartbeat(make_report("i-1:2"), number=1, started_at_ms=2, clock_ms=1000)
+        wait_until(lambda: bool(agent.table.ends))
+        (end,) = agent.table.ends
+        assert (end.kind, end.is_witnessed, end.has_started) == late.expected
+        assert not executor.runs
+    finally:
+        agent.stop()
+
+
 def test_starts_into_silence_give_no_job_up(fleet: SimulatedFleet) -> None:
     job = fleet.submit("a", WHOLE_WORKER)
     worker = fleet.worker_of(f"{job.job_id}.0.0.0")
