Take no crash that the agent has slept through for one that it has seen

Cause: the agent was frozen for 14 s. Meanwhile the run ended as done and its executor crashed later. The thawed agent found the next incarnation and reported a crash under the run that it had seen, although it did not run then.

Change: the agent compares the time from the executor's last answer to the first failed call with the time for which it ran itself. If more than 2.5 s are missing, the crash has no witness. No start is sent after such a pause without another answer, so this concerns no run that began after it.

--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -139,6 +139,19 @@
         since_s = self._refused_since_running_s
         return since_s is not None and self._running_s() - since_s >= REFUSED_TIMEOUT_S
 
+    @property
+    def has_slept(self) -> bool:
+        """Whether this process paused for long between the last response and the first failed call.
+
+        It can't tell then whether the executor ended before the runs that it had. No run starts
+        after such a pause without another response.
+        """
+        failed_at, failed_at_running_s = self.failed_since, self._failed_since_running_s
+        if failed_at is None or failed_at_running_s is None:
+            failed_at, failed_at_running_s = self._clock.monotonic(), self._running_s()
+        elapsed_s = failed_at - self._read_at
+        return elapsed_s - (failed_at_running_s - self._read_at_running_s) > MAX_READING_AGE_S
+
     def _lease_expires_at_running_s(self) -> float:
         """Return the running time after which every lease has expired."""
         if self._last_deadline_ms is None:
--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -121,12 +121,13 @@
         if not self.unresolved_starts:
             self.first_called_at = None
 
-    def crash_end(self, now_s: float) -> TaskEnd:
+    def crash_end(self, now_s: float, *, was_watched: bool = True) -> TaskEnd:
         """Return the end of the run by a crash of its executor.
 
         A run of unknown age may have started long before, so its start is not reported.
 
         :param now_s: monotonic time at which the executor was found to be down
+        :param was_watched: the agent was running when the executor ended
         """
         is_confirmed = self.started_at is not None or self.listed_at is not None
         return TaskEnd(
@@ -134,7 +135,7 @@
             EndKind.CRASHED,
             self.checkpoint,
             age_ms=round(self.age_s(now_s) * 1000),
-            is_witnessed=self.is_witnessed,
+            is_witnessed=was_watched and self.is_witnessed,
             has_started=is_confirmed and not self.is_age_unknown,
             survived_ms=round(self.survived_s * 1000),
         )
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -197,18 +197,19 @@
                 )
             )
 
-    def end_all(self, now_s: float, *, has_crashed: bool) -> None:
+    def end_all(self, now_s: float, *, has_crashed: bool, was_watched: bool) -> None:
         """End all runs, as nothing runs on the executor that had them.
 
         :param now_s: monotonic time at which the executor was found to be down
         :param has_crashed: the executor has ended without notice
+        :param was_watched: the agent was running at that time
         """
         for run in self.tracked_runs():
             if not (has_crashed and run.may_be_present):
                 self.end_run(run, EndKind.LOST, run.checkpoint)
                 continue
             self._discard_run(*run.key)
-            self._add_end(run.crash_end(now_s))
+            self._add_end(run.crash_end(now_s, was_watched=was_watched))
         for task, number in self.accepted.items():
             self._add_end(TaskEnd(task, number, EndKind.LOST))
         self.suspects.clear()
--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -1,8 +1,10 @@
 """What an agent takes as proof that a run has ended, and what it takes as a hint only."""
 
+import threading
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import Any
 
 import pytest
 from tests.batch.fakes import FakeExecutor, MemoryStore, make_job, make_report
@@ -11,6 +13,7 @@
 
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.batch.agent import BatchAgent
+from chicorycrank.batch.executor_clock import MAX_READING_AGE_S
 from chicorycrank.batch.keys import decode, encode, order_key, report_key
 from chicorycrank.model.batch import (
     Assignment,
@@ -23,6 +26,7 @@
 )
 from chicorycrank.model.ids import Incarnation, TargetId, TaskId
 from chicorycrank.ports.executor import (
+    ExecutorStatus,
     ExecutorUnreachableError,
     OtherIncarnationError,
     StartAnswer,
@@ -329,6 +333,40 @@
     assert not world.report().is_unreachable
 
 
+@pytest.mark.parametrize(
+    ("suspended_s", "is_witnessed"),
+    [(0.0, True), (MAX_READING_AGE_S - 0.5, True), (SUSPENSION_S, False)],
+)
+@pytest.mark.parametrize("is_found_before", [False, True])
+def test_a_crash_that_the_agent_has_slept_through_has_no_witness(
+    world: World, suspended_s: float, is_witnessed: bool, is_found_before: bool
+) -> None:
+    """Guards against a job that is given up for a crash after the end of its run.
+
+    A run may end as done and its executor crash later, while the agent is frozen.
+    """
+    extend_lease = world.executor.extend_lease
+    polls_may_go_on, polls_wait = threading.Event(), threading.Event()
+
+    def hold(**arguments: Any) -> ExecutorStatus:
+        if not polls_may_go_on.is_set():
+            polls_wait.set()
+            polls_may_go_on.wait()
+        return extend_lease(**arguments)
+
+    if is_found_before:
+        world.executor.fault = "refused"
+        wait_until(lambda: world.report().is_unreachable)
+    world.executor.extend_lease = hold  # type: ignore[method-assign]
+    wait_until(polls_wait.is_set)
+    world.clock.offset_s += suspended_s
+    world.restart_executor()
+    polls_may_go_on.set()
+    world.beat("i-1:2")
+    end = world.wait_ended()
+    assert (end.kind, end.is_witnessed) == (EndKind.CRASHED, is_witnessed or is_found_before)
+
+
 @pytest.mark.parametrize(
     ("first_answer", "expected"),
     [
