--- a/tests/interleavings/test_search.py
+++ b/tests/interleavings/test_search.py
@@ -51,6 +51,34 @@
             "w-0#1/ExecutorPoller.run.1 84 REBORN 6 8.274",
         ],
     ),
+    "started-by-the-next-life": (
+        3602013137,
+        [
+            "entry-1#1/replica-o.1 21 RENEWED 2 1.454",
+            "w-0#1/order.2 7 REBORN 2 1.784",
+            "w-0#1/Presence.keep.1 84 REBORN 0 7.392",
+        ],
+    ),
+    "started-by-the-next-life-after-a-lapse": (
+        3505011862,
+        [
+            "entry-0#1/replica-report.1 1 LAPSE 6 2.925",
+            "w-0#1/BatchAgent._report_forever.1 32 REBORN 2 1.867",
+            "w-1#1/RunningTime.keep.1 113 REBORN 7 2.502",
+            "w-0#1/RunningTime.keep.1 144 LAPSE 7 2.46",
+            "entry-0#1/leader.1 101 REBORN 4 1.003",
+        ],
+    ),
+    "crashed-while-the-agent-was-frozen": (
+        3505012371,
+        [
+            "entry-1#1/replica-o.1 22 REBORN 1 1.241",
+            "entry-0#1/leader.1 70 RENEWED 3 12.202",
+            "w-0#1/ExecutorPoller.run.1 21 REBORN 6 1.082",
+            "w-0#1/ExecutorPoller.run.1 41 RENEWED 6 14.073",
+            "entry-0#1/leader-lease.1 36 REBORN 6 5.536",
+        ],
+    ),
 }
 
 
