Count the agent's sleep from the last answered call, not from its answer

Cause: an answer may arrive before a pause of the agent and be read after it. The executor then seemed to have answered after the pause, and a crash during it counted as seen, though the run had ended as done.

Change: the pause is measured from the time at which the answered status was requested. A start that is sent after the pause on such an answer, and crashes the executor before the next one, counts as a crash that nobody saw.

Test: the new case "answer-on-its-way-21.0" of test_a_crash_that_the_agent_has_slept_through_has_no_witness failed before.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -273,12 +273,16 @@
         self._lock.notify_all()
 
     def _apply_status(
-        self, status: ExecutorStatus, incarnation: Incarnation, sent_at: float
+        self,
+        status: ExecutorStatus,
+        incarnation: Incarnation,
+        sent_at: float,
+        sent_at_running_s: float,
     ) -> None:
         with self._lock:
             if incarnation != self.report.incarnation:
                 return
-            self.executor_state.record_answer(status, sent_at)
+            self.executor_state.record_answer(status, sent_at, sent_at_running_s)
             self.table.apply_status(status, sent_at)
             self._lock.notify_all()
             self._run_driver.submit_calls()
@@ -412,7 +416,9 @@
                 self.report.state, self.report.remaining_ms = stored.state, stored.remaining_ms
         self._may_be_present = confirmation is None or not confirmation.status.has_all_ends
         if confirmation is not None:
-            self.executor_state.record_answer(confirmation.status, confirmation.sent_at)
+            self.executor_state.record_answer(
+                confirmation.status, confirmation.sent_at, confirmation.sent_at_running_s
+            )
             self.table.apply_status(confirmation.status, confirmation.sent_at)
             self.table.resolve_starts(confirmation.status)
 
--- a/src/chicorycrank/batch/confirmation.py
+++ b/src/chicorycrank/batch/confirmation.py
@@ -27,11 +27,13 @@
 
     :param fence: fencing token of the call, higher than that of any start call
     :param sent_at: monotonic time at which the status was requested
+    :param sent_at_running_s: running time at which the status was requested
     """
 
     status: ExecutorStatus
     fence: int
     sent_at: float
+    sent_at_running_s: float
 
 
 def check_incarnation(worker: TargetId, status: ExecutorStatus, incarnation: Incarnation) -> None:
@@ -103,7 +105,9 @@
             if incarnation != stored.incarnation and status.running:
                 self._stop_late_runs(status, fence)
                 return None
-            return Confirmation(status=status, fence=fence, sent_at=sent_at)
+            return Confirmation(
+                status=status, fence=fence, sent_at=sent_at, sent_at_running_s=sent_at_running_s
+            )
         except PermissionError:
             logger.warning("event=registration_fenced target=%s fence=%d", self._worker, fence)
             self._min_fence = fence + 1
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -47,6 +47,8 @@
         self._clock_ms = 0
         self._read_at = float("-inf")
         self._read_at_running_s = 0.0
+        self._asked_at = float("-inf")
+        self._asked_at_running_s = 0.0
         self._last_deadline_ms: int | None = None
         self._deadlines_in_flight: list[int] = []
         self._has_unanswered_calls = False
@@ -65,9 +67,14 @@
             # incarnation with another clock, may have granted any lease.
             self._last_deadline_ms = clock_ms + round(self._max_lease_s * 1000)
 
-    def record_response(self, clock_ms: int) -> None:
-        """Record the executor's clock from a response, which ends a series of failed calls."""
+    def record_response(self, clock_ms: int, asked_at: float, asked_at_running_s: float) -> None:
+        """Record the executor's clock from a response, which ends a series of failed calls.
+
+        :param asked_at: monotonic time at which the call was sent
+        :param asked_at_running_s: running time at which the call was sent
+        """
         self.record_reading(clock_ms)
+        self._asked_at, self._asked_at_running_s = asked_at, asked_at_running_s
         self._refused_since_running_s = self._failed_since_running_s = self.failed_since = None
 
     def deadline_ms(self) -> int | None:
@@ -141,16 +148,16 @@
 
     @property
     def has_slept(self) -> bool:
-        """Whether this process paused for long between the last response and the first failed call.
+        """Whether this process paused for long between the last answered call and the first failed.
 
-        It can't tell then whether the executor ended before the runs that it had. No run starts
-        after such a pause without another response.
+        It can't tell then whether the executor ended before the runs that it had. The answer may
+        have come before the pause, so the time counts from the call.
         """
         failed_at, failed_at_running_s = self.failed_since, self._failed_since_running_s
         if failed_at is None or failed_at_running_s is None:
             failed_at, failed_at_running_s = self._clock.monotonic(), self._running_s()
-        elapsed_s = failed_at - self._read_at
-        return elapsed_s - (failed_at_running_s - self._read_at_running_s) > MAX_READING_AGE_S
+        elapsed_s = failed_at - self._asked_at
+        return elapsed_s - (failed_at_running_s - self._asked_at_running_s) > MAX_READING_AGE_S
 
     def _lease_expires_at_running_s(self) -> float:
         """Return the running time after which every lease has expired."""
--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -41,8 +41,8 @@
         called
     :param get_context: returns the current parameters of calls
     :param stored_end: returns the number of the last stored end of the registered incarnation
-    :param apply_status: called with a status of the registered incarnation and the monotonic time
-        at which it was requested
+    :param apply_status: called with a status of the registered incarnation, and the monotonic and
+        the running time at which it was requested
     :param on_fenced: called with the fencing token of a call that was rejected
     """
 
@@ -59,7 +59,7 @@
         *,
         get_context: Callable[[], CallContext],
         stored_end: Callable[[], int],
-        apply_status: Callable[[ExecutorStatus, Incarnation, float], None],
+        apply_status: Callable[[ExecutorStatus, Incarnation, float, float], None],
         on_fenced: Callable[[int], None],
     ) -> None:
         self._worker = worker
@@ -100,7 +100,7 @@
                         incarnation=context.incarnation,
                     )
                 check_incarnation(self._worker, status, context.incarnation)
-                self._apply_status(status, context.incarnation, sent_at)
+                self._apply_status(status, context.incarnation, sent_at, sent_at_running_s)
             except PermissionError:
                 self._on_fenced(context.fence)
                 self._stop.wait(RETRY_DELAY_S)
--- a/src/chicorycrank/batch/executor_state.py
+++ b/src/chicorycrank/batch/executor_state.py
@@ -169,12 +169,15 @@
 
     # Proofs.
 
-    def record_answer(self, status: ExecutorStatus, sent_at: float) -> None:
+    def record_answer(
+        self, status: ExecutorStatus, sent_at: float, sent_at_running_s: float
+    ) -> None:
         """Record that the registered incarnation has answered a status call.
 
         :param sent_at: monotonic time at which the status was requested
+        :param sent_at_running_s: running time at which the status was requested
         """
-        self.clock.record_response(status.clock_ms)
+        self.clock.record_response(status.clock_ms, sent_at, sent_at_running_s)
         if self.end is not None:
             logger.warning(
                 "event=executor_answers_again target=%s incarnation=%s running=%s ends=%s",
--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -337,9 +337,9 @@
     ("suspended_s", "is_witnessed"),
     [(0.0, True), (MAX_READING_AGE_S - 0.5, True), (SUSPENSION_S, False)],
 )
-@pytest.mark.parametrize("is_found_before", [False, True])
+@pytest.mark.parametrize("before", ["quiet", "crash-found", "answer-on-its-way"])
 def test_a_crash_that_the_agent_has_slept_through_has_no_witness(
-    world: World, suspended_s: float, is_witnessed: bool, is_found_before: bool
+    world: World, suspended_s: float, is_witnessed: bool, before: str
 ) -> None:
     """Guards against a job that is given up for a crash after the end of its run.
 
@@ -349,12 +349,14 @@
     polls_may_go_on, polls_wait = threading.Event(), threading.Event()
 
     def hold(**arguments: Any) -> ExecutorStatus:
-        if not polls_may_go_on.is_set():
-            polls_wait.set()
-            polls_may_go_on.wait()
-        return extend_lease(**arguments)
-
-    if is_found_before:
+        if polls_may_go_on.is_set():
+            return extend_lease(**arguments)
+        status = extend_lease(**arguments) if before == "answer-on-its-way" else None
+        polls_wait.set()
+        polls_may_go_on.wait()
+        return status or extend_lease(**arguments)
+
+    if before == "crash-found":
         world.executor.fault = "refused"
         wait_until(lambda: world.report().is_unreachable)
     world.executor.extend_lease = hold  # type: ignore[method-assign]
@@ -364,7 +366,10 @@
     polls_may_go_on.set()
     world.beat("i-1:2")
     end = world.wait_ended()
-    assert (end.kind, end.is_witnessed) == (EndKind.CRASHED, is_witnessed or is_found_before)
+    assert (end.kind, end.is_witnessed) == (
+        EndKind.CRASHED,
+        is_witnessed or before == "crash-found",
+    )
 
 
 @pytest.mark.parametrize(
