--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -273,12 +273,16 @@
         self._lock.notify_all()
 
     def _apply_status(
-        self, status: ExecutorStatus, incarnation: Incarnation, sent_at: float
+        self,
+        status: ExecutorStatus,
+        incarnation: Incarnation,
+        sent_at: float,
+        sent_at_running_s: float,
     ) -> None:
         with self._lock:
             if incarnation != self.report.incarnation:
                 return
-            self.executor_state.record_answer(status, sent_at)
+            self.executor_state.record_answer(status, sent_at, sent_at_running_s)
             self.table.apply_status(status, sent_at)
             self._lock.notify_all()
             self._run_driver.submit_calls()
@@ -367,8 +371,8 @@
             if confirmation is None and not (is_known and self.executor_state.end is not None):
                 return False
             self._is_registered = False
-            if not is_known:
-                self._replace_incarnation(candidate)
+            if confirmation is not None and not is_known:
+                self._replace_incarnation(candidate, confirmation.status)
             self._restore(stored, confirmation)
         if not self._write_report():
             return False
@@ -383,9 +387,13 @@
             self._apply_order(self.table.order)
         return True
 
-    def _replace_incarnation(self, candidate: Heartbeat) -> None:
-        """Begin with a new incarnation, and report the ends of all runs of the last one."""
+    def _replace_incarnation(self, candidate: Heartbeat, status: ExecutorStatus) -> None:
+        """Begin with a new incarnation, and report the ends of all runs of the last one.
+
+        :param status: first status of the new incarnation
+        """
         if self.report.incarnation and self.executor_state.end is None:
+            self.table.withdraw_start_answers(status)
             self._poller.end_incarnation(ExecutorEnd.REPLACED, has_crashed=True)
         self.table.begin_incarnation()
         self.executor_state.register(candidate)
@@ -408,7 +416,9 @@
                 self.report.state, self.report.remaining_ms = stored.state, stored.remaining_ms
         self._may_be_present = confirmation is None or not confirmation.status.has_all_ends
         if confirmation is not None:
-            self.executor_state.record_answer(confirmation.status, confirmation.sent_at)
+            self.executor_state.record_answer(
+                confirmation.status, confirmation.sent_at, confirmation.sent_at_running_s
+            )
             self.table.apply_status(confirmation.status, confirmation.sent_at)
             self.table.resolve_starts(confirmation.status)
 
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -169,6 +169,19 @@
             if numbered.end.kind in (EndKind.DONE, EndKind.FAILED):
                 self._apply_listed_end(numbered.end)
 
+    def withdraw_start_answers(self, status: ExecutorStatus) -> None:
+        """Withdraw the answers to start calls that a later incarnation has given.
+
+        Calls name an executor by its id only, so its next incarnation may answer them. It lists the
+        ends of what it has started.
+
+        :param status: first status of the later incarnation
+        """
+        started_later = {(numbered.end.task, numbered.end.run) for numbered in status.ends}
+        for run in self.tracked_runs():
+            if run.key in started_later and run.listed_at is None:
+                run.withdraw_start_answer()
+
     def end_unwitnessed(self, stored: WorkerReport) -> None:
         """End the runs of an executor that ended while the agent was not running."""
         kind = EndKind.CRASHED if stored.state is WorkerState.READY else EndKind.LOST
@@ -184,18 +197,19 @@
                 )
             )
 
-    def end_all(self, now_s: float, *, has_crashed: bool) -> None:
+    def end_all(self, now_s: float, *, has_crashed: bool, was_watched: bool) -> None:
         """End all runs, as nothing runs on the executor that had them.
 
         :param now_s: monotonic time at which the executor was found to be down
         :param has_crashed: the executor has ended without notice
+        :param was_watched: the agent was running at that time
         """
         for run in self.tracked_runs():
             if not (has_crashed and run.may_be_present):
                 self.end_run(run, EndKind.LOST, run.checkpoint)
                 continue
             self._discard_run(*run.key)
-            self._add_end(run.crash_end(now_s))
+            self._add_end(run.crash_end(now_s, was_watched=was_watched))
         for task, number in self.accepted.items():
             self._add_end(TaskEnd(task, number, EndKind.LOST))
         self.suspects.clear()
