Test: a verdict on another harmful job gains a harmful one no starts

Two harmful jobs share their first crash, no start is answered. CrashTracker.clear_others takes the shared crash from the second job when the first one is given up, and the second now needs five more instead of two.

--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -383,6 +383,24 @@
     assert is_sole is not step.gang
 
 
+@pytest.mark.parametrize("has_answers", [True, False])
+def test_the_verdict_on_another_harmful_job_gains_no_starts(has_answers: bool) -> None:
+    """Guards against a harmful task whose first crash is put down to another one there."""
+    fleet = SimulatedFleet()
+    fleet.has_answers = has_answers
+    other, harmful = fleet.submit("a"), fleet.submit("b")
+    tasks = [f"{job.job_id}.0.0.0" for job in (other, harmful)]
+    (worker,) = {fleet.worker_of(task) for task in tasks}
+    fleet.crash(worker, ages_ms={"": JUST_STARTED_MS})
+    for _ in range(2 * MAX_CRASHES):
+        for job, task in zip((other, harmful), tasks, strict=True):
+            fleet.advance(OUTAGE_WINDOW_MS + 1000)
+            if fleet.has_run(job):
+                fleet.crash(fleet.worker_of(task), ages_ms={"": JUST_STARTED_MS})
+    assert fleet.state(other) is fleet.state(harmful) is BatchState.FAILED
+    assert fleet.crashes[tasks[1]] <= MAX_CRASHES
+
+
 @pytest.mark.parametrize("has_company", [False, True])
 def test_starts_that_never_reached_a_crashed_executor_count_against_no_task(
     has_company: bool,
