Test: a crash after later heartbeats of the executor is not just after a start

Fails at: the calls of an executor get no answer from just after a confirmed start on, its heartbeats come for 3 s more, then another incarnation answers.

--- a/tests/batch/test_end_proofs.py
+++ b/tests/batch/test_end_proofs.py
@@ -11,6 +11,7 @@
 
 from chicorycrank.adapters.clock import SystemClock
 from chicorycrank.batch.agent import BatchAgent
+from chicorycrank.batch.crash_records import START_SURVIVAL_MS, START_WINDOW_MS
 from chicorycrank.batch.keys import decode, encode, order_key, report_key
 from chicorycrank.model.batch import (
     Assignment,
@@ -313,6 +314,19 @@
     wait_until(lambda: (world.report().ends, world.report().accepted) == ([], {}))
 
 
+def test_a_crash_after_later_heartbeats_is_not_just_after_the_start(world: World) -> None:
+    """Guards against a job given up for crashes seconds after its calls have begun to fail."""
+    world.executor.fault = "no_response"
+    failed_at = time.monotonic()
+    while time.monotonic() - failed_at < SETTLED_S:
+        world.beat()
+        time.sleep(0.2)
+    replaced(world)
+    end = world.wait_ended()
+    assert (end.kind, end.has_started) == (EndKind.CRASHED, True)
+    assert end.age_ms >= START_WINDOW_MS or end.survived_ms >= START_SURVIVAL_MS
+
+
 def test_an_executor_that_refuses_gets_no_new_run_and_keeps_those_it_has(world: World) -> None:
     """Guards against work that waits for a crashed executor while others are idle."""
     world.executor.fault = "refused"
