Count the age of a crashed run until its executor is known to be down

The age at a crash ended at the first call that failed, so it was no upper bound: an executor whose calls get no answer may live on for seconds. Such a crash, whenever it came, counted as one just after the start. The age now ends at the first call that was refused or that another incarnation answered.

test_a_crash_after_later_heartbeats_is_not_just_after_the_start failed before (age 3 ms, 3 s after the start).

--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -28,6 +28,8 @@
     :param running_s: returns the time in seconds in which this process has run
     :param lease_s: lease granted with each call, in seconds
     :param max_lease_s: longest lease that the executor grants, in seconds
+    :ivar down_since: monotonic time of the first call after the last response that was refused, or
+        that another incarnation answered; None after a response
     :ivar failed_since: monotonic time of the first failed call after the last response; None after
         a response
     """
@@ -55,6 +57,7 @@
         self._refused_since_running_s: float | None = None
         self._failed_since_running_s: float | None = None
         self.failed_since: float | None = None
+        self.down_since: float | None = None
 
     def record_reading(self, clock_ms: int) -> None:
         """Record the executor's clock from a heartbeat."""
@@ -75,7 +78,8 @@
         """
         self.record_reading(clock_ms)
         self._asked_at, self._asked_at_running_s = asked_at, asked_at_running_s
-        self._refused_since_running_s = self._failed_since_running_s = self.failed_since = None
+        self._refused_since_running_s = self._failed_since_running_s = None
+        self.failed_since = self.down_since = None
 
     def deadline_ms(self) -> int | None:
         """Return the end of a new lease on the executor's clock; None if it is unresponsive."""
@@ -131,6 +135,8 @@
             self._refused_since_running_s = None
         elif self._refused_since_running_s is None:
             self._refused_since_running_s = now_s
+        if not may_be_frozen and self.down_since is None:
+            self.down_since = self._clock.monotonic()
         silent_s = now_s - self._failed_since_running_s
         is_excluded = not may_be_frozen or silent_s >= FROZEN_EXECUTOR_LIMIT_S
         return is_excluded and sent_at_running_s > self._lease_expires_at_running_s()
--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -187,7 +187,7 @@
             has_crashed and not state.has_exit_notice and state.report.state is WorkerState.READY
         )
         self._table.end_all(
-            state.clock.failed_since or now_s,
+            state.clock.down_since or now_s,
             has_crashed=is_crash,
             was_watched=not state.clock.has_slept,
         )
