End a test once its run has outlived its start

A test closes its worker until the run has outlasted its probation: the greatest age of all crashes under the job, and two seconds. What a test has to show is known a few seconds after its start. It ends after 5 s; the task keeps its crashes until it has outlasted the probation, which counts the crashes under the task itself.

test_a_test_closes_its_worker_for_a_few_seconds_only and test_the_probation_of_a_task_is_its_own failed before.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -41,6 +41,8 @@
 
 # A run is cleared if it lasts this much longer than an earlier run had lasted at the crash.
 CLEARANCE_MARGIN_MS = 2000
+# A test ends this long after its assignment, as a run that lives then has outlived its start.
+MAX_TEST_MS = 5000
 # A task under which this many executors have crashed starts on an empty worker if there is one.
 MIN_CRASHES_FOR_EMPTY_WORKER = 3
 
@@ -311,10 +313,19 @@
         """Return how long a run has to last until its unit is cleared; 0 for no unit in doubt."""
         if not unit.crashes and ref.name not in self.tests_by_unit:
             return 0
-        units = self._units_by_job.get(ref.job_id, {}).values()
+        units = [unit] if unit.crashes else self._units_by_job.get(ref.job_id, {}).values()
         ages_ms = [crash.age_ms for other in units for crash in other.crashes]
         return max(ages_ms, default=0) + CLEARANCE_MARGIN_MS
 
+    def end_old_tests(self, planner: Planner) -> None:
+        """End the tests of runs that have outlived their start."""
+        for name in list(self.tests_by_unit):
+            job_id, _, key = name.partition(".")
+            unit = planner.progress_by_id[JobId(job_id)].units[key]
+            # The clock of an earlier leader may have been ahead.
+            if abs(planner.now_ms - unit.started_at_ms) >= MAX_TEST_MS:
+                del self.tests_by_unit[name]
+
     def testing_workers(self, planner: Planner) -> set[TargetId]:
         """Return the workers that get no other start, as a test runs there."""
         workers: set[TargetId] = set()
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -208,6 +208,7 @@
     def plan(self) -> None:
         """Start and stop units; :attr:`changes` collects the changed records."""
         self._fail_exhausted_jobs()
+        self.crashes.end_old_tests(self)
         for job_id, reason in self.crashes.find_culprits(self):
             self._fail_job(job_id, "crashes", reason)
         for job_id in self.active_jobs:
--- a/tests/batch/test_crash_attribution.py
+++ b/tests/batch/test_crash_attribution.py
@@ -11,7 +11,7 @@
 from tests.batch.test_planner import end_task, make_planner, progress_of, submit, tasks_by_worker
 
 from chicorycrank.batch.crash_records import PROOF_TIMEOUT_MS
-from chicorycrank.batch.crash_tracker import CLEARANCE_MARGIN_MS
+from chicorycrank.batch.crash_tracker import CLEARANCE_MARGIN_MS, MAX_TEST_MS
 from chicorycrank.batch.crash_verdict import MAX_ATTRIBUTED_CRASHES, MAX_CRASHES
 from chicorycrank.batch.keys import decode_progress, encode_progress
 from chicorycrank.batch.planner import Planner
@@ -730,3 +730,28 @@
     fleet.advance(PROOF_TIMEOUT_MS)
     assert (fleet.state(job) is BatchState.FAILED) is is_proven
     assert fleet.has_run(job) is not is_proven
+
+
+def test_a_test_closes_its_worker_for_a_few_seconds_only(fleet: SimulatedFleet) -> None:
+    """Guards against jobs that could run and wait for the long probations of others."""
+    job = fleet.submit("a")
+    crash_alone(fleet, job, [LATE_ORDER] * 2)
+    worker = fleet.worker_of(f"{job.job_id}.0.0.0")
+    (assignment,) = fleet.planner.order_for(worker).assignments
+    assert assignment.probation_ms > MAX_TEST_MS
+    assert fleet.planner.crashes.testing_workers(fleet.planner) == {worker}
+    fleet.advance(MAX_TEST_MS)
+    assert fleet.planner.crashes.testing_workers(fleet.planner) == set()
+    assert len(progress_of(fleet.planner, job).units["0.0.0"].crashes) == 2
+
+
+def test_the_probation_of_a_task_is_its_own(fleet: SimulatedFleet) -> None:
+    """Guards against a task that stays in test for the crash of another task of its job."""
+    job = fleet.submit("a", Step(count=2, accelerators=8, run_time_s=20.0))
+    first, second = (f"{job.job_id}.0.0.{index}" for index in range(2))
+    fleet.crash(fleet.worker_of(first), ages_ms={first: 10_000})
+    fleet.advance(OUTAGE_WINDOW_MS + 1000)
+    fleet.crash(fleet.worker_of(second), ages_ms={second: JUST_STARTED_MS})
+    fleet.advance(MAX_TEST_MS)
+    (assignment,) = fleet.planner.order_for(fleet.worker_of(second)).assignments
+    assert assignment.probation_ms == JUST_STARTED_MS + CLEARANCE_MARGIN_MS
