Soak: let harmful tasks crash executors also after the answer to their start

Half of these crashes now come 5 ms after the answer. test_an_executor_crashes_under_a_harmful_task_and_is_back_later plays both kinds; for the new one the first call is answered and the next one has to fail.

--- a/src/chicorycrank_standin/platform/executor.py
+++ b/src/chicorycrank_standin/platform/executor.py
@@ -19,13 +19,15 @@
     Message,
 )
 from chicorycrank_standin.platform.incarnation import Incarnation
-from chicorycrank_standin.platform.run_recorder import RunRecorder
+from chicorycrank_standin.platform.run_recorder import RunRecord, RunRecorder
 
 RUN_CHECK_INTERVAL_S = 0.02
 STOP_RANGE_S = (0.0, 0.35)  # time until the end of a stopped run is listed
 CALL_DELAY_RANGE_S = (2.0, 6.0)  # of calls that get no answer and are executed late
 ANSWER_DELAY_RANGE_S = (0.0, 1.5)  # of answers that come late and out of order
 CALLER_TIMEOUT_S = 1.0  # exceeds the timeout of every caller
+ANSWERED_CRASH_SHARE = 0.5  # share of the crashes by a task that come after the answer to its start
+CRASH_DELAY_S = 0.005  # time from this answer to the crash
 DOWN_RANGE_S = (1.0, 3.0)  # time until an executor that a task has crashed is back
 SAME_ID_SHARE = 0.5  # share of the restarts after which the executor has the id that it had
 # A smaller capacity counts once the agent must know of it.
@@ -65,8 +67,9 @@
 class BatchExecutorStandIn:
     """Executor that runs each task for the number of seconds in its payload.
 
-    A task whose payload says that it crashes takes the executor down; it is back after some seconds
-    as a new incarnation. The executor starts tasks beyond its capacity and reports a violation.
+    A task whose payload says that it crashes takes the executor down, before or just after the
+    answer to its start; the executor is back after some seconds as a new incarnation. It starts
+    tasks beyond its capacity and reports a violation.
 
     :param agent_address: ``host:port`` of the agent
     :param agent: name of the agent in the records of runs
@@ -312,8 +315,12 @@
                 return self._response(status=409, reason=reason)
             record = self._life.start(body, call.arrived_at)
             if json.loads(body["spec"]).get("crashes"):
-                self.run_recorder.record_crash_by(record)
-                self._end_life("crashed", self._rng.uniform(*DOWN_RANGE_S))
+                if self._rng.random() < ANSWERED_CRASH_SHARE:
+                    timer = threading.Timer(CRASH_DELAY_S, self._crash_by, (record, self._life))
+                    timer.daemon = True
+                    timer.start()
+                    return self._response()
+                self._crash_by(record, self._life)
                 return _no_response()
             used_accelerators = sum(run.accelerators for run in self._life.runs.values())
             if used_accelerators > self._capacity_in_force():
@@ -322,6 +329,13 @@
                 )
             return self._response()
 
+    def _crash_by(self, record: RunRecord, life: Incarnation) -> None:
+        """End an incarnation by a run, unless it has ended meanwhile."""
+        with self._condition:
+            if self._life is life and self.is_up:
+                self.run_recorder.record_crash_by(record)
+                self._end_life("crashed", self._rng.uniform(*DOWN_RANGE_S))
+
     def _stop_run(self, call: _Call) -> HttpResponse:
         body = call.request.json()
         with self._condition:
--- a/tests/platform_adapter/test_protocol.py
+++ b/tests/platform_adapter/test_protocol.py
@@ -218,16 +218,24 @@
     assert client.start(start_order(1, 1, Incarnation("executor-1:0"))) is expected
 
 
+@pytest.mark.parametrize("is_answered", [False, True])
 def test_an_executor_crashes_under_a_harmful_task_and_is_back_later(
-    executor: tuple[PlatformExecutor, BatchExecutorStandIn], monkeypatch: pytest.MonkeyPatch
+    executor: tuple[PlatformExecutor, BatchExecutorStandIn],
+    monkeypatch: pytest.MonkeyPatch,
+    is_answered: bool,
 ) -> None:
     """Guards against a stand-in that survives a harmful task or answers while it is down."""
     client, executor_standin = executor
-    monkeypatch.setattr("chicorycrank_standin.platform.executor.DOWN_RANGE_S", (0.3, 0.3))
+    module = "chicorycrank_standin.platform.executor"
+    monkeypatch.setattr(f"{module}.DOWN_RANGE_S", (0.3, 0.3))
+    monkeypatch.setattr(f"{module}.ANSWERED_CRASH_SHARE", float(is_answered))
     payload = json.dumps({"seconds": 1, "members": 1, "accelerators": 1, "crashes": True})
     order = replace(start_order(1, 2, Incarnation("executor-1:0")), payload=payload)
-    for expected in (ExecutorUnreachableError, ExecutorUnreachableError):
-        with pytest.raises(expected):
+    if is_answered:
+        assert client.start(order) is StartAnswer.STARTED
+        time.sleep(0.1)
+    for _ in range(1 if is_answered else 2):
+        with pytest.raises(ExecutorUnreachableError):
             client.start(order)
     time.sleep(0.4)
     with pytest.raises(OtherIncarnationError):
