--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -13,9 +13,10 @@
 if TYPE_CHECKING:
     from chicorycrank.batch.planner import Planner
 
-# A task crashes its executor when it starts. The time covers the calls of a loaded machine.
+# Limit of the upper bound of a run's age: its executor crashed when it started. The time covers the
+# calls of a loaded machine.
 START_WINDOW_MS = 2000
-# A run that has certainly lived this long has not crashed its executor by starting.
+# Limit of the lower bound: a run that has certainly lived this long has outlived its start.
 START_SURVIVAL_MS = 1000
 # A crash this long after the start of a run is not put down to the run.
 MAX_RUN_AGE_MS = 60_000
@@ -28,7 +29,7 @@
     """Run that was on an executor when it crashed.
 
     :param member: index of the task in its unit
-    :param age_ms: time in milliseconds from its start until the crash
+    :param age_ms: maximum time in milliseconds from its start until the crash
     :param is_witnessed: the agent was running at the crash, and the run may have been its cause
     :param has_started: the executor had confirmed the start
     :param is_test: the run was a test
@@ -67,7 +68,7 @@
 
 
 def select_uncertain(runs: list[CrashedRun], suspects: Collection[CrashedRun]) -> list[CrashedRun]:
-    """Return the runs beside the suspects that may have crashed the executor by starting too."""
+    """Return the runs that are no suspects but may have crashed the executor by starting."""
     return [
         run
         for run in runs
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -1,9 +1,9 @@
-"""Units that may have crashed their executors: records, test runs and the verdict on their jobs.
+"""Units that may have crashed their executors: records, test runs and the jobs that are given up.
 
 A unit that was on an executor when it crashed keeps a record of the crash until it is cleared: by
 its end as done, or by a later run that lasts longer than it had run at the crash. A unit that had
 only just started, or that saw two crashes, is started as a test: on a worker that gets no other
-start until the unit is cleared, so that a further crash has one explanation.
+start until the unit is cleared or has outlived its start, so that a crash has one explanation.
 
 An agent also reports runs as crashed once the lease of an executor that refuses connections has
 expired. That proves their end but not the crash, which is proven by the next incarnation that
@@ -141,7 +141,7 @@
             )
 
     def _clear_outlived(self, planner: Planner, runs: list[CrashedRun]) -> None:
-        """Clear the tasks whose runs had lived well past earlier crashes of those crashes."""
+        """Clear the tasks of the earlier crashes that these runs had outlived by a margin."""
         for run in runs:
             unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
             if unit.crashes:
@@ -149,7 +149,7 @@
                     planner,
                     run.ref,
                     unit,
-                    "a run had lived well past it",
+                    "a later run has outlived it",
                     member=run.member,
                     lived_ms=run.survived_ms,
                 )
@@ -181,8 +181,8 @@
         """Clear a unit, or one of its tasks, of crashes that it has seen.
 
         :param member: index of the task; None for all tasks of the unit
-        :param lived_ms: time in milliseconds for which a run has lived, which refutes only the
-            crashes that came earlier after their start; None for all crashes
+        :param lived_ms: time in milliseconds for which a run has lived, which clears the crashes
+            that followed their start by a margin earlier; None for all crashes
         """
         for crash in unit.crashes:
             if lived_ms is not None and lived_ms < crash.age_ms + CLEARANCE_MARGIN_MS:
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -150,7 +150,7 @@
 
     :param incarnation: incarnation of the executor that crashed
     :param at_ms: Unix time in milliseconds at which the leader recorded it
-    :param age_ms: time in milliseconds from the start of the run until the crash
+    :param age_ms: maximum time in milliseconds from the start of the run until the crash
     :param members: indexes of the unit's tasks that may have been there
     :param started: those of them that had certainly started there, if the unit is the cause
     :param is_outage: the agent did not see the crash, so the machine may have failed
@@ -251,8 +251,8 @@
 
     :param checkpoint: last checkpoint of the run; empty if there is none
     :param detail: reason for a rejection
-    :param age_ms: for ``CRASHED``, time in milliseconds from the first start call until the
-        executor was found to be down
+    :param age_ms: for ``CRASHED``, maximum time in milliseconds for which the run has lived: from
+        the first start call until the executor was known to be down
     :param is_witnessed: for ``CRASHED``, whether the agent was running at the crash and
         something had come back to a start call
     :param has_started: for ``CRASHED``, whether the executor had confirmed the start, of which
