Review case 7: work stays on a lost executor once its agent is restarted

Cause: the end of an executor is proven in the memory of its agent only. An agent that is restarted before the proof is stored has no heartbeat to register, so it reports nothing, but renews the presence of its worker, and the leader never takes the worker for lost (rule LOST).

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,4 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-2 ] || sh review/build-2.sh || exit 2
-PYTHONPATH=target/deps:target/review-2 exec timeout 110 python3 review/9/case.py
+PYTHONPATH=target/deps:target/review-2 timeout -k 10 105 python3 review/9/case.py
+result=$?
+[ "$result" -le 1 ] || result=2
+exit "$result"
--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -24,7 +24,7 @@
 import yaml
 from chicorycrank_standin.background import HOST, free_port, serve_in_background
 from chicorycrank_standin.forwarder import Forwarder
-from chicorycrank_standin.http import HttpRequest, HttpResponse
+from chicorycrank_standin.http import Handler, HttpRequest, HttpResponse, json_response
 from chicorycrank_standin.platform.executor import BatchExecutorStandIn
 from chicorycrank_standin.platform.kv_store import KvStoreStandIn
 from chicorycrank_standin.platform.run_recorder import RunRecorder
@@ -84,16 +84,29 @@
         """Let nothing pass on any connection, open or new, while the relay is cut."""
         self._is_cut = is_cut
 
+    def set_refusing(self, is_refusing: bool) -> None:
+        """Close all connections, and close new ones at once, while the relay refuses."""
+        self._is_refusing = is_refusing
+        for link in self._links:
+            for end in link["ends"]:
+                _close(end)
+        self._links.clear()
+
+    _is_refusing = False
     _wanted: tuple[bytes, threading.Event] | None = None
 
     def _accept(self) -> None:
         while True:
             try:
                 client, _ = self._listener.accept()
+                if self._is_refusing:
+                    _close(client)
+                    continue
                 server = socket.create_connection((HOST, self._target_port))
             except OSError:
                 return
-            link: dict[str, Any] = {"silent": False}
+            link: dict[str, Any] = {"silent": False, "ends": (client, server)}
+            self._links.append(link)
             for source, target, is_request in ((client, server, True), (server, client, False)):
                 threading.Thread(
                     target=self._copy, args=(link, source, target, is_request), daemon=True
@@ -120,11 +133,15 @@
         if link["silent"] and not is_request:
             return
         for end in (source, target):
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            end.close()
+            _close(end)
+
+
+def _close(end: socket.socket) -> None:
+    try:
+        end.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    end.close()
 
 
 class ObservedStore(KvStoreStandIn):
@@ -134,6 +151,46 @@
     """
 
     on_commit: Callable[[dict[str, Any]], None] = staticmethod(lambda body: None)
+    _blind_since: int | None = None
+
+    def set_blind(self, is_blind: bool) -> None:
+        """Let watches hear nothing of changes; then drop the history and cut the watches."""
+        with self._condition:
+            self._blind_since = self._revision if is_blind else None
+            if not is_blind:
+                self._watch_cuts += 1
+                self.discard_history()
+            self._condition.notify_all()
+
+    def _events_after(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        events = super()._events_after(prefix, after)
+        if self._blind_since is not None:
+            return [event for event in events if event["revision"] <= self._blind_since]
+        return events
+
+    def _watch_range(self, request: HttpRequest) -> HttpResponse:
+        """Answer a watch; one that waits when the watches are cut ends without an answer."""
+        prefix, after = request.query["prefix"], int(request.query["after"])
+        wait_s = int(request.query.get("waitMs", 0)) / 1000
+        with self._condition:
+            if after < self._discarded_revision:
+                return json_response({}, status=410)
+            cuts = self._watch_cuts
+            self._condition.wait_for(
+                lambda: bool(self._watch_cuts != cuts or self._events_after(prefix, after)), wait_s
+            )
+            if self._watch_cuts != cuts:
+                return HttpResponse(status=503, body=b"{}", is_truncated=True)
+            events = self._events_after(prefix, after)
+            return json_response({"events": events, "currentRev": self._revision})
+
+    def watch_range(self, request: HttpRequest) -> HttpResponse:
+        return self._watch_range(request)
+
+    def routes(self) -> dict[str, Handler]:
+        routes = super().routes()
+        routes["GET /-/kv-watch"] = lambda request: self.watch_range(request)
+        return routes
 
     def _commit_transaction(self, request: HttpRequest) -> HttpResponse:
         response = super()._commit_transaction(request)
@@ -455,6 +512,8 @@
 
 def run_case(folder: Path, play: Callable[[SmallDeployment, Record], int], **sizes: int) -> None:
     """Play a case, end all processes and exit with its result."""
+    # The time limit of run.sh must not leave processes behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     record.write("with the disruption" if has_trouble() else "without the disruption")
     deployment = SmallDeployment(record, **sizes)
