--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,8 +18,8 @@
 FILLER, DONE_JOB, LATE_JOB, WAKING_JOB = (f"{n:016x}" for n in (0xF1, 0xD0, 0xA2, 0xB3))
 # The leader withdraws a run that was not accepted for 1.5 s. Its passes are at most 0.5 s apart, so
 # an event shortly before that time and the end of the other run after it meet in one pass.
-WAKE_AFTER_S = 1.40
-END_AFTER_S = 1.55
+WAKE_AFTER_S = 1.20
+END_AFTER_S = 1.53
 RESTART_AFTER_S = 3.0
 
 
@@ -50,7 +50,9 @@
             if LATE_JOB in b64decode(row["value"]).decode():
                 ordered.set()
             elif f"report/state/{worker}" in expected and ordered.is_set():
-                if has_trouble() and not killed.is_set():
+                if DONE_JOB in b64decode(row["value"]).decode():
+                    record.write("the withdrawal came before the end of the other run")
+                elif has_trouble() and not killed.is_set():
                     killed.set()
                     leader.signal(signal.SIGKILL)
                     record.write(f"withdrawal written; {leader.name} killed")
--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -4,6 +4,7 @@
 are the project's stand-ins; each program reaches the store through a relay of its own.
 """
 
+import http.client
 import json
 import os
 import random
@@ -22,7 +23,7 @@
 from typing import Any
 
 import yaml
-from chicorycrank_standin.background import HOST, free_port, serve_in_background
+from chicorycrank_standin.background import HOST, serve_in_background
 from chicorycrank_standin.forwarder import Forwarder
 from chicorycrank_standin.http import Handler, HttpRequest, HttpResponse, json_response
 from chicorycrank_standin.platform.executor import BatchExecutorStandIn
@@ -36,6 +37,26 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
+# The stand-ins choose their ports above this range, and outgoing connections above theirs.
+PORT_RANGE = (2_000, 10_000)
+_used_ports: set[int] = set()
+
+
+def free_port() -> int:
+    """Return a free port that this function has not returned before."""
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        if port in _used_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _used_ports.add(port)
+        return port
+
+
 def has_trouble() -> bool:
     """Return whether the script plays its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -319,7 +340,7 @@
                 with urllib.request.urlopen(url, timeout=1) as answer:
                     if json.load(answer)["is_leader"]:
                         return entry
-            except (OSError, ValueError):
+            except (OSError, ValueError, http.client.HTTPException):
                 continue
         return None
 
@@ -349,7 +370,7 @@
                 status, data = answer.status, answer.read()
         except urllib.error.HTTPError as error:
             status, data = error.code, error.read()
-        except OSError as error:
+        except (OSError, http.client.HTTPException) as error:
             self.record.write(f"{entry.name} {method} {path}: no answer ({error})")
             return 0, {}
         self.record.write(f"{entry.name} {method} {path} key={key}: {status} {data.decode()}")
@@ -393,7 +414,7 @@
                         f"http://{HOST}:{entry.ready_port}/-/ready", timeout=1
                     ):
                         pass
-                except OSError:
+                except (OSError, http.client.HTTPException):
                     return False
             if self.leader() is None:
                 return False
@@ -403,7 +424,7 @@
                     with urllib.request.urlopen(url, timeout=1) as answer:
                         if not json.load(answer)["registered"]:
                             return False
-                except (OSError, ValueError):
+                except (OSError, ValueError, http.client.HTTPException):
                     return False
             return True
 
@@ -525,6 +546,9 @@
         else:
             record.write("the deployment did not get ready")
         deployment.write_runs()
+    except Exception as error:
+        record.write(f"the case could not run: {error!r}")
+        result = NOT_RUN
     finally:
         deployment.close()
         record.write(f"result {result}")
