--- a/review/10/case.py
+++ b/review/10/case.py
@@ -5,6 +5,7 @@
 learns of it only from an order, which nobody writes, and starts the run once the executor answers.
 """
 
+import os
 import signal
 import threading
 import time
@@ -21,10 +22,11 @@
     Program,
     Record,
     SmallDeployment,
-    has_trouble,
     run_case,
 )
 
+# TROUBLE=0 plays the same without the disruption, and must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 AGENTS = 7  # one of seven is a share of 0.14
 FILLERS = [f"{n:016x}" for n in range(0xA0, 0xA0 + AGENTS - 1)]
 JOB = "00000000000000b7"
@@ -42,7 +44,7 @@
     busy = {deployment.running(job_id)[0].executor for job_id in FILLERS}
     number = next(n for n, e in enumerate(deployment.executors) if e.name not in busy)
     free, agent = deployment.executors[number], deployment.agents[number]
-    execute, hangs_until = free._execute, [float("inf") if has_trouble() else 0.0]
+    execute, hangs_until = free._execute, [float("inf") if HAS_TROUBLE else 0.0]
 
     def leave_unanswered(handler: Any, call: Any, *, is_delaying: bool) -> HttpResponse:
         if handler.__name__ == "_start_run" and time.monotonic() < hangs_until[0]:
@@ -58,7 +60,7 @@
         for row in body.get("setKeys", []):
             text = b64decode(row["value"]).decode()
             if row["key"] == f"report/state/{agent.name}@{HOST}" and f'"{JOB}.0.0.0":1' in text:
-                if not accepted.is_set() and has_trouble():
+                if not accepted.is_set() and HAS_TROUBLE:
                     leader = deployment.leader()
                     if leader is not None:
                         killed.append(leader)
@@ -74,7 +76,7 @@
     deployment.store.on_commit = on_commit
     if deployment.submit(JOB, seconds=90, gpus=1) != 200 or not accepted.wait(5):
         return NOT_RUN
-    if has_trouble():
+    if HAS_TROUBLE:
         record.write(f"{agent.name} has accepted the run; {killed[0].name}, the leader, killed")
     entries = [e for e in deployment.entries if e not in killed]
     status, _ = deployment.call(entries[0], "DELETE", f"/jobs/{JOB}")
@@ -83,7 +85,7 @@
         return NOT_RUN
     hangs_until[0] = min(hangs_until[0], cancelled_at + HANG_AFTER_CANCEL_S)
     time.sleep(8.0)
-    if has_trouble() and len(killed) != 2:
+    if HAS_TROUBLE and len(killed) != 2:
         return NOT_RUN
     runs = [run for run in deployment.runs.runs if run.job == JOB]
     late = [run for run in runs if run.started_at > cancelled_at + CANCEL_S]
@@ -92,4 +94,4 @@
     return BROKEN if late else HELD
 
 
-run_case(Path(__file__).parent, play, entries=3, agents=AGENTS)
+run_case(Path(__file__).parent, play, has_trouble=HAS_TROUBLE, entries=3, agents=AGENTS)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 written the progress of its job. The leader is killed with the answer to this write.
 """
 
+import os
 import signal
 import threading
 import time
@@ -13,8 +14,10 @@
 from pathlib import Path
 from typing import Any
 
-from small_deployment import BROKEN, HELD, NOT_RUN, Record, SmallDeployment, has_trouble, run_case
+from small_deployment import BROKEN, HELD, NOT_RUN, Record, SmallDeployment, run_case
 
+# TROUBLE=0 plays the same without the disruption, and must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FILLER, DONE_JOB, LATE_JOB, WAKING_JOB = (f"{n:016x}" for n in (0xF1, 0xD0, 0xA2, 0xB3))
 # The leader withdraws a run that was not accepted for 1.5 s. Its passes are at most 0.5 s apart, so
 # an event shortly before that time and the end of the other run after it meet in one pass.
@@ -52,13 +55,13 @@
             elif f"report/state/{worker}" in expected and ordered.is_set():
                 if DONE_JOB in b64decode(row["value"]).decode():
                     record.write("the withdrawal came before the end of the other run")
-                elif has_trouble() and not killed.is_set():
+                elif HAS_TROUBLE and not killed.is_set():
                     killed.set()
                     leader.signal(signal.SIGKILL)
                     record.write(f"withdrawal written; {leader.name} killed")
 
     deployment.store.on_commit = on_commit
-    if has_trouble():
+    if HAS_TROUBLE:
         if not agent.relay.silence_next(b"kv-watch?prefix=work-order", 10):
             return NOT_RUN
         record.write(f"the connection of the watch of {agent.name} is silent")
@@ -71,7 +74,7 @@
     deployment.submit(WAKING_JOB, seconds=1, gpus=4)
     time.sleep(max(0.0, ordered_at + END_AFTER_S - time.monotonic()))
     run.ends_at = time.monotonic()
-    if has_trouble():
+    if HAS_TROUBLE:
         if not killed.wait(3):
             record.write("the leader did not withdraw the run")
             return NOT_RUN
@@ -89,4 +92,4 @@
     return BROKEN if run.end_kind == "done" and started_again else HELD
 
 
-run_case(Path(__file__).parent, play)
+run_case(Path(__file__).parent, play, has_trouble=HAS_TROUBLE)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,12 +5,15 @@
 reports to it any more, so it proves no end, but it renews the presence of its worker.
 """
 
+import os
 import signal
 import time
 from pathlib import Path
 
-from small_deployment import BROKEN, HELD, NOT_RUN, Record, SmallDeployment, has_trouble, run_case
+from small_deployment import BROKEN, HELD, NOT_RUN, Record, SmallDeployment, run_case
 
+# TROUBLE=0 plays the same without the disruption, and must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 AGENTS = 7  # one of seven is a share of 0.14
 JOB = "00000000000000e1"
 KILL_AFTER_S = 1.0
@@ -30,7 +33,7 @@
     number = next(n for n, e in enumerate(deployment.executors) if e.name == run.executor)
     executor, agent = deployment.executors[number], deployment.agents[number]
     lost_at = time.monotonic()
-    if has_trouble():
+    if HAS_TROUBLE:
         executor.crash(down_s=10_000.0)
         record.write(f"{executor.name} is lost for good")
         time.sleep(KILL_AFTER_S)
@@ -45,7 +48,7 @@
     def is_running_elsewhere() -> bool:
         return any(r.executor != executor.name for r in deployment.running(JOB))
 
-    if has_trouble():
+    if HAS_TROUBLE:
         has_run = deployment.wait_until(is_running_elsewhere, limit_s)
     else:
         time.sleep(5.0)
@@ -57,4 +60,4 @@
     return HELD if has_run else BROKEN
 
 
-run_case(Path(__file__).parent, play, agents=AGENTS)
+run_case(Path(__file__).parent, play, has_trouble=HAS_TROUBLE, agents=AGENTS)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,12 +5,15 @@
 again after a short delay.
 """
 
+import os
 import threading
 import time
 from pathlib import Path
 
-from small_deployment import BROKEN, HELD, NOT_RUN, Record, SmallDeployment, has_trouble, run_case
+from small_deployment import BROKEN, HELD, NOT_RUN, Record, SmallDeployment, run_case
 
+# TROUBLE=0 plays the same without the disruption, and must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 300
 RESTART_DELAY_S = 1.0
 FINISH_S = 14.0  # finish_s of the settings
@@ -58,7 +61,7 @@
 
     keeper = threading.Thread(target=enforce_memory, daemon=True)
     keeper.start()
-    gpus = GPUS if has_trouble() else 8
+    gpus = GPUS if HAS_TROUBLE else 8
     if deployment.submit(HOPELESS_JOB, seconds=5, gpus=gpus) != 200:
         return NOT_RUN
     time.sleep(3.0)
@@ -77,4 +80,4 @@
 
 
 
-run_case(Path(__file__).parent, play)
+run_case(Path(__file__).parent, play, has_trouble=HAS_TROUBLE)
--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -57,11 +57,6 @@
         return port
 
 
-def has_trouble() -> bool:
-    """Return whether the script plays its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """File ``record.txt`` of a case, with the time in seconds since the start on each line."""
 
@@ -531,12 +526,21 @@
     }
 
 
-def run_case(folder: Path, play: Callable[[SmallDeployment, Record], int], **sizes: int) -> None:
-    """Play a case, end all processes and exit with its result."""
+def run_case(
+    folder: Path,
+    play: Callable[[SmallDeployment, Record], int],
+    *,
+    has_trouble: bool,
+    **sizes: int,
+) -> None:
+    """Play a case, end all processes and exit with its result.
+
+    :param has_trouble: the script plays its disruption; for the record
+    """
     # The time limit of run.sh must not leave processes behind.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
-    record.write("with the disruption" if has_trouble() else "without the disruption")
+    record.write("with the disruption" if has_trouble else "without the disruption")
     deployment = SmallDeployment(record, **sizes)
     result = NOT_RUN
     try:
@@ -546,7 +550,7 @@
         else:
             record.write("the deployment did not get ready")
         deployment.write_runs()
-    except Exception as error:
+    except (Exception, SystemExit) as error:
         record.write(f"the case could not run: {error!r}")
         result = NOT_RUN
     finally:
