Store the ends of runs before an order omits them

Cause: a pass applies reports in memory and writes progress before orders, but a withdrawal, and the reassignment of a lost worker's work, write their order at once. The order omits each run whose end is known; its agent drops that end. A leader that dies after this write takes the end with it.

Change: each conditional write of an order first writes the changed progress records.

--- a/src/chicorycrank/batch/record_writer.py
+++ b/src/chicorycrank/batch/record_writer.py
@@ -117,6 +117,18 @@
             planner.workers.by_id[worker].order_written_at = self._clock.monotonic()
         changes.clear()
 
+    def write_ends(self, planner: Planner) -> None:
+        """Write the changed progress of all jobs, with the ends that reports have brought.
+
+        An agent takes an order that omits a run as the proof that the end of the run is stored, so
+        this comes before such an order.
+        """
+        parts = self._progress_writes(planner)
+        if parts:
+            for part in join_writes(parts):
+                self.write(part.values)
+        planner.changes.jobs.clear()
+
     def write(
         self,
         values: Mapping[str, bytes],
@@ -141,8 +153,19 @@
 
     def _try_write(self, planner: Planner, deletes: Sequence[str]) -> bool:
         """Write the changed records; return false if a job that starts has been cancelled."""
-        changes = planner.changes
-        changed_jobs = changes.jobs & planner.progress_by_id.keys()
+        workers = planner.changes.workers
+        parts = chain(
+            self._progress_writes(planner),
+            chain.from_iterable(self._order_writes(planner, worker) for worker in workers),
+            (PartialWrite(deletes=[key]) for key in deletes),
+        )
+        return all(
+            self.write(part.values, part.deletes, part.expected) for part in join_writes(parts)
+        )
+
+    def _progress_writes(self, planner: Planner) -> list[PartialWrite]:
+        """Return the writes of the changed progress records, and of the states that differ."""
+        changed_jobs = planner.changes.jobs & planner.progress_by_id.keys()
         with self._view.lock:
             states = {job_id: self.changed_state(planner, job_id) for job_id in changed_jobs}
         values: dict[str, bytes] = {}
@@ -150,14 +173,7 @@
             values[progress_key(job_id)] = encode_progress(planner.progress_by_id[job_id])
             if state is not None:
                 values[state_key(job_id)] = encode(state)
-        parts = chain(
-            (PartialWrite(values={key: value}) for key, value in values.items()),
-            chain.from_iterable(self._order_writes(planner, worker) for worker in changes.workers),
-            (PartialWrite(deletes=[key]) for key in deletes),
-        )
-        return all(
-            self.write(part.values, part.deletes, part.expected) for part in join_writes(parts)
-        )
+        return [PartialWrite(values={key: value}) for key, value in values.items()]
 
     def _order_writes(self, planner: Planner, worker: TargetId) -> Iterator[PartialWrite]:
         """Yield the writes of a worker's order, each of which starts no cancelled job.
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -234,6 +234,8 @@
     def _write_conditionally(
         self, values: dict[str, bytes], expected: Mapping[str, Revision]
     ) -> bool:
+        """Write an order that omits runs, after the ends that it presumes."""
+        self._writer.write_ends(self._planner)
         is_written = self._writer.write(values, expected=expected)
         if not is_written:
             # What the watch of the reports has not brought yet.
