Prove the end of an executor after its agent was restarted

Cause: an agent proves the end of an executor with the incarnation and the leases that its process remembers. A new process knew no incarnation until a heartbeat came, and a lost executor sends none, while the presence of the agent said that the worker is well.

Change: a new process begins with the incarnation of the stored report. Refused calls for as long as the longest lease prove its end; the first failed call closes the worker. It starts nothing before a heartbeat.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -87,6 +87,9 @@
         self._is_registered = False
         # Accepted runs that are not known here may have begun.
         self._may_be_present = True
+        self._has_read_report = False
+        # An earlier process has accepted runs, and this one is not registered yet.
+        self._has_restored_runs = False
         self._poller = ExecutorPoller(
             worker,
             executor,
@@ -223,6 +226,7 @@
         return CallContext(
             incarnation=self.report.incarnation,
             is_registered=self._is_registered,
+            is_reachable=self.executor_state.is_reachable,
             may_start=self.executor_state.may_start,
             is_ready=self.report.state is WorkerState.READY,
             fence=self.report.fence,
@@ -296,34 +300,72 @@
     def _awaits_ends(self) -> bool:
         """Whether ends that no other process can prove soon are to be proven or reported."""
         state, written = self.executor_state, self._report_store.written
+        seems_ended = state.clock.is_refusing or state.has_exit_notice
+        if self._has_restored_runs:
+            return seems_ended
         if written is None:
             return False
         # A registration may be lost, or not be written yet.
         if state.end is not None or written.incarnation != self.report.incarnation:
             return written.ends != self.table.ends
-        seems_ended = state.clock.is_refusing or state.has_exit_notice
         return seems_ended and bool(self.table.tracked_runs())
 
     def _report_forever(self) -> None:
         self._order_replica.is_loaded.wait()
         while not self._stop.is_set():
-            with self._lock:
-                candidate = self._next_registration()
-                if candidate is None and not self._has_unwritten_changes():
-                    self._lock.wait(REPORT_CHECK_INTERVAL_S)
-                    continue
-                is_urgent = candidate is not None or self._has_unaccepted()
-            if not is_urgent:
-                self._stop.wait(REPORT_BATCHING_DELAY_S)
             try:
-                if candidate is None:
-                    self._write_report()
-                elif not self._register(candidate):
-                    self._stop.wait(RETRY_DELAY_S)
+                if not self._has_read_report:
+                    self._restore_incarnation()
+                self._report_once()
             except StoreUnavailableError as error:
                 logger.warning("event=report_failed target=%s error=%s", self._worker, error)
                 self._stop.wait(RETRY_DELAY_S)
 
+    def _restore_incarnation(self) -> None:
+        """Go on with the incarnation of the stored report.
+
+        An executor that is lost sends no heartbeat, and its runs wait until its end is proven.
+
+        :raises StoreUnavailableError: the store did not respond
+        """
+        stored = self._report_store.read()
+        with self._lock:
+            self._has_read_report = True
+            if stored.incarnation and not self.report.incarnation:
+                self.executor_state.restore(stored)
+                self._has_restored_runs = bool(stored.accepted)
+
+    def _report_once(self) -> None:
+        """Register the executor or write the report if one of them is due, or wait a while.
+
+        :raises StoreUnavailableError: the store did not respond
+        """
+        with self._lock:
+            candidate = self._next_registration()
+            if candidate is None and not self._has_unwritten_changes():
+                self._lock.wait(REPORT_CHECK_INTERVAL_S)
+                return
+            is_urgent = candidate is not None or self._has_unaccepted()
+        if not is_urgent:
+            self._stop.wait(REPORT_BATCHING_DELAY_S)
+        if candidate is None:
+            self._write_report()
+        elif not self._register(candidate):
+            self._wait_to_register()
+
+    def _wait_to_register(self) -> None:
+        """Wait after a registration that has failed.
+
+        Each attempt reads the stored report. An executor that does not answer may be lost for good,
+        so its attempts are rarer until a heartbeat comes.
+        """
+        with self._lock:
+            state = self.executor_state
+            if self.report.is_unreachable and not state.is_candidate_due:
+                self._lock.wait(REPORT_CHECK_INTERVAL_S)
+                return
+        self._stop.wait(RETRY_DELAY_S)
+
     def _last_stored_end_number(self) -> int:
         """Return the number of the last stored end of this incarnation of the executor."""
         written = self._report_store.written
@@ -335,10 +377,10 @@
         return self._is_registered and self._current_report() != self._report_store.written
 
     def _has_unaccepted(self) -> bool:
-        return self.table.has_unaccepted(includes_new=not self.report.is_unreachable)
+        return self.table.has_unaccepted(includes_new=self.executor_state.accepts_runs)
 
     def _current_report(self) -> WorkerReport:
-        includes_new = not self.report.is_unreachable
+        includes_new = self.executor_state.accepts_runs
         return msgspec.structs.replace(
             self.report,
             ends=list(self.table.ends),
@@ -368,16 +410,22 @@
         confirmation = self._confirmer.confirm(candidate, stored)
         with self._lock:
             is_known = incarnation == self.report.incarnation
-            if confirmation is None and not (is_known and self.executor_state.end is not None):
-                return False
-            self._is_registered = False
-            if confirmation is not None and not is_known:
-                self._replace_incarnation(candidate, confirmation.status)
-            self._restore(stored, confirmation)
+            has_ended = is_known and self.executor_state.end is not None
+            is_unreachable = is_known and self.report.is_unreachable
+            if confirmation is not None or has_ended:
+                self._is_registered = False
+                if confirmation is not None and not is_known:
+                    self._replace_incarnation(candidate, confirmation.status)
+                self._restore(stored, confirmation)
+        if confirmation is None and not has_ended:
+            if is_unreachable and not stored.is_unreachable:
+                self._close_worker(stored)
+            return False
         if not self._write_report():
             return False
         with self._lock:
             self._is_registered = True
+            self._has_restored_runs = False
             logger.info(
                 "event=registered target=%s incarnation=%s fence=%d",
                 self._worker,
@@ -387,6 +435,17 @@
             self._apply_order(self.table.order)
         return True
 
+    def _close_worker(self, stored: WorkerReport) -> None:
+        """Report that the incarnation of the stored report does not answer.
+
+        :raises StoreUnavailableError: the store did not respond
+        """
+        try:
+            self._report_store.write(msgspec.structs.replace(stored, is_unreachable=True), None)
+        except ReportConflictError:
+            # The next attempt reads the report of the other agent.
+            logger.warning("event=worker_not_closed target=%s", self._worker)
+
     def _replace_incarnation(self, candidate: Heartbeat, status: ExecutorStatus) -> None:
         """Begin with a new incarnation, and report the ends of all runs of the last one.
 
@@ -411,6 +470,9 @@
             self.table.end_unwitnessed(stored)
         else:
             self.table.resume_incarnation(stored)
+            if confirmation is None:
+                has_crashed = self.executor_state.clock.has_refused
+                self.table.end_unwitnessed(stored, has_crashed=has_crashed)
             if stored.state is WorkerState.DRAINING and self.report.state is WorkerState.READY:
                 # The heartbeat is a late one; an executor that drains gets ready no more.
                 self.report.state, self.report.remaining_ms = stored.state, stored.remaining_ms
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -52,6 +52,7 @@
         self._asked_at = float("-inf")
         self._asked_at_running_s = 0.0
         self._last_deadline_ms: int | None = None
+        self._lease_assumed_at_running_s: float | None = None
         self._deadlines_in_flight: list[int] = []
         self._has_unanswered_calls = False
         self._refused_since_running_s: float | None = None
@@ -59,6 +60,11 @@
         self.failed_since: float | None = None
         self.down_since: float | None = None
 
+    def assume_longest_lease(self) -> None:
+        """Assume that an earlier process of the agent has granted the longest lease just now."""
+        self.reset()
+        self._lease_assumed_at_running_s = self._running_s()
+
     def record_reading(self, clock_ms: int) -> None:
         """Record the executor's clock from a heartbeat."""
         self._clock_ms = clock_ms
@@ -168,7 +174,7 @@
     def _lease_expires_at_running_s(self) -> float:
         """Return the running time after which every lease has expired."""
         if self._last_deadline_ms is None:
-            return float("inf")
+            return self._assumed_lease_expires_at_running_s()
         with self._grants_lock:
             deadline_ms = max([self._last_deadline_ms, *self._deadlines_in_flight])
         remaining_s = max(0, deadline_ms - self._clock_ms) / 1000
@@ -176,4 +182,18 @@
         if self._has_unanswered_calls and self._refused_since_running_s is not None:
             # The executor's clock may have stood still until its address refused a call.
             counted_from = self._refused_since_running_s
-        return counted_from + remaining_s * (1 + MAX_CLOCK_DRIFT) + LOSS_MARGIN_S
+        return _expiry_s(counted_from, remaining_s)
+
+    def _assumed_lease_expires_at_running_s(self) -> float:
+        counted_from = self._lease_assumed_at_running_s
+        if counted_from is None:
+            return float("inf")
+        if self._refused_since_running_s is not None:
+            # The executor's clock may have stood still until its address refused a call.
+            counted_from = self._refused_since_running_s
+        return _expiry_s(counted_from, self._max_lease_s)
+
+
+def _expiry_s(counted_from_s: float, lease_s: float) -> float:
+    """Return the running time after which a lease has expired on the slowest clock."""
+    return counted_from_s + lease_s * (1 + MAX_CLOCK_DRIFT) + LOSS_MARGIN_S
--- a/src/chicorycrank/batch/executor_poller.py
+++ b/src/chicorycrank/batch/executor_poller.py
@@ -89,7 +89,7 @@
                     self._lock.wait(UNACKNOWLEDGED_WAIT_S)
                 context = self._get_context()
                 # A new incarnation would take the number as one of its own ends.
-                last_acknowledged_end = self._stored_end() if context.may_start else 0
+                last_acknowledged_end = self._stored_end() if context.is_reachable else 0
                 wait_s = self._wait_s(context)
             sent_at, sent_at_running_s = self._clock.monotonic(), self._running_time.seconds
             try:
@@ -111,7 +111,7 @@
                 self._wait_after_failure()
 
     def _wait_s(self, context: CallContext) -> float:
-        if not context.may_start:
+        if not context.is_reachable:
             return 0.0
         runs, now_s = self._table.tracked_runs(), self._clock.monotonic()
         if any(run.starts_rejected_since is not None for run in runs):
--- a/src/chicorycrank/batch/executor_state.py
+++ b/src/chicorycrank/batch/executor_state.py
@@ -24,6 +24,8 @@
 # Messages are held back by a partition for as long as it lasts. An exit notice that comes this long
 # after the start of an executor is not one of its earlier life.
 LATE_MESSAGE_LIMIT_S = 15.0
+# Sequence number below that of each heartbeat.
+NO_HEARTBEAT_NUMBER = -1
 
 logger = logging.getLogger("absl")
 
@@ -62,6 +64,7 @@
     :ivar end: proof of the end of the registered incarnation; None while it may run
     :ivar has_exit_notice: it has said that it ends, and has not answered since
     :ivar is_candidate_due: the registered incarnation does not answer and another one does
+    :ivar has_heartbeat: a heartbeat of the registered incarnation has come to this process
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self.report = WorkerReport()
         self.end: ExecutorEnd | None = None
         self.is_candidate_due = False
+        self.has_heartbeat = False
         self._candidates: dict[Incarnation, Heartbeat] = {}
         self.last_heartbeat: Heartbeat | None = None
         self._hinted_at = float("-inf")
@@ -86,13 +90,50 @@
     @property
     def may_start(self) -> bool:
         """Whether the registered incarnation may get new work."""
+        return self.has_heartbeat and self.is_reachable
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the registered incarnation answers, and no heartbeat of another one has come."""
         return not self.report.is_unreachable and not self._candidates
 
+    @property
+    def accepts_runs(self) -> bool:
+        """Whether new runs of the order may be accepted for the registered incarnation.
+
+        Without a heartbeat, its state and capacity may have changed since they were stored.
+        """
+        return self.has_heartbeat and not self.report.is_unreachable
+
     @property
     def has_candidates(self) -> bool:
         """Whether heartbeats of other incarnations than the registered one have come."""
         return bool(self._candidates)
 
+    def restore(self, stored: WorkerReport) -> None:
+        """Go on with the incarnation that an earlier process of the agent has registered.
+
+        Its end is proven by the same calls as that of an incarnation that this process has seen.
+        """
+        logger.info(
+            "event=incarnation_restored target=%s incarnation=%s runs=%d",
+            self._worker,
+            stored.incarnation,
+            len(stored.accepted),
+        )
+        self.report = stored
+        self.last_heartbeat = Heartbeat(
+            report=stored,
+            number=NO_HEARTBEAT_NUMBER,
+            started_at_ms=0,
+            clock_ms=0,
+            received_at=self._clock.monotonic(),
+        )
+        self.clock.assume_longest_lease()
+        heartbeat = self._candidates.pop(stored.incarnation, None)
+        if heartbeat is not None:
+            self._adopt_report(heartbeat)
+
     # Hints.
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
@@ -142,7 +183,7 @@
 
     def _is_notice_its_own(self) -> bool:
         """Return whether an exit notice cannot be a late one of an earlier life."""
-        if self.last_heartbeat is None:
+        if self.last_heartbeat is None or not self.has_heartbeat:
             return False
         age_s = self._clock.now().timestamp() - self.last_heartbeat.started_at_ms / 1000
         return age_s >= LATE_MESSAGE_LIMIT_S
@@ -248,7 +289,7 @@
         self._announced_at_running_s = None
 
     def _adopt_report(self, heartbeat: Heartbeat) -> None:
-        self.last_heartbeat = heartbeat
+        self.last_heartbeat, self.has_heartbeat = heartbeat, True
         self.report = msgspec.structs.replace(
             heartbeat.report, fence=self.report.fence, is_unreachable=self.report.is_unreachable
         )
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -36,7 +36,8 @@
     """Current parameters of calls to the executor.
 
     :param is_registered: the agent's fencing token is stored, so calls may be made
-    :param may_start: the executor is reachable, and no heartbeat says that it has been replaced
+    :param is_reachable: the executor answers, and no heartbeat says that it has been replaced
+    :param may_start: it is reachable, and its state and capacity are known
     :param is_ready: the executor accepts new work
     :param fence: fencing token of the agent
     :param deadline_ms: expiry of the lease to grant, as a time on the executor's clock; None if no
@@ -45,6 +46,7 @@
 
     incarnation: Incarnation
     is_registered: bool
+    is_reachable: bool
     may_start: bool
     is_ready: bool
     fence: int
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -182,9 +182,13 @@
             if run.key in started_later and run.listed_at is None:
                 run.withdraw_start_answer()
 
-    def end_unwitnessed(self, stored: WorkerReport) -> None:
-        """End the runs of an executor that ended while the agent was not running."""
-        kind = EndKind.CRASHED if stored.state is WorkerState.READY else EndKind.LOST
+    def end_unwitnessed(self, stored: WorkerReport, *, has_crashed: bool = True) -> None:
+        """End the runs of an executor that ended while the agent was not running.
+
+        :param has_crashed: an executor that was ready has ended without notice
+        """
+        is_crash = has_crashed and stored.state is WorkerState.READY
+        kind = EndKind.CRASHED if is_crash else EndKind.LOST
         for task, run in stored.accepted.items():
             reported_run, checkpoint = stored.checkpoints.get(task, (0, ""))
             self._add_end(
--- a/tests/batch/test_call_queue.py
+++ b/tests/batch/test_call_queue.py
@@ -90,6 +90,7 @@
     context = CallContext(
         incarnation=INCARNATION,
         is_registered=True,
+        is_reachable=True,
         may_start=True,
         is_ready=True,
         fence=1,
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -67,9 +67,9 @@
     return entry.leader.is_leading
 
 
-def wait_until(condition: Callable[[], bool]) -> None:
+def wait_until(condition: Callable[[], bool], timeout_s: float = TIMEOUT_S) -> None:
     """Wait until a condition holds."""
-    ends_at = time.monotonic() + TIMEOUT_S
+    ends_at = time.monotonic() + timeout_s
     while not condition():
         assert time.monotonic() < ends_at, "the condition did not hold in time"
         time.sleep(0.01)
