Start no run whose job the store shows as cancelled

Cause: only an order of a leader kept an agent from starting a run that it had accepted. The start hung, the agent repeated it, two leaders were killed, and nothing on the way to the start read the cancellation, which was in the store.

Change: the acceptance of a run depends on the missing cancellation of its job. A start call later than a second after the last such proof reads the key first; a run of a cancelled job is stopped.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chicorycrank.batch.cancellation_checks import CancellationChecks
 from chicorycrank.batch.confirmation import Confirmation, Confirmer
 from chicorycrank.batch.executor_poller import ExecutorPoller
 from chicorycrank.batch.executor_state import ExecutorEnd, ExecutorState, Heartbeat
@@ -14,6 +15,8 @@
 from chicorycrank.batch.presence import Presence
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.report_store import (
+    MAX_JOBS_PER_REPORT,
+    JobsCancelledError,
     OrderChangedError,
     ReportConflictError,
     ReportStore,
@@ -23,7 +26,7 @@
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import keep_running, make_condition, make_event
 from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
-from chicorycrank.model.ids import Incarnation, TargetId
+from chicorycrank.model.ids import Incarnation, JobId, TargetId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import BatchExecutor, ExecutorStatus
 from chicorycrank.ports.transactions import (
@@ -71,10 +74,12 @@
         self.table = RunTable()
         # Slows filling tasks down while they slow down tasks that serve users.
         self._pacer = Pacer()
+        self._cancellation_checks = CancellationChecks(store, clock)
         self._run_driver = RunDriver(
             executor,
             clock,
             self.table,
+            self._cancellation_checks,
             self._lock,
             self._stop,
             get_context=self._call_context,
@@ -379,6 +384,9 @@
     def _has_unaccepted(self) -> bool:
         return self.table.has_unaccepted(includes_new=self.executor_state.accepts_runs)
 
+    def _unaccepted_jobs(self) -> list[JobId]:
+        return self.table.unaccepted_jobs(includes_new=self.executor_state.accepts_runs)
+
     def _current_report(self) -> WorkerReport:
         includes_new = self.executor_state.accepts_runs
         return msgspec.structs.replace(
@@ -491,13 +499,22 @@
         changed while runs wait for their acceptance.
 
         Runs are accepted on condition that the order that names them is unchanged, so that the
-        leader can withdraw runs that have not been accepted.
+        leader can withdraw runs that have not been accepted, and that their jobs are not cancelled.
         """
         with self._lock:
             report = self._current_report()
             order_revision = self._order_revision if self._has_unaccepted() else None
+            # The starts of further jobs are checked one by one.
+            new_jobs = self._unaccepted_jobs()[:MAX_JOBS_PER_REPORT]
+        sent_at = self._clock.monotonic()
         try:
-            self._report_store.write(report, order_revision)
+            if self._report_store.write(report, order_revision, new_jobs):
+                self._cancellation_checks.record_absent(new_jobs, sent_at)
+        except JobsCancelledError as error:
+            logger.info("event=acceptance_prevented jobs=%s", ",".join(sorted(error.job_ids)))
+            with self._lock:
+                self.table.stop_jobs(error.job_ids)
+            return False
         except OrderChangedError as error:
             self._apply_order_items([error.item] if error.item is not None else [])
             return False
--- a/src/chicorycrank/batch/report_store.py
+++ b/src/chicorycrank/batch/report_store.py
@@ -1,15 +1,17 @@
 """Stored report of a worker, which is written only if no other agent has written it since."""
 
 import logging
+from collections.abc import Collection
 
 import msgspec
 
-from chicorycrank.batch.keys import decode, encode, order_key, report_key
+from chicorycrank.batch.keys import cancel_key, decode, encode, order_key, report_key
 from chicorycrank.batch.metrics import REPORTS_WRITTEN
 from chicorycrank.model.batch import WorkerReport
-from chicorycrank.model.ids import TargetId
+from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.ports.transactions import (
     MISSING,
+    Committed,
     Conflict,
     Item,
     Revision,
@@ -18,6 +20,8 @@
 )
 
 COMMIT_TIMEOUT_S = 0.8
+# The store accepts 32 keys and conditions per write. The report takes two, the order one.
+MAX_JOBS_PER_REPORT = 29
 
 logger = logging.getLogger("absl")
 
@@ -33,6 +37,17 @@
         self.item = item
 
 
+class JobsCancelledError(Exception):
+    """Jobs on whose runs the report depends are cancelled, so it was not written.
+
+    :param job_ids: the cancelled jobs
+    """
+
+    def __init__(self, job_ids: Collection[JobId]) -> None:
+        super().__init__(f"cancelled jobs: {', '.join(sorted(job_ids))}")
+        self.job_ids = job_ids
+
+
 class ReportConflictError(Exception):
     """Another agent has written the report."""
 
@@ -62,10 +77,18 @@
             logger.warning("event=report_unreadable target=%s error=%s", self._worker, error)
             return WorkerReport()
 
-    def write(self, report: WorkerReport, order_revision: Revision | None) -> None:
+    def write(
+        self,
+        report: WorkerReport,
+        order_revision: Revision | None,
+        uncancelled_jobs: Collection[JobId] = (),
+    ) -> bool:
         """Write the report.
 
         :param order_revision: revision that the order must have; None for any
+        :param uncancelled_jobs: jobs that must not be cancelled, ``MAX_JOBS_PER_REPORT`` at most
+        :returns: whether this call has written it, not an earlier one without an answer
+        :raises JobsCancelledError: jobs are cancelled
         :raises OrderChangedError: the order has another revision
         :raises ReportConflictError: another agent has written the report since
         :raises StoreUnavailableError: the store did not respond
@@ -74,6 +97,7 @@
         expected = {key: self._revision}
         if order_revision is not None:
             expected[order_key(self._worker)] = order_revision
+        expected |= {cancel_key(job_id): MISSING for job_id in uncancelled_jobs}
         value = encode(report)
         answer = self._store.commit(
             Write(expected=expected, values={key: value}), timeout_s=COMMIT_TIMEOUT_S
@@ -81,6 +105,7 @@
         if isinstance(answer, Conflict):
             item = answer.items.get(key)
             if item is not None and item.revision == self._revision:
+                self._raise_if_cancelled(answer, uncancelled_jobs)
                 logger.info("event=order_changed target=%s", self._worker)
                 raise OrderChangedError(answer.items.get(order_key(self._worker)))
             # An earlier attempt may have been applied without an answer.
@@ -92,3 +117,10 @@
             self._revision = answer.revision
         REPORTS_WRITTEN.inc()
         self.written = report
+        return isinstance(answer, Committed)
+
+    def _raise_if_cancelled(self, conflict: Conflict, job_ids: Collection[JobId]) -> None:
+        found = {key for key, item in conflict.items.items() if item.revision != MISSING}
+        cancelled = {job_id for job_id in job_ids if cancel_key(job_id) in found}
+        if cancelled:
+            raise JobsCancelledError(cancelled)
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -6,9 +6,11 @@
 from dataclasses import dataclass
 
 from chicorycrank.batch.call_queue import CallQueue
+from chicorycrank.batch.cancellation_checks import CancellationChecks
 from chicorycrank.batch.run import Run
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import Condition, Event, make_pool
+from chicorycrank.batch.units import job_of
 from chicorycrank.model.batch import EndKind
 from chicorycrank.model.ids import Incarnation
 from chicorycrank.ports.clock import Clock
@@ -19,6 +21,7 @@
     StartAnswer,
     StartOrder,
 )
+from chicorycrank.ports.transactions import StoreUnavailableError
 
 MAX_CONCURRENT_CALLS = 8
 RETRY_DELAY_S = 0.15
@@ -58,6 +61,7 @@
 
     The jobs take turns, so that calls for a job don't wait for those of all runs of another one.
 
+    :param cancellation_checks: show whether the job of a run is cancelled
     :param lock: guards ``table``; held while ``get_context`` is called
     :param stop: set when the process stops
     :param get_context: returns the current parameters of calls
@@ -72,6 +76,7 @@
         executor: BatchExecutor,
         clock: Clock,
         table: RunTable,
+        cancellation_checks: CancellationChecks,
         lock: Condition,
         stop: Event,
         *,
@@ -83,6 +88,7 @@
         self._executor = executor
         self._clock = clock
         self._table = table
+        self._cancellation_checks = cancellation_checks
         self._lock = lock
         self._stop = stop
         self._get_context = get_context
@@ -115,7 +121,10 @@
                     if not self._may_call(run, context):
                         run.is_call_active = False
                         return
-                self._attempt_call(run, context)
+                if not self._needs_check(run, context):
+                    self._attempt_call(run, context)
+                elif not self._check_cancellation(run):
+                    self._stop.wait(RETRY_DELAY_S)
         except Exception:
             # The next status of the executor triggers the call again.
             logger.exception("event=run_call_failed task=%s", assignment.task)
@@ -130,6 +139,30 @@
             and (run.should_stop or context.may_start)
         )
 
+    def _needs_check(self, run: Run, context: CallContext) -> bool:
+        """Return whether a start call has to wait for a check of the job's cancellation."""
+        is_call_next = context.is_ready and context.deadline_ms is not None
+        is_start = is_call_next and not run.should_stop
+        return is_start and self._cancellation_checks.is_due(job_of(run.assignment.task))
+
+    def _check_cancellation(self, run: Run) -> bool:
+        """Stop a run if its job is cancelled; return false if the store did not respond."""
+        job_id = job_of(run.assignment.task)
+        try:
+            is_cancelled = self._cancellation_checks.is_cancelled(job_id)
+        except StoreUnavailableError as error:
+            logger.warning("event=cancellation_unknown job=%s error=%s", job_id, error)
+            return False
+        if is_cancelled:
+            with self._lock:
+                self._table.stop_jobs([job_id])
+            logger.info(
+                "event=cancelled_run_stopped task=%s run=%d",
+                run.assignment.task,
+                run.assignment.run,
+            )
+        return True
+
     def _attempt_call(self, run: Run, context: CallContext) -> None:
         """Make one call for a run, and wait before it is repeated."""
         is_stop = run.should_stop
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -1,9 +1,10 @@
 """Runs of tasks on one executor, as tracked by its agent."""
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from chicorycrank.batch.run import Run
+from chicorycrank.batch.units import job_of
 from chicorycrank.model.batch import (
     Assignment,
     EndKind,
@@ -12,7 +13,7 @@
     WorkerState,
     WorkOrder,
 )
-from chicorycrank.model.ids import Incarnation, TaskId
+from chicorycrank.model.ids import Incarnation, JobId, TaskId
 from chicorycrank.ports.executor import ExecutorStatus, RunningTask
 
 # A started run that the executor does not list within this time is assumed to be lost.
@@ -132,6 +133,21 @@
         to_accept = self.runs_to_accept(includes_new=includes_new)
         return any(self.accepted.get(task) != run for task, run in to_accept.items())
 
+    def unaccepted_jobs(self, *, includes_new: bool) -> list[JobId]:
+        """Return the jobs of the runs that wait for their acceptance."""
+        to_accept = self.runs_to_accept(includes_new=includes_new)
+        return sorted(
+            {job_of(task) for task, run in to_accept.items() if self.accepted.get(task) != run}
+        )
+
+    def stop_jobs(self, job_ids: Collection[JobId]) -> None:
+        """Stop the runs of cancelled jobs, and end those that are not accepted."""
+        for run in self.tracked_runs():
+            if job_of(run.assignment.task) in job_ids:
+                run.should_stop = True
+                if not run.is_accepted:
+                    self.end_run(run, EndKind.STOPPED, "")
+
     def record_accepted(self, accepted: dict[TaskId, int]) -> None:
         """Record the runs that are stored as accepted."""
         self.accepted = dict(accepted)
--- a/tests/batch/test_call_queue.py
+++ b/tests/batch/test_call_queue.py
@@ -4,10 +4,11 @@
 from contextlib import nullcontext
 
 import pytest
-from tests.batch.fakes import ManualClock
+from tests.batch.fakes import ManualClock, MemoryStore
 from tests.incident.scenario import wait_until
 
 from chicorycrank.batch.call_queue import CallQueue
+from chicorycrank.batch.cancellation_checks import CancellationChecks
 from chicorycrank.batch.run import Run
 from chicorycrank.batch.run_driver import MAX_CONCURRENT_CALLS, CallContext, RunDriver
 from chicorycrank.batch.runs import RunTable
@@ -96,10 +97,13 @@
         fence=1,
         deadline_ms=1,
     )
+    clock = ManualClock()
+    checks = CancellationChecks(MemoryStore(), clock)
     return RunDriver(
         executor,  # type: ignore[arg-type]
-        ManualClock(),
+        clock,
         table,
+        checks,
         lock,
         stop,
         get_context=lambda: context,
