Bound the masks of accelerators by what a worker has

Cause: blocks() built a mask of as many bits as the job asks for, in the line on what an urgent job waits for. The process is killed, so no exception sets the job aside.

Change: no block is larger than its mask; 1,024 accelerators of a worker are used at most; a report with a negative capacity is refused. A job that no suitable worker could hold waits, with the cause exceeds-capacity.

--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -9,6 +9,7 @@
 from chicorycrank.model.batch import Assignment, Submission, Unit, UnitState
 from chicorycrank.model.ids import JobId, TargetId, TaskId
 from chicorycrank.policy.cell import Cell
+from chicorycrank.policy.packing import full_mask
 from chicorycrank.policy.pool import WorkerMask, WorkerMasks
 
 # The store accepts 32 keys and conditions per write. The leader record and its condition take one
@@ -80,7 +81,7 @@
 
     :param size: accelerators of each member
     """
-    member_mask = (1 << size) - 1
+    member_mask = full_mask(size)
     alignment = 1 << max(0, size - 1).bit_length()
     worker_masks: list[WorkerMask] = []
     allocated_by_worker: dict[TargetId, int] = {}
--- a/src/chicorycrank/batch/urgent_waits.py
+++ b/src/chicorycrank/batch/urgent_waits.py
@@ -11,6 +11,7 @@
 from chicorycrank.batch.queued_jobs import URGENT_PRIORITY
 from chicorycrank.batch.units import UnitRef, due_at_ms
 from chicorycrank.model.ids import JobId
+from chicorycrank.policy.admission import members_on_worker
 from chicorycrank.policy.cell import QueuedJob
 from chicorycrank.policy.packing import blocks
 
@@ -28,6 +29,7 @@
     SET_ASIDE = "set-aside"
     HELD = "held"  # a test run of its job, or the verdict on it, comes first
     NO_SUITABLE_WORKER = "no-suitable-worker"
+    EXCEEDS_CAPACITY = "exceeds-capacity"  # it would not fit if these workers were empty
     ALL_CLOSED = "all-closed"
     EVICTIONS = "evictions"
     RESERVED = "reserved"
@@ -43,9 +45,11 @@
     :param accelerators: free accelerators of the open workers
     :param cores: free cores of the open workers
     :param members: members of the unit that fit there now
+    :param members_if_empty: members that the suitable workers would hold if they were empty
     """
 
     suitable: int
+    members_if_empty: int
     closed: Counter[str]
     accelerators: int
     cores: int
@@ -128,6 +132,8 @@
         return WaitCause.HELD
     if not room.suitable:
         return WaitCause.NO_SUITABLE_WORKER
+    if room.members_if_empty < job.shape.members:
+        return WaitCause.EXCEEDS_CAPACITY
     if room.closed.total() == room.suitable:
         return WaitCause.ALL_CLOSED
     if job.job_id in planner.cell.waiting_for_evictions:
@@ -156,6 +162,9 @@
         members += limit
     return Room(
         suitable=len(workers),
+        members_if_empty=sum(
+            members_on_worker(planner.cell.workers_by_id[worker], job.shape) for worker in workers
+        ),
         closed=closed,
         accelerators=accelerators,
         cores=cores,
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -11,6 +11,7 @@
 from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId, ZoneId
 from chicorycrank.model.jobs import MemberPlacement
 from chicorycrank.policy.cell import Cell, WorkerState
+from chicorycrank.policy.packing import MAX_ACCELERATORS_PER_WORKER
 from chicorycrank.policy.quarantine import Quarantine, QuarantineRules
 from chicorycrank.ports.transactions import MISSING, Revision
 
@@ -178,7 +179,7 @@
             worker=worker,
             rack=report.rack,
             zone=ZoneId(report.zone),
-            accelerators=report.accelerators,
+            accelerators=min(report.accelerators, MAX_ACCELERATORS_PER_WORKER),
             cores=report.cores,
             memory_gb=report.memory_mb,  # the cell of the batch jobs counts memory in MB
         )
--- a/src/chicorycrank/entry/cell_load.py
+++ b/src/chicorycrank/entry/cell_load.py
@@ -3,7 +3,7 @@
 from chicorycrank.model.ids import CellId, EntryId, Epoch, GuaranteeId
 from chicorycrank.model.messages import CellLoad
 from chicorycrank.policy.cell import Cell
-from chicorycrank.policy.packing import PIECE_SIZES
+from chicorycrank.policy.packing import PIECE_SIZES, full_mask
 
 
 def make_cell_load(
@@ -15,7 +15,7 @@
     """
     idle_workers_by_rack: dict[str, int] = {}
     for name, worker in cell.workers_by_id.items():
-        if cell.free.is_open(name) and cell.free.masks[name] == (1 << worker.accelerators) - 1:
+        if cell.free.is_open(name) and cell.free.masks[name] == full_mask(worker.accelerators):
             idle_workers_by_rack[worker.rack] = idle_workers_by_rack.get(worker.rack, 0) + 1
     free_guarantees: set[GuaranteeId] = {
         key[0]
--- a/src/chicorycrank/platform/documents.py
+++ b/src/chicorycrank/platform/documents.py
@@ -264,28 +264,32 @@
 
     :param size_bytes: size of the encoded job
     """
-    _check_range("the body in bytes", size_bytes, 0, MAX_JOB_BYTES)
-    _check_range("`spec` in bytes", len(job.spec.encode()), 0, MAX_PAYLOAD_BYTES)
-    _check_range("the number of steps", len(job.steps), 1, MAX_STEPS)
+    _check_range("job", "the body in bytes", size_bytes, 0, MAX_JOB_BYTES)
+    _check_range("job", "`spec` in bytes", len(job.spec.encode()), 0, MAX_PAYLOAD_BYTES)
+    _check_range("job", "the number of steps", len(job.steps), 1, MAX_STEPS)
     for name in ("repeat_count", "start_at_ms", "interval_ms"):
-        _check_range(f"`{_camel_case(name)}`", getattr(job, name), 0, MAX_NUMBER)
+        _check_range("job", f"`{_camel_case(name)}`", getattr(job, name), 0, MAX_NUMBER)
     for number, step in enumerate(job.steps):
         for name in NUMBERS_OF_A_STEP:
             low = 1 if name == "count" else 0
             _check_range(
-                f"`{_camel_case(name)}` of step {number}", getattr(step, name), low, MAX_NUMBER
+                "job",
+                f"`{_camel_case(name)}` of step {number}",
+                getattr(step, name),
+                low,
+                MAX_NUMBER,
             )
         for other in step.after:
-            _check_range(f"an index in `after` of step {number}", other, 0, number - 1)
+            _check_range("job", f"an index in `after` of step {number}", other, 0, number - 1)
 
 
-def _check_range(what: str, value: float, low: int, high: int) -> None:
-    """Check a number.
+def _check_range(document: str, what: str, value: float, low: int, high: int) -> None:
+    """Check a number in a document.
 
     :raises DocumentError: it is out of the range
     """
     if not low <= value <= high:
-        raise DocumentError(f"job: {what} is {value}, expected {low} to {high}")
+        raise DocumentError(f"{document}: {what} is {value}, expected {low} to {high}")
 
 
 def _camel_case(name: str) -> str:
@@ -335,12 +339,15 @@
 def decode_report(executor_id: str, data: bytes) -> NumberedReport:
     """Decode the report of an executor.
 
-    :raises DocumentError: the report cannot be decoded, or its state is unknown
+    :raises DocumentError: the report cannot be decoded, or its state or capacity is invalid
     """
     try:
         document = msgspec.json.decode(data, type=_ReportDocument)
     except msgspec.DecodeError as error:
         raise DocumentError(f"report of {executor_id}: {error}") from error
+    for name in ("cpu", "mem_mb", "gpus"):
+        number = getattr(document.capacity, name)
+        _check_range(f"report of {executor_id}", f"`{_camel_case(name)}`", number, 0, MAX_NUMBER)
     if document.state not in WORKER_STATE_BY_NAME:
         raise DocumentError(
             f"report of {executor_id}: unknown state {document.state!r}, expected ready or draining"
--- a/src/chicorycrank/policy/admission.py
+++ b/src/chicorycrank/policy/admission.py
@@ -10,7 +10,7 @@
 from chicorycrank.model.jobs import Adjacency, GangShape, JobSpec
 from chicorycrank.policy.cell import WorkerState
 from chicorycrank.policy.guarantees import GuaranteePlacements
-from chicorycrank.policy.packing import blocks
+from chicorycrank.policy.packing import blocks, full_mask
 
 
 class FindingCode(Enum):
@@ -68,9 +68,9 @@
     """Return a finding for each guarantee that does not fit together with the others."""
     placements = GuaranteePlacements()
     for worker in workers:
-        full_mask = (1 << worker.accelerators) - 1
-        placements.capacity_by_worker[worker.worker] = (full_mask, worker.cores, worker.memory_gb)
-        placements.pool.add(worker.worker, worker.rack, full_mask, worker.cores, worker.memory_gb)
+        mask = full_mask(worker.accelerators)
+        placements.capacity_by_worker[worker.worker] = (mask, worker.cores, worker.memory_gb)
+        placements.pool.add(worker.worker, worker.rack, mask, worker.cores, worker.memory_gb)
     placements.set_guarantees(guarantees)
     placements.place_unplaced()
     unplaced_count_by_id: dict[GuaranteeId, int] = {}
@@ -123,7 +123,7 @@
     members_by_rack: dict[RackId, int] = {}
     max_on_worker = 0
     for worker in workers:
-        count = _members_on_worker(worker, shape)
+        count = members_on_worker(worker, shape)
         max_on_worker = max(max_on_worker, count)
         members_by_rack[worker.rack] = members_by_rack.get(worker.rack, 0) + count
     if shape.adjacency is Adjacency.WORKER:
@@ -138,8 +138,11 @@
     return [_finding(FindingCode.GANG_TOO_LARGE, "shape.members", text)]
 
 
-def _members_on_worker(worker: WorkerState, shape: GangShape) -> int:
-    count = len(blocks((1 << worker.accelerators) - 1, shape.accelerators))
+def members_on_worker(worker: WorkerState, shape: GangShape) -> int:
+    """Return how many members of a gang an empty worker holds, the whole gang at most."""
+    count = shape.members
+    if shape.accelerators:
+        count = min(count, len(blocks(full_mask(worker.accelerators), shape.accelerators)))
     if shape.cores:
         count = min(count, worker.cores // shape.cores)
     if shape.memory_gb:
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -12,7 +12,7 @@
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
 from chicorycrank.policy.estimates import RunTimeEstimates
 from chicorycrank.policy.guarantees import GuaranteePlacements
-from chicorycrank.policy.packing import blocks, lowest_bits
+from chicorycrank.policy.packing import blocks, full_mask, lowest_bits
 from chicorycrank.policy.placement import ANY_WORKER, PlacementRule, placement_of, worker_masks_of
 from chicorycrank.policy.pool import Pool, WorkerMasks
 
@@ -154,11 +154,11 @@
         if name in self.workers_by_id:
             self.remove_worker(name)
         self.workers_by_id[name] = worker
-        full_mask = (1 << worker.accelerators) - 1
-        values = (worker.rack, full_mask, worker.cores, worker.memory_gb)
+        mask = full_mask(worker.accelerators)
+        values = (worker.rack, mask, worker.cores, worker.memory_gb)
         self._add_totals(worker, 1)
         self.guarantee_placements.capacity_by_worker[name] = (
-            full_mask,
+            mask,
             worker.cores,
             worker.memory_gb,
         )
@@ -350,7 +350,7 @@
         )
         accelerators = self.workers_by_id[worker].accelerators
         used = sum(size for size, _, _ in members)
-        free = (1 << max(accelerators, used)) - 1
+        free = full_mask(max(accelerators, used))
         new_mask_by_index_by_job: dict[JobId, dict[int, int]] = {}
         for size, job_id, index in members:
             # Aligned blocks may be missing if the capacity has changed under the running jobs.
--- a/src/chicorycrank/policy/packing.py
+++ b/src/chicorycrank/policy/packing.py
@@ -8,9 +8,16 @@
 from functools import lru_cache
 
 PIECE_SIZES = (1, 2, 4, 8, 16)
+# More accelerators of one worker are not used. The masks of a worker have as many bits.
+MAX_ACCELERATORS_PER_WORKER = 1024
 CACHE_SIZE = 1 << 16
 
 
+def full_mask(accelerators: int) -> int:
+    """Return the bit mask of all accelerators of a worker."""
+    return (1 << accelerators) - 1
+
+
 def mask_of(accelerators: tuple[int, ...]) -> int:
     """Return the bit mask of accelerator numbers."""
     mask = 0
@@ -39,8 +46,11 @@
     """
     if size == 0:
         return (0,)
+    if size > mask.bit_length():
+        # A job may ask for any number, and a block has as many bits.
+        return ()
     step = 1 << (size - 1).bit_length()
-    block = (1 << size) - 1
+    block = full_mask(size)
     starts = range(0, mask.bit_length(), step)
     return tuple(block << start for start in starts if mask >> start & block == block)
 
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -204,7 +204,15 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"state": "unknown"}, {"capacity": None}, {"seq": "4"}, {"labels": "a"}, {"service": None}],
+    [
+        {"state": "unknown"},
+        {"capacity": None},
+        {"capacity": {"gpus": -1}},
+        {"capacity": {"cpu": 2**53}},
+        {"seq": "4"},
+        {"labels": "a"},
+        {"service": None},
+    ],
 )
 def test_invalid_report_is_refused(change: dict[str, Any]) -> None:
     """Guards against registering a worker from a report that no executor of the platform sends."""
