Let an agent that stops report when its lease expires

Cause: an agent that was stopped said nothing, so the leader assumed that it might be cut off and extend the lease of its executor, 19.5 s from the expiry of its presence.

Change: an agent that is stopped grants no more leases, and its last report says after which time all have expired. The leader closes the worker, and takes it for lost after that time instead, if the list of machines shows that the machine is gone; the write still depends on presence and report.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -41,6 +41,8 @@
 RETRY_DELAY_S = 0.15
 # Ends that arrive within this time are reported in one write.
 REPORT_BATCHING_DELAY_S = 0.01
+# A process that stops waits for its last report no longer than this.
+LAST_REPORT_TIMEOUT_S = 1.0
 
 logger = logging.getLogger("absl")
 
@@ -66,6 +68,8 @@
         self._clock = clock
         self._lock = make_condition()
         self._stop = make_event()
+        self._reports_stop = False
+        self._has_reported_last = make_event()
         self._running_time = RunningTime(clock, self._stop)
         self.executor_state = ExecutorState(worker, clock, self._running_time, max_lease_s)
         self._order_replica = Replica(
@@ -138,6 +142,9 @@
     def stop(self, grace_s: float = 0.0) -> None:
         """Stop the threads; tasks run on under their lease until the agent restarts.
 
+        With a grace time, the last report says when this lease expires, as the machine may be
+        removed. Without it, the leader would have to assume that the lease is still extended.
+
         :param grace_s: longest time to wait for the ends of the runs of an executor that seems to
             have ended; without them, these runs wait until the whole worker counts as lost
         """
@@ -145,10 +152,13 @@
         with self._lock:
             while self._awaits_ends and (wait_s := deadline - self._clock.monotonic()) > 0:
                 self._lock.wait(min(wait_s, REPORT_CHECK_INTERVAL_S))
-        self._stop.set()
-        self._order_replica.stop()
         with self._lock:
+            self._reports_stop = grace_s > 0
+            self._stop.set()
             self._lock.notify_all()
+        self._order_replica.stop()
+        if grace_s > 0:
+            self._has_reported_last.wait(LAST_REPORT_TIMEOUT_S)
 
     def dump(self) -> dict[str, object]:
         """Return the state of this agent for operators."""
@@ -202,7 +212,7 @@
         """
         confirmed_at = min(self._presence.confirmed_at, self._order_replica.confirmed_at)
         is_outdated = self._clock.monotonic() - confirmed_at >= MAX_CONFIRMATION_AGE_S
-        if is_outdated or not self._is_order_read:
+        if is_outdated or not self._is_order_read or self._stop.is_set():
             return None
         return self.executor_state.clock.deadline_ms()
 
@@ -325,6 +335,27 @@
             except StoreUnavailableError as error:
                 logger.warning("event=report_failed target=%s error=%s", self._worker, error)
                 self._stop.wait(RETRY_DELAY_S)
+        if self._reports_stop:
+            self._report_stop()
+        self._has_reported_last.set()
+
+    def _report_stop(self) -> None:
+        """Report when the lease expires under which the accepted runs go on."""
+        with self._lock:
+            lease_left_s = self.executor_state.clock.longest_lease_left_s()
+            if not self._is_registered or not self.table.accepted or lease_left_s is None:
+                return
+            report = msgspec.structs.replace(
+                self._current_report(),
+                accepted=dict(self.table.accepted),
+                lease_left_s=lease_left_s,
+            )
+        try:
+            self._report_store.write(report, None)
+        except (StoreUnavailableError, OrderChangedError, ReportConflictError) as error:
+            logger.warning("event=stop_not_reported target=%s error=%s", self._worker, error)
+            return
+        logger.info("event=stop_reported target=%s lease_left_s=%.1f", self._worker, lease_left_s)
 
     def _restore_incarnation(self) -> None:
         """Go on with the incarnation of the stored report.
--- a/src/chicorycrank/batch/executor_clock.py
+++ b/src/chicorycrank/batch/executor_clock.py
@@ -171,12 +171,28 @@
         elapsed_s = failed_at - self._asked_at
         return elapsed_s - (failed_at_running_s - self._asked_at_running_s) > MAX_READING_AGE_S
 
+    def longest_lease_left_s(self) -> float | None:
+        """Return a time in seconds after which every lease has expired; None if none is known.
+
+        It holds if no lease is granted any more and the executor's clock does not stand still.
+        """
+        deadline_ms = self._latest_deadline_ms()
+        if deadline_ms is None:
+            return None
+        # A call whose lease was computed a moment ago may not be among the known ones yet.
+        return _expiry_s(0.0, max(self._lease_s, (deadline_ms - self._clock_ms) / 1000))
+
+    def _latest_deadline_ms(self) -> int | None:
+        if self._last_deadline_ms is None:
+            return None
+        with self._grants_lock:
+            return max([self._last_deadline_ms, *self._deadlines_in_flight])
+
     def _lease_expires_at_running_s(self) -> float:
         """Return the running time after which every lease has expired."""
-        if self._last_deadline_ms is None:
+        deadline_ms = self._latest_deadline_ms()
+        if deadline_ms is None:
             return self._assumed_lease_expires_at_running_s()
-        with self._grants_lock:
-            deadline_ms = max([self._last_deadline_ms, *self._deadlines_in_flight])
         remaining_s = max(0, deadline_ms - self._clock_ms) / 1000
         counted_from = self._read_at_running_s
         if self._has_unanswered_calls and self._refused_since_running_s is not None:
--- a/src/chicorycrank/batch/executor_state.py
+++ b/src/chicorycrank/batch/executor_state.py
@@ -121,9 +121,9 @@
             stored.incarnation,
             len(stored.accepted),
         )
-        self.report = stored
+        self.report = msgspec.structs.replace(stored, lease_left_s=None)
         self.last_heartbeat = Heartbeat(
-            report=stored,
+            report=self.report,
             number=NO_HEARTBEAT_NUMBER,
             started_at_ms=0,
             clock_ms=0,
--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -12,7 +12,7 @@
 from chicorycrank.batch.metrics import WORKERS_LOST
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.withdrawals import ConditionalWrite
-from chicorycrank.batch.workers import WorkerRegistry
+from chicorycrank.batch.workers import Worker, WorkerRegistry
 from chicorycrank.model.ids import TargetId
 from chicorycrank.ports.machines import MachineList, MachinesUnavailableError
 from chicorycrank.ports.transactions import MISSING
@@ -30,7 +30,8 @@
     """Detector of lost workers, which consults the machine list before work is reassigned.
 
     :param lost_after_s: time in seconds from the expiry of a worker's presence until its executor's
-        lease has expired, unless the machine is suspended
+        lease has expired, unless the machine is suspended; an agent that has stopped reports a
+        shorter one
     """
 
     def __init__(self, machines: MachineList, lost_after_s: float) -> None:
@@ -47,19 +48,20 @@
         """
         now_s = workers.now_s
         overdue_at_by_worker = {
-            worker_id: worker.presence_expired_at + self._lost_after_s
+            worker_id: overdue_at
             for worker_id, worker in workers.by_id.items()
             if worker_id in busy
-            and worker.presence_expired_at is not None
-            and now_s - worker.presence_expired_at >= self._lost_after_s
+            and (overdue_at := self._overdue_at(worker)) is not None
+            and now_s >= overdue_at
         }
         if overdue_at_by_worker and now_s - self._polled_at >= MACHINE_POLL_INTERVAL_S:
             self._polled_at = now_s
             self._poll_machines(now_s)
         lost_workers = []
         for worker_id, overdue_at in overdue_at_by_worker.items():
-            absent_s = now_s - overdue_at + self._lost_after_s
-            executor = workers.by_id[worker_id].report.executor
+            worker = workers.by_id[worker_id]
+            absent_s = now_s - (worker.presence_expired_at or now_s)
+            executor = worker.report.executor
             is_listed = not executor or executor in self._running_executors
             # A list from before the worker was overdue says nothing about the time since.
             is_machine_down = not is_listed and self._listed_at >= overdue_at
@@ -77,6 +79,15 @@
                 lost_workers.append(worker_id)
         return lost_workers
 
+    def _overdue_at(self, worker: Worker) -> float | None:
+        """Return the time at which the executor's lease has expired; None if it may be extended."""
+        if worker.presence_expired_at is None:
+            return None
+        overdue_at = worker.presence_expired_at + self._lost_after_s
+        if worker.lease_expires_at is None:
+            return overdue_at
+        return min(overdue_at, max(worker.presence_expired_at, worker.lease_expires_at))
+
     def _poll_machines(self, now_s: float) -> None:
         try:
             self._running_executors = self._machines.running_executors()
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -38,6 +38,7 @@
     """Why a worker gets no new work."""
 
     ABSENT = "absent"  # its agent does not reach the store
+    STOPPED = "stopped"  # its agent has stopped
     NOT_READY = "not-ready"
     UNREACHABLE = "unreachable"
     BACKOFF = "backoff"
@@ -56,12 +57,15 @@
     :param backoff_until: monotonic time until which it gets no new work
     :param checkpoints: run number and saved progress by task
     :param revision: revision of its report in the store
+    :param lease_expires_at: monotonic time at which the lease of its executor has expired, if its
+        agent has stopped; None while the agent may extend the lease
     :param resumption: revision of the key that its agent writes with each new presence
     :param order_written_at: monotonic time at which its order was last written
     """
 
     report: WorkerReport
     presence_expired_at: float | None = None
+    lease_expires_at: float | None = None
     backoff_until: float = 0.0
     checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
     revision: Revision = MISSING
@@ -106,6 +110,9 @@
         state.checkpoints = {**state.report.checkpoints, **report.checkpoints}
         has_other_kind = _kind(state.report) != _kind(report)
         state.report = report
+        state.lease_expires_at = (
+            None if report.lease_left_s is None else self.now_s + report.lease_left_s
+        )
         if has_other_kind:
             self._on_change()
 
@@ -204,6 +211,8 @@
         report = state.report
         if state.presence_expired_at is not None:
             return ClosedCause.ABSENT
+        if report.lease_left_s is not None:
+            return ClosedCause.STOPPED
         if report.state is not ExecutorState.READY or not report.incarnation:
             return ClosedCause.NOT_READY
         if report.is_unreachable:
