Split the planner into state, lifecycle of units and decisions

Change: PlannerState has the state with its queries, UnitLifecycle the starts, stops and ends of runs, Planner the decisions; readers depend on PlannerState.

--- a/src/chicorycrank/batch/advice.py
+++ b/src/chicorycrank/batch/advice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.planner_state import PlannerState
 from chicorycrank.batch.threads import Queue, make_queue, start_thread
 from chicorycrank.model.batch import Advice, WorkerState
 from chicorycrank.model.ids import TargetId
@@ -59,7 +59,7 @@
         self._retry_at_by_step: dict[str, float] = {}
         self._is_serving = False
 
-    def update(self, planner: Planner) -> None:
+    def update(self, planner: PlannerState) -> None:
         """Apply the responses that have arrived and request tickets for waiting steps."""
         now_s = self._clock.monotonic()
         self._apply_responses(planner, now_s)
@@ -76,7 +76,7 @@
         """Stop the background thread after its current call."""
         self._requests.put(None)
 
-    def _apply_responses(self, planner: Planner, now_s: float) -> None:
+    def _apply_responses(self, planner: PlannerState, now_s: float) -> None:
         while not self._responses.empty():
             request, tickets = self._responses.get()
             self._pending_steps.discard(request.step)
@@ -91,7 +91,7 @@
             }
             self._valid_until_by_step[request.step] = tickets.valid_until
 
-    def _request_tickets(self, planner: Planner, step: str, advice: Advice) -> None:
+    def _request_tickets(self, planner: PlannerState, step: str, advice: Advice) -> None:
         workers = {
             worker.report.executor: worker_id
             for worker_id, worker in planner.workers.by_id.items()
@@ -146,7 +146,7 @@
         return self._service.query_executors(request.step, executors, timeout_s=timeout_s)
 
 
-def _waiting_steps(planner: Planner) -> dict[str, Advice]:
+def _waiting_steps(planner: PlannerState) -> dict[str, Advice]:
     advice_by_step: dict[str, Advice] = {}
     for job_id in planner.active_jobs:
         job = planner.jobs_by_id[job_id]
--- a/src/chicorycrank/batch/crash_records.py
+++ b/src/chicorycrank/batch/crash_records.py
@@ -11,7 +11,7 @@
 from chicorycrank.model.ids import TargetId
 
 if TYPE_CHECKING:
-    from chicorycrank.batch.planner import Planner
+    from chicorycrank.batch.planner_state import PlannerState
 
 # Limit of the upper bound of a run's age: its executor crashed when it started. The time covers the
 # calls of a loaded machine.
@@ -78,7 +78,7 @@
     ]
 
 
-def is_proven(planner: Planner, crash: Crash) -> bool:
+def is_proven(planner: PlannerState, crash: Crash) -> bool:
     """Return whether another incarnation has answered at the address of the one that crashed."""
     state = planner.workers.by_id.get(crash.worker)
     return state is not None and state.report.incarnation not in ("", crash.incarnation)
@@ -98,7 +98,7 @@
     return crash.survived_ms < START_SURVIVAL_MS
 
 
-def waits_for_proof(planner: Planner, crashes: Collection[Crash]) -> bool:
+def waits_for_proof(planner: PlannerState, crashes: Collection[Crash]) -> bool:
     """Return whether the newest of these crashes may still be proven soon."""
     newest_ms = max(crash.at_ms for crash in crashes)
     # The clock of an earlier leader may have been ahead.
@@ -119,7 +119,7 @@
     return max(map(len, crashes_by_member(unit).values()), default=0)
 
 
-def workers_with_starts(planner: Planner, since_ms: int) -> set[TargetId]:
+def workers_with_starts(planner: PlannerState, since_ms: int) -> set[TargetId]:
     """Return the workers that have runs which were started after a Unix time in milliseconds."""
     return {
         worker
--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -37,7 +37,7 @@
 from chicorycrank.policy.crashes import OUTAGE_WINDOW_MS, CrashLedger
 
 if TYPE_CHECKING:
-    from chicorycrank.batch.planner import Planner
+    from chicorycrank.batch.planner_state import PlannerState
 
 # A run is cleared if it lasts this much longer than an earlier run had lasted at the crash.
 CLEARANCE_MARGIN_MS = 2000
@@ -97,7 +97,7 @@
         )
         self._crashed_runs.setdefault(incarnation, []).append(run)
 
-    def record_crashes(self, planner: Planner, worker: TargetId) -> None:
+    def record_crashes(self, planner: PlannerState, worker: TargetId) -> None:
         """Record the crashes of a worker's executor whose runs were added."""
         self._discard_conclusions()
         crashed_runs, self._crashed_runs = self._crashed_runs, {}
@@ -140,7 +140,7 @@
                 ",".join(sorted({run.ref.name for run in suspects})),
             )
 
-    def _clear_outlived(self, planner: Planner, runs: list[CrashedRun]) -> None:
+    def _clear_outlived(self, planner: PlannerState, runs: list[CrashedRun]) -> None:
         """Clear the tasks of the earlier crashes that these runs had outlived by a margin."""
         for run in runs:
             unit = planner.progress_by_id[run.ref.job_id].units[run.ref.key]
@@ -154,7 +154,7 @@
                     lived_ms=run.survived_ms,
                 )
 
-    def refute(self, planner: Planner, incarnation: Incarnation) -> None:
+    def refute(self, planner: PlannerState, incarnation: Incarnation) -> None:
         """Remove the crash of an incarnation that has answered since."""
         if not self.ledger.discard(incarnation):
             return
@@ -170,7 +170,7 @@
 
     def clear(
         self,
-        planner: Planner,
+        planner: PlannerState,
         ref: UnitRef,
         unit: Unit,
         reason: str,
@@ -204,7 +204,7 @@
         if not unit.crashes:
             self.tests_by_unit.pop(ref.name, None)
 
-    def begin_run(self, planner: Planner, ref: UnitRef, unit: Unit) -> None:
+    def begin_run(self, planner: PlannerState, ref: UnitRef, unit: Unit) -> None:
         """Record the start of a unit, which may be a test."""
         if self.needs_test(planner, ref, unit):
             self.tests_by_unit[ref.name] = unit.run
@@ -235,7 +235,7 @@
             for crash in unit.crashes:
                 self.ledger.clear(crash.incarnation, job_id)
 
-    def clear_others(self, planner: Planner, job_id: JobId) -> None:
+    def clear_others(self, planner: PlannerState, job_id: JobId) -> None:
         """Clear the jobs that only shared executors with the culprit of their crashes.
 
         Their units keep the crashes, which their starts may have caused too.
@@ -251,7 +251,7 @@
                     for crash in unit.crashes
                 ]
 
-    def _add_crash(self, planner: Planner, ref: UnitRef, crash: Crash) -> None:
+    def _add_crash(self, planner: PlannerState, ref: UnitRef, crash: Crash) -> None:
         """Add a crash to the record of a unit, or the members to a crash that it has."""
         unit = planner.progress_by_id[ref.job_id].units[ref.key]
         for known in unit.crashes:
@@ -269,7 +269,7 @@
         self._units_by_job.setdefault(ref.job_id, {})[ref.key] = unit
         planner.changes.jobs.add(ref.job_id)
 
-    def _remove_crash(self, planner: Planner, ref: UnitRef, unit: Unit, crash: Crash) -> None:
+    def _remove_crash(self, planner: PlannerState, ref: UnitRef, unit: Unit, crash: Crash) -> None:
         unit.crashes = [other for other in unit.crashes if other != crash]
         self._discard_conclusions()
         planner.changes.jobs.add(ref.job_id)
@@ -286,7 +286,7 @@
             self.ledger.clear(crash.incarnation, ref.job_id)
 
     def _remove_member(
-        self, planner: Planner, ref: UnitRef, unit: Unit, crash: Crash, member: int
+        self, planner: PlannerState, ref: UnitRef, unit: Unit, crash: Crash, member: int
     ) -> None:
         others = tuple(other for other in crash.members if other != member)
         started = tuple(other for other in crash.started if other != member)
@@ -297,7 +297,7 @@
 
     # Test runs.
 
-    def needs_test(self, planner: Planner, ref: UnitRef, unit: Unit | None) -> bool:
+    def needs_test(self, planner: PlannerState, ref: UnitRef, unit: Unit | None) -> bool:
         """Return whether the next run of a unit has to be a test."""
         if ref.job_id not in self._units_by_job:
             return False
@@ -317,7 +317,7 @@
         ages_ms = [crash.age_ms for other in units for crash in other.crashes]
         return max(ages_ms, default=0) + CLEARANCE_MARGIN_MS
 
-    def end_old_tests(self, planner: Planner) -> None:
+    def end_old_tests(self, planner: PlannerState) -> None:
         """End the tests of runs that have outlived their start."""
         for name in list(self.tests_by_unit):
             job_id, _, key = name.partition(".")
@@ -326,7 +326,7 @@
             if abs(planner.now_ms - unit.started_at_ms) >= MAX_TEST_MS:
                 del self.tests_by_unit[name]
 
-    def testing_workers(self, planner: Planner) -> set[TargetId]:
+    def testing_workers(self, planner: PlannerState) -> set[TargetId]:
         """Return the workers that get no other start, as a test runs there."""
         workers: set[TargetId] = set()
         for name in self.tests_by_unit:
@@ -335,7 +335,7 @@
             workers.update(place.worker for place in unit.places if place.worker)
         return workers
 
-    def is_held(self, planner: Planner, ref: UnitRef) -> bool:
+    def is_held(self, planner: PlannerState, ref: UnitRef) -> bool:
         """Return whether a unit must not start now.
 
         A job that awaits its verdict starts nothing, and one that probably crashes its executors
@@ -352,7 +352,7 @@
         return is_job_in_test and bool(self._attributed_crashes(planner, ref.job_id))
 
     def select_workers(
-        self, planner: Planner, ref: UnitRef, unit: Unit | None, workers: frozenset[TargetId]
+        self, planner: PlannerState, ref: UnitRef, unit: Unit | None, workers: frozenset[TargetId]
     ) -> frozenset[TargetId]:
         """Return the workers on which a unit may start in view of the crashes that it has seen.
 
@@ -376,7 +376,7 @@
 
     # Verdict.
 
-    def find_culprits(self, planner: Planner) -> Iterator[tuple[JobId, str]]:
+    def find_culprits(self, planner: PlannerState) -> Iterator[tuple[JobId, str]]:
         """Yield the active jobs that are given up, each with the reason for its callers."""
         self.ledger.forget(planner.now_ms)
         self._discard_conclusions()
@@ -407,7 +407,7 @@
                 )
                 yield job_id, f"task {name} crashed {len(crashes)} executors: {workers}"
 
-    def explain_restored(self, planner: Planner) -> None:
+    def explain_restored(self, planner: PlannerState) -> None:
         """Clear the jobs whose crashes are explained by jobs that an earlier leader gave up."""
         for job_id in list(self._units_by_job):
             is_failed = planner.progress_by_id[job_id].state is BatchState.FAILED
@@ -420,7 +420,7 @@
         self._attributed_by_job.clear()
 
     def _guilty_task(
-        self, planner: Planner, job_id: JobId, *, needs_proof: bool = True
+        self, planner: PlannerState, job_id: JobId, *, needs_proof: bool = True
     ) -> tuple[str, Collection[Crash]] | None:
         key = job_id, needs_proof
         if key not in self._guilty_by_job:
@@ -428,7 +428,7 @@
         return self._guilty_by_job[key]
 
     def _find_guilty_task(
-        self, planner: Planner, job_id: JobId, needs_proof: bool
+        self, planner: PlannerState, job_id: JobId, needs_proof: bool
     ) -> tuple[str, Collection[Crash]] | None:
         """Return a task that is to be given up and the crashes that speak against it.
 
@@ -447,7 +447,7 @@
                 return task_name(parse_unit_key(job_id, key), member), crashes
         return None
 
-    def _attributed_crashes(self, planner: Planner, job_id: JobId) -> list[Crash]:
+    def _attributed_crashes(self, planner: PlannerState, job_id: JobId) -> list[Crash]:
         if job_id not in self._attributed_by_job:
             self._attributed_by_job[job_id] = [
                 crash
@@ -457,5 +457,5 @@
             ]
         return self._attributed_by_job[job_id]
 
-    def _is_attributed(self, planner: Planner, crash: Crash, job_id: JobId) -> bool:
+    def _is_attributed(self, planner: PlannerState, crash: Crash, job_id: JobId) -> bool:
         return self.ledger.is_attributed(crash.incarnation, job_id, len(planner.workers.by_id))
--- a/src/chicorycrank/batch/failing_jobs.py
+++ b/src/chicorycrank/batch/failing_jobs.py
@@ -13,7 +13,7 @@
 from chicorycrank.policy.decisions import Decision
 
 if TYPE_CHECKING:
-    from chicorycrank.batch.planner import Planner
+    from chicorycrank.batch.planner_state import PlannerState
 
 # The cause may lie in the state of the workers, so a job is planned again after this time.
 RETRY_S = 10.0
@@ -44,7 +44,7 @@
         self._retry_at_by_id.pop(job_id, None)
 
     def decide(
-        self, planner: Planner, waiting: dict[UnitRef, None]
+        self, planner: PlannerState, waiting: dict[UnitRef, None]
     ) -> tuple[Queue, list[Decision]]:
         """Return the queue and the decisions of one pass; remove units that fail from ``waiting``.
 
@@ -62,7 +62,7 @@
         return found
 
     def _decide_one_by_one(
-        self, planner: Planner, waiting: dict[UnitRef, None]
+        self, planner: PlannerState, waiting: dict[UnitRef, None]
     ) -> tuple[Queue, list[Decision]]:
         cell = planner.cell
         before = cell.reservations_by_id, cell.waiting_for_evictions
@@ -81,7 +81,7 @@
         cell.reservations_by_id, cell.waiting_for_evictions = before
         return _decide(planner, waiting)
 
-    def _set_aside(self, planner: Planner, job_id: JobId, error: Exception) -> None:
+    def _set_aside(self, planner: PlannerState, job_id: JobId, error: Exception) -> None:
         text = f"planning the job failed: {type(error).__name__}: {error}"
         self.reason_by_id[job_id] = text[:MAX_REASON_LENGTH]
         self._retry_at_by_id[job_id] = planner.now_s + RETRY_S
@@ -90,6 +90,6 @@
         logger.error("event=job_set_aside job=%s reason=%s", job_id, text[:MAX_REASON_LENGTH])
 
 
-def _decide(planner: Planner, waiting: dict[UnitRef, None]) -> tuple[Queue, list[Decision]]:
+def _decide(planner: PlannerState, waiting: dict[UnitRef, None]) -> tuple[Queue, list[Decision]]:
     queue = planner.job_builder.make_queue(planner, waiting)
     return queue, decide(planner.cell, list(queue.values()), planner.now_s)
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -20,7 +20,7 @@
 from chicorycrank.policy.pool import members_that_fit
 
 if TYPE_CHECKING:
-    from chicorycrank.batch.planner import Planner
+    from chicorycrank.batch.planner_state import PlannerState
 
 URGENT_PRIORITY = 0
 # Assumed run time of long-running tasks, which is longer than that of any other task.
@@ -80,7 +80,7 @@
         self._workers_by_label.clear()
         self._workers_needed_by_job.clear()
 
-    def make_queued_job(self, planner: Planner, ref: UnitRef) -> QueuedJob:
+    def make_queued_job(self, planner: PlannerState, ref: UnitRef) -> QueuedJob:
         """Return a unit as a queued job of the scheduling policy."""
         job = planner.jobs_by_id[ref.job_id]
         queue = planner.queue_of(job)
@@ -111,7 +111,7 @@
             can_wait=not step.long_running and waited_s < WAITABLE_SLACK_SHARE * slack_s,
         )
 
-    def units_within_quota(self, planner: Planner) -> UnitsOfJobs:
+    def units_within_quota(self, planner: PlannerState) -> UnitsOfJobs:
         """Return the units of urgent jobs within the quota of their team."""
         jobs_by_team: dict[TeamId, list[tuple[int, JobId, int]]] = {}
         for job_id in planner.active_jobs:
@@ -130,7 +130,7 @@
                     job_ids.add(job_id)
         return UnitsOfJobs(frozenset(job_ids))
 
-    def headroom_workers(self, planner: Planner) -> int:
+    def headroom_workers(self, planner: PlannerState) -> int:
         """Return how many workers to keep empty for the next urgent job."""
         cell = planner.cell
         if not self._max_headroom_share or used_share(cell) < HEADROOM_MIN_USED_SHARE:
@@ -142,7 +142,7 @@
                 needed = max(needed, self._workers_needed(planner, job))
         return min(needed, int(self._max_headroom_share * len(cell.workers_by_id)))
 
-    def _workers_needed(self, planner: Planner, job: Submission) -> int:
+    def _workers_needed(self, planner: PlannerState, job: Submission) -> int:
         if job.job_id not in self._workers_needed_by_job:
             shapes = [self._gang_shape(planner, step) for step in job.steps]
             self._workers_needed_by_job[job.job_id] = max(
@@ -155,7 +155,9 @@
         self._workers_needed_by_job.pop(job_id, None)
         self._remaining_by_job.pop(job_id, None)
 
-    def make_queue(self, planner: Planner, refs: Iterable[UnitRef]) -> dict[UnitRef, QueuedJob]:
+    def make_queue(
+        self, planner: PlannerState, refs: Iterable[UnitRef]
+    ) -> dict[UnitRef, QueuedJob]:
         """Return the waiting units that a decision pass may start, as queued jobs.
 
         Units of a step, of any occurrence, that have failed and seen crashes on the same workers
@@ -192,7 +194,7 @@
             queue[ref] = replace(first_by_class[key], job_id=ref.name)
         return queue
 
-    def _precedence(self, planner: Planner, job: Submission, waited_s: float) -> float:
+    def _precedence(self, planner: PlannerState, job: Submission, waited_s: float) -> float:
         """Return the remaining work of a job, discounted by its wait.
 
         Short jobs come first, as callers gain nothing from a job before its last task ends. The
@@ -200,7 +202,7 @@
         """
         return self._remaining_s(planner, job) / (1.0 + waited_s / WAIT_HALVING_S)
 
-    def _remaining_s(self, planner: Planner, job: Submission) -> float:
+    def _remaining_s(self, planner: PlannerState, job: Submission) -> float:
         """Return the remaining work of a job in accelerator seconds."""
         job_units = planner.units_by_id[job.job_id]
         known_done, remaining_s = self._remaining_by_job.get(job.job_id, (-1, 0.0))
@@ -216,7 +218,7 @@
         return remaining_s
 
     @staticmethod
-    def _gang_shape(planner: Planner, step: Step) -> GangShape:
+    def _gang_shape(planner: PlannerState, step: Step) -> GangShape:
         shape = GangShape(
             members=step.count if step.gang else 1,
             accelerators=step.accelerators,
@@ -235,7 +237,7 @@
         return shape
 
     def _placement_rule(
-        self, planner: Planner, ref: UnitRef, step: Step, queue: Queue, waited_s: float
+        self, planner: PlannerState, ref: UnitRef, step: Step, queue: Queue, waited_s: float
     ) -> PlacementRule:
         workers = self._suitable_workers(planner, queue.service, step.label)
         unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
@@ -270,7 +272,7 @@
             max_members=_max_gang_members(step, planner.units_by_id[ref.job_id].assignment_bytes),
         )
 
-    def can_hold(self, planner: Planner, ref: UnitRef, workers: Iterable[TargetId]) -> bool:
+    def can_hold(self, planner: PlannerState, ref: UnitRef, workers: Iterable[TargetId]) -> bool:
         """Return whether a unit would fit on those of the workers that are there, were they empty.
 
         A gang that is placed in one rack has to fit in one of theirs.
@@ -292,7 +294,9 @@
             return max(members_by_rack.values(), default=0) >= shape.members
         return members_by_rack.total() >= shape.members
 
-    def _suitable_workers(self, planner: Planner, service: str, label: str) -> frozenset[TargetId]:
+    def _suitable_workers(
+        self, planner: PlannerState, service: str, label: str
+    ) -> frozenset[TargetId]:
         key = (service, label)
         if key not in self._workers_by_label:
             self._workers_by_label[key] = frozenset(
@@ -320,7 +324,7 @@
     return most if step.count > most else 0
 
 
-def _fits_one_rack(planner: Planner, shape: GangShape) -> bool:
+def _fits_one_rack(planner: PlannerState, shape: GangShape) -> bool:
     members_by_rack: Counter[RackId] = Counter()
     for worker_id, members in members_by_worker(planner.cell, shape).items():
         members_by_rack[planner.cell.workers_by_id[worker_id].rack] += members
--- a/src/chicorycrank/batch/urgent_waits.py
+++ b/src/chicorycrank/batch/urgent_waits.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from itertools import islice
 
-from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.planner_state import PlannerState
 from chicorycrank.batch.queued_jobs import URGENT_PRIORITY
 from chicorycrank.batch.units import UnitRef, due_at_ms
 from chicorycrank.model.ids import JobId
@@ -63,7 +63,7 @@
         self._next_check_s = 0.0
         self._logged_at_by_id: dict[JobId, float] = {}
 
-    def update(self, planner: Planner) -> None:
+    def update(self, planner: PlannerState) -> None:
         """Log the first waiting unit of each urgent job that waits too long."""
         if planner.now_s < self._next_check_s:
             return
@@ -81,7 +81,7 @@
                 # A job that is set aside may fail here, too; the plan still has to be written.
                 logger.exception("event=wait_not_described job=%s unit=%s", ref.job_id, ref.key)
 
-    def _late_units(self, planner: Planner) -> Iterator[UnitRef]:
+    def _late_units(self, planner: PlannerState) -> Iterator[UnitRef]:
         for job_id in planner.active_jobs:
             if (
                 job_id not in self._logged_at_by_id
@@ -95,12 +95,12 @@
                 yield from islice(late, 1)
 
 
-def _waited_ms(planner: Planner, ref: UnitRef) -> int:
+def _waited_ms(planner: PlannerState, ref: UnitRef) -> int:
     job = planner.jobs_by_id[ref.job_id]
     return planner.now_ms - max(job.submitted_at_ms, due_at_ms(job, ref.occurrence))
 
 
-def _log_wait(planner: Planner, ref: UnitRef) -> None:
+def _log_wait(planner: PlannerState, ref: UnitRef) -> None:
     job = planner.job_builder.make_queued_job(planner, ref)
     room = _find_room(planner, job)
     unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
@@ -125,7 +125,7 @@
     )
 
 
-def _wait_cause(planner: Planner, ref: UnitRef, job: QueuedJob, room: Room) -> WaitCause:
+def _wait_cause(planner: PlannerState, ref: UnitRef, job: QueuedJob, room: Room) -> WaitCause:
     if planner.failing_jobs.is_set_aside(ref.job_id, planner.now_s):
         return WaitCause.SET_ASIDE
     if planner.crashes.is_held(planner, ref):
@@ -143,7 +143,7 @@
     return WaitCause.NO_ROOM if room.members < job.shape.members else WaitCause.NOT_CHOSEN
 
 
-def _find_room(planner: Planner, job: QueuedJob) -> Room:
+def _find_room(planner: PlannerState, job: QueuedJob) -> Room:
     pool = planner.cell.free
     workers = planner.cell.workers_by_id if job.rule.workers is None else job.rule.workers
     closed: Counter[str] = Counter()
--- a/tests/batch/test_job_units.py
+++ b/tests/batch/test_job_units.py
@@ -11,7 +11,7 @@
 from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.keys import decode, decode_progress, encode, encode_progress
 from chicorycrank.batch.number_ranges import NumberRanges, add_number, first_missing
-from chicorycrank.batch.planner import MAX_STARTS_PER_PLAN
+from chicorycrank.batch.planner_state import MAX_STARTS_PER_PLAN
 from chicorycrank.batch.units import UnitRef
 from chicorycrank.model.batch import (
     BatchState,
--- a/tests/batch/test_order_limits.py
+++ b/tests/batch/test_order_limits.py
@@ -6,7 +6,8 @@
 
 from chicorycrank.batch.keys import encode, encode_progress
 from chicorycrank.batch.orders import MAX_RUNS_PER_ORDER
-from chicorycrank.batch.planner import MAX_OPEN_UNITS, MAX_STARTS_PER_PLAN, Planner
+from chicorycrank.batch.planner import Planner
+from chicorycrank.batch.planner_state import MAX_OPEN_UNITS, MAX_STARTS_PER_PLAN
 from chicorycrank.model.batch import BatchState, EndKind, Step, Submission, TaskEnd
 from chicorycrank.model.ids import TargetId, TaskId
 from chicorycrank.policy.decide import MAX_DECISIONS
--- a/tests/batch/test_order_sizes.py
+++ b/tests/batch/test_order_sizes.py
@@ -21,9 +21,9 @@
 def check_sums(planner: Planner) -> None:
     for worker, members in planner.members_by_worker.items():
         size = sum(planner.units_by_id[m.ref.job_id].assignment_bytes for m in members.values())
-        assert planner._order_sizes._runs_by_worker[worker] == len(members)
-        assert planner._order_sizes._bytes_by_worker[worker] == size
-        starting = planner._order_sizes._starting_jobs_by_worker.get(worker)
+        assert planner.order_sizes._runs_by_worker[worker] == len(members)
+        assert planner.order_sizes._bytes_by_worker[worker] == size
+        starting = planner.order_sizes._starting_jobs_by_worker.get(worker)
         if starting is not None:
             assert starting == set(planner.unaccepted_tasks(worker))
 
