--- a/src/chicorycrank/batch/planner_state.py
+++ b/src/chicorycrank/batch/planner_state.py
@@ -7,6 +7,7 @@
 from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.order_sizes import OrderSizes
 from chicorycrank.batch.orders import ChangedRecords, make_assignment
+from chicorycrank.batch.performance import PerformanceRecords
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.batch.units import (
     Member,
@@ -65,6 +66,7 @@
         self.workers = WorkerRegistry(self.cell, now_s, job_builder.clear_worker_caches)
         self.crashes = CrashTracker()
         self.failing_jobs = FailingJobs()
+        self.performance = PerformanceRecords()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         # Jobs of which a run has ended since the last plan.
         self.jobs_with_ends: set[JobId] = set()
