Take the work of removed machines over once two lists lack them

Change: the list is read as soon as an agent with work is absent; two lists in a row without an executor that had run for 15 s prove its end. The report has the start time of the incarnation.

--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -1,6 +1,8 @@
 """Detection of workers on which nothing can be running any more."""
 
 import logging
+from collections.abc import Mapping
+from math import inf
 
 from chicorycrank.batch.keys import (
     encode,
@@ -22,6 +24,11 @@
 # to have lost its agent.
 SUSPENSION_LIMIT_S = 45.0
 MACHINE_POLL_INTERVAL_S = 2.0  # each request to the machine list is billed
+# A machine that is gone is not named by this many lists in a row. A single one may leave out a
+# machine that has changed its page while the list was read.
+LISTS_WITHOUT_REMOVED_MACHINE = 2
+# An executor that has just started may not be listed yet.
+MIN_LISTED_AGE_MS = 15_000
 
 logger = logging.getLogger("absl")
 
@@ -40,38 +47,46 @@
         self._polled_at = float("-inf")
         self._listed_at = float("-inf")
         self._running_executors: frozenset[str] = frozenset()
+        # Lists in a row that were read after the loss of the presence and lack the executor.
+        self._lists_without: dict[TargetId, int] = {}
 
-    def find_lost(self, workers: WorkerRegistry, busy: set[TargetId]) -> list[TargetId]:
+    def find_lost(
+        self, workers: WorkerRegistry, busy: set[TargetId], now_ms: int = 0
+    ) -> list[TargetId]:
         """Return the workers whose work may be assigned to other workers.
 
         :param busy: workers that have work assigned
+        :param now_ms: Unix time in milliseconds, for the age of executors; 0 if it is not known
         """
         now_s = workers.now_s
-        overdue_at_by_worker = {
-            worker_id: overdue_at
+        absent = {
+            worker_id: worker
             for worker_id, worker in workers.by_id.items()
-            if worker_id in busy
-            and (overdue_at := self._overdue_at(worker)) is not None
-            and now_s >= overdue_at
+            if worker_id in busy and worker.presence_expired_at is not None
         }
-        if overdue_at_by_worker and now_s - self._polled_at >= MACHINE_POLL_INTERVAL_S:
+        self._lists_without = {
+            worker_id: count
+            for worker_id, count in self._lists_without.items()
+            if worker_id in absent
+        }
+        needs_list = any(
+            self._is_overdue(worker, now_s) or _is_established(worker, now_ms)
+            for worker in absent.values()
+        )
+        if needs_list and now_s - self._polled_at >= MACHINE_POLL_INTERVAL_S:
             self._polled_at = now_s
-            self._poll_machines(now_s)
+            if self._poll_machines(now_s):
+                self._count_lists(absent)
         lost_workers = []
-        for worker_id, overdue_at in overdue_at_by_worker.items():
-            worker = workers.by_id[worker_id]
+        for worker_id, worker in absent.items():
             absent_s = now_s - (worker.presence_expired_at or now_s)
-            executor = worker.report.executor
-            is_listed = not executor or executor in self._running_executors
-            # A list from before the worker was overdue says nothing about the time since.
-            is_machine_down = not is_listed and self._listed_at >= overdue_at
-            if is_machine_down or absent_s >= SUSPENSION_LIMIT_S:
+            if self._is_lost(worker_id, worker, absent_s, now_ms):
                 logger.warning(
                     "event=worker_lost target=%s absent_s=%.1f listed=%s list_age_s=%.1f"
                     " polled_s_ago=%.1f executors_listed=%d",
                     worker_id,
                     absent_s,
-                    is_listed,
+                    self._is_listed(worker),
                     now_s - self._listed_at,
                     now_s - self._polled_at,
                     len(self._running_executors),
@@ -79,21 +94,55 @@
                 lost_workers.append(worker_id)
         return lost_workers
 
-    def _overdue_at(self, worker: Worker) -> float | None:
-        """Return the time at which the executor's lease has expired; None if it may be extended."""
+    def _is_lost(self, worker_id: TargetId, worker: Worker, absent_s: float, now_ms: int) -> bool:
+        if absent_s >= SUSPENSION_LIMIT_S:
+            return True
+        if _is_established(worker, now_ms):
+            is_removed = self._lists_without.get(worker_id, 0) >= LISTS_WITHOUT_REMOVED_MACHINE
+        else:
+            is_removed = False
+        # A list from before the worker was overdue says nothing about the time since.
+        overdue_at = self._overdue_at(worker)
+        is_down = not self._is_listed(worker) and self._listed_at >= overdue_at
+        return is_removed or is_down
+
+    def _is_overdue(self, worker: Worker, now_s: float) -> bool:
+        return now_s >= self._overdue_at(worker)
+
+    def _is_listed(self, worker: Worker) -> bool:
+        executor = worker.report.executor
+        return not executor or executor in self._running_executors
+
+    def _count_lists(self, absent: Mapping[TargetId, Worker]) -> None:
+        for worker_id, worker in absent.items():
+            is_listed = self._is_listed(worker)
+            count = 0 if is_listed else self._lists_without.get(worker_id, 0) + 1
+            self._lists_without[worker_id] = count
+
+    def _overdue_at(self, worker: Worker) -> float:
+        """Return the time at which the executor's lease has expired, unless it is extended."""
         if worker.presence_expired_at is None:
-            return None
+            return inf
         overdue_at = worker.presence_expired_at + self._lost_after_s
         if worker.lease_expires_at is None:
             return overdue_at
         return min(overdue_at, max(worker.presence_expired_at, worker.lease_expires_at))
 
-    def _poll_machines(self, now_s: float) -> None:
+    def _poll_machines(self, now_s: float) -> bool:
+        """Read the list; return whether an answer arrived."""
         try:
             self._running_executors = self._machines.running_executors()
             self._listed_at = now_s
         except MachinesUnavailableError as error:
             logger.warning("event=machines_unavailable error=%s", error)
+            return False
+        return True
+
+
+def _is_established(worker: Worker, now_ms: int) -> bool:
+    """Return whether an executor has run for so long that a list of machines names it."""
+    started_at_ms = worker.report.started_at_ms
+    return started_at_ms > 0 and now_ms - started_at_ms >= MIN_LISTED_AGE_MS
 
 
 def reassign_work(planner: Planner, worker: TargetId, write: ConditionalWrite) -> None:
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -283,7 +283,7 @@
     def _reassign_lost_work(self) -> None:
         planner = self._planner
         busy = {worker for worker, members in planner.members_by_worker.items() if members}
-        for worker in self._lost_worker_detector.find_lost(planner.workers, busy):
+        for worker in self._lost_worker_detector.find_lost(planner.workers, busy, planner.now_ms):
             reassign_work(planner, worker, self._write_conditionally)
 
     def _find_former_orders(self) -> list[str]:
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -328,6 +328,7 @@
     :param fence: fencing token of the agent, raised when the agent or its executor restarts
     :param incarnation: incarnation of the executor
     :param executor: id of the executor
+    :param started_at_ms: Unix time in milliseconds at which the incarnation started; 0 if unknown
     :param cores: processor capacity in thousandths of a core
     :param remaining_ms: minimum time in milliseconds before a draining executor shuts down
     :param is_unreachable: the executor does not answer, or has said that it ends; its runs may
@@ -346,6 +347,7 @@
     fence: int = 0
     incarnation: Incarnation = Incarnation("")
     executor: str = ""
+    started_at_ms: int = 0
     service: ServiceId = ServiceId("")
     zone: str = ""
     state: WorkerState = WorkerState.GONE
--- a/src/chicorycrank/platform/documents.py
+++ b/src/chicorycrank/platform/documents.py
@@ -1,11 +1,8 @@
 """Decoders of the external platform's JSON documents.
 
-They are the configuration, jobs, reports of executors and the list of machines.
+They are the configuration, jobs and reports of executors.
 """
 
-from collections.abc import Iterable
-from typing import Any
-
 import msgspec
 from msgspec import Struct
 
@@ -24,7 +21,6 @@
 
 CONFIG_STORE_KEY = "op/config"
 WORKER_STATE_BY_NAME = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
-MACHINE_STATES = frozenset({"up", "moving", "upkeep", "down"})
 MAX_PAYLOAD_BYTES = 4000
 # A job is one value of the store, with its payload and the configuration of its queue.
 MAX_JOB_BYTES = 262_144
@@ -355,6 +351,7 @@
     report = WorkerReport(
         incarnation=incarnation_of(executor_id, document.born),
         executor=executor_id,
+        started_at_ms=document.born,
         service=ServiceId(document.service),
         zone=document.zone,
         state=WORKER_STATE_BY_NAME[document.state],
@@ -370,41 +367,3 @@
     return NumberedReport(
         report=report, number=document.seq, started_at_ms=document.born, clock_ms=document.clock_ms
     )
-
-
-class Machine(Struct, frozen=True, kw_only=True):
-    """Machine in the platform's list.
-
-    :param machine: id of the machine
-    :param pool: pool of the machine; not used
-    :param state: ``up`` if the machine is running
-    :param executor: id of the executor on the machine; empty if there is none
-    """
-
-    machine: str
-    pool: str
-    state: str
-    executor: str
-
-
-def decode_machines(rows: Iterable[Any]) -> list[Machine]:
-    """Decode a page of the list of machines.
-
-    :raises DocumentError: a row is malformed or has an unknown state
-    """
-    return [_decode_machine(row) for row in rows]
-
-
-def _decode_machine(row: Any) -> Machine:
-    if (
-        not isinstance(row, dict)
-        or not isinstance(row.get("machine"), str)
-        or row.get("state") not in MACHINE_STATES
-    ):
-        raise DocumentError(f"list of machines: malformed row {row!r:.100}")
-    return Machine(
-        machine=row["machine"],
-        pool=str(row.get("pool", "")),
-        state=row["state"],
-        executor=str(row.get("id") or ""),
-    )
--- a/src/chicorycrank/platform/machines.py
+++ b/src/chicorycrank/platform/machines.py
@@ -1,13 +1,55 @@
 """HTTP client of the platform's list of machines."""
 
+from collections.abc import Iterable
 from typing import Any
 
+from msgspec import Struct
+
 from chicorycrank.platform.client import NoAnswerError, PlatformClient
-from chicorycrank.platform.documents import DocumentError, Machine, decode_machines
+from chicorycrank.platform.documents import DocumentError
 from chicorycrank.ports.machines import MachinesUnavailableError
 
 CALL_TIMEOUT_S = 1.0
 STATE_UP = "up"
+MACHINE_STATES = frozenset({STATE_UP, "moving", "upkeep", "down"})
+
+
+class Machine(Struct, frozen=True, kw_only=True):
+    """Machine in the platform's list.
+
+    :param machine: id of the machine
+    :param pool: pool of the machine; not used
+    :param state: ``up`` if the machine is running
+    :param executor: id of the executor on the machine; empty if there is none
+    """
+
+    machine: str
+    pool: str
+    state: str
+    executor: str
+
+
+def decode_machines(rows: Iterable[Any]) -> list[Machine]:
+    """Decode a page of the list of machines.
+
+    :raises DocumentError: a row is malformed or has an unknown state
+    """
+    return [_decode_machine(row) for row in rows]
+
+
+def _decode_machine(row: Any) -> Machine:
+    if (
+        not isinstance(row, dict)
+        or not isinstance(row.get("machine"), str)
+        or row.get("state") not in MACHINE_STATES
+    ):
+        raise DocumentError(f"list of machines: malformed row {row!r:.100}")
+    return Machine(
+        machine=row["machine"],
+        pool=str(row.get("pool", "")),
+        state=row["state"],
+        executor=str(row.get("id") or ""),
+    )
 
 
 class PlatformMachines:
--- a/tests/batch/test_lost_workers.py
+++ b/tests/batch/test_lost_workers.py
@@ -70,6 +70,53 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("lists", "age_ms", "lost"),
+    [
+        pytest.param([frozenset()], 60_000, False, id="one list may leave out a machine"),
+        pytest.param([frozenset(), frozenset()], 60_000, True, id="removed"),
+        pytest.param([frozenset(), frozenset({"i-1"}), frozenset()], 60_000, False, id="listed"),
+        pytest.param([frozenset(), None], 60_000, False, id="the second list is unavailable"),
+        pytest.param([frozenset(), None, frozenset()], 60_000, True, id="one is unavailable"),
+        pytest.param([frozenset(), frozenset()], 5_000, False, id="not listed yet"),
+        pytest.param([frozenset(), frozenset()], -5_000, False, id="clocks differ"),
+    ],
+)
+def test_work_of_a_removed_machine_does_not_wait_until_its_lease_would_have_expired(
+    lists: list[frozenset[str] | None], age_ms: int, lost: bool
+) -> None:
+    """Guards against gangs that wait for the members on a machine that was taken away."""
+    workers = WorkerRegistry(Cell(), 1000.0, lambda: None)
+    now_ms = 1_000_000
+    report = make_report("i-1:1")
+    report.started_at_ms = now_ms - age_ms
+    workers.apply_report(WORKER, report)
+    workers.set_present(WORKER, True)
+    machines = FakeMachineList(frozenset())
+    detector = LostWorkerDetector(machines, WORKER_LOST_TIMEOUT_S)
+    assert detector.find_lost(workers, {WORKER}, now_ms) == []
+    workers.set_present(WORKER, False)
+    found: list[TargetId] = []
+    for machines.running in lists:
+        found = detector.find_lost(workers, {WORKER}, now_ms)
+        workers.now_s += MACHINE_POLL_INTERVAL_S
+    assert found == ([WORKER] if lost else [])
+
+
+def test_lists_from_before_the_agent_was_back_do_not_count() -> None:
+    """Guards against a second run after a list that was read in an earlier absence."""
+    workers = WorkerRegistry(Cell(), 1000.0, lambda: None)
+    report = make_report("i-1:1")
+    report.started_at_ms = 1
+    workers.apply_report(WORKER, report)
+    detector = LostWorkerDetector(FakeMachineList(frozenset()), WORKER_LOST_TIMEOUT_S)
+    for is_present in (True, False, True, False):
+        workers.set_present(WORKER, is_present)
+        assert detector.find_lost(workers, {WORKER}, 60_000) == []
+        workers.now_s += MACHINE_POLL_INTERVAL_S
+    assert detector.find_lost(workers, {WORKER}, 60_000) == [WORKER]
+
+
 @pytest.mark.parametrize("executor", ["i-2", ""])
 def test_a_list_from_before_the_loss_proves_nothing(executor: str) -> None:
     """Guards against a second run beside a machine that an old list does not name yet."""
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -13,9 +13,9 @@
     DocumentError,
     decode_config,
     decode_job,
-    decode_machines,
     decode_report,
 )
+from chicorycrank.platform.machines import decode_machines
 from chicorycrank.platform.settings import decode_settings
 from chicorycrank.settings.reader import SettingsError
 
