Take no run for stalled that waits, restores or is slow

Cause: a member at 100 percent that waits for slower ones was taken for stalled after 2.5 s, and so were runs of which one percent takes longer than that, resumed members that wait for their gang, and paced runs that no order names. Change: the limit is the larger of the present ones and a multiple of the time of one percent, measured or declared; orders carry the declared run time, and the size of an assignment is estimated 40 bytes larger for it.

--- a/src/chicorycrank/batch/orders.py
+++ b/src/chicorycrank/batch/orders.py
@@ -27,7 +27,7 @@
 MIN_RUNS_OF_JOB = 16
 MIN_BYTES_OF_JOB = FULL_ORDER_BYTES // 8
 # Size of an assignment without its payload.
-ASSIGNMENT_BYTES = 400
+ASSIGNMENT_BYTES = 440
 
 
 @dataclass(kw_only=True)
@@ -71,6 +71,7 @@
         cores=0 if step.fills else step.cores,
         memory_mb=step.memory_mb,
         probation_ms=probation_ms,
+        run_time_s=step.run_time_s,
     )
 
 
--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -1,17 +1,11 @@
 """Run of a task on one executor, as tracked by its agent."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from chicorycrank.batch.run_progress import RunProgress
 from chicorycrank.model.batch import Assignment, EndKind, TaskEnd
 from chicorycrank.model.ids import Incarnation, TaskId
 
-# A task without progress for this long is stalled. Progress is counted in whole percent: even on
-# an executor that is six times slower than declared, a task with a run time of 22 s gains one
-# percent in about 1.3 s. A much longer task may count as stalled although it works.
-STALL_TIMEOUT_S = 2.5
-# Limit for tasks at 0 percent, as the members of a gang wait for each other at first.
-START_STALL_TIMEOUT_S = 4.5
-
 
 @dataclass(kw_only=True)
 class Run:
@@ -36,9 +30,9 @@
         stop of the run, or that its start is outdated; the executor does not start the run after
         that, so the run has ended if a later status does not list it
     :param rejection_reason: why the run was not started
-    :param percent: completed share of the work, 0 to 100; -1 if unknown
     :param load: tail latency in milliseconds if the task serves users, otherwise cores in use
-    :param progressed_at: monotonic time at which ``percent`` last changed
+    :param is_named: the order has named the run; otherwise, its assignment holds no more than its
+        task and number
     """
 
     assignment: Assignment
@@ -58,9 +52,9 @@
     starts_rejected_since: float | None = None
     rejection_reason: str = ""
     checkpoint: str = ""
-    percent: int = -1
+    progress: RunProgress = field(default_factory=RunProgress)
     load: float = 0.0
-    progressed_at: float = 0.0
+    is_named: bool = True
 
     @property
     def needs_call(self) -> bool:
@@ -87,14 +81,12 @@
         return self.assignment.task, self.assignment.run
 
     def is_stalled(self, now_s: float) -> bool:
-        """Return whether the task makes no progress."""
-        timeout_s = STALL_TIMEOUT_S if self.percent else START_STALL_TIMEOUT_S
-        return (
-            self.percent >= 0
-            and not self.assignment.long_running
-            and not self.assignment.fills
-            and now_s - self.progressed_at > timeout_s
-        )
+        """Return whether the task makes no progress.
+
+        What the percentage means is not known of a run that the order has not named: the task may
+        be long-running, or fill and be paced down to 0.
+        """
+        return self.is_named and self.progress.is_stalled(self.assignment, now_s)
 
     def is_cleared(self, now_s: float) -> bool:
         """Return whether the run has outlasted its probation."""
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -325,7 +325,9 @@
                 if run.key not in running:
                     self._end_or_stop_missing(run, sent_at)
         self.suspects = {
-            task: run.percent for task, run in self.runs_by_task.items() if run.is_stalled(sent_at)
+            task: run.progress.percent
+            for task, run in self.runs_by_task.items()
+            if run.is_stalled(sent_at)
         }
         if sent_at - self._checkpoints_reported_at >= CHECKPOINT_REPORT_INTERVAL_S:
             self._checkpoints_reported_at = sent_at
@@ -361,8 +363,7 @@
                 run.first_called_at, run.is_age_unknown = now_s, True
             if run.started_at is None:
                 run.started_at = now_s
-            if running_task.percent != run.percent:
-                run.percent, run.progressed_at = running_task.percent, now_s
+            run.progress.record(running_task.percent, now_s)
 
     def _track_listed_run(self, running_task: RunningTask, incarnation: Incarnation) -> Run:
         """Track a run that the executor lists.
@@ -385,6 +386,7 @@
             assignment=assignment or Assignment(task=task, run=number),
             incarnation=incarnation,
             should_stop=assignment is None or assignment.stop or has_ended,
+            is_named=assignment is not None,
         )
         if task in self.runs_by_task:
             run.should_stop = True
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from chicorycrank.batch.run import START_STALL_TIMEOUT_S
+from chicorycrank.batch.run_progress import START_STALL_TIMEOUT_S
 from chicorycrank.model.batch import EndKind, TaskEnd, WorkerReport
 from chicorycrank.model.batch import WorkerState as ExecutorState
 from chicorycrank.model.ids import Incarnation, JobId, TargetId, TaskId, ZoneId
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -287,6 +287,7 @@
     :param memory_mb: memory of the task in megabytes
     :param probation_ms: time in milliseconds for which the executor has to list the run until the
         agent reports it as cleared; 0 if the task has crashed no executor
+    :param run_time_s: declared run time of the task in seconds; 0 if an earlier version ordered it
     """
 
     task: TaskId
@@ -302,6 +303,7 @@
     cores: int = 0
     memory_mb: int = 0
     probation_ms: int = 0
+    run_time_s: float = 0.0
 
 
 class WorkOrder(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/tests/batch/test_runs.py
+++ b/tests/batch/test_runs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chicorycrank.batch.run import STALL_TIMEOUT_S
+from chicorycrank.batch.run_progress import STALL_TIMEOUT_S
 from chicorycrank.batch.runs import MISSING_TIMEOUT_S, RunTable
 from chicorycrank.model.batch import Assignment, EndKind, TaskEnd, WorkOrder
 from chicorycrank.model.ids import Incarnation, TaskId
