Report the rates of runs to the leader

Cause: workers differ in speed by a factor of two, and no record of it is kept. Change: the agent measures the progress of each run per second of the executor's clock over the last 2 to 4 s, and reports it in work_rates: first after 1.5 s and five percent, again after a change by a fifth, at most every 2 s, or together with a write that is due anyway.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -426,6 +426,7 @@
             seen=self.table.last_end_number,
             suspects=dict(self.table.suspects),
             checkpoints=dict(self.table.checkpoints),
+            work_rates=dict(self.table.work_rates),
             accepted=self.table.runs_to_accept(includes_new=includes_new),
             cleared=dict(self.table.cleared),
         )
--- a/src/chicorycrank/batch/run.py
+++ b/src/chicorycrank/batch/run.py
@@ -80,6 +80,13 @@
         """Return task and run number."""
         return self.assignment.task, self.assignment.run
 
+    def record_progress(self, percent: int, now_s: float, clock_s: float) -> None:
+        """Record the percentage that a status lists.
+
+        :param clock_s: reading of the executor's clock in the status, in seconds
+        """
+        self.progress.record(percent, now_s, clock_s, self.assignment.run_time_s)
+
     def is_stalled(self, now_s: float) -> bool:
         """Return whether the task makes no progress.
 
@@ -88,6 +95,17 @@
         """
         return self.is_named and self.progress.is_stalled(self.assignment, now_s)
 
+    @property
+    def has_rate(self) -> bool:
+        """Whether the percentage shows how fast the task works."""
+        assignment = self.assignment
+        return not (
+            self.should_stop
+            or assignment.long_running
+            or assignment.fills
+            or assignment.target_latency_s > 0
+        )
+
     def is_cleared(self, now_s: float) -> bool:
         """Return whether the run has outlasted its probation."""
         return (
--- a/src/chicorycrank/batch/runs.py
+++ b/src/chicorycrank/batch/runs.py
@@ -1,8 +1,9 @@
 """Runs of tasks on one executor, as tracked by its agent."""
 
 import logging
-from collections.abc import Collection, Sequence
+from collections.abc import Collection
 
+from chicorycrank.batch.reported_runs import ReportedRuns
 from chicorycrank.batch.run import Run
 from chicorycrank.batch.units import job_of
 from chicorycrank.model.batch import (
@@ -18,9 +19,6 @@
 
 # A started run that the executor does not list within this time is assumed to be lost.
 MISSING_TIMEOUT_S = 2.0
-# Minimum time between updates of the reported checkpoints. It bounds the work that is lost with a
-# worker, which costs more than a report every few seconds.
-CHECKPOINT_REPORT_INTERVAL_S = 4.0
 
 # Ends that the agent concluded from the end of the executor; what the executor lists replaces them.
 CONCLUDED_KINDS = (EndKind.LOST, EndKind.CRASHED)
@@ -28,29 +26,23 @@
 logger = logging.getLogger("absl")
 
 
-class RunTable:
+class RunTable(ReportedRuns):
     """Runs of one incarnation of an executor, and the ends to report.
 
     :ivar other_runs_by_key: runs under another number than the order's, by task and run number;
         they have to be gone before the run of the order starts
     :ivar last_end_number: number of the last end that was read from the executor
     :ivar accepted: number of the run that is stored as accepted, by task
-    :ivar cleared: number of the run that has outlasted its probation, by task
-    :ivar suspects: completed percentage by task, for tasks that make no progress
-    :ivar checkpoints: run number and checkpoint by task, as reported to the leader
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.runs_by_task: dict[TaskId, Run] = {}
         self.other_runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.order = WorkOrder(incarnation=Incarnation(""))
         self.ends: list[TaskEnd] = []
         self.last_end_number = 0
         self.accepted: dict[TaskId, int] = {}
-        self.cleared: dict[TaskId, int] = {}
-        self.suspects: dict[TaskId, int] = {}
-        self.checkpoints: dict[TaskId, tuple[int, str]] = {}
-        self._checkpoints_reported_at = float("-inf")
         self._status_sent_at = float("-inf")
 
     def apply_order(
@@ -65,9 +57,7 @@
         self.order = order
         named = {(assignment.task, assignment.run) for assignment in order.assignments}
         self.ends = [end for end in self.ends if (end.task, end.run) in named]
-        self.checkpoints = {
-            task: saved for task, saved in self.checkpoints.items() if (task, saved[0]) in named
-        }
+        self.keep_named(named)
         self.accepted = {
             task: run
             for task, run in self.accepted.items()
@@ -170,8 +160,7 @@
 
         Accepted runs stay until the order no longer names them.
         """
-        self.suspects.clear()
-        self.cleared.clear()
+        self.clear_runs()
         self.last_end_number = 0
         self._status_sent_at = float("-inf")
 
@@ -232,8 +221,7 @@
             self._add_end(run.crash_end(now_s, was_watched=was_watched))
         for task, number in self.accepted.items():
             self._add_end(TaskEnd(task, number, EndKind.LOST))
-        self.suspects.clear()
-        self.cleared.clear()
+        self.clear_runs()
 
     def end_unaccepted(self) -> None:
         """End the runs that have not been accepted, as their executor has ended."""
@@ -312,46 +300,32 @@
         if sent_at < self._status_sent_at:
             return False
         self._status_sent_at = sent_at
+        runs_by_task = dict(self.runs_by_task)
         before = (list(self.ends), self.suspects, self.checkpoints, self.cleared)
         for numbered in status.ends:
             if numbered.number > self.last_end_number:
                 self.last_end_number = numbered.number
                 self._apply_listed_end(numbered.end)
-        self._apply_running(status.running, status.incarnation, sent_at)
+        self._apply_running(status, sent_at)
         running = {(running_task.task, running_task.run) for running_task in status.running}
         # The end of a run that is missing may be among those that are not listed yet.
         if status.has_all_ends:
             for run in self.tracked_runs():
                 if run.key not in running:
                     self._end_or_stop_missing(run, sent_at)
-        self.suspects = {
-            task: run.progress.percent
-            for task, run in self.runs_by_task.items()
-            if run.is_stalled(sent_at)
-        }
-        if sent_at - self._checkpoints_reported_at >= CHECKPOINT_REPORT_INTERVAL_S:
-            self._checkpoints_reported_at = sent_at
-            self.checkpoints = {
-                task: (run.assignment.run, run.checkpoint)
-                for task, run in self.runs_by_task.items()
-                if run.checkpoint
-            }
-        self.cleared = {
-            task: run.assignment.run
-            for task, run in self.runs_by_task.items()
-            if run.is_cleared(sent_at)
-        }
-        return before != (self.ends, self.suspects, self.checkpoints, self.cleared)
+        self.update_reported(self.runs_by_task, sent_at)
+        has_changed = before != (self.ends, self.suspects, self.checkpoints, self.cleared)
+        runs_by_task |= self.runs_by_task  # with those that have just ended
+        clock_s = status.clock_ms / 1000
+        return self.update_rates(runs_by_task, clock_s, is_write_due=has_changed) or has_changed
 
-    def _apply_running(
-        self, running_tasks: Sequence[RunningTask], incarnation: Incarnation, now_s: float
-    ) -> None:
+    def _apply_running(self, status: ExecutorStatus, now_s: float) -> None:
         tracked_by_key = {run.key: run for run in self.tracked_runs()}
-        for running_task in running_tasks:
+        for running_task in status.running:
             key = (running_task.task, running_task.run)
             run = tracked_by_key.get(key)
             if run is None:
-                run = tracked_by_key[key] = self._track_listed_run(running_task, incarnation)
+                run = tracked_by_key[key] = self._track_listed_run(running_task, status.incarnation)
             run.checkpoint = running_task.checkpoint or run.checkpoint
             run.load = running_task.load
             run.is_accepted = True
@@ -363,7 +337,7 @@
                 run.first_called_at, run.is_age_unknown = now_s, True
             if run.started_at is None:
                 run.started_at = now_s
-            run.progress.record(running_task.percent, now_s)
+            run.record_progress(running_task.percent, now_s, status.clock_ms / 1000)
 
     def _track_listed_run(self, running_task: RunningTask, incarnation: Incarnation) -> Run:
         """Track a run that the executor lists.
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -343,6 +343,8 @@
     :param checkpoints: run number and checkpoint, by task; updated every few seconds
     :param accepted: run number, by task, of the runs that the agent may have begun to start
     :param cleared: run number, by task, of the runs that have outlasted their probation
+    :param work_rates: run number and rate, by task; the rate is the progress per second of work
+        relative to the declared run time, in whole percent
     """
 
     fence: int = 0
@@ -365,6 +367,7 @@
     checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
     accepted: dict[TaskId, int] = field(default_factory=dict)
     cleared: dict[TaskId, int] = field(default_factory=dict)
+    work_rates: dict[TaskId, tuple[int, int]] = field(default_factory=dict)
 
 
 class BatchTeam(Struct, frozen=True, kw_only=True, omit_defaults=True):
