Learn the speeds of workers from the rates of runs

Cause: a gang is as fast as its slowest member, and the leader does not know which workers are slow.

--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -50,6 +50,12 @@
     "chicorycrank_heartbeats_ignored", "Heartbeats that an agent did not apply", ["reason"]
 )
 REPORTS_WRITTEN = Counter("chicorycrank_reports_written", "Reports that an agent has written")
+RATES_RECORDED = Counter(
+    "chicorycrank_rates_recorded", "Rates of runs from which the leader learns speeds of workers"
+)
+WORKERS_BY_SPEED = Gauge(
+    "chicorycrank_workers_by_speed", "Workers of known speed, relative to the median", ["speed"]
+)
 RATES_REPORTED = Counter("chicorycrank_rates_reported", "Rates of runs that an agent has reported")
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -14,6 +14,7 @@
 from chicorycrank.batch.planner_state import (
     MAX_DECISION_PASSES,
 )
+from chicorycrank.batch.rate_records import record_rates, update_speeds
 from chicorycrank.batch.stop_reasons import NO_PROGRESS, stop_reason
 from chicorycrank.batch.unit_lifecycle import UnitLifecycle
 from chicorycrank.batch.units import (
@@ -77,6 +78,7 @@
     def apply_report(self, worker: TargetId, report: WorkerReport) -> None:
         """Apply a worker's report and record the task ends that it contains."""
         replaced = self.workers.replaced_incarnation(worker, report)
+        record_rates(self, worker, report)
         self.workers.apply_report(worker, report)
         for end in report.ends:
             self._record_end(worker, end)
@@ -122,6 +124,7 @@
             self.fail_job(job_id, "crashes", reason)
         for job_id in self.active_jobs:
             self.units_by_id[job_id].discard_done()
+        update_speeds(self)
         self.order_sizes.begin_plan()
         self.workers.testing = self.crashes.testing_workers(self)
         self.workers.full = self.order_sizes.full_workers()
