--- a/src/chicorycrank/batch/keys.py
+++ b/src/chicorycrank/batch/keys.py
@@ -27,6 +27,7 @@
 # Orders of versions whose entries watched them.
 FORMER_ORDERS_PREFIX = "order/"
 PROGRESS_PREFIX = "progress/"
+PERFORMANCE_KEY = "performance/summary"
 
 Value = TypeVar("Value")
 ENCODER = msgspec.json.Encoder()
--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -56,6 +56,7 @@
 WORKERS_BY_SPEED = Gauge(
     "chicorycrank_workers_by_speed", "Workers of known speed, relative to the median", ["speed"]
 )
+RUNS_STALLED = Counter("chicorycrank_runs_stalled", "Runs that an agent has found without progress")
 RATES_REPORTED = Counter("chicorycrank_rates_reported", "Rates of runs that an agent has reported")
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
--- a/src/chicorycrank/batch/record_writer.py
+++ b/src/chicorycrank/batch/record_writer.py
@@ -31,6 +31,7 @@
 from chicorycrank.ports.transactions import MISSING, Item, Revision, StoreUnavailableError
 
 COMMIT_RETRY_S = 0.1
+NO_VALUES: Mapping[str, bytes] = {}
 
 logger = logging.getLogger("absl")
 
@@ -102,15 +103,20 @@
         written = self._view.state_by_id.get(job_id, NOT_STARTED)
         return None if record == written else record
 
-    def write_changes(self, planner: Planner, deletes: Sequence[str]) -> None:
-        """Write the changed records of a planner and delete keys.
+    def write_changes(
+        self,
+        planner: Planner,
+        deletes: Sequence[str],
+        other_values: Mapping[str, bytes] = NO_VALUES,
+    ) -> None:
+        """Write the changed records of a planner and other values, and delete keys.
 
         If the store holds a cancellation of a job that is to be started, the job is cancelled, and
         the changed records are written without its start.
         """
-        if not planner.changes and not deletes:
+        if not planner.changes and not deletes and not other_values:
             return
-        while not self._try_write(planner, deletes):
+        while not self._try_write(planner, deletes, other_values):
             self._cancel_conflicting_jobs(planner)
         changes = planner.changes
         for worker in changes.workers & planner.workers.by_id.keys():
@@ -151,13 +157,16 @@
                     self._apply_written(values, deletes)
                 return is_written
 
-    def _try_write(self, planner: Planner, deletes: Sequence[str]) -> bool:
+    def _try_write(
+        self, planner: Planner, deletes: Sequence[str], other_values: Mapping[str, bytes]
+    ) -> bool:
         """Write the changed records; return false if a job that starts has been cancelled."""
         workers = planner.changes.workers
         parts = chain(
             self._progress_writes(planner),
             chain.from_iterable(self._order_writes(planner, worker) for worker in workers),
             (PartialWrite(deletes=[key]) for key in deletes),
+            (PartialWrite(values={key: value}) for key, value in other_values.items()),
         )
         return all(
             self.write(part.values, part.deletes, part.expected) for part in join_writes(parts)
--- a/src/chicorycrank/batch/reported_runs.py
+++ b/src/chicorycrank/batch/reported_runs.py
@@ -4,9 +4,10 @@
 intervals.
 """
 
+import logging
 from collections.abc import Collection, Mapping
 
-from chicorycrank.batch.metrics import RATES_REPORTED
+from chicorycrank.batch.metrics import RATES_REPORTED, RUNS_STALLED
 from chicorycrank.batch.run import Run
 from chicorycrank.model.ids import TaskId
 
@@ -18,6 +19,8 @@
 # A rate is reported again when it has changed by more than this factor.
 RATE_CHANGE_FACTOR = 1.2
 
+logger = logging.getLogger("absl")
+
 
 class ReportedRuns:
     """Part of the report that follows from the runs that work.
@@ -60,11 +63,10 @@
 
         :param now_s: monotonic time in seconds at which the last status was requested
         """
-        self.suspects = {
-            task: run.progress.percent
-            for task, run in runs_by_task.items()
-            if run.is_stalled(now_s)
-        }
+        stalled = {task: run for task, run in runs_by_task.items() if run.is_stalled(now_s)}
+        for task in stalled.keys() - self.suspects.keys():
+            _log_stall(stalled[task], now_s)
+        self.suspects = {task: run.progress.percent for task, run in stalled.items()}
         if now_s - self._checkpoints_reported_at >= CHECKPOINT_REPORT_INTERVAL_S:
             self._checkpoints_reported_at = now_s
             self.checkpoints = {
@@ -106,5 +108,17 @@
         return bool(changes)
 
 
+def _log_stall(run: Run, now_s: float) -> None:
+    RUNS_STALLED.inc()
+    logger.info(
+        "event=run_stalled task=%s run=%d percent=%d still_s=%.1f limit_s=%.1f",
+        run.assignment.task,
+        run.assignment.run,
+        run.progress.percent,
+        now_s - run.progress.changed_at,
+        run.progress.stall_timeout_s(run.assignment),
+    )
+
+
 def _has_changed(percent: int, reported: int) -> bool:
     return max(percent, reported) > RATE_CHANGE_FACTOR * min(percent, reported)
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -10,6 +10,7 @@
 
 from chicorycrank.batch.advice import AdviceCache
 from chicorycrank.batch.keys import (
+    PERFORMANCE_KEY,
     PRESENCE_PREFIX,
     PROGRESS_PREFIX,
     REPORT_STATE_PREFIX,
@@ -24,6 +25,7 @@
 )
 from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
 from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
+from chicorycrank.batch.performance_summary import PerformanceSummaryStore
 from chicorycrank.batch.phase_timer import timed_phase
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
@@ -113,6 +115,7 @@
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
         self._urgent_wait_log = UrgentWaitLog()
+        self._performance_summary = PerformanceSummaryStore()
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
 
     def serve(self) -> None:
@@ -167,7 +170,11 @@
         self._stored_progress = self._read_progress()
         # A watch that has heard nothing for a while lacks jobs and cancellations.
         self._read_until_answered(self._replica.refresh)
+        performance = self._read_until_answered(lambda: self._store.read(PERFORMANCE_KEY))
         self._set_time()
+        self._performance_summary.load(
+            performance.value if performance else None, planner.performance, planner.now_s
+        )
         with self._view.lock:
             self._view.pop_changed_keys()
             self._apply_config()
@@ -224,9 +231,11 @@
             self._planner.plan()
             self._urgent_wait_log.update(self._planner)
         with self._timed_phase("write"):
-            self._writer.write_changes(
-                self._planner, [*self._find_former_orders(), *self._remove_expired_jobs()]
-            )
+            planner, deletes = self._planner, self._find_former_orders()
+            summary = self._performance_summary.due_values(planner.performance, planner.now_s)
+            deletes += self._remove_expired_jobs()
+            self._writer.write_changes(planner, deletes, summary)
+            self._performance_summary.record_written(summary)
 
     def _timed_phase(self, name: str) -> AbstractContextManager[None]:
         return timed_phase(self._clock, name, len(self._planner.active_jobs))
--- a/tests/batch/test_stalls.py
+++ b/tests/batch/test_stalls.py
@@ -1,5 +1,6 @@
 """Runs that look stalled and are not, and the time until a stalled one is found."""
 
+import logging
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -163,6 +164,14 @@
     assert found_at[0] <= first <= found_at[1]
 
 
+def test_a_stall_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a log line for each status of a run that stands still."""
+    with caplog.at_level(logging.INFO, logger="absl"):
+        suspects_at(make_run(), stops_at(30, steady(GANG_RUN_TIME_S)), end_s=20.0)
+    (line,) = [line for line in caplog.messages if line.startswith("event=run_stalled")]
+    assert f"task={TASK} run=1 percent=30" in line
+
+
 def test_an_assignment_is_no_longer_than_an_order_allows_for() -> None:
     """Guards against an order that the store refuses, as its size is underrated."""
     step = Step(
