--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -287,6 +287,7 @@
     :param memory_mb: memory of the task in megabytes
     :param probation_ms: time in milliseconds for which the executor has to list the run until the
         agent reports it as cleared; 0 if the task has crashed no executor
+    :param run_time_s: declared run time of the task in seconds; 0 if an earlier version ordered it
     """
 
     task: TaskId
@@ -302,6 +303,7 @@
     cores: int = 0
     memory_mb: int = 0
     probation_ms: int = 0
+    run_time_s: float = 0.0
 
 
 class WorkOrder(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -342,6 +344,8 @@
     :param checkpoints: run number and checkpoint, by task; updated every few seconds
     :param accepted: run number, by task, of the runs that the agent may have begun to start
     :param cleared: run number, by task, of the runs that have outlasted their probation
+    :param work_rates: run number and rate, by task; the rate is the progress per second of work
+        relative to the declared run time, in whole percent
     """
 
     fence: int = 0
@@ -365,6 +369,7 @@
     checkpoints: dict[TaskId, tuple[int, str]] = field(default_factory=dict)
     accepted: dict[TaskId, int] = field(default_factory=dict)
     cleared: dict[TaskId, int] = field(default_factory=dict)
+    work_rates: dict[TaskId, tuple[int, int]] = field(default_factory=dict)
 
 
 class BatchTeam(Struct, frozen=True, kw_only=True, omit_defaults=True):
