Split the agent into state, reports, registration and threads

It becomes AgentState (orders of the leader, answers of the executor), AgentReports (reports to the store), AgentRegistration (incarnations of the executor) and BatchAgent (threads), of 233, 79, 111 and 194 lines. The methods are moved unchanged, and the names of the threads are as before.

--- /dev/null
+++ b/src/chicorycrank/batch/agent_reports.py
@@ -0,0 +1,79 @@
+"""Reports of an agent to the store, on which the acceptance of runs depends."""
+
+import logging
+
+import msgspec
+
+from chicorycrank.batch.agent_state import AgentState
+from chicorycrank.batch.report_store import (
+    MAX_JOBS_PER_REPORT,
+    JobsCancelledError,
+    OrderChangedError,
+    ReportConflictError,
+)
+from chicorycrank.model.batch import WorkerReport
+from chicorycrank.model.ids import JobId
+
+logger = logging.getLogger("absl")
+
+
+class AgentReports(AgentState):
+    """State of an agent with the reports about it."""
+
+    def _has_unwritten_changes(self) -> bool:
+        return self._is_registered and self._current_report() != self._report_store.written
+
+    def _has_unaccepted(self) -> bool:
+        return self.table.has_unaccepted(includes_new=self.executor_state.accepts_runs)
+
+    def _unaccepted_jobs(self) -> list[JobId]:
+        return self.table.unaccepted_jobs(includes_new=self.executor_state.accepts_runs)
+
+    def _current_report(self) -> WorkerReport:
+        includes_new = self.executor_state.accepts_runs
+        return msgspec.structs.replace(
+            self.report,
+            ends=list(self.table.ends),
+            seen=self.table.last_end_number,
+            suspects=dict(self.table.suspects),
+            checkpoints=dict(self.table.checkpoints),
+            accepted=self.table.runs_to_accept(includes_new=includes_new),
+            cleared=dict(self.table.cleared),
+        )
+
+    def _write_report(self) -> bool:
+        """Write the report; return whether it was written.
+
+        It is not written if another agent of this worker has written it since, or if the order has
+        changed while runs wait for their acceptance.
+
+        Runs are accepted on condition that the order that names them is unchanged, so that the
+        leader can withdraw runs that have not been accepted, and that their jobs are not cancelled.
+        """
+        with self._lock:
+            report = self._current_report()
+            order_revision = self._order_revision if self._has_unaccepted() else None
+            # The starts of further jobs are checked one by one.
+            new_jobs = self._unaccepted_jobs()[:MAX_JOBS_PER_REPORT]
+        sent_at = self._clock.monotonic()
+        try:
+            if self._report_store.write(report, order_revision, new_jobs):
+                self._cancellation_checks.record_absent(new_jobs, sent_at)
+        except JobsCancelledError as error:
+            logger.info("event=acceptance_prevented jobs=%s", ",".join(sorted(error.job_ids)))
+            with self._lock:
+                self.table.stop_jobs(error.job_ids)
+            return False
+        except OrderChangedError as error:
+            self._apply_order_items([error.item] if error.item is not None else [])
+            return False
+        except ReportConflictError:
+            with self._lock:
+                self._is_registered = False
+            return False
+        with self._lock:
+            if report.incarnation == self.report.incarnation:
+                self.table.record_accepted(report.accepted)
+                self._run_driver.submit_calls()
+            self._lock.notify_all()
+        return True
