--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -7,26 +7,22 @@
 from math import inf
 
 from chicorycrank.model.ids import JobId, TargetId, TeamId
-from chicorycrank.model.jobs import GangShape, WorkKind
+from chicorycrank.model.jobs import WorkKind
 from chicorycrank.policy.backfill import overrun_victims, reserve
-from chicorycrank.policy.cell import Cell, QueuedJob, Reservation, RunningJob
-from chicorycrank.policy.decisions import EVICTION_REASONS, Decision, Evict, EvictionCause, Start
+from chicorycrank.policy.cell import Cell, QueuedJob
+from chicorycrank.policy.decision_pass import MAX_DECISIONS, DecisionPass, fit_key
+from chicorycrank.policy.decisions import Decision, EvictionCause
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_placement, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
 from chicorycrank.policy.guarantee_instance import GuaranteeInstance, fit_in_instance
-from chicorycrank.policy.headroom import Headroom
-from chicorycrank.policy.placement import PlacementRule, find_placement, placement_of
+from chicorycrank.policy.placement import find_placement
 from chicorycrank.policy.pool import WorkerMasks
-from chicorycrank.policy.withheld_capacity import WithheldCapacity
 
-MAX_DECISIONS = 16  # bounds the time of a pass when many accelerators become free at once
+__all__ = ["MAX_DECISIONS", "decide"]
+
 MAX_RESERVATIONS = 1
 MAX_RESERVATIONS_TRIED = 2  # bounds the time of a pass if the oldest jobs fit nowhere
 
-# Shape, placement rule and ``can_wait`` of a job. Jobs with equal keys fit on the same
-# accelerators, so a failed search is not repeated for them.
-FitKey = tuple[GangShape, PlacementRule, bool]
-
 
 def decide(cell: Cell, queue: Sequence[QueuedJob], now_s: float) -> list[Decision]:
     """Return the decisions for the current state without applying them.
@@ -38,7 +34,7 @@
     """
     cell.place_guarantees()
     cell.guarantee_placements.journal.clear()
-    decision_pass = _DecisionPass(cell, now_s)
+    decision_pass = _DecisionRules(cell, now_s)
     try:
         decision_pass.run(queue)
     finally:
@@ -46,31 +42,8 @@
     return decision_pass.decisions
 
 
-class _DecisionPass:
-    """Decision pass that applies its decisions to the cell and reverts them in ``undo``."""
-
-    def __init__(self, cell: Cell, now_s: float) -> None:
-        self.cell = cell
-        self.now_s = now_s
-        self.decisions: list[Decision] = []
-        self.started_ids: list[JobId] = []
-        self.evicted_jobs: list[RunningJob] = []
-        # Free accelerators claimed for jobs that wait for evictions and for urgent reservations.
-        self.claimed_free = WithheldCapacity(cell.free)
-        # Reclaimable accelerators claimed for jobs that wait for evictions.
-        self.claimed_reclaimable = WithheldCapacity(cell.reclaimable)
-        self.urgent_reservations: list[Reservation] = []
-        self.urgent_reservations_tried = 0
-        self.waiting_for_evictions: set[JobId] = set()
-        self.claimed_mask_by_worker: dict[TargetId, int] = {}
-        self.reservations: list[Reservation] = []
-        self.reservations_tried = 0
-        # Free accelerators of reservations, released while a job that may use them is placed.
-        self.reserved_free = WithheldCapacity(cell.free)
-        self.headroom = Headroom(cell)
-        self.keys_without_placement: set[FitKey] = set()
-        self.keys_without_placement_even_on_reserved: set[FitKey] = set()
-        self.keys_without_guarantee_placement: set[tuple[TeamId, GangShape]] = set()
+class _DecisionRules(DecisionPass):
+    """Rules by which a pass decides on the jobs of a queue."""
 
     def run(self, queue: Sequence[QueuedJob]) -> None:
         """Decide on urgent jobs, then on jobs inside guarantees, then on all other jobs."""
@@ -79,7 +52,7 @@
         # Jobs that wait for evictions come first. If another job took the freed accelerators, it
         # would have to be evicted too.
         for job in sorted(queue, key=self._urgent_sort_key):
-            if self._has_reached_decision_limit() or (
+            if self.has_reached_decision_limit() or (
                 job.job_id not in self.cell.waiting_for_evictions and not job.urgent
             ):
                 break
@@ -96,17 +69,17 @@
         other_jobs = [
             job
             for job in not_urgent
-            if self._has_reached_decision_limit() or not self._decide_guaranteed(job)
+            if self.has_reached_decision_limit() or not self._decide_guaranteed(job)
         ]
         self._start_or_reserve_oldest(other_jobs)
         for priority in sorted({job.priority for job in other_jobs}):
             same_priority = [job for job in other_jobs if job.priority == priority]
             for job in fair_order(self.cell, same_priority, self.now_s):
-                if self._has_reached_decision_limit():
+                if self.has_reached_decision_limit():
                     break
                 self._decide_borrowed(job)
         self.cell.waiting_for_evictions = self.waiting_for_evictions
-        if self._has_reached_decision_limit():
+        if self.has_reached_decision_limit():
             undecided = {
                 job.job_id for job in queue if not self._is_started_or_awaits_evictions(job)
             }
@@ -114,14 +87,11 @@
         reservations = [*self.urgent_reservations, *self.reservations]
         # A pass that reached the decision limit may have ended before it made any reservation. The
         # earlier reservations then stay.
-        if reservations or not self._has_reached_decision_limit():
+        if reservations or not self.has_reached_decision_limit():
             self.cell.reservations_by_id = {
                 reservation.job_id: reservation for reservation in reservations
             }
 
-    def _has_reached_decision_limit(self) -> bool:
-        return len(self.decisions) >= MAX_DECISIONS
-
     def _urgent_sort_key(self, job: QueuedJob) -> tuple[bool, bool, bool, float, float, JobId]:
         return (
             job.job_id not in self.cell.waiting_for_evictions,
@@ -135,19 +105,6 @@
     def _is_started_or_awaits_evictions(self, job: QueuedJob) -> bool:
         return job.job_id in self.waiting_for_evictions or job.job_id in self.cell.running_by_id
 
-    def undo(self) -> None:
-        """Restore the state that the cell had before the pass."""
-        self.claimed_free.release()
-        self.claimed_reclaimable.release()
-        self.reserved_free.release()
-        self.headroom.release()
-        for job_id in reversed(self.started_ids):
-            self.cell.undo_start(job_id)
-        self.cell.guarantee_placements.undo_moves()
-        for running in self.evicted_jobs:
-            self.cell.running_by_id[running.job.job_id] = running
-            self.cell.stopping.pop(running.job.job_id, None)
-
     # Jobs inside guarantees.
 
     def _decide_guaranteed(self, job: QueuedJob) -> bool:
@@ -171,32 +128,32 @@
         if plan is None:
             self.keys_without_guarantee_placement.add(key)
             return False
-        self._apply_plan(job, plan, EvictionCause.GUARANTEE)
+        self.apply_plan(job, plan, EvictionCause.GUARANTEE)
         return True
 
     def _start_in_guarantee(self, job: QueuedJob, instances: list[GuaranteeInstance]) -> bool:
         free = self.cell.free.masks
         for instance in instances:
             worker_masks = fit_in_instance(instance, job.shape, free, self.cell.free)
-            if worker_masks is not None and self._has_room(worker_masks, job.shape):
-                self._start(job, worker_masks, WorkKind.GUARANTEED)
+            if worker_masks is not None and self.has_room(worker_masks, job.shape):
+                self.start(job, worker_masks, WorkKind.GUARANTEED)
                 return True
         return False
 
     def _start_by_moving_instance(self, job: QueuedJob) -> bool:
         """Start a guaranteed job on free accelerators if an instance of its team can move there."""
-        worker_masks = self._find_free(job)
+        worker_masks = self.find_free(job)
         if worker_masks is None:
             return False
         cell = self.cell
-        running = self._make_running_job(job, worker_masks, WorkKind.GUARANTEED)
+        running = self.make_running_job(job, worker_masks, WorkKind.GUARANTEED)
         # ``Cell.start`` moves an instance to the job if possible; otherwise the job is borrowed and
         # thus evictable.
         cell.start(running)
         if cell.is_evictable(job.job_id):
             cell.undo_start(job.job_id)
             return False
-        self._record(running)
+        self.record(running)
         return True
 
     def _plan_in_guarantee(
@@ -204,7 +161,7 @@
     ) -> EvictionPlan | None:
         plans = []
         free_or_stopping = self._free_or_stopping_masks(instances)
-        unclaimed_masks = {worker: self._unclaimed_mask(worker) for worker in free_or_stopping}
+        unclaimed_masks = {worker: self.unclaimed_mask(worker) for worker in free_or_stopping}
         for instance in instances:
             for usable in (free_or_stopping, unclaimed_masks):
                 worker_masks = fit_in_instance(instance, job.shape, usable, self.cell.free)
@@ -213,7 +170,7 @@
                 )
                 if (
                     plan
-                    and self._is_compatible_with_pass(plan)
+                    and self.is_compatible_with_pass(plan)
                     and not self._evicts_own_team(plan, job.team)
                 ):
                     plans.append(plan)
@@ -238,28 +195,28 @@
                 masks[worker] = self.cell.free.masks.get(worker, 0)
                 for job_id, mask in self.cell.masks_by_worker.get(worker, {}).items():
                     if job_id in self.cell.stopping:
-                        masks[worker] |= mask & self._unclaimed_mask(worker)
+                        masks[worker] |= mask & self.unclaimed_mask(worker)
         return masks
 
     # Urgent jobs outside guarantees.
 
     def _decide_urgent(self, job: QueuedJob) -> None:
-        worker_masks = self._find_free(job)
+        worker_masks = self.find_free(job)
         if worker_masks is not None:
-            self._start(job, worker_masks, WorkKind.BORROWED)
+            self.start(job, worker_masks, WorkKind.BORROWED)
             return
         worker_masks = self._find_free_or_stopping(job)
         if worker_masks is not None:
-            self._claim(worker_masks, job)
+            self.claim(worker_masks, job)
             return
         plan = plan_for_urgent(self.cell, job, self.now_s, self.claimed_mask_by_worker)
         max_lost_s = inf if job.job_id in self.cell.jobs_within_quota else job.max_lost_s
         if (
             plan is not None
             and plan.lost_accelerator_s <= max_lost_s
-            and self._is_compatible_with_pass(plan)
+            and self.is_compatible_with_pass(plan)
         ):
-            self._apply_plan(job, plan, EvictionCause.URGENT)
+            self.apply_plan(job, plan, EvictionCause.URGENT)
         else:
             self._reserve_urgent(job)
 
@@ -282,7 +239,7 @@
         for job_id in self.cell.stopping:
             job_shape = self.cell.running_by_id[job_id].job.shape
             for worker, mask in self.cell.worker_masks(job_id):
-                mask &= self._unclaimed_mask(worker)
+                mask &= self.unclaimed_mask(worker)
                 if worker in free.masks and mask:
                     values = (worker, mask, job_shape.cores, job_shape.memory_gb)
                     free.release(*values)
@@ -297,16 +254,14 @@
     def _decide_borrowed(self, job: QueuedJob) -> None:
         if job.job_id in self.cell.running_by_id:
             return
-        if _fit_key(job) not in self.keys_without_placement:
-            worker_masks = self._find_free(job)
+        if fit_key(job) not in self.keys_without_placement:
+            worker_masks = self.find_free(job)
             if worker_masks is not None:
-                self._start(job, worker_masks, WorkKind.BORROWED)
+                self.start(job, worker_masks, WorkKind.BORROWED)
                 return
         if len(self.reservations) < MAX_RESERVATIONS:
             self._reserve(job)
-        elif (
-            self.reservations and _fit_key(job) not in self.keys_without_placement_even_on_reserved
-        ):
+        elif self.reservations and fit_key(job) not in self.keys_without_placement_even_on_reserved:
             self._backfill(job)
 
     def _withhold_reservations(self, queue: Sequence[QueuedJob]) -> None:
@@ -323,13 +278,13 @@
         """Start the oldest jobs until one does not fit; reserve accelerators for that one."""
         self.reserved_free.release()
         for job in sorted(other_jobs, key=lambda job: (job.submitted_s, job.job_id)):
-            if self._has_reached_decision_limit():
+            if self.has_reached_decision_limit():
                 return
-            worker_masks = self._find_free(job)
+            worker_masks = self.find_free(job)
             if worker_masks is None:
                 self._reserve(job)
                 return
-            self._start(job, worker_masks, WorkKind.BORROWED)
+            self.start(job, worker_masks, WorkKind.BORROWED)
 
     def _reserve(self, job: QueuedJob) -> None:
         """Reserve accelerators for a job, and evict backfilled jobs that overrun on them."""
@@ -341,7 +296,7 @@
             return
         self.reservations.append(reservation)
         for victim in overrun_victims(self.cell, reservation, self.now_s):
-            self._evict_job(victim, job, EvictionCause.OVERRUN)
+            self.evict_job(victim, job, EvictionCause.OVERRUN)
         self.reserved_free.add(reservation.worker_masks, job.shape)
 
     def _backfill(self, job: QueuedJob) -> None:
@@ -354,95 +309,8 @@
         self.reserved_free.release()
         worker_masks = self.headroom.find_placement(job)
         if worker_masks is None:
-            self.keys_without_placement_even_on_reserved.add(_fit_key(job))
+            self.keys_without_placement_even_on_reserved.add(fit_key(job))
         else:
-            self._start(job, worker_masks, WorkKind.BORROWED, backfill=True)
+            self.start(job, worker_masks, WorkKind.BORROWED, backfill=True)
         for reservation in self.reservations:
             self.reserved_free.add(reservation.worker_masks, None)  # accelerators only
-
-    # Changes to the cell, which ``undo`` reverts.
-
-    def _find_free(self, job: QueuedJob) -> WorkerMasks | None:
-        key = _fit_key(job)
-        if key in self.keys_without_placement:
-            return None
-        worker_masks = self.headroom.find_placement(job)
-        if worker_masks is None:
-            self.keys_without_placement.add(key)
-        return worker_masks
-
-    def _has_room(self, worker_masks: WorkerMasks, shape: GangShape) -> bool:
-        workers = [worker for worker, _ in worker_masks]
-        return all(
-            self.cell.free.member_limit(worker, shape) >= workers.count(worker)
-            for worker in set(workers)
-        )
-
-    def _make_running_job(
-        self, job: QueuedJob, worker_masks: WorkerMasks, kind: WorkKind, backfill: bool = False
-    ) -> RunningJob:
-        return RunningJob(
-            job=job,
-            placement=placement_of(worker_masks),
-            kind=kind,
-            started_s=self.now_s,
-            backfill=backfill,
-        )
-
-    def _start(
-        self, job: QueuedJob, worker_masks: WorkerMasks, kind: WorkKind, *, backfill: bool = False
-    ) -> None:
-        running = self._make_running_job(job, worker_masks, kind, backfill)
-        self.cell.start(running)
-        self._record(running)
-        if not job.urgent:
-            self.headroom.withhold()
-
-    def _record(self, running: RunningJob) -> None:
-        job_id = running.job.job_id
-        self.started_ids.append(job_id)
-        self.decisions.append(
-            Start(
-                job_id=job_id,
-                placement=running.placement,
-                kind=running.kind,
-                backfill=running.backfill,
-            )
-        )
-
-    def _apply_plan(self, job: QueuedJob, plan: EvictionPlan, cause: EvictionCause) -> None:
-        for victim in plan.victims:
-            self._evict_job(victim, job, cause)
-        self._claim(plan.worker_masks, job)
-
-    def _claim(self, worker_masks: WorkerMasks, job: QueuedJob) -> None:
-        """Withhold accelerators that evictions free for the job that needs them."""
-        self.waiting_for_evictions.add(job.job_id)
-        self.claimed_free.add(worker_masks, job.shape)
-        self.claimed_reclaimable.add(worker_masks, job.shape)
-        for worker, mask in worker_masks:
-            self.claimed_mask_by_worker[worker] = self.claimed_mask_by_worker.get(worker, 0) | mask
-
-    def _evict_job(self, victim: JobId, job: QueuedJob, cause: EvictionCause) -> None:
-        if victim in self.started_ids:
-            raise AssertionError(f"job {victim} is started and evicted in the same decision pass")
-        self.evicted_jobs.append(self.cell.running_by_id[victim])
-        self.cell.mark_stopping(victim)
-        reason = EVICTION_REASONS[cause].format(team=job.team)
-        self.decisions.append(Evict(job_id=victim, for_job=job.job_id, cause=cause, reason=reason))
-
-    def _unclaimed_mask(self, worker: TargetId) -> int:
-        return ~self.claimed_mask_by_worker.get(worker, 0)
-
-    def _is_compatible_with_pass(self, plan: EvictionPlan) -> bool:
-        """Return whether a plan evicts no job and uses no accelerator that this pass has assigned.
-
-        Such a job was started in this pass, and such an accelerator was claimed in it.
-        """
-        if any(victim in self.started_ids for victim in plan.victims):
-            return False
-        return not any(mask & ~self._unclaimed_mask(worker) for worker, mask in plan.worker_masks)
-
-
-def _fit_key(job: QueuedJob) -> FitKey:
-    return job.shape, job.rule, job.can_wait
