Place units by the speed of the workers

Cause: workers differ in speed by up to a factor of two, and a gang is as fast as its slowest member. Urgent gangs began in time and still ended late.

QueuedJob.preferred has the sets; the search for free accelerators, evictions and headroom use them. Reservations and backfill count the time that slow workers need. Without known, differing speeds nothing changes.

--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -5,9 +5,11 @@
 from collections import Counter
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from chicorycrank.batch.orders import MAX_ORDER_BYTES
+from chicorycrank.batch.speed_preference import choose_workers, update_speeds
 from chicorycrank.batch.units import NO_WORKER, UnitRef, unit_count
 from chicorycrank.batch.workers import ClosedCause
 from chicorycrank.model.batch import Queue, Step, Submission, WorkerReport
@@ -18,11 +20,13 @@
 from chicorycrank.policy.headroom import members_by_worker, used_share, workers_needed
 from chicorycrank.policy.placement import PlacementRule
 from chicorycrank.policy.pool import members_that_fit
+from chicorycrank.policy.worker_preference import JobKind
 
 if TYPE_CHECKING:
     from chicorycrank.batch.planner_state import PlannerState
 
 URGENT_PRIORITY = 0
+BATCH_PRIORITY = 2  # queues of this or a larger number have the least value per unit of work
 # Assumed run time of long-running tasks, which is longer than that of any other task.
 LONG_RUNNING_RUN_TIME_S = 3600.0
 # Time that a unit waits for the rack of its data, as a share of its declared run time.
@@ -88,6 +92,13 @@
         waited_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
         shape = self._gang_shape(planner, step)
         run_time_s = LONG_RUNNING_RUN_TIME_S if step.long_running else step.run_time_s
+        preferred, rule = choose_workers(
+            planner,
+            ref,
+            _job_kind(queue, step),
+            self._placement_rule(planner, ref, step, queue, waited_s),
+            partial(self.can_hold, planner, ref),
+        )
         slack_s = (queue.slack - 1.0) * run_time_s + queue.target_latency_s
         is_in_time = waited_s <= slack_s
         return QueuedJob(
@@ -99,7 +110,7 @@
             urgent=queue.priority == URGENT_PRIORITY,
             checkpointable=step.checkpointing,
             priority=queue.priority,
-            rule=self._placement_rule(planner, ref, step, queue, waited_s),
+            rule=rule,
             eviction_loss_s=self._checkpoint_s,
             precedence=self._precedence(planner, job, waited_s)
             * (1.0 if is_in_time else LATE_PRECEDENCE_FACTOR),
@@ -109,6 +120,7 @@
             else 0.0,
             pinned=step.long_running and step.max_unavailable > 0,
             can_wait=not step.long_running and waited_s < WAITABLE_SLACK_SHARE * slack_s,
+            preferred=preferred,
         )
 
     def units_within_quota(self, planner: PlannerState) -> UnitsOfJobs:
@@ -169,6 +181,7 @@
         depends on where it is placed.
         """
         cell = planner.cell
+        update_speeds(planner)
         held_names = {*cell.reservations_by_id, *cell.waiting_for_evictions}
         held_jobs = {name.partition(".")[0] for name in held_names}
         first_by_class: dict[UnitClass, QueuedJob] = {}
@@ -307,6 +320,12 @@
         return self._workers_by_label[key]
 
 
+def _job_kind(queue: Queue, step: Step) -> JobKind:
+    if queue.priority == URGENT_PRIORITY:
+        return JobKind.URGENT
+    return JobKind.BATCH if queue.priority >= BATCH_PRIORITY and not step.gang else JobKind.GANG
+
+
 def _is_suitable(report: WorkerReport, service: str, label: str) -> bool:
     return report.service == service and (not label or label in report.labels)
 
--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -31,6 +31,12 @@
 EXPECTED_STOP_S = 5.0  # assumed time until a job that is being stopped ends
 
 
+def expected_duration_s(cell: Cell, running: RunningJob) -> float:
+    """Return how long a job is expected to run on its workers, in seconds."""
+    expected_s = cell.estimates.expected_run_time_s(running.job.team, running.job.run_time_s)
+    return expected_s / cell.speed_of(running)
+
+
 def expected_end_s(cell: Cell, running: RunningJob, now_s: float) -> float:
     """Return when a job is expected to end.
 
@@ -38,15 +44,14 @@
     """
     if running.stopping:
         return now_s + EXPECTED_STOP_S
-    expected_s = cell.estimates.expected_run_time_s(running.job.team, running.job.run_time_s)
+    expected_s = expected_duration_s(cell, running)
     elapsed_s = max(0.0, now_s - running.started_s)
     return now_s + (expected_s - elapsed_s if elapsed_s < expected_s else elapsed_s)
 
 
 def is_overrun(cell: Cell, running: RunningJob, now_s: float) -> bool:
     """Return whether a job has run longer than its expected run time."""
-    expected_s = cell.estimates.expected_run_time_s(running.job.team, running.job.run_time_s)
-    return now_s - running.started_s > expected_s
+    return now_s - running.started_s > expected_duration_s(cell, running)
 
 
 def reserve(cell: Cell, job: QueuedJob, now_s: float) -> Reservation | None:
@@ -55,7 +60,7 @@
     An earlier reservation on open workers keeps its accelerators while it is recent or its cost
     has not risen, as long as the job still fits there. The cost is the latest expected free time of
     its accelerators, with :data:`GUARANTEE_PENALTY_S` added for those in the placement of a
-    guarantee.
+    guarantee, and with the time that the job takes longer on slow workers.
     """
     if not job.shape.accelerators:
         return None
@@ -65,14 +70,14 @@
         cost_s = 0.0
         if not is_recent:
             cost_s = max(
-                _cost_s(cell, now_s, worker, mask) for worker, mask in earlier.worker_masks
+                _cost_s(cell, job, now_s, worker, mask) for worker, mask in earlier.worker_masks
             )
         if cost_s <= earlier.cost_s:
             return replace(
                 earlier, expected_start_s=_expected_start_s(cell, earlier.worker_masks, now_s)
             )
     best: tuple[float, WorkerMasks] | None = None
-    cost = partial(_cost_s, cell, now_s)
+    cost = partial(_cost_s, cell, job, now_s)
     compared = 0
     for group in _candidate_groups(cell, job.shape, job.rule):
         if compared >= MAX_BLOCKS_COMPARED:
@@ -140,12 +145,14 @@
     return max(ends, default=now_s)
 
 
-def _cost_s(cell: Cell, now_s: float, worker: TargetId, block: int) -> float:
-    """Return when a block is expected to be free, with a penalty if it belongs to a guarantee."""
+def _cost_s(cell: Cell, job: QueuedJob, now_s: float, worker: TargetId, block: int) -> float:
+    """Return when a block is expected to be free, with the penalties for its use."""
     placements = cell.guarantee_placements
+    cost_s = _free_at_s(cell, now_s, worker, block)
+    cost_s += job.run_time_s * (1.0 / cell.speed_on((worker,)) - 1.0)
     if placements.pool.masks.get(worker, 0) & block == block:
-        return _free_at_s(cell, now_s, worker, block)
-    return _free_at_s(cell, now_s, worker, block) + GUARANTEE_PENALTY_S
+        return cost_s
+    return cost_s + GUARANTEE_PENALTY_S
 
 
 def _is_usable(cell: Cell, job: QueuedJob, reservation: Reservation) -> bool:
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -1,6 +1,6 @@
 """Scheduling state of a cell: workers, running jobs and queued jobs."""
 
-from collections.abc import Container
+from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import replace
 from itertools import islice
 from math import inf
@@ -16,6 +16,7 @@
 from chicorycrank.policy.packing import blocks, full_mask, lowest_bits
 from chicorycrank.policy.placement import placement_of, worker_masks_of
 from chicorycrank.policy.pool import Pool, WorkerMasks
+from chicorycrank.policy.worker_preference import SpeedClass
 
 __all__ = ["Cell", "QueuedJob", "Reservation", "RunningJob", "WorkerState"]
 
@@ -55,6 +56,11 @@
         # may also evict urgent work that is outside of a quota.
         self.jobs_within_quota: Container[JobId] = frozenset()
         self.headroom = 0  # number of empty workers kept for future urgent jobs
+        # Classes of workers of similar speed, the speeds of the workers if they differ, and the
+        # workers that urgent jobs use last.
+        self.speed_classes: Sequence[SpeedClass] = ()
+        self.speed_by_worker: Mapping[TargetId, float] = {}
+        self.slow_workers: frozenset[TargetId] = frozenset()
 
     def set_config(
         self, teams: dict[TeamId, Team], guarantees: dict[GuaranteeId, Guarantee]
@@ -175,7 +181,8 @@
             return
         job = running.job
         if completed and now_s is not None:
-            self.estimates.record(job.team, job.run_time_s, now_s - running.started_s)
+            work_s = (now_s - running.started_s) * self.speed_of(running)
+            self.estimates.record(job.team, job.run_time_s, work_s)
         is_guaranteed = job_id not in self.borrowed
         self.undo_start(job_id)
         if is_guaranteed:
@@ -228,6 +235,14 @@
                     self._set_guaranteed(job_id)
         self.guarantee_placements.place_unplaced()
 
+    def speed_on(self, workers: Iterable[TargetId]) -> float:
+        """Return the speed of the slowest of some workers, at which a gang on them runs."""
+        return min((self.speed_by_worker.get(worker, 1.0) for worker in workers), default=1.0)
+
+    def speed_of(self, running: RunningJob) -> float:
+        """Return the speed of the slowest worker of a running job."""
+        return self.speed_on(member.worker for member in running.placement)
+
     def worker_masks(self, job_id: JobId) -> WorkerMasks:
         """Return the accelerators of a running job."""
         return self._worker_masks_by_id[job_id]
--- a/src/chicorycrank/policy/cell_records.py
+++ b/src/chicorycrank/policy/cell_records.py
@@ -40,6 +40,8 @@
     :param precedence: smaller numbers come first, among urgent jobs and within a team
     :param pinned: the job may not be evicted while it runs
     :param can_wait: the job ends in time even if it starts later, so it may not use headroom
+    :param preferred: sets of workers to try in order before all allowed workers; for an urgent job
+        the last set contains the others, and work there is evicted before other workers are used
     """
 
     job_id: JobId
@@ -56,6 +58,7 @@
     precedence: float = 0.0
     pinned: bool = False
     can_wait: bool = False
+    preferred: tuple[frozenset[TargetId], ...] = ()
 
     @property
     def is_exempt_from_urgent(self) -> bool:
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import replace
 from math import inf
 
 from chicorycrank.model.ids import JobId, TargetId, TeamId
@@ -15,7 +16,7 @@
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_placement, plan_for_urgent
 from chicorycrank.policy.fairness import fair_order, within_team_order
 from chicorycrank.policy.guarantee_instance import GuaranteeInstance, fit_in_instance
-from chicorycrank.policy.placement import find_placement
+from chicorycrank.policy.placement import find_preferred_placement
 from chicorycrank.policy.pool import WorkerMasks
 
 __all__ = ["MAX_DECISIONS", "decide"]
@@ -201,14 +202,24 @@
     # Urgent jobs outside guarantees.
 
     def _decide_urgent(self, job: QueuedJob) -> None:
+        if job.preferred:
+            # Work on fast workers is evicted before the job starts on slow ones.
+            rule = job.rule.restricted_to(job.preferred[-1])
+            if self._start_or_evict(replace(job, rule=rule, preferred=job.preferred[:-1])):
+                return
+        if not self._start_or_evict(replace(job, preferred=())):
+            self._reserve_urgent(job)
+
+    def _start_or_evict(self, job: QueuedJob) -> bool:
+        """Start an urgent job on allowed workers or evict work from them; false if neither."""
         worker_masks = self.find_free(job)
         if worker_masks is not None:
             self.start(job, worker_masks, WorkKind.BORROWED)
-            return
+            return True
         worker_masks = self._find_free_or_stopping(job)
         if worker_masks is not None:
             self.claim(worker_masks, job)
-            return
+            return True
         plan = plan_for_urgent(self.cell, job, self.now_s, self.claimed_mask_by_worker)
         max_lost_s = inf if job.job_id in self.cell.jobs_within_quota else job.max_lost_s
         if (
@@ -217,8 +228,8 @@
             and self.is_compatible_with_pass(plan)
         ):
             self.apply_plan(job, plan, EvictionCause.URGENT)
-        else:
-            self._reserve_urgent(job)
+            return True
+        return False
 
     def _reserve_urgent(self, job: QueuedJob) -> None:
         """Reserve the accelerators that will become free first, which keeps other jobs off them."""
@@ -244,7 +255,7 @@
                     values = (worker, mask, job_shape.cores, job_shape.memory_gb)
                     free.release(*values)
                     added.append(values)
-        worker_masks = find_placement(free, job.shape, job.rule)
+        worker_masks = find_preferred_placement(free, job.shape, job.rule, job.preferred)
         for values in added:
             free.allocate(*values)
         return worker_masks
@@ -302,15 +313,14 @@
     def _backfill(self, job: QueuedJob) -> None:
         """Start a job on reserved accelerators if it is expected to end before they are needed."""
         expected_s = self.cell.estimates.expected_run_time_s(job.team, job.run_time_s)
-        if self.now_s + expected_s > min(
-            reservation.expected_start_s for reservation in self.reservations
-        ):
+        time_s = min(res.expected_start_s for res in self.reservations) - self.now_s
+        if expected_s / max(self.cell.speed_by_worker.values(), default=1.0) > time_s:
             return
         self.reserved_free.release()
         worker_masks = self.headroom.find_placement(job)
         if worker_masks is None:
             self.keys_without_placement_even_on_reserved.add(fit_key(job))
-        else:
+        elif expected_s / self.cell.speed_on(worker for worker, _ in worker_masks) <= time_s:
             self.start(job, worker_masks, WorkKind.BORROWED, backfill=True)
         for reservation in self.reservations:
             self.reserved_free.add(reservation.worker_masks, None)  # accelerators only
--- a/src/chicorycrank/policy/headroom.py
+++ b/src/chicorycrank/policy/headroom.py
@@ -1,9 +1,11 @@
 """Headroom: empty workers kept for future urgent jobs while other work can still wait."""
 
+from functools import partial
+
 from chicorycrank.model.ids import TargetId
 from chicorycrank.model.jobs import GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.placement import find_placement
+from chicorycrank.policy.placement import find_preferred_placement
 from chicorycrank.policy.pool import WorkerMasks, members_that_fit
 from chicorycrank.policy.withheld_capacity import WithheldCapacity
 
@@ -33,10 +35,13 @@
 
         If headroom was used, the caller calls ``withhold`` again after the start of the job.
         """
+        search = partial(
+            find_preferred_placement, self._cell.free, job.shape, job.rule, job.preferred
+        )
         if not self._withheld or job.can_wait:
-            return find_placement(self._cell.free, job.shape, job.rule)
+            return search()
         self.release()
-        worker_masks = find_placement(self._cell.free, job.shape, job.rule)
+        worker_masks = search()
         if worker_masks is None:
             self.withhold()
         return worker_masks
@@ -68,12 +73,18 @@
 def empty_workers(cell: Cell, count: int) -> WorkerMasks:
     """Return up to ``count`` empty open workers, from the racks with most empty workers first.
 
-    Urgent gangs that must fit in one rack need the empty workers in the same rack.
+    Urgent gangs that must fit in one rack need the empty workers in the same rack. Slow workers
+    come last.
     """
     empty_by_rack: dict[str, list[TargetId]] = {}
     for worker, (mask, _, _) in cell.guarantee_placements.capacity_by_worker.items():
         if cell.free.is_open(worker) and mask and cell.free.masks[worker] == mask:
             empty_by_rack.setdefault(cell.free.rack_by_worker[worker], []).append(worker)
-    racks = sorted(empty_by_rack, key=lambda rack: (-len(empty_by_rack[rack]), rack))
+    fast_count_by_rack = {
+        rack: sum(worker not in cell.slow_workers for worker in workers)
+        for rack, workers in empty_by_rack.items()
+    }
+    racks = sorted(empty_by_rack, key=lambda rack: (-fast_count_by_rack[rack], rack))
     workers = [worker for rack in racks for worker in sorted(empty_by_rack[rack])]
+    workers.sort(key=lambda worker: worker in cell.slow_workers)
     return tuple((worker, cell.free.masks[worker]) for worker in workers[:count])
--- a/src/chicorycrank/policy/placement.py
+++ b/src/chicorycrank/policy/placement.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import lru_cache, partial
 from itertools import islice
 from math import inf
@@ -44,6 +44,11 @@
         limit = pool.member_limit(worker, shape)
         return min(limit, self.max_members) if self.max_members else limit
 
+    def restricted_to(self, workers: frozenset[TargetId]) -> "PlacementRule":
+        """Return the rule for some of the workers that it allows."""
+        allowed = workers if self.workers is None else self.workers & workers
+        return replace(self, workers=allowed)
+
 
 ANY_WORKER = PlacementRule()
 
@@ -75,6 +80,23 @@
     return worker_masks
 
 
+def find_preferred_placement(
+    pool: Pool,
+    shape: GangShape,
+    rule: PlacementRule,
+    preferred: Sequence[frozenset[TargetId]],
+) -> WorkerMasks | None:
+    """Return the best fit of a gang in the first set of workers that has one, or None.
+
+    :param preferred: sets of workers to try before all that the rule allows
+    """
+    for workers in preferred:
+        worker_masks = find_placement(pool, shape, rule.restricted_to(workers))
+        if worker_masks is not None:
+            return worker_masks
+    return find_placement(pool, shape, rule)
+
+
 def fit_placement(
     candidates: Sequence[WorkerMask],
     shape: GangShape,
