Evacuate availability zones, and limit the runs on cold workers

Nothing served the operator's request to evacuate a zone (op/evacuate/ZONE): agents went on starting what their orders named, and the leader went on placing work there.

Agents accept runs by a write that depends on the missing key of their zone, and send a start only if a call has shown within the last second that it is missing; otherwise they reject the run as "zone evacuated". The leader learns the zones by its existing watch, closes their workers, withdraws at once what no agent has accepted, counts them as no room (racks of gangs, can_hold, headroom, rack of the data), and reads the keys if an agent rejects a run for a zone that it does not know. Workers whose executor is cold, and for 10 s those of a zone taken back, get a limited number of runs.

A write has one condition more, so that a report accepts the runs of 28 instead of 29 jobs; other runs are checked one by one, as before.

Measured: the new tests (evacuated starts, evacuations, cold workers) pass, and those of the neighbouring modules; an acceptance within a second of the start costs no call more.

--- a/src/chicorycrank/batch/agent.py
+++ b/src/chicorycrank/batch/agent.py
@@ -61,6 +61,7 @@
         with self._lock:
             return {
                 "worker": self._worker,
+                "zone": self.zone,
                 "registered": self._is_registered,
                 "executor_ended": self.executor_state.end and self.executor_state.end.value,
                 "has_candidates": self.executor_state.has_candidates,
--- a/src/chicorycrank/batch/agent_state.py
+++ b/src/chicorycrank/batch/agent_state.py
@@ -7,6 +7,7 @@
 
 from chicorycrank.batch.cancellation_checks import CancellationChecks
 from chicorycrank.batch.confirmation import Confirmer
+from chicorycrank.batch.evacuation_checks import DEFAULT_EVACUATE_S, NO_ZONE, EvacuationChecks
 from chicorycrank.batch.executor_poller import ExecutorPoller
 from chicorycrank.batch.executor_state import ExecutorState
 from chicorycrank.batch.keys import decode, order_key
@@ -20,7 +21,7 @@
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import make_condition, make_event
 from chicorycrank.model.batch import WorkerReport, WorkerState, WorkOrder
-from chicorycrank.model.ids import Incarnation, TargetId
+from chicorycrank.model.ids import Incarnation, TargetId, ZoneId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import BatchExecutor, ExecutorStatus
 from chicorycrank.ports.transactions import (
@@ -40,6 +41,10 @@
 
     :param worker: id of the worker in the store
     :param max_lease_s: longest lease that the executor grants, in seconds
+    :param zone: zone of the worker until a heartbeat of the executor names one
+    :param evacuation_prefix: prefix of the operator's keys for evacuated zones; empty for none
+    :param evacuate_s: time in seconds from the acknowledgement of an evacuation after which nothing
+        may start
     """
 
     def __init__(
@@ -50,8 +55,12 @@
         clock: Clock,
         *,
         max_lease_s: float,
+        zone: ZoneId = NO_ZONE,
+        evacuation_prefix: str = "",
+        evacuate_s: float = DEFAULT_EVACUATE_S,
     ) -> None:
         self._worker = worker
+        self._settings_zone = zone
         self._executor = executor
         self._clock = clock
         self._lock = make_condition()
@@ -67,11 +76,13 @@
         # Slows filling tasks down while they slow down tasks that serve users.
         self._pacer = Pacer()
         self._cancellation_checks = CancellationChecks(store, clock)
+        self._evacuation_checks = EvacuationChecks(store, clock, evacuation_prefix, evacuate_s)
         self._run_driver = RunDriver(
             executor,
             clock,
             self.table,
             self._cancellation_checks,
+            self._evacuation_checks,
             self._lock,
             self._stop,
             get_context=self._call_context,
@@ -116,6 +127,11 @@
         """The executor's part of the report, of the registered incarnation."""
         return self.executor_state.report
 
+    @property
+    def zone(self) -> ZoneId:
+        """Zone of the worker, as the executor names it; that of the settings until it does."""
+        return ZoneId(self.report.zone) or self._settings_zone
+
     # Calls to the executor, under the lease that the store's confirmations allow.
 
     def _deadline_ms(self) -> int | None:
@@ -160,6 +176,7 @@
             is_ready=self.report.state is WorkerState.READY,
             fence=self.report.fence,
             deadline_ms=self._deadline_ms(),
+            zone=self.zone,
         )
 
     def _invalidate_registration(self, fence: int) -> None:
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -42,8 +42,13 @@
 MAX_HEADROOM_SHARE = 0.3
 # With a smaller share of the fleet in use, urgent jobs find free workers without headroom.
 HEADROOM_MIN_USED_SHARE = 0.5
-# Workers that are closed for these causes may not come back.
-GONE_CAUSES = (ClosedCause.ABSENT, ClosedCause.NOT_READY, ClosedCause.UNREACHABLE)
+# Workers that are closed for these causes may not come back, or only when an operator says so.
+GONE_CAUSES = (
+    ClosedCause.ABSENT,
+    ClosedCause.NOT_READY,
+    ClosedCause.UNREACHABLE,
+    ClosedCause.EVACUATED,
+)
 
 # Job, occurrence if it matters, step, and workers on which the unit has failed or seen crashes.
 UnitClass = tuple[JobId, int | None, int, tuple[TargetId, ...]]
@@ -133,14 +138,17 @@
     def headroom_workers(self, planner: PlannerState) -> int:
         """Return how many workers to keep empty for the next urgent job."""
         cell = planner.cell
-        if not self._max_headroom_share or used_share(cell) < HEADROOM_MIN_USED_SHARE:
+        evacuated = [*filter(planner.workers.is_evacuated, cell.workers_by_id)]
+        if not self._max_headroom_share or used_share(cell, evacuated) < HEADROOM_MIN_USED_SHARE:
             return 0
         since_ms = planner.now_ms - HEADROOM_WINDOW_S * 1000
         needed = 0
         for job in planner.jobs_by_id.values():
             if job.submitted_at_ms >= since_ms and job.queue.priority == URGENT_PRIORITY:
                 needed = max(needed, self._workers_needed(planner, job))
-        return min(needed, int(self._max_headroom_share * len(cell.workers_by_id)))
+        return min(
+            needed, int(self._max_headroom_share * (len(cell.workers_by_id) - len(evacuated)))
+        )
 
     def _workers_needed(self, planner: PlannerState, job: Submission) -> int:
         if job.job_id not in self._workers_needed_by_job:
@@ -265,6 +273,7 @@
                 worker_id
                 for worker_id in workers
                 if planner.workers.by_id[worker_id].report.rack == step.data_rack
+                and not planner.workers.is_evacuated(worker_id)
             }
             workers = frozenset(in_data_rack) or workers
         return PlacementRule(
@@ -327,5 +336,7 @@
 def _fits_one_rack(planner: PlannerState, shape: GangShape) -> bool:
     members_by_rack: Counter[RackId] = Counter()
     for worker_id, members in members_by_worker(planner.cell, shape).items():
+        if planner.workers.is_evacuated(worker_id):
+            continue
         members_by_rack[planner.cell.workers_by_id[worker_id].rack] += members
     return max(members_by_rack.values(), default=0) >= shape.members
--- a/src/chicorycrank/batch/report_store.py
+++ b/src/chicorycrank/batch/report_store.py
@@ -20,8 +20,9 @@
 )
 
 COMMIT_TIMEOUT_S = 0.8
-# The store accepts 32 keys and conditions per write. The report takes two, the order one.
-MAX_JOBS_PER_REPORT = 29
+# The store accepts 32 keys and conditions per write. The report takes two, the order and the
+# evacuation of the zone one each.
+MAX_JOBS_PER_REPORT = 28
 
 logger = logging.getLogger("absl")
 
@@ -48,6 +49,10 @@
         self.job_ids = job_ids
 
 
+class ZoneEvacuatedError(Exception):
+    """The zone of the worker is evacuated and the report accepts runs, so it was not written."""
+
+
 class ReportConflictError(Exception):
     """Another agent has written the report."""
 
@@ -82,22 +87,28 @@
         report: WorkerReport,
         order_revision: Revision | None,
         uncancelled_jobs: Collection[JobId] = (),
+        evacuation_key: str = "",
     ) -> bool:
         """Write the report.
 
         :param order_revision: revision that the order must have; None for any
         :param uncancelled_jobs: jobs that must not be cancelled, ``MAX_JOBS_PER_REPORT`` at most
+        :param evacuation_key: key that must be missing, as it exists while the zone is evacuated;
+            empty for none
         :returns: whether this call has written it, not an earlier one without an answer
         :raises JobsCancelledError: jobs are cancelled
         :raises OrderChangedError: the order has another revision
         :raises ReportConflictError: another agent has written the report since
         :raises StoreUnavailableError: the store did not respond
+        :raises ZoneEvacuatedError: the evacuation key exists
         """
         key = report_key(self._worker)
         expected = {key: self._revision}
         if order_revision is not None:
             expected[order_key(self._worker)] = order_revision
         expected |= {cancel_key(job_id): MISSING for job_id in uncancelled_jobs}
+        if evacuation_key:
+            expected[evacuation_key] = MISSING
         value = encode(report)
         answer = self._store.commit(
             Write(expected=expected, values={key: value}), timeout_s=COMMIT_TIMEOUT_S
@@ -106,6 +117,8 @@
             item = answer.items.get(key)
             if item is not None and item.revision == self._revision:
                 self._raise_if_cancelled(answer, uncancelled_jobs)
+                if _exists(answer, evacuation_key):
+                    raise ZoneEvacuatedError
                 logger.info("event=order_changed target=%s", self._worker)
                 raise OrderChangedError(answer.items.get(order_key(self._worker)))
             # An earlier attempt may have been applied without an answer.
@@ -120,7 +133,12 @@
         return isinstance(answer, Committed)
 
     def _raise_if_cancelled(self, conflict: Conflict, job_ids: Collection[JobId]) -> None:
-        found = {key for key, item in conflict.items.items() if item.revision != MISSING}
-        cancelled = {job_id for job_id in job_ids if cancel_key(job_id) in found}
+        cancelled = {job_id for job_id in job_ids if _exists(conflict, cancel_key(job_id))}
         if cancelled:
             raise JobsCancelledError(cancelled)
+
+
+def _exists(conflict: Conflict, key: str) -> bool:
+    """Return whether a conflict shows that a key exists."""
+    item = conflict.items.get(key)
+    return item is not None and item.revision != MISSING
--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -7,12 +7,18 @@
 
 from chicorycrank.batch.call_queue import CallQueue
 from chicorycrank.batch.cancellation_checks import CancellationChecks
+from chicorycrank.batch.evacuation_checks import (
+    NO_ZONE,
+    ZONE_EVACUATED,
+    EvacuationChecks,
+    log_rejection,
+)
 from chicorycrank.batch.run import Run
 from chicorycrank.batch.runs import RunTable
 from chicorycrank.batch.threads import Condition, Event, make_pool
 from chicorycrank.batch.units import job_of
 from chicorycrank.model.batch import EndKind
-from chicorycrank.model.ids import Incarnation
+from chicorycrank.model.ids import Incarnation, ZoneId
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.executor import (
     BatchExecutor,
@@ -45,6 +51,7 @@
     :param fence: fencing token of the agent
     :param deadline_ms: expiry of the lease to grant, as a time on the executor's clock; None if no
         lease may be granted
+    :param zone: zone of the worker; empty if it is unknown
     """
 
     incarnation: Incarnation
@@ -54,6 +61,7 @@
     is_ready: bool
     fence: int
     deadline_ms: int | None
+    zone: ZoneId = NO_ZONE
 
 
 class RunDriver:
@@ -62,6 +70,7 @@
     The jobs take turns, so that calls for a job don't wait for those of all runs of another one.
 
     :param cancellation_checks: show whether the job of a run is cancelled
+    :param evacuation_checks: show whether the zone of the worker is evacuated
     :param lock: guards ``table``; held while ``get_context`` is called
     :param stop: set when the process stops
     :param get_context: returns the current parameters of calls
@@ -77,6 +86,7 @@
         clock: Clock,
         table: RunTable,
         cancellation_checks: CancellationChecks,
+        evacuation_checks: EvacuationChecks,
         lock: Condition,
         stop: Event,
         *,
@@ -89,6 +99,7 @@
         self._clock = clock
         self._table = table
         self._cancellation_checks = cancellation_checks
+        self._evacuation_checks = evacuation_checks
         self._lock = lock
         self._stop = stop
         self._get_context = get_context
@@ -123,7 +134,7 @@
                         return
                 if not self._needs_check(run, context):
                     self._attempt_call(run, context)
-                elif not self._check_cancellation(run):
+                elif not self._check_start(run, context):
                     self._stop.wait(RETRY_DELAY_S)
         except Exception:
             # The next status of the executor triggers the call again.
@@ -140,10 +151,31 @@
         )
 
     def _needs_check(self, run: Run, context: CallContext) -> bool:
-        """Return whether a start call has to wait for a check of the job's cancellation."""
+        """Return whether a start call has to wait for a check that it is still allowed."""
         is_call_next = context.is_ready and context.deadline_ms is not None
         is_start = is_call_next and not run.should_stop
-        return is_start and self._cancellation_checks.is_due(job_of(run.assignment.task))
+        return is_start and (
+            self._cancellation_checks.is_due(job_of(run.assignment.task))
+            or self._evacuation_checks.is_due(context.zone)
+        )
+
+    def _check_start(self, run: Run, context: CallContext) -> bool:
+        """Make the checks that are due; return false if the store did not respond."""
+        if self._evacuation_checks.is_due(context.zone):
+            return self._check_evacuation(run, context.zone)
+        return self._check_cancellation(run)
+
+    def _check_evacuation(self, run: Run, zone: ZoneId) -> bool:
+        """Reject a run if its zone is evacuated; return false if the store did not respond."""
+        try:
+            is_evacuated = self._evacuation_checks.is_evacuated(zone)
+        except StoreUnavailableError as error:
+            logger.warning("event=evacuation_unknown zone=%s error=%s", zone, error)
+            return False
+        if is_evacuated:
+            log_rejection(run, zone)
+            self._reject(run, ZONE_EVACUATED)
+        return True
 
     def _check_cancellation(self, run: Run) -> bool:
         """Stop a run if its job is cancelled; return false if the store did not respond."""
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from chicorycrank.batch.advice import AdviceCache
+from chicorycrank.batch.cold_workers import ColdBounds
+from chicorycrank.batch.evacuations import Evacuations
 from chicorycrank.batch.keys import (
     PRESENCE_PREFIX,
     PROGRESS_PREFIX,
@@ -68,6 +70,7 @@
     :param worker_lost_timeout_s: time in seconds from the expiry of a worker's presence until its
         executor's lease has expired
     :param ended_job_retention_s: time for which the state of an ended job is kept, in seconds
+    :param cold_bounds: limits of cold workers; None for no limit
     """
 
     advice: AdviceService
@@ -75,6 +78,7 @@
     checkpoint_s: float
     worker_lost_timeout_s: float
     ended_job_retention_s: float
+    cold_bounds: ColdBounds | None = None
 
 
 class Term:
@@ -113,6 +117,7 @@
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
         self._urgent_wait_log = UrgentWaitLog()
+        self._evacuations = Evacuations(dependencies.cold_bounds, replica.refresh)
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
 
     def serve(self) -> None:
@@ -217,10 +222,12 @@
                 self._apply_changes()
             for item in reports:
                 self._apply_report_item(item)
+            self._evacuations.learn(self._planner, self._view)
             self._reassign_lost_work()
             withdraw(self._planner, self._write_conditionally)
             self._advice_cache.update(self._planner)
         with self._timed_phase("plan"):
+            self._evacuations.limit_runs(self._planner)
             self._planner.plan()
             self._urgent_wait_log.update(self._planner)
         with self._timed_phase("write"):
@@ -243,9 +250,10 @@
         return is_written
 
     def _apply_changes(self) -> None:
-        """Apply new jobs, cancellations and the configuration."""
+        """Apply new jobs, cancellations, evacuations and the configuration."""
         self._view.pop_changed_keys()
         self._apply_config()
+        self._evacuations.apply(self._planner, self._view.evacuated_zones)
         add_jobs(self._planner, self._view, self._stored_progress)
         cancel_jobs(self._planner, self._view.cancelled)
 
--- a/src/chicorycrank/batch/urgent_waits.py
+++ b/src/chicorycrank/batch/urgent_waits.py
@@ -1,11 +1,14 @@
-"""Log lines on urgent units that still wait after a while, with what keeps them from starting."""
+"""Log lines on units that still wait after a while, with what keeps them from starting.
+
+They are those of urgent jobs, and those of other jobs that evacuations keep from starting.
+"""
 
 import logging
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
-from itertools import islice
+from itertools import chain, islice
 
 from chicorycrank.batch.planner_state import PlannerState
 from chicorycrank.batch.queued_jobs import URGENT_PRIORITY
@@ -18,6 +21,8 @@
 MIN_WAIT_MS = 2000
 CHECK_INTERVAL_S = 1.0
 REPEAT_S = 5.0
+# Jobs that are not urgent are looked at less often, so that all of them have their turn.
+REPEAT_NOT_URGENT_S = 30.0
 MAX_LINES_PER_CHECK = 10
 
 logger = logging.getLogger("absl")
@@ -30,6 +35,7 @@
     HELD = "held"  # a test run of its job, or the verdict on it, comes first
     NO_SUITABLE_WORKER = "no-suitable-worker"
     EXCEEDS_CAPACITY = "exceeds-capacity"  # it would not fit if these workers were empty
+    EVACUATED = "evacuated"  # it would fit only if its workers in evacuated zones were open
     ALL_CLOSED = "all-closed"
     EVICTIONS = "evictions"
     RESERVED = "reserved"
@@ -46,10 +52,12 @@
     :param cores: free cores of the open workers
     :param members: members of the unit that fit there now
     :param members_if_empty: members that the suitable workers would hold if they were empty
+    :param members_in_open_zones: those of them on workers outside of evacuated zones
     """
 
     suitable: int
     members_if_empty: int
+    members_in_open_zones: int
     closed: Counter[str]
     accelerators: int
     cores: int
@@ -61,32 +69,33 @@
 
     def __init__(self) -> None:
         self._next_check_s = 0.0
-        self._logged_at_by_id: dict[JobId, float] = {}
+        self._next_line_at_by_id: dict[JobId, float] = {}
 
     def update(self, planner: PlannerState) -> None:
-        """Log the first waiting unit of each urgent job that waits too long."""
+        """Log the first waiting unit of each job that waits too long."""
         if planner.now_s < self._next_check_s:
             return
         self._next_check_s = planner.now_s + CHECK_INTERVAL_S
-        self._logged_at_by_id = {
-            job_id: logged_at_s
-            for job_id, logged_at_s in self._logged_at_by_id.items()
-            if planner.now_s < logged_at_s + REPEAT_S
+        self._next_line_at_by_id = {
+            job_id: next_line_at
+            for job_id, next_line_at in self._next_line_at_by_id.items()
+            if planner.now_s < next_line_at
         }
-        for ref in islice(self._late_units(planner), MAX_LINES_PER_CHECK):
-            self._logged_at_by_id[ref.job_id] = planner.now_s
+        late_units = self._late_units(planner, is_urgent=True)
+        if planner.workers.evacuated_zones:
+            late_units = chain(late_units, self._late_units(planner, is_urgent=False))
+        for ref in islice(late_units, MAX_LINES_PER_CHECK):
+            repeat_s = REPEAT_S if _is_urgent(planner, ref.job_id) else REPEAT_NOT_URGENT_S
+            self._next_line_at_by_id[ref.job_id] = planner.now_s + repeat_s
             try:
                 _log_wait(planner, ref)
             except Exception:
                 # A job that is set aside may fail here, too; the plan still has to be written.
                 logger.exception("event=wait_not_described job=%s unit=%s", ref.job_id, ref.key)
 
-    def _late_units(self, planner: PlannerState) -> Iterator[UnitRef]:
+    def _late_units(self, planner: PlannerState, *, is_urgent: bool) -> Iterator[UnitRef]:
         for job_id in planner.active_jobs:
-            if (
-                job_id not in self._logged_at_by_id
-                and planner.queue_of(planner.jobs_by_id[job_id]).priority == URGENT_PRIORITY
-            ):
+            if job_id not in self._next_line_at_by_id and _is_urgent(planner, job_id) is is_urgent:
                 late = (
                     ref
                     for ref in planner.waiting_units_of(job_id)
@@ -95,6 +104,10 @@
                 yield from islice(late, 1)
 
 
+def _is_urgent(planner: PlannerState, job_id: JobId) -> bool:
+    return planner.queue_of(planner.jobs_by_id[job_id]).priority == URGENT_PRIORITY
+
+
 def _waited_ms(planner: PlannerState, ref: UnitRef) -> int:
     job = planner.jobs_by_id[ref.job_id]
     return planner.now_ms - max(job.submitted_at_ms, due_at_ms(job, ref.occurrence))
@@ -103,6 +116,9 @@
 def _log_wait(planner: PlannerState, ref: UnitRef) -> None:
     job = planner.job_builder.make_queued_job(planner, ref)
     room = _find_room(planner, job)
+    cause = _wait_cause(planner, ref, job, room)
+    if not job.urgent and cause is not WaitCause.EVACUATED:
+        return
     unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
     logger.warning(
         "event=unit_waiting job=%s unit=%s waited_s=%.1f runs=%d members=%d accelerators=%d"
@@ -115,7 +131,7 @@
         job.shape.members,
         job.shape.accelerators,
         job.shape.cores,
-        _wait_cause(planner, ref, job, room).value,
+        cause.value,
         room.suitable,
         ",".join(f"{cause}:{count}" for cause, count in sorted(room.closed.items())),
         room.accelerators,
@@ -134,6 +150,8 @@
         return WaitCause.NO_SUITABLE_WORKER
     if room.members_if_empty < job.shape.members:
         return WaitCause.EXCEEDS_CAPACITY
+    if room.members_in_open_zones < job.shape.members:
+        return WaitCause.EVACUATED
     if room.closed.total() == room.suitable:
         return WaitCause.ALL_CLOSED
     if job.job_id in planner.cell.waiting_for_evictions:
@@ -147,8 +165,12 @@
     pool = planner.cell.free
     workers = planner.cell.workers_by_id if job.rule.workers is None else job.rule.workers
     closed: Counter[str] = Counter()
-    accelerators = cores = members = 0
+    accelerators = cores = members = members_if_empty = members_in_open_zones = 0
     for worker in workers:
+        capacity = members_on_worker(planner.cell.workers_by_id[worker], job.shape)
+        members_if_empty += capacity
+        if not planner.workers.is_evacuated(worker):
+            members_in_open_zones += capacity
         cause = planner.workers.closed_cause(worker)
         if cause is not None:
             closed[cause.value] += 1
@@ -162,9 +184,8 @@
         members += limit
     return Room(
         suitable=len(workers),
-        members_if_empty=sum(
-            members_on_worker(planner.cell.workers_by_id[worker], job.shape) for worker in workers
-        ),
+        members_if_empty=members_if_empty,
+        members_in_open_zones=members_in_open_zones,
         closed=closed,
         accelerators=accelerators,
         cores=cores,
--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -16,7 +16,7 @@
     StateRecord,
     decode,
 )
-from chicorycrank.batch.metrics import CONFIG_VERSION
+from chicorycrank.batch.metrics import CONFIG_VERSION, EVACUATED_ZONES
 from chicorycrank.batch.threads import make_condition
 from chicorycrank.batch.units import visible_state
 from chicorycrank.model.batch import (
@@ -25,7 +25,7 @@
     Queue,
     Submission,
 )
-from chicorycrank.model.ids import JobId, QueueId, TeamId
+from chicorycrank.model.ids import JobId, QueueId, TeamId, ZoneId
 from chicorycrank.ports.transactions import Item, Revision
 
 logger = logging.getLogger("absl")
@@ -73,23 +73,30 @@
 
 
 class SharedView:
-    """Thread-safe view of the stored jobs, configuration and leader.
+    """Thread-safe view of the stored jobs, configuration, evacuations and leader.
 
     :param decode_config: decodes the operator's document; returns None if it is unusable
     :param config_key: key of the operator's document
+    :param evacuation_prefix: prefix of the operator's keys for evacuated zones; empty for none
+    :ivar evacuated_zones: zones in which nothing may start
     :ivar former_orders: keys of orders that leaders of an earlier version have left
     """
 
     def __init__(
-        self, config_key: str, decode_config: Callable[[bytes], BatchConfig | None]
+        self,
+        config_key: str,
+        decode_config: Callable[[bytes], BatchConfig | None],
+        evacuation_prefix: str = "",
     ) -> None:
         self._config_key = config_key
+        self._evacuation_prefix = evacuation_prefix
         self._decode_config = decode_config
         self.lock = make_condition()
         self.config = ConfigView()
         self.jobs_by_id: dict[JobId, Submission] = {}
         self.state_by_id: dict[JobId, StateRecord] = {}
         self.cancelled: set[JobId] = set()
+        self.evacuated_zones: set[ZoneId] = set()
         self.former_orders: set[str] = set()
         self.leader: LeaderRecord | None = None
         self.leader_revision = Revision(0)
@@ -103,16 +110,32 @@
                     self._apply_item(item)
                 except msgspec.DecodeError as error:
                     logger.warning("event=record_unreadable key=%s error=%s", item.key, error)
-                if item.key.startswith(TRACKED_PREFIXES) or item.key == self._config_key:
+                if item.key.startswith(TRACKED_PREFIXES) or self._is_operators(item.key):
                     self._changed_keys.append(item.key)
             self.lock.notify_all()
 
+    def _is_operators(self, key: str) -> bool:
+        return key == self._config_key or self._is_evacuation(key)
+
+    def _is_evacuation(self, key: str) -> bool:
+        return bool(self._evacuation_prefix) and key.startswith(self._evacuation_prefix)
+
     def _apply_item(self, item: Item) -> None:
         key, value = item.key, item.value
         if key == self._config_key:
             config = self._decode_config(value) if value is not None else None
             if config is not None:
                 self.config.apply(config)
+        elif self._is_evacuation(key):
+            zone = ZoneId(key.removeprefix(self._evacuation_prefix))
+            (self.evacuated_zones.discard if value is None else self.evacuated_zones.add)(zone)
+            EVACUATED_ZONES.set(len(self.evacuated_zones))
+            logger.info(
+                "event=evacuation_learned zone=%s evacuated=%s revision=%d",
+                zone,
+                value is not None,
+                item.revision,
+            )
         elif key.startswith(JOBS_PREFIX):
             _store_record(self.jobs_by_id, JobId(key.removeprefix(JOBS_PREFIX)), value, Submission)
         elif key.startswith(STATES_PREFIX):
--- a/src/chicorycrank/batch/withdrawals.py
+++ b/src/chicorycrank/batch/withdrawals.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Callable, Mapping
 
+from chicorycrank.batch.evacuation_checks import ZONE_EVACUATED
 from chicorycrank.batch.keys import encode, order_key, report_key
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.units import Member
@@ -29,7 +30,7 @@
 
 
 def withdraw(planner: Planner, write: ConditionalWrite) -> None:
-    """Withdraw the runs that were not accepted in time."""
+    """Withdraw the runs that were not accepted in time, or whose zone is evacuated."""
     for worker in list(planner.members_by_worker):
         if not _is_acceptance_overdue(planner, worker):
             continue
@@ -42,6 +43,8 @@
     state = planner.workers.by_id.get(worker)
     if state is None:
         return False
+    if planner.workers.is_evacuated(worker):
+        return True
     since_order_s = planner.now_s - state.order_written_at
     if state.presence_expired_at is not None:
         return (
@@ -66,14 +69,18 @@
     revision = planner.workers.by_id[worker].revision
     order = planner.order_for(worker, excluded_tasks=members.keys())
     is_done = write({order_key(worker): encode(order)}, {report_key(worker): revision})
+    is_evacuated = planner.workers.is_evacuated(worker)
     logger.warning(
-        "event=work_withdrawn target=%s tasks=%s report_revision=%d done=%s",
+        "event=work_withdrawn target=%s tasks=%s report_revision=%d done=%s evacuated=%s",
         worker,
         ",".join(members),
         revision,
         is_done,
+        is_evacuated,
     )
     if not is_done:
         return
+    detail = ZONE_EVACUATED if is_evacuated else ""
     for task, member in members.items():
-        planner.record_end(worker, TaskEnd(task, planner.run_number(member), EndKind.WITHDRAWN))
+        end = TaskEnd(task, planner.run_number(member), EndKind.WITHDRAWN, "", detail)
+        planner.record_end(worker, end)
--- a/src/chicorycrank/batch/workers.py
+++ b/src/chicorycrank/batch/workers.py
@@ -41,6 +41,7 @@
     STOPPED = "stopped"  # its agent has stopped
     NOT_READY = "not-ready"
     UNREACHABLE = "unreachable"
+    EVACUATED = "evacuated"  # the operator has evacuated its zone
     BACKOFF = "backoff"
     STALLED = "stalled"  # a task there makes no progress
     TEST = "test"
@@ -78,6 +79,7 @@
 
     :param on_change: called when a worker was added or its capacity, labels or service changed
     :ivar testing: workers that get no other start, as a run there may crash them
+    :ivar evacuated_zones: zones whose workers get no new work
     """
 
     def __init__(self, cell: Cell, now_s: float, on_change: Callable[[], None]) -> None:
@@ -86,6 +88,7 @@
         self.quarantine = Quarantine(lambda: self.now_s, SHORT_JOB_RULES)
         self.testing: set[TargetId] = set()
         self.full: set[TargetId] = set()
+        self.evacuated_zones: frozenset[ZoneId] = frozenset()
         self._cell = cell
         self._on_change = on_change
 
@@ -217,6 +220,8 @@
             return ClosedCause.NOT_READY
         if report.is_unreachable:
             return ClosedCause.UNREACHABLE
+        if self.is_evacuated(worker):
+            return ClosedCause.EVACUATED
         if state.backoff_until > self.now_s:
             return ClosedCause.BACKOFF
         if report.suspects:
@@ -229,6 +234,12 @@
             return ClosedCause.QUARANTINE
         return None
 
+    def is_evacuated(self, worker: TargetId) -> bool:
+        """Return whether the operator has evacuated the zone of a worker."""
+        if not self.evacuated_zones:
+            return False
+        return ZoneId(self.by_id[worker].report.zone) in self.evacuated_zones
+
     def _update_availability(self, worker: TargetId) -> None:
         is_available = self.closed_cause(worker) is None
         if self._cell.workers_by_id[worker].available != is_available:
--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -332,6 +332,7 @@
     :param remaining_ms: minimum time in milliseconds before a draining executor shuts down
     :param is_unreachable: the executor does not answer, or has said that it ends; its runs may
         still be there, but it gets no new ones
+    :param is_cold: the executor is still slow for a while
     :param lease_left_s: time in seconds after which the executor's lease has expired, if the agent
         has stopped; None while it may extend the lease
     :param seen: highest sequence number of all ends that this incarnation of the executor has
@@ -356,6 +357,7 @@
     rack: RackId = RackId("")
     remaining_ms: int = 0
     is_unreachable: bool = False
+    is_cold: bool = False
     lease_left_s: float | None = None
     seen: int = 0
     ends: list[TaskEnd] = field(default_factory=list)
--- a/src/chicorycrank/platform/documents.py
+++ b/src/chicorycrank/platform/documents.py
@@ -1,6 +1,6 @@
 """Decoders of the external platform's JSON documents.
 
-They are the configuration, jobs, reports of executors and the list of machines.
+They are the configuration, jobs and the list of machines.
 """
 
 from collections.abc import Iterable
@@ -16,14 +16,10 @@
     Queue,
     Step,
     Submission,
-    WorkerReport,
-    WorkerState,
 )
-from chicorycrank.model.ids import JobId, QueueId, RackId, ServiceId, TeamId
-from chicorycrank.platform.executor import incarnation_of
+from chicorycrank.model.ids import JobId, QueueId, ServiceId, TeamId
 
 CONFIG_STORE_KEY = "op/config"
-WORKER_STATE_BY_NAME = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
 MACHINE_STATES = frozenset({"up", "moving", "upkeep", "down"})
 MAX_PAYLOAD_BYTES = 4000
 # A job is one value of the store, with its payload and the configuration of its queue.
@@ -41,7 +37,6 @@
     "target_ms",
     "max_unavailable",
 )
-RACK_LABEL_INDEX = 1  # The first label of an executor is the machine type, the second the rack.
 
 
 class DocumentError(Exception):
@@ -158,35 +153,6 @@
     interval_ms: int = 0
 
 
-class _Capacity(Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-
-
-class _ReportDocument(Struct, rename="camel"):
-    """Report that an executor sends to its agent periodically.
-
-    It is the executor's part of a :class:`~chicorycrank.model.batch.WorkerReport`.
-
-    :param seq: sequence number among the reports of an incarnation
-    :param labels: machine type and rack, in this order
-    :param born: start time of the incarnation in milliseconds
-    :param remaining_ms: minimum time in milliseconds before a draining executor shuts down
-    :param clock_ms: reading of the executor's clock in milliseconds
-    """
-
-    service: str
-    state: str
-    seq: int
-    capacity: _Capacity
-    labels: list[str]
-    clock_ms: int
-    zone: str = ""
-    born: int = 0
-    remaining_ms: int = 0
-
-
 def decode_config(data: bytes) -> BatchConfig:
     """Decode the operator's configuration.
 
@@ -264,26 +230,26 @@
 
     :param size_bytes: size of the encoded job
     """
-    _check_range("job", "the body in bytes", size_bytes, 0, MAX_JOB_BYTES)
-    _check_range("job", "`spec` in bytes", len(job.spec.encode()), 0, MAX_PAYLOAD_BYTES)
-    _check_range("job", "the number of steps", len(job.steps), 1, MAX_STEPS)
+    check_range("job", "the body in bytes", size_bytes, 0, MAX_JOB_BYTES)
+    check_range("job", "`spec` in bytes", len(job.spec.encode()), 0, MAX_PAYLOAD_BYTES)
+    check_range("job", "the number of steps", len(job.steps), 1, MAX_STEPS)
     for name in ("repeat_count", "start_at_ms", "interval_ms"):
-        _check_range("job", f"`{_camel_case(name)}`", getattr(job, name), 0, MAX_NUMBER)
+        check_range("job", f"`{camel_case(name)}`", getattr(job, name), 0, MAX_NUMBER)
     for number, step in enumerate(job.steps):
         for name in NUMBERS_OF_A_STEP:
             low = 1 if name == "count" else 0
-            _check_range(
+            check_range(
                 "job",
-                f"`{_camel_case(name)}` of step {number}",
+                f"`{camel_case(name)}` of step {number}",
                 getattr(step, name),
                 low,
                 MAX_NUMBER,
             )
         for other in step.after:
-            _check_range("job", f"an index in `after` of step {number}", other, 0, number - 1)
+            check_range("job", f"an index in `after` of step {number}", other, 0, number - 1)
 
 
-def _check_range(document: str, what: str, value: float, low: int, high: int) -> None:
+def check_range(document: str, what: str, value: float, low: int, high: int) -> None:
     """Check a number in a document.
 
     :raises DocumentError: it is out of the range
@@ -292,7 +258,8 @@
         raise DocumentError(f"{document}: {what} is {value}, expected {low} to {high}")
 
 
-def _camel_case(name: str) -> str:
+def camel_case(name: str) -> str:
+    """Return the name of a field in the platform's documents."""
     first, *others = name.split("_")
     return first + "".join(map(str.title, others))
 
@@ -320,58 +287,6 @@
     )
 
 
-class NumberedReport(Struct, frozen=True, kw_only=True):
-    """Decoded report of an executor, with its sequence number.
-
-    :param report: the executor's part of the worker report; the agent adds its fencing token and
-        the state of the runs
-    :param number: sequence number among the reports of an incarnation
-    :param started_at_ms: start time of the incarnation in milliseconds
-    :param clock_ms: reading of the executor's clock in milliseconds
-    """
-
-    report: WorkerReport
-    number: int
-    started_at_ms: int
-    clock_ms: int
-
-
-def decode_report(executor_id: str, data: bytes) -> NumberedReport:
-    """Decode the report of an executor.
-
-    :raises DocumentError: the report cannot be decoded, or its state or capacity is invalid
-    """
-    try:
-        document = msgspec.json.decode(data, type=_ReportDocument)
-    except msgspec.DecodeError as error:
-        raise DocumentError(f"report of {executor_id}: {error}") from error
-    for name in ("cpu", "mem_mb", "gpus"):
-        number = getattr(document.capacity, name)
-        _check_range(f"report of {executor_id}", f"`{_camel_case(name)}`", number, 0, MAX_NUMBER)
-    if document.state not in WORKER_STATE_BY_NAME:
-        raise DocumentError(
-            f"report of {executor_id}: unknown state {document.state!r}, expected ready or draining"
-        )
-    report = WorkerReport(
-        incarnation=incarnation_of(executor_id, document.born),
-        executor=executor_id,
-        service=ServiceId(document.service),
-        zone=document.zone,
-        state=WORKER_STATE_BY_NAME[document.state],
-        accelerators=document.capacity.gpus,
-        cores=document.capacity.cpu,
-        memory_mb=document.capacity.mem_mb,
-        labels=tuple(document.labels),
-        rack=RackId(document.labels[RACK_LABEL_INDEX])
-        if len(document.labels) > RACK_LABEL_INDEX
-        else RackId(""),
-        remaining_ms=document.remaining_ms,
-    )
-    return NumberedReport(
-        report=report, number=document.seq, started_at_ms=document.born, clock_ms=document.clock_ms
-    )
-
-
 class Machine(Struct, frozen=True, kw_only=True):
     """Machine in the platform's list.
 
--- a/src/chicorycrank/platform/report_handler.py
+++ b/src/chicorycrank/platform/report_handler.py
@@ -4,7 +4,8 @@
 from http import HTTPStatus
 
 from chicorycrank.batch.agent import BatchAgent
-from chicorycrank.platform.documents import DocumentError, decode_report
+from chicorycrank.platform.documents import DocumentError
+from chicorycrank.platform.executor_reports import decode_report
 from chicorycrank.platform.server import Request, Response
 
 INSTANCES_PATH = "/-/instances/"
--- a/src/chicorycrank/platform/settings.py
+++ b/src/chicorycrank/platform/settings.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Bounds:
-    """Limits set by the platform, in seconds except for the factor ``rack_slowdown``.
+    """Limits set by the platform, in seconds except for factors and numbers of runs.
 
     The fields without a description are decoded but not used.
 
@@ -23,6 +23,10 @@
     :param max_lease_s: longest lease that an executor grants
     :param checkpoint_interval_s: time between two checkpoints of a task
     :param status_retention_s: time for which the state of an ended job must be kept
+    :param evacuate_s: time after which nothing starts in a zone that is evacuated
+    :param cold_overage: largest number of runs on a cold executor, as a multiple of the mean number
+        on the others; None for no limit
+    :param cold_slack: number of runs that a cold executor may have in any case
     """
 
     key_revocation_s: float = 5.0
@@ -35,6 +39,9 @@
     status_retention_s: float = 120.0
     interference_s: float = 4.0
     rack_slowdown: float = 3.0
+    evacuate_s: float = 5.0
+    cold_overage: float | None = None
+    cold_slack: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -77,6 +84,9 @@
     "status_retention_s": ("status_s", 1),
     "interference_s": ("interferenceMs", 1000),
     "rack_slowdown": ("spreadFactor", 1),
+    "evacuate_s": ("evacuateMs", 1000),
+    "cold_overage": ("coldOverage", 1),
+    "cold_slack": ("coldSlack", 1),
 }
 
 
--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -149,7 +149,7 @@
     if rule.workers is not None and worker not in rule.workers:
         return 0
     _, cores, memory_gb = cell.guarantee_placements.capacity_by_worker[worker]
-    limit = members_that_fit(shape, cores, memory_gb)
+    limit = cell.free.within_run_room(worker, members_that_fit(shape, cores, memory_gb))
     return min(limit, rule.max_members) if rule.max_members else limit
 
 
--- a/src/chicorycrank/policy/headroom.py
+++ b/src/chicorycrank/policy/headroom.py
@@ -1,5 +1,7 @@
 """Headroom: empty workers kept for future urgent jobs while other work can still wait."""
 
+from collections.abc import Iterable
+
 from chicorycrank.model.ids import TargetId
 from chicorycrank.model.jobs import GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob
@@ -42,10 +44,22 @@
         return worker_masks
 
 
-def used_share(cell: Cell) -> float:
-    """Return the largest of the shares of accelerators, cores and memory that are in use."""
+def used_share(cell: Cell, excluded: Iterable[TargetId] = ()) -> float:
+    """Return the largest of the shares of accelerators, cores and memory that are in use.
+
+    :param excluded: workers that count neither as capacity nor as used
+    """
     used = [sum(parts) for parts in zip(*cell.usage_by_team.values(), strict=True)]
-    shares = (part / whole for part, whole in zip(used, cell.totals, strict=False) if whole > 0)
+    totals = list(cell.totals)
+    for worker in excluded:
+        mask, *amounts = cell.guarantee_placements.capacity_by_worker[worker]
+        free = (cell.free.masks[worker].bit_count(), cell.free.cores[worker])
+        free_amounts = (*free, cell.free.memory_gb[worker])
+        for i, whole in enumerate((mask.bit_count(), *amounts)):
+            totals[i] -= whole
+            if used:
+                used[i] -= whole - free_amounts[i]
+    shares = (part / whole for part, whole in zip(used, totals, strict=False) if whole > 0)
     return max(shares, default=0.0)
 
 
--- a/src/chicorycrank/policy/pool.py
+++ b/src/chicorycrank/policy/pool.py
@@ -1,6 +1,6 @@
 """Pool of free capacity by worker, indexed by mask, rack and piece size."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import islice
 
 from chicorycrank.model.ids import RackId, TargetId
@@ -27,6 +27,9 @@
     """Free accelerators, cores and memory by worker, with the number of pieces per rack.
 
     A closed worker keeps its values but is excluded from the indexes and counts.
+
+    :ivar run_room: returns how many further runs a worker may get, None for any number; None if no
+        worker is limited
     """
 
     def __init__(self) -> None:
@@ -41,6 +44,7 @@
         self.racks_by_piece_count: list[dict[int, set[RackId]]] = [{} for _ in PIECE_SIZES]
         self.piece_totals = [0] * len(PIECE_SIZES)
         self._closed: set[TargetId] = set()
+        self.run_room: Callable[[TargetId], int | None] | None = None
 
     def add(self, worker: TargetId, rack: RackId, mask: int, cores: int, memory_gb: int) -> None:
         """Add a worker or replace its values; the worker is open afterwards."""
@@ -101,8 +105,14 @@
         self.memory_gb[worker] += memory_gb
 
     def member_limit(self, worker: TargetId, shape: GangShape) -> int:
-        """Return how many members of a gang fit in the free cores and memory of a worker."""
-        return members_that_fit(shape, self.cores[worker], self.memory_gb[worker])
+        """Return how many members of a gang a worker may get with its free cores and memory."""
+        limit = members_that_fit(shape, self.cores[worker], self.memory_gb[worker])
+        return self.within_run_room(worker, limit)
+
+    def within_run_room(self, worker: TargetId, members: int) -> int:
+        """Return the number of members, or the number of runs that a worker may get if lower."""
+        room = None if self.run_room is None else self.run_room(worker)
+        return members if room is None else min(members, room)
 
     def workers_with_mask(self, mask: int) -> Iterable[TargetId]:
         """Return open workers by free mask, from the rack with the fewest whole pieces first."""
--- a/src/chicorycrank/programs/batch_agent.py
+++ b/src/chicorycrank/programs/batch_agent.py
@@ -2,8 +2,9 @@
 
 from chicorycrank.adapters.clock import SuspendAwareClock
 from chicorycrank.batch.agent import BatchAgent
-from chicorycrank.model.ids import TargetId
+from chicorycrank.model.ids import TargetId, ZoneId
 from chicorycrank.platform.client import PlatformClient
+from chicorycrank.platform.evacuation import EVACUATION_PREFIX
 from chicorycrank.platform.executor import PlatformExecutor
 from chicorycrank.platform.report_handler import ExecutorReportHandler
 from chicorycrank.platform.server import Server
@@ -26,6 +27,9 @@
         PlatformExecutor(PlatformClient(settings.executor)),
         SuspendAwareClock(),
         max_lease_s=settings.bounds.max_lease_s,
+        zone=ZoneId(settings.zone),
+        evacuation_prefix=EVACUATION_PREFIX,
+        evacuate_s=settings.bounds.evacuate_s,
     )
     server = Server(settings.control, ExecutorReportHandler(agent).handle, threads=SERVER_THREADS)
     agent.start()
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -17,6 +17,7 @@
 from chicorycrank.platform.client import PlatformClient
 from chicorycrank.platform.client_handler import ClientRequestHandler
 from chicorycrank.platform.documents import CONFIG_STORE_KEY, DocumentError, decode_config
+from chicorycrank.platform.evacuation import EVACUATION_PREFIX, cold_bounds
 from chicorycrank.platform.machines import PlatformMachines
 from chicorycrank.platform.server import Server
 from chicorycrank.platform.settings import NodeSettings
@@ -47,7 +48,7 @@
     settings = process.settings
     clock = SuspendAwareClock()
     store = PlatformStore(PlatformClient(settings.store))
-    view = SharedView(CONFIG_STORE_KEY, _decode_config)
+    view = SharedView(CONFIG_STORE_KEY, _decode_config, EVACUATION_PREFIX)
     replica = Replica(store, WATCHED_PREFIX, view.apply, clock, wait_s=WATCH_TIMEOUT_S)
     bounds = settings.bounds
     dependencies = TermDependencies(
@@ -56,6 +57,7 @@
         checkpoint_s=bounds.checkpoint_interval_s,
         worker_lost_timeout_s=lost_after_s(bounds.max_lease_s),
         ended_job_retention_s=bounds.status_retention_s,
+        cold_bounds=cold_bounds(bounds),
     )
     # A replacement machine may have the name of the replaced one, but never its address.
     entry = EntryId(f"{settings.name}@{settings.host}")
@@ -98,6 +100,7 @@
             "leader": view.leader.entry if view.leader else None,
             "is_leader": leader.is_leading,
             "cancelled": sorted(view.cancelled),
+            "evacuated_zones": sorted(view.evacuated_zones),
             "states": dict(view.state_by_id),
         }
 
--- a/tests/batch/leader_harness.py
+++ b/tests/batch/leader_harness.py
@@ -23,6 +23,7 @@
 from chicorycrank.ports.transactions import Lease, Write
 
 CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 WORKER = TargetId("w")
 JOB = make_job([Step(count=1, accelerators=8, run_time_s=5.0)])
 RETENTION_S = 60.0
@@ -37,7 +38,7 @@
         self.name = EntryId(name)
         self.store = store
         self.clock = clock
-        self.view = SharedView(CONFIG_KEY, lambda data: config)
+        self.view = SharedView(CONFIG_KEY, lambda data: config, EVACUATION_PREFIX)
         self.replica = Replica(store, WATCHED_PREFIX, self.view.apply, clock, wait_s=0.0)
         self.intake = JobIntake(store, self.view, self.replica, clock)
         self.replica.sync()
--- a/tests/batch/test_call_queue.py
+++ b/tests/batch/test_call_queue.py
@@ -9,6 +9,7 @@
 
 from chicorycrank.batch.call_queue import CallQueue
 from chicorycrank.batch.cancellation_checks import CancellationChecks
+from chicorycrank.batch.evacuation_checks import EvacuationChecks
 from chicorycrank.batch.run import Run
 from chicorycrank.batch.run_driver import MAX_CONCURRENT_CALLS, CallContext, RunDriver
 from chicorycrank.batch.runs import RunTable
@@ -104,6 +105,7 @@
         clock,
         table,
         checks,
+        EvacuationChecks(MemoryStore(), clock, ""),
         lock,
         stop,
         get_context=lambda: context,
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -14,8 +14,8 @@
     decode_config,
     decode_job,
     decode_machines,
-    decode_report,
 )
+from chicorycrank.platform.executor_reports import decode_report
 from chicorycrank.platform.settings import decode_settings
 from chicorycrank.settings.reader import SettingsError
 
