Refuse jobs that cannot end in time

Jobs that end after three times their objective are worth nothing, but take capacity from others.

Change: the leader publishes a summary of the load (own/load) while at least 2 s of work of the whole fleet wait. Entries decide from it on new jobs, before the write: a pure function in policy/job_admission.py refuses a job that cannot end within three times its objective, unless its team is below its share, or it is urgent and inside the quota. The setting admissionControl switches both off.

Not measured on a fleet.

--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -50,6 +50,17 @@
     "chicorycrank_heartbeats_ignored", "Heartbeats that an agent did not apply", ["reason"]
 )
 REPORTS_WRITTEN = Counter("chicorycrank_reports_written", "Reports that an agent has written")
+ADMISSIONS = Counter(
+    "chicorycrank_admissions", "Decisions on new jobs while a load summary is in force", ["verdict"]
+)
+LOAD_SUMMARIES = Counter(
+    "chicorycrank_load_summaries", "Load summaries published or removed by this leader", ["change"]
+)
+LOAD_WAIT = Gauge(
+    "chicorycrank_load_wait_seconds",
+    "Work that waits, by the time that the whole fleet needs for it",
+    ["priority"],
+)
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
 
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -23,6 +23,8 @@
     state_key,
 )
 from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
+from chicorycrank.batch.load_summary import LoadPublisher
+from chicorycrank.batch.load_view import LoadView
 from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
 from chicorycrank.batch.phase_timer import timed_phase
 from chicorycrank.batch.planner import Planner
@@ -68,6 +70,7 @@
     :param worker_lost_timeout_s: time in seconds from the expiry of a worker's presence until its
         executor's lease has expired
     :param ended_job_retention_s: time for which the state of an ended job is kept, in seconds
+    :param load_view: this entry's view of the load summary; None if none is to be published
     """
 
     advice: AdviceService
@@ -75,6 +78,7 @@
     checkpoint_s: float
     worker_lost_timeout_s: float
     ended_job_retention_s: float
+    load_view: LoadView | None = None
 
 
 class Term:
@@ -114,6 +118,8 @@
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
         self._urgent_wait_log = UrgentWaitLog()
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
+        load_view = dependencies.load_view
+        self._load_publisher = LoadPublisher(load_view, self._writer.write) if load_view else None
 
     def serve(self) -> None:
         """Plan until the role is lost or the process stops.
@@ -227,6 +233,8 @@
             self._writer.write_changes(
                 self._planner, [*self._find_former_orders(), *self._remove_expired_jobs()]
             )
+            if self._load_publisher is not None:
+                self._load_publisher.update(self._planner)
 
     def _timed_phase(self, name: str) -> AbstractContextManager[None]:
         return timed_phase(self._clock, name, len(self._planner.active_jobs))
--- a/src/chicorycrank/platform/client_handler.py
+++ b/src/chicorycrank/platform/client_handler.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chicorycrank.batch.admission_gate import AdmissionGate, SubmitAnswer
 from chicorycrank.batch.intake import JobIntake, Outcome
 from chicorycrank.batch.metrics import CALL_SECONDS, CALLS
 from chicorycrank.batch.view import SharedView
@@ -45,6 +46,7 @@
         permitted time
     :param is_ready: returns whether this entry accepts new connections
     :param retry_after_s: returns the delay in seconds after which a refused client may retry
+    :param admission: refuses jobs that cannot end in time; None to admit all
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         is_current: Callable[[], bool],
         is_ready: Callable[[], bool],
         retry_after_s: Callable[[], int],
+        admission: AdmissionGate | None = None,
     ) -> None:
         self._view = view
         self._intake = intake
@@ -63,6 +66,7 @@
         self._is_current = is_current
         self._is_ready = is_ready
         self._retry_after_s = retry_after_s
+        self._admission = admission
 
     def handle(self, request: Request) -> Response:
         """Handle a call and return its response."""
@@ -119,15 +123,20 @@
             job = decode_job(request.body, job_id=job_id, queue=queue, team=team, now_ms=now_ms)
         except DocumentError as error:
             return _json_response({"error": str(error)}, HTTPStatus.BAD_REQUEST)
-        return self._outcome_response(self._intake.submit(job, self._deadline_at(request)))
-
-    def _outcome_response(self, outcome: Outcome) -> Response:
+        deadline_at = self._deadline_at(request)
+        if self._admission is None:
+            answer = SubmitAnswer(self._intake.submit(job, deadline_at))
+        else:
+            answer = self._admission.submit(job, deadline_at)
+        return self._outcome_response(answer.outcome, answer.retry_after_s)
+
+    def _outcome_response(self, outcome: Outcome, retry_after_s: int | None = None) -> Response:
         if outcome is Outcome.NOT_DONE:
-            return self._unavailable_response()
+            return self._unavailable_response(retry_after_s)
         return Response(STATUS_BY_OUTCOME[outcome])
 
-    def _unavailable_response(self) -> Response:
-        headers = {"Retry-After": str(self._retry_after_s())}
+    def _unavailable_response(self, retry_after_s: int | None = None) -> Response:
+        headers = {"Retry-After": str(retry_after_s or self._retry_after_s())}
         return Response(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
 
     def _deadline_at(self, request: Request) -> float:
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -2,12 +2,15 @@
 
 import logging
 import time
+from collections.abc import Sequence
 
 from chicorycrank.adapters.clock import SuspendAwareClock
+from chicorycrank.batch.admission_gate import AdmissionGate
 from chicorycrank.batch.intake import JobIntake
 from chicorycrank.batch.keys import WATCHED_PREFIX
 from chicorycrank.batch.leader import LeaderElection
 from chicorycrank.batch.leases import lost_after_s
+from chicorycrank.batch.load_view import LoadView
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.term import TermDependencies
 from chicorycrank.batch.view import SharedView
@@ -22,6 +25,7 @@
 from chicorycrank.platform.settings import NodeSettings
 from chicorycrank.platform.store import PlatformStore
 from chicorycrank.ports.clock import Clock
+from chicorycrank.ports.transactions import Item
 from chicorycrank.programs.process import Process
 
 WATCH_TIMEOUT_S = 1.0
@@ -48,7 +52,13 @@
     clock = SuspendAwareClock()
     store = PlatformStore(PlatformClient(settings.store))
     view = SharedView(CONFIG_STORE_KEY, _decode_config)
-    replica = Replica(store, WATCHED_PREFIX, view.apply, clock, wait_s=WATCH_TIMEOUT_S)
+    load_view = LoadView(clock)
+
+    def apply(items: Sequence[Item]) -> None:
+        view.apply(items)
+        load_view.apply(items)
+
+    replica = Replica(store, WATCHED_PREFIX, apply, clock, wait_s=WATCH_TIMEOUT_S)
     bounds = settings.bounds
     dependencies = TermDependencies(
         advice=PlatformAdvice(PlatformClient(settings.advice or settings.store)),
@@ -56,6 +66,7 @@
         checkpoint_s=bounds.checkpoint_interval_s,
         worker_lost_timeout_s=lost_after_s(bounds.max_lease_s),
         ended_job_retention_s=bounds.status_retention_s,
+        load_view=load_view if settings.admission_control else None,
     )
     # A replacement machine may have the name of the replaced one, but never its address.
     entry = EntryId(f"{settings.name}@{settings.host}")
@@ -65,13 +76,18 @@
     def replica_age_s() -> float:
         return clock.monotonic() - replica.confirmed_at
 
+    intake = JobIntake(store, view, replica, clock)
+    admission = None
+    if settings.admission_control:
+        admission = AdmissionGate(intake, store, view, load_view, replica, clock)
     client_handler = ClientRequestHandler(
         view,
-        JobIntake(store, view, replica, clock),
+        intake,
         clock,
         is_current=lambda: replica_age_s() < bounds.key_revocation_s - KEY_REVOCATION_MARGIN_S,
         is_ready=lambda: not is_stopping and replica_age_s() < READY_MAX_AGE_S,
         retry_after_s=lambda: RETRY_AFTER_S,
+        admission=admission,
     )
     servers = [Server(settings.front, client_handler.handle, threads=SERVER_THREADS)]
     if settings.ready and settings.ready != settings.front:
@@ -80,7 +96,7 @@
     leader.start()
     for server in servers:
         server.start()
-    process.serve_metrics(lambda: _dump(view, leader, replica_age_s()))
+    process.serve_metrics(lambda: _dump(view, load_view, leader, replica_age_s()))
     process.wait_for_stop(lambda new_settings: _apply_store_address(store, new_settings))
     is_stopping = True
     leader.stop()
@@ -88,8 +104,11 @@
     process.exit()
 
 
-def _dump(view: SharedView, leader: LeaderElection, replica_age_s: float) -> dict[str, object]:
+def _dump(
+    view: SharedView, load_view: LoadView, leader: LeaderElection, replica_age_s: float
+) -> dict[str, object]:
     """Return this entry's view of the shared state, for operators."""
+    received = load_view.current()
     with view.lock:
         config = view.config.config
         return {
@@ -97,6 +116,7 @@
             "confirmed_s_ago": replica_age_s,
             "leader": view.leader.entry if view.leader else None,
             "is_leader": leader.is_leading,
+            "load": received.summary if received else None,
             "cancelled": sorted(view.cancelled),
             "states": dict(view.state_by_id),
         }
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -245,6 +245,12 @@
     assert (bounds.key_revocation_s, bounds.stop_grace_s, bounds.max_lease_s) == (5.0, 6.0, 10.0)
 
 
+@pytest.mark.parametrize(("change", "expected"), [({}, True), ({"admissionControl": False}, False)])
+def test_admission_control_is_on_by_default(change: dict[str, Any], expected: bool) -> None:
+    """Guards against a setting that is not read, or that is needed for the default."""
+    assert decode_settings({**SETTINGS, **change}).admission_control is expected
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
@@ -253,6 +259,7 @@
         ({"platform": "x"}, "platform.address"),
         ({"bounds": {"revokeMs": "soon"}}, "revokeMs"),
         ({"heartbeatMs": True}, "heartbeatMs"),
+        ({"admissionControl": "no"}, "admissionControl"),
     ],
 )
 def test_findings_name_the_invalid_setting(change: dict[str, Any], field: str) -> None:
