--- a/src/chicorycrank/batch/load_summary.py
+++ b/src/chicorycrank/batch/load_summary.py
@@ -12,9 +12,10 @@
 from chicorycrank.batch.planner_state import PlannerState
 from chicorycrank.batch.units import due_occurrences, parse_unit_key, unit_count
 from chicorycrank.batch.workers import ClosedCause
-from chicorycrank.model.batch import Unit, UnitState
+from chicorycrank.model.batch import Step, Unit, UnitState
 from chicorycrank.model.ids import JobId, TeamId
-from chicorycrank.model.load import LoadSummary, Resource, TeamLoad, need_of
+from chicorycrank.model.load import LoadSummary, Resource, need_of
+from chicorycrank.policy.load_rates import RATE_WINDOW_S, Arrival, JobLoad, summarize_load
 
 # Entries watch the record, so it may not change more often.
 MIN_INTERVAL_S = 1.0
@@ -27,7 +28,6 @@
 LOADED_WAIT_S = 2.0
 # Entries pay for each byte of a record that each of them receives every second.
 MAX_SUMMARY_BYTES = 1000
-MAX_LEVELS = 4
 # Workers closed for these causes have capacity: they are closed for a moment, or are at work.
 OPEN_CAUSES = (
     None,
@@ -124,46 +124,16 @@
 
 def summarize(planner: PlannerState) -> LoadSummary:
     """Return the load of the fleet on its scarcest resource."""
-    work_by_job = {job_id: _work_of(planner, job_id) for job_id in planner.active_jobs}
+    works = [_work_of(planner, job_id) for job_id in planner.active_jobs]
     capacities = _capacities(planner)
-    resource = _scarcest(capacities, work_by_job.values())
-    works = [
-        (work, round(work.running[resource]), round(work.waiting[resource]))
-        for work in work_by_job.values()
-    ]
-    works = [item for item in works if item[1] + item[2] > 0]
-    priorities = sorted({work.priority for work, _, _ in works})
-    if len(priorities) > MAX_LEVELS:
-        priorities = [*priorities[: MAX_LEVELS - 1], priorities[-1]]
-    summary = LoadSummary(
-        resource=resource,
-        capacity=round(max(0.0, capacities[resource])),
-        priorities=tuple(priorities),
-        running=(),
-        waiting=(),
-        jobs=(),
-        team_count=0,
-        teams={},
-    )
-    running, waiting, jobs = ([0] * len(priorities) for _ in range(3))
-    work_by_team: dict[TeamId, list[int]] = {}
-    for work, running_work, waiting_work in works:
-        level = summary.level_of(work.priority)
-        running[level] += running_work
-        waiting[level] += waiting_work
-        jobs[level] += 1
-        team_work = work_by_team.setdefault(work.team, [0] * len(priorities))
-        team_work[level] += running_work + waiting_work
-    used = _quota_used(planner)
-    teams = {team: TeamLoad(used.get(team, 0), tuple(w)) for team, w in work_by_team.items()}
+    resource = _scarcest(capacities, works)
     return _bounded(
-        structs.replace(
-            summary,
-            running=tuple(running),
-            waiting=tuple(waiting),
-            jobs=tuple(jobs),
-            team_count=len(teams),
-            teams=teams,
+        summarize_load(
+            resource,
+            capacities[resource],
+            [JobLoad(w.team, w.priority, w.running[resource], w.waiting[resource]) for w in works],
+            _arrivals(planner, resource),
+            _quota_used(planner),
         )
     )
 
@@ -195,8 +165,10 @@
         if planner.workers.closed_cause(worker_id) in OPEN_CAUSES:
             speed = planner.performance.speed_of(worker_id)
             totals[Resource.ACCELERATORS] += worker.accelerators * speed
-            totals[Resource.CORES] += worker.cores * speed
-            totals[Resource.MEMORY] += worker.memory_gb * speed  # in MB in this cell
+            totals[Resource.CORES] += worker.cores / 1000 * speed
+            # The cell of the batch jobs counts memory in MB. Slow workers do not have less of it,
+            # but hold it for longer.
+            totals[Resource.MEMORY] += worker.memory_gb / 1000 * speed
     for job_id in planner.active_jobs:
         job = planner.jobs_by_id[job_id]
         if any(step.long_running for step in job.steps):
@@ -227,12 +199,33 @@
             continue
         begun = units.done_count(number) + placed_by_step[number]
         waiting = max(0, occurrences * unit_count(step) - begun)
-        left_s = waiting * (step.count if step.gang else 1) * step.run_time_s
         for resource in Resource:
-            work.waiting[resource] += left_s * need_of(step, resource)
+            work.waiting[resource] += waiting * _unit_work(step, resource)
     return work
 
 
+def _arrivals(planner: PlannerState, resource: Resource) -> Iterator[Arrival]:
+    """Yield the jobs that were submitted lately, also those that have ended."""
+    for job_id, job in planner.jobs_by_id.items():
+        age_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
+        if age_s < RATE_WINDOW_S:
+            units = planner.units_by_id[job_id]
+            begun = [units.done_count(number) for number in range(len(job.steps))]
+            for number, _ in _placed_units(planner, job_id):
+                begun[number] += 1
+            work = sum(
+                count * _unit_work(step, resource)
+                for count, step in zip(begun, job.steps, strict=True)
+                if not step.long_running
+            )
+            yield Arrival(job.team, planner.queue_of(job).priority, work, age_s)
+
+
+def _unit_work(step: Step, resource: Resource) -> float:
+    tasks = step.count if step.gang else 1
+    return tasks * step.run_time_s * need_of(step, resource)
+
+
 def _placed_units(planner: PlannerState, job_id: JobId) -> Iterator[tuple[int, Unit]]:
     """Yield the units of a job that have places on workers, with the numbers of their steps."""
     for key, unit in planner.progress_by_id[job_id].units.items():
--- a/src/chicorycrank/policy/job_admission.py
+++ b/src/chicorycrank/policy/job_admission.py
@@ -8,21 +8,20 @@
 from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
-from math import ceil, sqrt
+from math import ceil, inf
 
 from chicorycrank.model.batch import Queue, Step, Submission
 from chicorycrank.model.ids import JobId, TeamId
 from chicorycrank.model.load import LoadSummary, Resource, TeamLoad, need_of
+from chicorycrank.policy.load_rates import DECLARED_ERROR_FACTOR, capacity_left, error_margin
 
 URGENT_PRIORITY = 0
 # A job that ends later than this multiple of its objective is worth nothing to its caller.
 LIMIT_FACTOR = 3.0
-# Declared run times are wrong by up to this factor, independently from job to job.
-DECLARED_ERROR_FACTOR = 2.0
 # Retries of refused jobs are spread over at least this share of the job's objective, so that a job
 # that is refused once and then admitted can still end within the objective.
 SPREAD_OBJECTIVE_SHARE = 0.25
-NO_LOAD = TeamLoad(0, ())
+NO_LOAD = TeamLoad(0, 0, ())
 
 
 class Verdict(Enum):
@@ -142,13 +141,13 @@
     own_load = load.teams.get(job.team, NO_LOAD)
     own_work = sum(own_load.work) + sum(other.work for other in own_admitted)
     share = load.capacity / _team_count(load, {*admitted, job.team})
-    if own_work <= share * job.limit_s:
+    if max(own_load.rate, own_work / job.limit_s) <= share:
         return Decision(verdict=Verdict.WITHIN_SHARE)
     end_s, margin = _earliest_end(job, load, admitted)
     if end_s <= job.limit_s:
         return Decision(verdict=Verdict.IN_TIME, end_s=end_s)
     until_in_time_s = (end_s - job.limit_s) * margin
-    until_in_share_s = own_work / share - job.limit_s
+    until_in_share_s = own_work / share - job.limit_s if own_load.rate <= share else inf
     return Decision(
         verdict=Verdict.TOO_LATE,
         end_s=end_s,
@@ -182,25 +181,19 @@
 ) -> tuple[float, float]:
     """Return the time in seconds until a job ends at best, and the margin of the work ahead.
 
-    Work of higher priority comes first. Of its own priority, the job waits for all work, or for
-    that of its team on the team's share if that is less. Errors of declared times average out over
-    the jobs ahead: the margin is 2 for one job and approaches 1 for many.
+    Work of higher priority comes first, also what keeps arriving. Of its own priority, the job
+    waits for the work of its team, which gets its fair rate. Errors of declared times average out
+    over the jobs ahead: the margin is 2 for one job and approaches 1 for many.
     """
     level, levels = load.level_of(job.priority), load.levels_at(job.priority)
+    left = capacity_left(load.capacity, sum(load.arrivals[:level]))
+    rate = sum(load.fair_rates[levels]) or left
     later = [other for others in admitted.values() for other in others]
-    ahead = [other for other in later if other.priority <= job.priority]
     higher: float = sum(load.running[:level]) + sum(load.waiting[:level])
-    higher += sum(other.work for other in ahead if other.priority < job.priority)
-    same: float = sum(load.running[levels]) + sum(load.waiting[levels])
-    same += sum(other.work for other in ahead if other.priority == job.priority)
+    higher += sum(other.work for other in later if other.priority < job.priority)
     own: float = sum(load.teams.get(job.team, NO_LOAD).work[levels])
     own += sum(o.work for o in admitted.get(job.team, ()) if o.priority == job.priority)
-    teams = {team for team, team_load in load.teams.items() if sum(team_load.work[levels])}
-    teams |= {other.team for other in ahead if other.priority == job.priority} | {job.team}
-    left_out = max(0, load.team_count - len(load.teams))
-    same = min(same, own * (len(teams) + left_out))
-    job_count = sum(load.jobs[:level]) + sum(load.jobs[levels]) + len(ahead)
-    margin = 1.0 + (DECLARED_ERROR_FACTOR - 1.0) / sqrt(max(1, job_count))
-    ahead_s = (higher + same) / (load.capacity * margin)
+    margin = error_margin(sum(load.jobs[:level]) + sum(load.jobs[levels]))
+    ahead_s = (higher / left + own / rate) / margin
     run_s = max(job.chain_s, job.work / load.capacity) / DECLARED_ERROR_FACTOR
     return ahead_s + run_s, margin
--- a/tests/batch/test_admission_gate.py
+++ b/tests/batch/test_admission_gate.py
@@ -48,8 +48,10 @@
         running=(0,),
         waiting=(burst + quiet,),
         jobs=(400,),
+        arrivals=(100,),
+        fair_rates=(100,),
         team_count=2,
-        teams={BURST: TeamLoad(0, (burst,)), QUIET: TeamLoad(0, (quiet,))},
+        teams={BURST: TeamLoad(0, 98, (burst,)), QUIET: TeamLoad(0, 2, (quiet,))},
     )
 
 
--- a/tests/batch/test_load_summary.py
+++ b/tests/batch/test_load_summary.py
@@ -31,7 +31,18 @@
 BLUE = TeamId("blue")
 URGENT_QUEUE = make_queue(priority=0, name="urgent")
 TASK = Step(count=1, accelerators=1, cores=1000, run_time_s=RUN_S)
-SUMMARY = LoadSummary(Resource.ACCELERATORS, 8, (1,), (80,), (400,), (10,), 1, {})
+SUMMARY = LoadSummary(
+    resource=Resource.ACCELERATORS,
+    capacity=8,
+    priorities=(1,),
+    running=(80,),
+    waiting=(400,),
+    jobs=(10,),
+    arrivals=(8,),
+    fair_rates=(8,),
+    team_count=0,
+    teams={},
+)
 
 
 def make_wide_job(count: int, name: str = "a", team: TeamId = RED) -> Submission:
@@ -89,6 +100,8 @@
     assert summary.teams[RED].quota_used == 4
     assert sum(summary.teams[RED].work) + sum(summary.teams[BLUE].work) == 294
     end_task(planner, "aaaaaaaaaaaaaaaa.0.0.0", EndKind.DONE)
+    # Of the begun work, 40 were urgent and 200 were not; the window is at least 10 s long.
+    assert summary.arrivals == (4, 20)
     # Another task has started in its place.
     assert sum(summarize(planner).running) == 144 - 6 + 10
 
@@ -99,9 +112,9 @@
     job = make_job([Step(count=20, accelerators=1, cores=32000, run_time_s=RUN_S)])
     submit(planner, job)
     summary = summarize(planner)
-    assert (summary.resource, summary.capacity) == (Resource.CORES, 3 * 64000)
-    assert summary.running == (6 * 32000 * 10,)
-    assert summary.waiting == (14 * 32000 * 10,)
+    assert (summary.resource, summary.capacity) == (Resource.CORES, 3 * 64)
+    assert summary.running == (6 * 32 * 10,)
+    assert summary.waiting == (14 * 32 * 10,)
 
 
 def test_capacity_is_that_of_open_workers_without_endless_work() -> None:
@@ -281,7 +294,7 @@
     first = begin_term()
     first._plan_once()
     item = harness.store.items[LOAD_KEY]
-    assert decode(item.value or b"", LoadSummary).teams[RED] == TeamLoad(0, (1000,))
+    assert decode(item.value or b"", LoadSummary).teams[RED] == TeamLoad(0, 0, (1000,))
     harness.clock.seconds += 2.0
     second = begin_term()
     second._plan_once()
--- a/tests/policy/test_job_admission.py
+++ b/tests/policy/test_job_admission.py
@@ -21,6 +21,7 @@
 
 BURST, QUIET = TeamId("burst"), TeamId("quiet")
 CAPACITY = 100
+RATES = {"burst": 90, "quiet": 10}
 JOBS_AHEAD = 400  # the margin of the work ahead is 1.05
 # Chain 10 s, slack 3, target latency 3 s: objective 33 s, limit 99 s.
 BATCH_QUEUE: Queue = msgspec.structs.replace(
@@ -32,10 +33,14 @@
 TASK = Step(count=10, accelerators=1, run_time_s=10.0)
 
 
-def make_load(**work_s: Sequence[float]) -> LoadSummary:
+def make_load(
+    arrivals: tuple[int, ...] = (0, 0, 0),
+    fair_rates: tuple[int, ...] = (CAPACITY, CAPACITY, CAPACITY),
+    **work_s: Sequence[float],
+) -> LoadSummary:
     """Return a summary from the work of teams by priority, in seconds of the whole fleet."""
     teams = {
-        TeamId(name): TeamLoad(0, tuple(round(part * CAPACITY) for part in parts))
+        TeamId(name): TeamLoad(0, RATES[name], tuple(round(part * CAPACITY) for part in parts))
         for name, parts in work_s.items()
     }
     waiting = tuple(sum(load.work[level] for load in teams.values()) for level in range(3))
@@ -46,6 +51,8 @@
         running=(0, 0, 0),
         waiting=waiting,
         jobs=tuple(JOBS_AHEAD if work else 0 for work in waiting),
+        arrivals=arrivals,
+        fair_rates=fair_rates,
         team_count=len(teams),
         teams=teams,
     )
@@ -71,12 +78,20 @@
         # An urgent job, with a limit of 46.5 s, waits for urgent work only.
         (make_load(burst=(0, 900, 900), quiet=(0, 0, 1)), URGENT_QUEUE, BURST, Verdict.IN_TIME),
         (make_load(burst=(60, 0, 0), quiet=(1, 0, 0)), URGENT_QUEUE, BURST, Verdict.TOO_LATE),
-        # The team's own work of this priority ends in time on its share.
+        # The team's own work of this priority comes first, at its fair rate.
+        (make_load(burst=(50, 0, 10), quiet=(0, 0, 900)), BATCH_QUEUE, BURST, Verdict.IN_TIME),
         (
-            make_load(burst=(50, 0, 10), quiet=(0, 0, 900)),
+            make_load(fair_rates=(100, 100, 50), burst=(0, 0, 51), quiet=(0, 0, 0.1)),
             BATCH_QUEUE,
             BURST,
-            Verdict.IN_TIME,
+            Verdict.TOO_LATE,
+        ),
+        # What arrives of higher priority meanwhile delays what waits for it.
+        (
+            make_load(arrivals=(50, 0, 0), burst=(25, 25, 2), quiet=(0, 0, 0.1)),
+            BATCH_QUEUE,
+            BURST,
+            Verdict.TOO_LATE,
         ),
     ],
 )
@@ -105,7 +120,7 @@
 ) -> None:
     """Guards against the refusal of guaranteed work, and against a quota that is used twice."""
     load = make_load(burst=(900, 0, 0), quiet=(1, 0, 0))
-    teams = load.teams | {BURST: TeamLoad(quota_used, load.teams[BURST].work)}
+    teams = load.teams | {BURST: TeamLoad(quota_used, 90, load.teams[BURST].work)}
     load = msgspec.structs.replace(load, teams=teams)
     demand = make_demand(URGENT_QUEUE)
     assert decide_admission(demand, load, quota).is_admitted is is_admitted
@@ -114,6 +129,17 @@
         assert second.verdict is Verdict.TOO_LATE
 
 
+@pytest.mark.parametrize(("rate", "is_admitted"), [(50, True), (51, False)])
+def test_a_team_that_takes_more_than_its_share_is_not_below_it(
+    rate: int, is_admitted: bool
+) -> None:
+    """Guards against a team whose work of higher priority takes the capacity of all others."""
+    load = make_load(fair_rates=(100, 100, 5), burst=(0, 0, 20), quiet=(0, 0, 1))
+    teams = load.teams | {BURST: TeamLoad(0, rate, load.teams[BURST].work)}
+    load = msgspec.structs.replace(load, teams=teams)
+    assert decide_admission(make_demand(), load, 0).is_admitted is is_admitted
+
+
 def test_jobs_admitted_since_the_summary_count() -> None:
     """Guards against a burst between two summaries that is admitted whole."""
     load = make_load(burst=(0, 0, 90), quiet=(0, 0, 0.1))
