Admission: no refusal beside another call for the same job

Cause: a second call for a job that stored it after the store had answered the first call, and ended before that call was decided, left the first one refused although the job runs. A test with two calls shows it.

Change: a refusal closes its call in the same step in which it checks that no other call is open, that no write is unanswered, and that the view still lacks the job.

Result: the test fails without each of the checks of other calls and of the view, and passes with them.

--- a/src/chicorycrank/batch/admission_gate.py
+++ b/src/chicorycrank/batch/admission_gate.py
@@ -96,18 +96,18 @@
             has_other_write = self._may_be_written(job.job_id)
             self._open_calls[job.job_id] += 1
         outcome = Outcome.UNKNOWN
-        demand = None
+        demand = delay_s = None
         try:
             if not has_other_write and self._view.state_of(job.job_id) is None:
                 demand, delay_s = self._check(job, deadline_at)
                 if delay_s is not None:
-                    outcome = Outcome.NOT_DONE
-                    return SubmitAnswer(outcome, delay_s)
+                    return SubmitAnswer(Outcome.NOT_DONE, delay_s)
             outcome = self._intake.submit(job, deadline_at)
             return SubmitAnswer(outcome)
         finally:
-            with self._lock:
-                self._end_call(job, demand, outcome)
+            if delay_s is None:
+                with self._lock:
+                    self._end_call(job, demand, outcome)
 
     def _end_call(self, job: Submission, demand: JobDemand | None, outcome: Outcome) -> None:
         self._open_calls[job.job_id] -= 1
@@ -130,11 +130,24 @@
             del self._unanswered_at[oldest]
         return job_id in self._unanswered_at or job_id in self._open_calls
 
+    def _close_if_alone(self, job_id: JobId) -> bool:
+        """Close the call of a job that is refused, unless another call has been there beside it.
+
+        That call may have stored the job after the store was asked for it. A call that comes
+        later is decided on its own.
+        """
+        with self._lock:
+            is_alone = self._open_calls[job_id] == 1 and job_id not in self._unanswered_at
+            if not is_alone or self._view.state_of(job_id) is not None:
+                return False
+            del self._open_calls[job_id]
+            return True
+
     def _check(self, job: Submission, deadline_at: float) -> tuple[JobDemand | None, int | None]:
         """Check whether a new job is admitted.
 
         :returns: the demand of the job if it is counted as admitted, and the time in seconds after
-            which to retry if it is refused
+            which to retry if it is refused; the call is then closed
         """
         received = self._load_view.current()
         if received is None:
@@ -149,9 +162,8 @@
             return demand, None
         if not self._is_certainly_new(job.job_id, deadline_at):
             return None, None
-        with self._lock:
-            if self._open_calls[job.job_id] > 1:
-                return None, None  # the other call may store the job
+        if not self._close_if_alone(job.job_id):
+            return None, None
         ADMISSIONS.labels(decision.verdict.value).inc()
         delay_s = retry_after_s(job.job_id, demand, decision.capacity_in_s)
         logger.info(
--- a/src/chicorycrank/batch/load_summary.py
+++ b/src/chicorycrank/batch/load_summary.py
@@ -199,8 +199,9 @@
             continue
         begun = units.done_count(number) + placed_by_step[number]
         waiting = max(0, occurrences * unit_count(step) - begun)
-        for resource in Resource:
-            work.waiting[resource] += waiting * _unit_work(step, resource)
+        if waiting:
+            for resource in Resource:
+                work.waiting[resource] += waiting * _unit_work(step, resource)
     return work
 
 
--- a/tests/batch/test_admission_gate.py
+++ b/tests/batch/test_admission_gate.py
@@ -236,19 +236,35 @@
 
 
 def test_a_second_call_for_a_job_prevents_the_refusal_of_the_first() -> None:
-    """Guards against two calls at a time of which one is refused and the other stores the job."""
+    """Guards against two calls at a time of which one is refused and the other stores the job.
+
+    The second call comes when the store has just answered the first that it lacks the job, and its
+    write is not applied yet.
+    """
     fleet = Fleet()
     entry = fleet.entries[0]
     answers: list[str] = []
+    first_answers: list[str] = []
 
     def fault(operation: str) -> str:
-        if operation == "read" and not answers:
+        if operation == "commit" and not first_answers:
+            first_answers.append("")
+            first_answers[0] = entry.submit(job_of())
+        return ""
+
+    read = fleet.store.read
+
+    def read_then_call(key: str, *, timeout_s: float = 1.0) -> Item | None:
+        item = read(key, timeout_s=timeout_s)
+        if not answers:
             answers.append("")
             answers[0] = entry.submit(job_of())
-        return ""
+        return item
 
     fleet.store.fault = fault
-    assert (entry.submit(job_of()), answers) == ("done", ["done"])
+    fleet.store.read = read_then_call  # type: ignore[method-assign]
+    assert entry.submit(job_of()) == "done"
+    assert (answers, first_answers) == (["done"], ["done"])
 
 
 def test_an_accepted_job_is_not_refused_when_it_is_submitted_again() -> None:
@@ -257,6 +273,12 @@
     assert fleet.entries[0].submit(job_of()) == "done"
     fleet.publish(FULL)
     assert [entry.submit(job_of()) for entry in fleet.entries] == ["done", "done"]
+    # An entry that knows the job asks nobody.
+    operations: list[str] = []
+    fleet.store.fault = lambda operation: operations.append(operation) or ""  # type: ignore[func-returns-value]
+    assert (fleet.entries[0].submit(job_of()), operations) == ("done", [])
+    assert fleet.entries[0].gate._admitted.by_team == {}
+    fleet.store.fault = lambda operation: ""
     late_entry = Entry(fleet.store, fleet.clock)
     late_entry.view.jobs_by_id.clear()
     assert late_entry.submit(job_of()) == "done"
