--- a/src/chicorycrank/batch/load_summary.py
+++ b/src/chicorycrank/batch/load_summary.py
@@ -72,7 +72,12 @@
         if planner.now_s < self._next_at:
             return
         self._next_at = planner.now_s + MIN_INTERVAL_S
-        summary = summarize(planner)
+        try:
+            summary = summarize(planner)
+        except Exception:
+            # A job that is set aside may fail here, too; the leader still has to plan the others.
+            logger.exception("event=load_summary_failed")
+            return
         for number, priority in enumerate(summary.priorities):
             wait_s = summary.waiting[number] / summary.capacity if summary.capacity else 0.0
             LOAD_WAIT.labels(str(priority)).set(wait_s)
--- a/src/chicorycrank/policy/job_admission.py
+++ b/src/chicorycrank/policy/job_admission.py
@@ -136,7 +136,7 @@
         used += sum(o.accelerators for o in own_admitted if o.priority == URGENT_PRIORITY)
         if job.accelerators and used + job.accelerators <= quota:
             return Decision(verdict=Verdict.WITHIN_QUOTA)
-    if load.capacity <= 0 or not job.work:
+    if load.capacity <= 0 or not job.work or job.limit_s <= 0:
         return Decision(verdict=Verdict.IN_TIME)
     own_load = load.teams.get(job.team, NO_LOAD)
     own_work = sum(own_load.work) + sum(other.work for other in own_admitted)
--- a/tests/batch/test_load_summary.py
+++ b/tests/batch/test_load_summary.py
@@ -198,6 +198,17 @@
     assert REFRESH_INTERVAL_S < MAX_AGE_S - 1.0
 
 
+def test_a_summary_that_cannot_be_made_does_not_stop_the_leader(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a leader that plans no more as one job has an unreadable record."""
+    publication = Publication(make_planner())
+    job = submit(publication.planner, make_wide_job(80))
+    del publication.planner.units_by_id[job.job_id]
+    assert publication.advance(1.0) == 0
+    assert "event=load_summary_failed" in caplog.text
+
+
 def test_the_summary_is_removed_once_the_load_is_over() -> None:
     """Guards against refusals by a summary of a load that is over, and against needless writes."""
     publication = Publication(make_planner())
--- a/tests/policy/test_job_admission.py
+++ b/tests/policy/test_job_admission.py
@@ -164,6 +164,18 @@
     assert decide_admission(make_demand(queue), load, 0).verdict is Verdict.IN_TIME
 
 
+@pytest.mark.parametrize(
+    "queue", [BATCH_QUEUE, msgspec.structs.replace(BATCH_QUEUE, slack=0.0, target_latency_s=0.0)]
+)
+@pytest.mark.parametrize("steps", [[], [Step(count=1, accelerators=1, run_time_s=0.0)]])
+def test_a_job_without_work_or_objective_is_admitted(queue: Queue, steps: list[Step]) -> None:
+    """Guards against a division by zero."""
+    load = make_load(burst=(0, 0, 900), quiet=(0, 0, 1))
+    assert decide_admission(make_demand(queue, steps=steps), load, 0).is_admitted
+    if queue is not BATCH_QUEUE:
+        assert decide_admission(make_demand(queue), load, 0).is_admitted
+
+
 def test_a_fleet_without_capacity_refuses_nothing() -> None:
     """Guards against a division by zero and refusals for a capacity that is not known."""
     load = msgspec.structs.replace(make_load(burst=(0, 0, 900)), capacity=0)
