--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -59,6 +59,17 @@
 )
 RUNS_STALLED = Counter("chicorycrank_runs_stalled", "Runs that an agent has found without progress")
 RATES_REPORTED = Counter("chicorycrank_rates_reported", "Rates of runs that an agent has reported")
+ADMISSIONS = Counter(
+    "chicorycrank_admissions", "Decisions on new jobs while a load summary is in force", ["verdict"]
+)
+LOAD_SUMMARIES = Counter(
+    "chicorycrank_load_summaries", "Load summaries published or removed by this leader", ["change"]
+)
+LOAD_WAIT = Gauge(
+    "chicorycrank_load_wait_seconds",
+    "Work that waits, by the time that the whole fleet needs for it",
+    ["priority"],
+)
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
 
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -26,6 +26,8 @@
     state_key,
 )
 from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
+from chicorycrank.batch.load_summary import LoadPublisher
+from chicorycrank.batch.load_view import LoadView
 from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
 from chicorycrank.batch.performance_summary import PerformanceSummaryStore
 from chicorycrank.batch.phase_timer import timed_phase
@@ -73,6 +75,7 @@
         executor's lease has expired
     :param ended_job_retention_s: time for which the state of an ended job is kept, in seconds
     :param cold_bounds: limits of cold workers; None for no limit
+    :param load_view: this entry's view of the load summary; None if none is to be published
     """
 
     advice: AdviceService
@@ -81,6 +84,7 @@
     worker_lost_timeout_s: float
     ended_job_retention_s: float
     cold_bounds: ColdBounds | None = None
+    load_view: LoadView | None = None
 
 
 class Term:
@@ -122,6 +126,8 @@
         self._performance_summary = PerformanceSummaryStore()
         self._evacuations = Evacuations(dependencies.cold_bounds, replica.refresh)
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
+        load_view = dependencies.load_view
+        self._load_publisher = LoadPublisher(load_view, self._writer.write) if load_view else None
 
     def serve(self) -> None:
         """Plan until the role is lost or the process stops.
@@ -243,6 +249,8 @@
             deletes += self._remove_expired_jobs()
             self._writer.write_changes(planner, deletes, summary)
             self._performance_summary.record_written(summary)
+            if self._load_publisher is not None:
+                self._load_publisher.update(planner)
 
     def _timed_phase(self, name: str) -> AbstractContextManager[None]:
         return timed_phase(self._clock, name, len(self._planner.active_jobs))
