--- a/src/chicorycrank/batch/speed_preference.py
+++ b/src/chicorycrank/batch/speed_preference.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from chicorycrank.batch.units import UnitRef
-from chicorycrank.model.batch import Step
 from chicorycrank.model.ids import TargetId
 from chicorycrank.policy.placement import PlacementRule
+from chicorycrank.policy.step_chains import longest_chain_s
 from chicorycrank.policy.worker_preference import (
     JobKind,
     Timing,
@@ -62,19 +62,6 @@
     return preference.preferred, rule
 
 
-def longest_chain_s(steps: Sequence[Step], first: int | None = None) -> float:
-    """Return the declared run time of the longest chain of steps, in seconds.
-
-    :param first: step at which the chain begins; any step if None
-    """
-    chain_s = [step.run_time_s for step in steps]
-    # A step names only earlier steps, so the chains after it are complete when it is reached.
-    for number in reversed(range(len(steps))):
-        for earlier in steps[number].after:
-            chain_s[earlier] = max(chain_s[earlier], steps[earlier].run_time_s + chain_s[number])
-    return max(chain_s) if first is None else chain_s[first]
-
-
 def _timing(planner: PlannerState, ref: UnitRef) -> Timing:
     job = planner.jobs_by_id[ref.job_id]
     queue = planner.queue_of(job)
--- a/src/chicorycrank/policy/job_admission.py
+++ b/src/chicorycrank/policy/job_admission.py
@@ -10,10 +10,11 @@
 from hashlib import blake2b
 from math import ceil, inf
 
-from chicorycrank.model.batch import Queue, Step, Submission
+from chicorycrank.model.batch import Queue, Submission
 from chicorycrank.model.ids import JobId, TeamId
 from chicorycrank.model.load import LoadSummary, Resource, TeamLoad, need_of
 from chicorycrank.policy.load_rates import DECLARED_ERROR_FACTOR, capacity_left, error_margin
+from chicorycrank.policy.step_chains import longest_chain_s
 
 URGENT_PRIORITY = 0
 # A job that ends later than this multiple of its objective is worth nothing to its caller.
@@ -80,14 +81,6 @@
 NO_JOBS: Mapping[TeamId, Sequence[JobDemand]] = {}
 
 
-def longest_chain_s(steps: Sequence[Step]) -> float:
-    """Return the declared run time of the longest chain of dependent steps in seconds."""
-    ends_s: list[float] = []
-    for step in steps:
-        ends_s.append(step.run_time_s + max((ends_s[other] for other in step.after), default=0.0))
-    return max(ends_s, default=0.0)
-
-
 def objective_of(job: Submission, queue: Queue) -> float:
     """Return the time in seconds after submission within which a job should end."""
     return queue.slack * longest_chain_s(job.steps) + queue.target_latency_s
--- a/tests/batch/test_speed_placement.py
+++ b/tests/batch/test_speed_placement.py
@@ -9,9 +9,9 @@
 from tests.batch.test_planner import end_task, make_planner, submit, tasks_by_worker
 
 from chicorycrank.batch.planner import Planner
-from chicorycrank.batch.speed_preference import longest_chain_s
 from chicorycrank.model.batch import EndKind, Queue, Step
 from chicorycrank.model.ids import RackId, TargetId
+from chicorycrank.policy.step_chains import longest_chain_s
 
 FAST = [TargetId(f"f{n}") for n in range(4)]
 SLOW = [TargetId(f"s{n}") for n in range(4)]
--- a/tests/policy/test_job_admission.py
+++ b/tests/policy/test_job_admission.py
@@ -15,9 +15,9 @@
     decide_admission,
     demand_of,
     is_exempt,
-    longest_chain_s,
     retry_after_s,
 )
+from chicorycrank.policy.step_chains import longest_chain_s
 
 BURST, QUIET = TeamId("burst"), TeamId("quiet")
 CAPACITY = 100
