--- a/tests/batch/test_load_summary.py
+++ b/tests/batch/test_load_summary.py
@@ -104,6 +104,7 @@
     assert summary.arrivals == (4, 20)
     # Another task has started in its place.
     assert sum(summarize(planner).running) == 144 - 6 + 10
+    assert summarize(planner).waiting == (0, 140)
 
 
 def test_the_scarcest_resource_counts() -> None:
