Evacuate zones in the soak

The soak played no evacuation, so no test met one beside restarts, cuts of links and outages of the store. Each executor gets a zone of its own; a new kind of fault writes the operator's key of one and deletes it 1 to 12 s later. The judge reports a start by an agent in touch later than evacuateMs, which the soak's settings put at 2.5 s, half of the platform's usual bound.

--- a/src/chicorycrank_standin/platform/incarnation.py
+++ b/src/chicorycrank_standin/platform/incarnation.py
@@ -15,6 +15,11 @@
 LATE_S = 0.25  # an order that is executed this long after its arrival is late
 
 
+def zone_of(executor: str) -> str:
+    """Return the zone of an executor; each has one of its own."""
+    return f"zone-of-{executor}"
+
+
 class Incarnation:
     """Runs, ends, lease, fencing token and clock of an executor from a start to its end.
 
@@ -74,7 +79,7 @@
         fields = {
             "service": "service",
             "address": address,
-            "zone": "zone-a",
+            "zone": zone_of(self._executor),
             "state": "ready" if self.exits_at is None else "draining",
             "seq": self.heartbeat_number,
             "born": self.born_ms,
--- a/src/chicorycrank_standin/platform/kv_store.py
+++ b/src/chicorycrank_standin/platform/kv_store.py
@@ -86,6 +86,13 @@
             self._write_item(key, value, 0)
             self._condition.notify_all()
 
+    def delete(self, key: str) -> None:
+        """Delete a key outside of the HTTP interface, as an operator does."""
+        with self._condition:
+            self._revision += 1
+            self._delete_item(key)
+            self._condition.notify_all()
+
     def discard_history(self) -> None:
         """Discard the history of all changes so far, so that older watches get status 410."""
         with self._condition:
--- a/src/chicorycrank_standin/platform/run_recorder.py
+++ b/src/chicorycrank_standin/platform/run_recorder.py
@@ -18,6 +18,7 @@
 CONTACT_S = 4.0  # a program or the store counts as disturbed for this time after a disturbance
 CANCEL_S = 3.0  # a cancelled job starts nothing later than this after the acknowledgement
 STOP_S = 0.4  # a stop takes at most this time
+EVACUATE_S = 2.5  # nothing starts in a zone later than this after the start of its evacuation
 DRAIN_S = 2.5  # an executor starts nothing later than this after it has reported that it drains
 
 
@@ -72,6 +73,8 @@
     :param clock: returns the monotonic time in seconds
     :param runs: all runs in the order of their starts
     :param cancelled_at_by_job: monotonic time of the first acknowledgement of a cancellation
+    :param evacuated_at_by_executor: monotonic time at which the store had the key of the executor's
+        zone, while it has it
     :param crashes_by_task: number of executors that each task has crashed
     :param last_crash_at: monotonic time of the last of these crashes
     """
@@ -81,6 +84,7 @@
     lock: threading.RLock = field(default_factory=threading.RLock)
     runs: list[RunRecord] = field(default_factory=list)
     cancelled_at_by_job: dict[str, float] = field(default_factory=dict)
+    evacuated_at_by_executor: dict[str, float] = field(default_factory=dict)
     crashes_by_task: dict[str, int] = field(default_factory=dict)
     last_crash_at: float = float("-inf")
     violations: list[str] = field(default_factory=list)
@@ -100,6 +104,7 @@
                     self.report_violation(f"started after its end: {record}")
             self._check_start_of_cancelled_job(record)
             self._check_start_on_draining_executor(record)
+            self._check_start_in_evacuated_zone(record)
             self.runs.append(record)
             self._start_work_of_complete_gang(record)
 
@@ -128,6 +133,24 @@
                 f" {record.ordered_at - since:.2f} s after the acknowledgement"
             )
 
+    def _check_start_in_evacuated_zone(self, record: RunRecord) -> None:
+        since = self.evacuated_at_by_executor.get(record.executor)
+        if since is None or record.ordered_at <= since + EVACUATE_S or record.is_late:
+            return
+        if self._is_in_touch(record.agent, record.ordered_at):
+            self.report_violation(
+                f"started in an evacuated zone: {record},"
+                f" {record.ordered_at - since:.2f} s after the acknowledgement"
+            )
+
+    def record_evacuation(self, executor: str, *, is_evacuated: bool) -> None:
+        """Record that an executor's zone is evacuated, or is about to be taken back."""
+        with self.lock:
+            if is_evacuated:
+                self.evacuated_at_by_executor.setdefault(executor, self.clock())
+            else:
+                self.evacuated_at_by_executor.pop(executor, None)
+
     def _is_in_touch(self, program: str, at: float) -> bool:
         """Return whether neither the program nor the store was disturbed shortly before a time."""
         return self.disturbances.is_calm(program, STORE, since=at - CONTACT_S, until=at)
--- a/src/chicorycrank_standin/soak/deployment.py
+++ b/src/chicorycrank_standin/soak/deployment.py
@@ -19,7 +19,7 @@
 from chicorycrank_standin.http import Handler
 from chicorycrank_standin.platform.executor import BatchExecutorStandIn
 from chicorycrank_standin.platform.kv_store import KvStoreStandIn
-from chicorycrank_standin.platform.run_recorder import RunRecorder
+from chicorycrank_standin.platform.run_recorder import EVACUATE_S, RunRecorder
 
 ENTRY_COUNT = 2
 AGENT_COUNT = 3
@@ -52,7 +52,7 @@
             "zone": "zone-a",
             "region": "region",
             "platform": {"address": f"{HOST}:{proxy_port}"},
-            "bounds": {"graceS": STOP_GRACE_S},
+            "bounds": {"graceS": STOP_GRACE_S, "evacuateMs": round(EVACUATE_S * 1000)},
         }
         self._process: subprocess.Popen[bytes] | None = None
 
--- a/src/chicorycrank_standin/soak/executor_faults.py
+++ b/src/chicorycrank_standin/soak/executor_faults.py
@@ -6,6 +6,7 @@
 from chicorycrank_standin.forwarder import Mode
 from chicorycrank_standin.platform.executor import BatchExecutorStandIn, ExecutorMode
 from chicorycrank_standin.platform.heartbeats import messages_of_other_writers
+from chicorycrank_standin.platform.incarnation import zone_of
 from chicorycrank_standin.soak.deployment import (
     ACCELERATORS_PER_EXECUTOR,
     Deployment,
@@ -24,6 +25,7 @@
 RESTART_AFTER_DRAIN_S = 0.5  # until an agent is killed beside its draining executor
 MAX_DOWN_S = 3.0
 MACHINE_FREEZE_FACTOR = 4  # machines are suspended for longer than other faults last
+EVACUATION_FACTOR = 2  # zones are evacuated for longer than other faults last
 MESSAGE_INTERVAL_S = 0.2
 # Time in which a message is repeated until an agent that starts has acknowledged it.
 RESTART_TIMEOUT_S = 5.0
@@ -72,6 +74,8 @@
                 _freeze_machine(fault, executor, agent)
         case FaultKind.EARLIER_LIFE:
             _send_messages_of_earlier_life(fault, executor, agent, deployment)
+        case FaultKind.ZONE_EVACUATION:
+            _evacuate_zone(fault, executor, deployment)
         case FaultKind.OTHER_WRITER:
             rng = random.Random(fault.target_index)
             for message in messages_of_other_writers(executor.heartbeat_fields(), rng):
@@ -79,6 +83,15 @@
                 time.sleep(MESSAGE_INTERVAL_S)
 
 
+def _evacuate_zone(fault: Fault, executor: BatchExecutorStandIn, deployment: Deployment) -> None:
+    key = f"op/evacuate/{zone_of(executor.name)}"
+    deployment.store.put(key, "")
+    deployment.run_recorder.record_evacuation(executor.name, is_evacuated=True)
+    time.sleep(fault.duration_s * EVACUATION_FACTOR)
+    deployment.run_recorder.record_evacuation(executor.name, is_evacuated=False)
+    deployment.store.delete(key)
+
+
 def _disturb_links(fault: Fault, deployment: Deployment, index: int) -> None:
     executor = deployment.executors[index]
     assert executor.link is not None
--- a/src/chicorycrank_standin/soak/fault_kinds.py
+++ b/src/chicorycrank_standin/soak/fault_kinds.py
@@ -53,6 +53,7 @@
     MACHINE_FREEZE = "machine-freeze"  # the executor and its agent are suspended
     EARLIER_LIFE = "earlier-life"  # messages of an earlier incarnation arrive late
     OTHER_WRITER = "other-writer"  # messages of another writer arrive at an agent
+    ZONE_EVACUATION = "zone-evacuation"  # the zone of an executor is evacuated for some time
 
 
 MODE_BY_LINK_FAULT = {
--- a/src/chicorycrank_standin/soak/faults.py
+++ b/src/chicorycrank_standin/soak/faults.py
@@ -38,7 +38,11 @@
 FIRST_KINDS = list(FaultKind)[: list(FaultKind).index(FaultKind.EXECUTOR_CAPACITY)]
 CAPACITY_KINDS = [FaultKind.EXECUTOR_CAPACITY]
 CAPACITY_MEAN_INTERVAL_S = 6.0
-PROOF_KINDS = list(FaultKind)[len(FIRST_KINDS) + len(CAPACITY_KINDS) :]
+EVACUATION_KINDS = [FaultKind.ZONE_EVACUATION]
+EVACUATION_MEAN_INTERVAL_S = 8.0
+PROOF_KINDS = [
+    kind for kind in FaultKind if kind not in (*FIRST_KINDS, *CAPACITY_KINDS, *EVACUATION_KINDS)
+]
 PROOF_MEAN_INTERVAL_S = 1.5
 
 
@@ -52,6 +56,8 @@
     faults += _plan_kinds(later_rng, duration_s, CAPACITY_KINDS, CAPACITY_MEAN_INTERVAL_S)
     proof_rng = random.Random(f"proof kinds {seed}")
     faults += _plan_kinds(proof_rng, duration_s, PROOF_KINDS, PROOF_MEAN_INTERVAL_S)
+    evacuation_rng = random.Random(f"evacuation kinds {seed}")
+    faults += _plan_kinds(evacuation_rng, duration_s, EVACUATION_KINDS, EVACUATION_MEAN_INTERVAL_S)
     return sorted(faults, key=lambda fault: fault.starts_at_s)
 
 
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -56,6 +56,8 @@
             case "disturb", [name, until]:
                 with self.recorder.disturbances.lasting(name):
                     self.now = 100.0 + until
+            case "evacuate", [is_evacuated]:
+                self.recorder.record_evacuation("a", is_evacuated=is_evacuated)
             case "check", []:
                 self.recorder.check_runs_of_cancelled_jobs(ENTRIES)
 
@@ -235,6 +237,34 @@
             "",
             id="agent-disturbed-before-the-drain",
         ),
+        pytest.param(
+            [(0, "evacuate", True), (1, "evacuate", True), (2.6, "start", 1, "a", {})],
+            "started in an evacuated zone",
+            id="start-in-an-evacuated-zone",
+        ),
+        pytest.param(
+            [(0, "evacuate", True), (2.4, "start", 1, "a", {})],
+            "",
+            id="start-soon-after-evacuation",
+        ),
+        pytest.param(
+            [(0, "evacuate", True), (9, "start", 1, "b", {})], "", id="start-in-another-zone"
+        ),
+        pytest.param(
+            [(0, "evacuate", True), (4, "evacuate", False), (9, "start", 1, "a", {})],
+            "",
+            id="start-in-a-zone-taken-back",
+        ),
+        pytest.param(
+            [(0, "evacuate", True), (3, "disturb", "agent-0", 5.0), (6, "start", 1, "a", {})],
+            "",
+            id="start-in-an-evacuated-zone-while-disturbed",
+        ),
+        pytest.param(
+            [(0, "evacuate", True), (6, "start", 1, "a", LATE)],
+            "",
+            id="late-start-in-an-evacuated-zone",
+        ),
         pytest.param(crashes(6), "job.0.0.0 was started again after 3 crashes", id="harmful"),
         pytest.param(crashes(5), "", id="harmful-and-given-up"),
         pytest.param([(0, "disturb", STORE, 0.5), *crashes(6)], "", id="harmful-while-disturbed"),
