--- a/src/chicorycrank/batch/evacuations.py
+++ b/src/chicorycrank/batch/evacuations.py
@@ -47,7 +47,6 @@
             self._reopened_at_by_zone[zone] = planner.now_s
             _log_change("zone_taken_back", planner, zone)
         planner.workers.evacuated_zones = after
-        planner.job_builder.clear_worker_caches()
 
     def learn(self, planner: PlannerState, view: SharedView) -> None:
         """Read the watched keys if an agent has rejected runs for a zone that is not known here.
--- a/tests/batch/test_evacuations.py
+++ b/tests/batch/test_evacuations.py
@@ -361,6 +361,17 @@
     assert used_share(planner.cell, [TargetId("r1-0"), TargetId("r1-1")]) == 1.0
 
 
+def test_headroom_is_kept_on_a_fleet_whose_open_zones_are_full() -> None:
+    """Guards against a full fleet that seems half empty, so that urgent jobs find no worker."""
+    planner = make_zoned_planner([(A, "r1", 4), (B, "r2", 4)])
+    planner.add_job(make_job([WHOLE_WORKER], queue=make_queue(priority=0)), None)
+    batch = Step(count=2, accelerators=8, run_time_s=9.0)
+    planner.add_job(make_job([batch], name="b" * 16), None)
+    planner.plan()
+    assert len(workers_of(planner)) == 3
+    assert planner.job_builder.headroom_workers(planner) == 1
+
+
 def test_an_urgent_gang_evicts_nothing_in_an_evacuated_zone() -> None:
     """Guards against work that is stopped for a gang that could not start in its place."""
     planner = make_zoned_planner([(A, "r1", 2), (B, "r2", 2)])
