Evict by unsaved work and nearness to the end; keep reservations of late urgent gangs

An urgent gang whose first run had broken waited 32 s: it was too late for evictions, its reservation was one of two that any urgent job could take over, it moved when a worker closed for a moment, and other urgent jobs started on it.

Change: the cost of a victim is its unsaved work, up to doubled near its end; a gang stopped for an urgent job is spared until its next run has lasted as long as expected. Nothing is stopped unless orders, quarantine and crash tests let the urgent unit start. The reservation of a late urgent job stands until it starts; only jobs within a quota may use it (standing_reservations.py).

--- a/src/chicorycrank/batch/order_sizes.py
+++ b/src/chicorycrank/batch/order_sizes.py
@@ -77,6 +77,10 @@
             and self._bytes_by_worker[worker] + size <= MAX_ORDER_BYTES
         )
 
+    def fits(self, worker: TargetId, added: int) -> bool:
+        """Return whether an order may change its size by an amount in bytes."""
+        return self._bytes_by_worker[worker] + added <= MAX_ORDER_BYTES
+
     def has_its_part(self, worker: TargetId, runs: int, size: int) -> bool:
         """Return whether a job has as much of an order as is left free.
 
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -33,7 +33,7 @@
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.model.jobs import MemberPlacement
 from chicorycrank.policy.decide import MAX_DECISIONS
-from chicorycrank.policy.decisions import Decision, Evict, Start
+from chicorycrank.policy.decisions import Decision, Evict, EvictionCause, Start
 
 # After so many passes at the limit of decisions, jobs that have started units in a plan come last.
 PASSES_IN_FULL_ORDER = MAX_DECISION_PASSES // 2
@@ -206,6 +206,8 @@
                 running = self.cell.running_by_id.get(decision.job_id)
                 if running is None:
                     return False
+                if decision.cause is EvictionCause.URGENT:
+                    self.cell.record_eviction(decision.job_id, self.now_s)
                 # In the cell, a job id is <job>.<unit key>.
                 job_id, _, key = decision.job_id.partition(".")
                 ref = parse_unit_key(JobId(job_id), key)
--- a/src/chicorycrank/batch/planner_state.py
+++ b/src/chicorycrank/batch/planner_state.py
@@ -1,6 +1,7 @@
 """State of the leader's planner: jobs, their progress, workers and the runs on them."""
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
+from functools import partial
 
 from chicorycrank.batch.crash_tracker import CrashTracker
 from chicorycrank.batch.failing_jobs import FailingJobs
@@ -9,6 +10,7 @@
 from chicorycrank.batch.orders import ChangedRecords, make_assignment
 from chicorycrank.batch.performance import PerformanceRecords
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
+from chicorycrank.batch.start_checks import can_begin
 from chicorycrank.batch.units import (
     Member,
     UnitRef,
@@ -54,6 +56,7 @@
 
     def __init__(self, job_builder: QueuedJobBuilder, now_s: float) -> None:
         self.cell = Cell(cores_per_accelerator=MILLICORES_PER_ACCELERATOR)
+        self.cell.can_begin = partial(can_begin, self)
         self.job_builder = job_builder
         self.now_s = now_s
         self.now_ms = 0
--- a/src/chicorycrank/policy/backfill.py
+++ b/src/chicorycrank/policy/backfill.py
@@ -1,11 +1,12 @@
 """Reservations for waiting jobs, and the expected end times that backfill relies on."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from functools import partial
-from itertools import islice
+from itertools import chain, islice
 from math import inf
+from types import MappingProxyType
 
 from chicorycrank.model.ids import JobId, RackId, TargetId
 from chicorycrank.model.jobs import Adjacency, GangShape
@@ -28,15 +29,14 @@
 # Added to the expected free time of accelerators in a guarantee's placement: the team of the
 # guarantee is likely to use them again.
 GUARANTEE_PENALTY_S = 4 * 3600.0
+# A worker is closed this long after it has rejected or not accepted a run, with a margin. A
+# reservation that moved each time would begin its wait anew.
+MAX_CLOSED_S = 3.0
+MAX_WORKERS_COMPARED = 128  # workers considered for a late urgent gang that may be spread
+NOTHING_TAKEN: Mapping[TargetId, int] = MappingProxyType({})
 EXPECTED_STOP_S = 5.0  # assumed time until a job that is being stopped ends
 
 
-def expected_duration_s(cell: Cell, running: RunningJob) -> float:
-    """Return how long a job is expected to run on its workers, in seconds."""
-    expected_s = cell.estimates.expected_run_time_s(running.job.team, running.job.run_time_s)
-    return expected_s / cell.speed_of(running)
-
-
 def expected_end_s(cell: Cell, running: RunningJob, now_s: float) -> float:
     """Return when a job is expected to end.
 
@@ -44,42 +44,49 @@
     """
     if running.stopping:
         return now_s + EXPECTED_STOP_S
-    expected_s = expected_duration_s(cell, running)
+    expected_s = cell.expected_duration_s(running)
     elapsed_s = max(0.0, now_s - running.started_s)
     return now_s + (expected_s - elapsed_s if elapsed_s < expected_s else elapsed_s)
 
 
 def is_overrun(cell: Cell, running: RunningJob, now_s: float) -> bool:
     """Return whether a job has run longer than its expected run time."""
-    return now_s - running.started_s > expected_duration_s(cell, running)
+    return now_s - running.started_s > cell.expected_duration_s(running)
 
 
-def reserve(cell: Cell, job: QueuedJob, now_s: float) -> Reservation | None:
+def reserve(
+    cell: Cell,
+    job: QueuedJob,
+    now_s: float,
+    taken_mask_by_worker: Mapping[TargetId, int] = NOTHING_TAKEN,
+) -> Reservation | None:
     """Return a reservation for a job, or None if it needs no accelerators or never fits.
 
     An earlier reservation on open workers keeps its accelerators while it is recent or its cost
     has not risen, as long as the job still fits there. The cost is the latest expected free time of
     its accelerators, with :data:`GUARANTEE_PENALTY_S` added for those in the placement of a
     guarantee, and with the time that the job takes longer on slow workers.
+
+    The reservation of a late urgent job stands until the job starts, unless one of its workers
+    stays closed. Its workers may be in any racks if the job may be spread.
+
+    :param taken_mask_by_worker: accelerators that are claimed or reserved for other jobs
     """
     if not job.shape.accelerators:
         return None
     earlier = cell.reservations_by_id.get(job.job_id)
-    if earlier is not None and _is_usable(cell, job, earlier):
-        is_recent = now_s - earlier.created_s < MIN_RESERVATION_AGE_S
-        cost_s = 0.0
-        if not is_recent:
-            cost_s = max(
-                _cost_s(cell, job, now_s, worker, mask) for worker, mask in earlier.worker_masks
-            )
-        if cost_s <= earlier.cost_s:
-            return replace(
-                earlier, expected_start_s=_expected_start_s(cell, earlier.worker_masks, now_s)
-            )
+    if earlier is not None and _is_usable(cell, job, earlier, taken_mask_by_worker):
+        kept = _keep(cell, job, earlier, now_s)
+        if kept is not None:
+            return kept
     best: tuple[float, WorkerMasks] | None = None
-    cost = partial(_cost_s, cell, job, now_s)
+
+    def cost(worker: TargetId, block: int) -> float:
+        is_taken = taken_mask_by_worker.get(worker, 0) & block
+        return inf if is_taken else _cost_s(cell, job, now_s, worker, block)
+
     compared = 0
-    for group in _candidate_groups(cell, job.shape, job.rule):
+    for group in _candidate_groups(cell, job.shape, job.rule, any_racks=job.is_late_urgent):
         if compared >= MAX_BLOCKS_COMPARED:
             break
         compared += sum(len(blocks(mask, job.shape.accelerators)) for _, mask in group)
@@ -155,11 +162,38 @@
     return cost_s + GUARANTEE_PENALTY_S
 
 
-def _is_usable(cell: Cell, job: QueuedJob, reservation: Reservation) -> bool:
+def _keep(cell: Cell, job: QueuedJob, earlier: Reservation, now_s: float) -> Reservation | None:
+    """Return an earlier reservation with its present expected start, or None if it ends."""
+    worker_masks = earlier.worker_masks
+    if not all(cell.free.is_open(worker) for worker, _ in worker_masks):
+        since_s = now_s if earlier.closed_since_s is None else earlier.closed_since_s
+        if not job.is_late_urgent or now_s - since_s >= MAX_CLOSED_S:
+            return None
+        return replace(earlier, closed_since_s=since_s)
+    if not job.is_late_urgent and now_s - earlier.created_s >= MIN_RESERVATION_AGE_S:
+        costs_s = (_cost_s(cell, job, now_s, worker, mask) for worker, mask in worker_masks)
+        if max(costs_s) > earlier.cost_s:
+            return None
+    return replace(
+        earlier,
+        expected_start_s=_expected_start_s(cell, worker_masks, now_s),
+        closed_since_s=None,
+    )
+
+
+def _is_usable(
+    cell: Cell,
+    job: QueuedJob,
+    reservation: Reservation,
+    taken_mask_by_worker: Mapping[TargetId, int],
+) -> bool:
+    """Return whether a job would fit on its reserved accelerators if they were free."""
     members_by_worker = Counter(worker for worker, _ in reservation.worker_masks)
     return all(
-        cell.free.is_open(worker) and count <= _members_allowed(cell, job, worker)
+        worker in cell.workers_by_id and count <= _members_allowed(cell, job, worker)
         for worker, count in members_by_worker.items()
+    ) and not any(
+        taken_mask_by_worker.get(worker, 0) & mask for worker, mask in reservation.worker_masks
     )
 
 
@@ -177,13 +211,16 @@
 
 
 def _candidate_groups(
-    cell: Cell, shape: GangShape, rule: PlacementRule
+    cell: Cell, shape: GangShape, rule: PlacementRule, *, any_racks: bool
 ) -> Iterable[list[WorkerMask]]:
     """Yield groups of whole workers that a gang may use together.
 
     The groups are single racks, or single workers, in the order of the free blocks of the member's
     size in the rack, most first. For a gang that may be spread and fits in none of these racks,
     sequences of neighbouring racks follow.
+
+    :param any_racks: yield all workers together first, up to ``MAX_WORKERS_COMPARED``, for a gang
+        that may be spread
     """
     capacity_by_worker = cell.guarantee_placements.capacity_by_worker
     allowed_workers = rule.workers
@@ -195,6 +232,9 @@
             if allowed_workers is None or worker in allowed_workers
         ]
 
+    if any_racks and shape.adjacency is Adjacency.ANY:
+        all_workers = chain.from_iterable(map(whole_workers, cell.free.workers_by_rack))
+        yield list(islice(all_workers, MAX_WORKERS_COMPARED))
     buckets = cell.free.racks_by_piece_count[PIECE_SIZES.index(piece_class(shape.accelerators))]
     racks = (rack for count in sorted(buckets, reverse=True) for rack in sorted(buckets[count]))
     is_rack_found = False
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -1,6 +1,6 @@
 """Scheduling state of a cell: workers, running jobs and queued jobs."""
 
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Container, Iterable, Mapping, Sequence
 from dataclasses import replace
 from itertools import islice
 from math import inf
@@ -20,6 +20,7 @@
 
 __all__ = ["Cell", "QueuedJob", "Reservation", "RunningJob", "WorkerState"]
 
+EVICTION_MEMORY_S = 600.0  # bounds the number of jobs that are known to have been evicted
 MAX_PROMOTIONS_TRIED = 4  # bounds the processing time when a guaranteed job ends
 
 
@@ -55,6 +56,13 @@
         # Jobs within the accelerator quota of their team. They are never evicted, and urgent ones
         # may also evict urgent work that is outside of a quota.
         self.jobs_within_quota: Container[JobId] = frozenset()
+        # Times at which jobs were last stopped for urgent jobs.
+        self.evicted_s_by_id: dict[JobId, float] = {}
+        # Returns whether a job may begin on workers, given its members there, once the given jobs
+        # have ended: limits that are not part of the cell.
+        self.can_begin: Callable[[JobId, Mapping[TargetId, int], Collection[JobId]], bool] = (
+            lambda *_: True
+        )
         self.headroom = 0  # number of empty workers kept for future urgent jobs
         # Classes of workers of similar speed, the speeds of the workers if they differ, and the
         # workers that urgent jobs use last.
@@ -182,6 +190,7 @@
         job = running.job
         if completed and now_s is not None:
             work_s = (now_s - running.started_s) * self.speed_of(running)
+            self.evicted_s_by_id.pop(job_id, None)
             self.estimates.record(job.team, job.run_time_s, work_s)
         is_guaranteed = job_id not in self.borrowed
         self.undo_start(job_id)
@@ -243,6 +252,18 @@
         """Return the speed of the slowest worker of a running job."""
         return self.speed_on(member.worker for member in running.placement)
 
+    def expected_duration_s(self, running: RunningJob) -> float:
+        """Return how long a job is expected to run on its workers, in seconds."""
+        job = running.job
+        return self.estimates.expected_run_time_s(job.team, job.run_time_s) / self.speed_of(running)
+
+    def record_eviction(self, job_id: JobId, now_s: float) -> None:
+        """Record that a running job is stopped for an urgent job."""
+        for other, evicted_s in list(self.evicted_s_by_id.items()):
+            if now_s - evicted_s > EVICTION_MEMORY_S:
+                del self.evicted_s_by_id[other]
+        self.evicted_s_by_id[job_id] = now_s
+
     def worker_masks(self, job_id: JobId) -> WorkerMasks:
         """Return the accelerators of a running job."""
         return self._worker_masks_by_id[job_id]
--- a/src/chicorycrank/policy/cell_records.py
+++ b/src/chicorycrank/policy/cell_records.py
@@ -60,6 +60,11 @@
     can_wait: bool = False
     preferred: tuple[frozenset[TargetId], ...] = ()
 
+    @property
+    def is_late_urgent(self) -> bool:
+        """Whether the job is urgent and too late for evictions, which would discard more work."""
+        return self.urgent and self.max_lost_s <= 0.0
+
     @property
     def is_exempt_from_urgent(self) -> bool:
         """Whether the job is not part of ``Cell.reclaimable``, which urgent jobs may evict."""
@@ -90,6 +95,7 @@
     :param cost_s: expected free time at creation, plus a penalty if the accelerators are reserved
         for a guarantee
     :param created_s: time of creation
+    :param closed_since_s: time since which one of its workers is closed; None if all are open
     """
 
     job_id: JobId
@@ -97,3 +103,4 @@
     expected_start_s: float
     cost_s: float
     created_s: float
+    closed_since_s: float | None = None
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -4,25 +4,21 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import replace
-from math import inf
 
 from chicorycrank.model.ids import JobId, TargetId, TeamId
 from chicorycrank.model.jobs import WorkKind
 from chicorycrank.policy.backfill import overrun_victims, reserve
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.decision_pass import MAX_DECISIONS, DecisionPass, fit_key
+from chicorycrank.policy.decision_pass import MAX_DECISIONS, MAX_RESERVATIONS_TRIED, fit_key
 from chicorycrank.policy.decisions import Decision, EvictionCause
-from chicorycrank.policy.eviction import EvictionPlan, plan_for_placement, plan_for_urgent
+from chicorycrank.policy.eviction import EvictionPlan, plan_for_placement
 from chicorycrank.policy.fairness import fair_order, within_team_order
 from chicorycrank.policy.guarantee_instance import GuaranteeInstance, fit_in_instance
-from chicorycrank.policy.placement import find_preferred_placement
-from chicorycrank.policy.pool import WorkerMasks
+from chicorycrank.policy.urgent_decisions import UrgentDecisions
 
 __all__ = ["MAX_DECISIONS", "decide"]
 
 MAX_RESERVATIONS = 1
-MAX_RESERVATIONS_TRIED = 2  # bounds the time of a pass if the oldest jobs fit nowhere
 
 
 def decide(cell: Cell, queue: Sequence[QueuedJob], now_s: float) -> list[Decision]:
@@ -43,12 +39,13 @@
     return decision_pass.decisions
 
 
-class _DecisionRules(DecisionPass):
+class _DecisionRules(UrgentDecisions):
     """Rules by which a pass decides on the jobs of a queue."""
 
     def run(self, queue: Sequence[QueuedJob]) -> None:
         """Decide on urgent jobs, then on jobs inside guarantees, then on all other jobs."""
         previously_waiting = self.cell.waiting_for_evictions
+        self.standing.withhold_earlier(queue)
         self._withhold_reservations(queue)
         # Jobs that wait for evictions come first. If another job took the freed accelerators, it
         # would have to be evicted too.
@@ -59,7 +56,7 @@
                 break
             if not self._decide_guaranteed(job) and job.urgent:
                 self.reserved_free.release()
-                self._decide_urgent(job)
+                self.decide_urgent(job)
         self.reserved_free.release()
         self.headroom.withhold()
         self._withhold_reservations(queue)
@@ -85,19 +82,23 @@
                 job.job_id for job in queue if not self._is_started_or_awaits_evictions(job)
             }
             self.cell.waiting_for_evictions |= previously_waiting & undecided
+        # Those of jobs that the pass has not come to stay, too.
+        standing = self.standing.reservations()
         reservations = [*self.urgent_reservations, *self.reservations]
         # A pass that reached the decision limit may have ended before it made any reservation. The
         # earlier reservations then stay.
-        if reservations or not self.has_reached_decision_limit():
-            self.cell.reservations_by_id = {
-                reservation.job_id: reservation for reservation in reservations
-            }
+        if not reservations and self.has_reached_decision_limit():
+            reservations = list(self.cell.reservations_by_id.values())
+        self.cell.reservations_by_id = {
+            reservation.job_id: reservation for reservation in [*reservations, *standing]
+        }
 
-    def _urgent_sort_key(self, job: QueuedJob) -> tuple[bool, bool, bool, float, float, JobId]:
+    def _urgent_sort_key(self, job: QueuedJob) -> tuple[bool | float | JobId, ...]:
         return (
             job.job_id not in self.cell.waiting_for_evictions,
             not job.urgent,
             job.job_id not in self.cell.jobs_within_quota,
+            not self.standing.holds(job.job_id),
             job.precedence,
             job.submitted_s,
             job.job_id,
@@ -199,67 +200,6 @@
                         masks[worker] |= mask & self.unclaimed_mask(worker)
         return masks
 
-    # Urgent jobs outside guarantees.
-
-    def _decide_urgent(self, job: QueuedJob) -> None:
-        if job.preferred:
-            # Work on fast workers is evicted before the job starts on slow ones.
-            rule = job.rule.restricted_to(job.preferred[-1])
-            if self._start_or_evict(replace(job, rule=rule, preferred=job.preferred[:-1])):
-                return
-        if not self._start_or_evict(replace(job, preferred=())):
-            self._reserve_urgent(job)
-
-    def _start_or_evict(self, job: QueuedJob) -> bool:
-        """Start an urgent job on allowed workers or evict work from them; false if neither."""
-        worker_masks = self.find_free(job)
-        if worker_masks is not None:
-            self.start(job, worker_masks, WorkKind.BORROWED)
-            return True
-        worker_masks = self._find_free_or_stopping(job)
-        if worker_masks is not None:
-            self.claim(worker_masks, job)
-            return True
-        plan = plan_for_urgent(self.cell, job, self.now_s, self.claimed_mask_by_worker)
-        max_lost_s = inf if job.job_id in self.cell.jobs_within_quota else job.max_lost_s
-        if (
-            plan is not None
-            and plan.lost_accelerator_s <= max_lost_s
-            and self.is_compatible_with_pass(plan)
-        ):
-            self.apply_plan(job, plan, EvictionCause.URGENT)
-            return True
-        return False
-
-    def _reserve_urgent(self, job: QueuedJob) -> None:
-        """Reserve the accelerators that will become free first, which keeps other jobs off them."""
-        self.urgent_reservations_tried += 1
-        if self.urgent_reservations_tried > MAX_RESERVATIONS_TRIED:
-            return
-        reservation = reserve(self.cell, job, self.now_s)
-        if reservation is not None:
-            self.urgent_reservations.append(reservation)
-            self.claimed_free.add(reservation.worker_masks, job.shape)
-
-    def _find_free_or_stopping(self, job: QueuedJob) -> WorkerMasks | None:
-        """Find a placement on accelerators that are free or used by jobs that are stopping."""
-        if not self.cell.stopping:
-            return None
-        added: list[tuple[TargetId, int, int, int]] = []
-        free = self.cell.free
-        for job_id in self.cell.stopping:
-            job_shape = self.cell.running_by_id[job_id].job.shape
-            for worker, mask in self.cell.worker_masks(job_id):
-                mask &= self.unclaimed_mask(worker)
-                if worker in free.masks and mask:
-                    values = (worker, mask, job_shape.cores, job_shape.memory_gb)
-                    free.release(*values)
-                    added.append(values)
-        worker_masks = find_preferred_placement(free, job.shape, job.rule, job.preferred)
-        for values in added:
-            free.allocate(*values)
-        return worker_masks
-
     # Other jobs: borrowed accelerators, reservations and backfill.
 
     def _decide_borrowed(self, job: QueuedJob) -> None:
@@ -281,7 +221,7 @@
             return
         waiting = {job.job_id for job in queue}
         for reservation in self.cell.reservations_by_id.values():
-            if reservation.job_id in waiting:
+            if reservation.job_id in waiting and not self.standing.holds(reservation.job_id):
                 # None withholds the accelerators only, without cores and memory.
                 self.reserved_free.add(reservation.worker_masks, None)
 
@@ -302,7 +242,7 @@
         self.reservations_tried += 1
         if self.reservations_tried > MAX_RESERVATIONS_TRIED:
             return
-        reservation = reserve(self.cell, job, self.now_s)
+        reservation = reserve(self.cell, job, self.now_s, self.taken_masks())
         if reservation is None:
             return
         self.reservations.append(reservation)
--- a/src/chicorycrank/policy/decision_pass.py
+++ b/src/chicorycrank/policy/decision_pass.py
@@ -8,8 +8,10 @@
 from chicorycrank.policy.headroom import Headroom
 from chicorycrank.policy.placement import PlacementRule, placement_of
 from chicorycrank.policy.pool import WorkerMasks
+from chicorycrank.policy.standing_reservations import StandingReservations
 from chicorycrank.policy.withheld_capacity import WithheldCapacity
 
+MAX_RESERVATIONS_TRIED = 2  # bounds the time of a pass if the oldest jobs fit nowhere
 MAX_DECISIONS = 16  # bounds the time of a pass when many accelerators become free at once
 
 # Shape, placement rule and ``can_wait`` of a job. Jobs with equal keys fit on the same
@@ -30,6 +32,7 @@
         self.claimed_free = WithheldCapacity(cell.free)
         # Reclaimable accelerators claimed for jobs that wait for evictions.
         self.claimed_reclaimable = WithheldCapacity(cell.reclaimable)
+        self.standing = StandingReservations(cell)
         self.urgent_reservations: list[Reservation] = []
         self.urgent_reservations_tried = 0
         self.waiting_for_evictions: set[JobId] = set()
@@ -51,6 +54,7 @@
         """Restore the state that the cell had before the pass."""
         self.claimed_free.release()
         self.claimed_reclaimable.release()
+        self.standing.release_all()
         self.reserved_free.release()
         self.headroom.release()
         for job_id in reversed(self.started_ids):
@@ -137,8 +141,15 @@
         self.decisions.append(Evict(job_id=victim, for_job=job.job_id, cause=cause, reason=reason))
 
     def unclaimed_mask(self, worker: TargetId) -> int:
-        """Return the accelerators of a worker that this pass has claimed for no job."""
-        return ~self.claimed_mask_by_worker.get(worker, 0)
+        """Return the accelerators of a worker that are claimed for no job and not reserved."""
+        return ~(self.claimed_mask_by_worker.get(worker, 0) | self.standing.mask(worker))
+
+    def taken_masks(self) -> dict[TargetId, int]:
+        """Return the accelerators that are claimed or reserved for urgent jobs."""
+        masks = dict(self.claimed_mask_by_worker)
+        for worker, mask in self.standing.masks().items():
+            masks[worker] = masks.get(worker, 0) | mask
+        return masks
 
     def is_compatible_with_pass(self, plan: EvictionPlan) -> bool:
         """Return whether a plan evicts no job and uses no accelerator that this pass has assigned.
--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -1,6 +1,6 @@
 """Selection of the borrowed work to evict, by the least amount of lost work."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from itertools import chain, islice
@@ -21,6 +21,11 @@
 MAX_BORROWED_JOBS_SCANNED = 64  # most recently started borrowed jobs whose racks are considered
 MAX_RACKS_TRIED = 24  # racks of these jobs for which a placement is computed
 MAX_WORKERS_COMPARED = 128  # workers considered for a gang that needs more than one rack
+# Returns the cost of an eviction, given the cell, the victim and the time in seconds.
+VictimCost = Callable[[Cell, JobId, float], float]
+
+# More than any other cost, so that such a victim is chosen only if there is no other.
+REPEATED_EVICTION_COST = 1e12
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -28,11 +33,18 @@
     """Accelerators to free and the jobs to evict for that.
 
     :param lost_accelerator_s: work lost by the evictions, in accelerator seconds
+    :param cost: costs of the victims, see :func:`eviction_cost`
     """
 
     worker_masks: WorkerMasks
     victims: tuple[JobId, ...]
     lost_accelerator_s: float
+    cost: float
+
+    @property
+    def rank(self) -> tuple[float, int]:
+        """Cost and number of evictions; the plan with the smallest rank is chosen."""
+        return self.cost, len(self.victims)
 
 
 def lost_accelerator_s(cell: Cell, job_id: JobId, now_s: float) -> float:
@@ -47,6 +59,25 @@
     return (elapsed_s + 1.0) * cell.accelerator_equivalents(running.job.shape)
 
 
+def eviction_cost(cell: Cell, job_id: JobId, now_s: float) -> float:
+    """Return what speaks against evicting a job; 0 if it is already stopping.
+
+    It is the lost work, up to twice that for a job near its expected end, as its accelerators
+    become free soon without an eviction. A gang that was stopped for an urgent job costs
+    :data:`REPEATED_EVICTION_COST` more until its next run has lasted as long as expected.
+    """
+    running = cell.running_by_id[job_id]
+    if running.stopping:
+        return 0.0
+    elapsed_s = max(0.0, now_s - running.started_s)
+    expected_s = cell.expected_duration_s(running)
+    cost = lost_accelerator_s(cell, job_id, now_s) * (1.0 + min(1.0, elapsed_s / expected_s))
+    is_gang = running.job.shape.members > 1
+    if is_gang and job_id in cell.evicted_s_by_id and elapsed_s < expected_s:
+        cost += REPEATED_EVICTION_COST
+    return cost
+
+
 def plan_for_placement(
     cell: Cell, worker_masks: WorkerMasks, shape: GangShape, now_s: float, *, exempt_urgent: bool
 ) -> EvictionPlan | None:
@@ -75,49 +106,64 @@
             return None
     new_victims = tuple(job_id for job_id in victims if not cell.running_by_id[job_id].stopping)
     total = sum(lost_accelerator_s(cell, job_id, now_s) for job_id in new_victims)
-    return EvictionPlan(worker_masks=worker_masks, victims=new_victims, lost_accelerator_s=total)
+    cost = sum(eviction_cost(cell, job_id, now_s) for job_id in new_victims)
+    return EvictionPlan(
+        worker_masks=worker_masks, victims=new_victims, lost_accelerator_s=total, cost=cost
+    )
 
 
 def plan_for_urgent(
-    cell: Cell, job: QueuedJob, now_s: float, claimed_mask_by_worker: Mapping[TargetId, int]
+    cell: Cell,
+    job: QueuedJob,
+    now_s: float,
+    claimed_mask_by_worker: Mapping[TargetId, int],
+    is_allowed: Callable[[EvictionPlan], bool],
 ) -> EvictionPlan | None:
-    """Return the cheapest evictions found that let an urgent job start.
+    """Return the cheapest allowed evictions found that let an urgent job start.
 
     To keep the search time independent of the number of workers, only these are compared: the best
     fit in the reclaimable accelerators, the racks of recently started borrowed jobs and, for a
     gang that may span racks, the first ``MAX_WORKERS_COMPARED`` workers.
 
     :param claimed_mask_by_worker: accelerators that are being freed for other jobs
+    :param is_allowed: returns whether a plan may be used
     """
     shape = job.shape
     best_fit = find_placement(cell.reclaimable, shape, job.rule)
     if best_fit is None:
         return (
-            plan_for_job_within_quota(cell, job, now_s, claimed_mask_by_worker)
+            plan_for_job_within_quota(cell, job, now_s, claimed_mask_by_worker, is_allowed)
             if job.job_id in cell.jobs_within_quota
             else None
         )
     plans = [plan_for_placement(cell, best_fit, shape, now_s, exempt_urgent=True)]
-    for worker_masks in _candidate_placements(cell, shape, job.rule, now_s):
-        plans.append(plan_for_placement(cell, worker_masks, shape, now_s, exempt_urgent=True))
-    feasible = [plan for plan in plans if plan is not None]
+    feasible: list[EvictionPlan] = []
+    # If the victims of least cost are not allowed, those with the least lost work may be.
+    for victim_cost in (eviction_cost, lost_accelerator_s):
+        for worker_masks in _candidate_placements(cell, shape, job.rule, now_s, victim_cost):
+            plans.append(plan_for_placement(cell, worker_masks, shape, now_s, exempt_urgent=True))
+        feasible = [plan for plan in plans if plan is not None and is_allowed(plan)]
+        if feasible:
+            break
     if not feasible and job.job_id in cell.jobs_within_quota:
-        return plan_for_job_within_quota(cell, job, now_s, claimed_mask_by_worker)
-    return min(
-        feasible, key=lambda plan: (plan.lost_accelerator_s, len(plan.victims)), default=None
-    )
+        return plan_for_job_within_quota(cell, job, now_s, claimed_mask_by_worker, is_allowed)
+    return min(feasible, key=lambda plan: plan.rank, default=None)
 
 
 def plan_for_job_within_quota(
-    cell: Cell, job: QueuedJob, now_s: float, claimed_mask_by_worker: Mapping[TargetId, int]
+    cell: Cell,
+    job: QueuedJob,
+    now_s: float,
+    claimed_mask_by_worker: Mapping[TargetId, int],
+    is_allowed: Callable[[EvictionPlan], bool],
 ) -> EvictionPlan | None:
-    """Return the cheapest evictions for a job within its team's quota.
+    """Return the cheapest allowed evictions for a job within its team's quota.
 
     They may include urgent work that is outside of the quota of its own team.
     """
     shape = job.shape
     member_limit = partial(_empty_worker_member_limit, cell, job.rule, shape)
-    cost = partial(_block_cost, cell, now_s, False)  # urgent work may be evicted
+    cost = partial(_block_cost, cell, now_s, False, eviction_cost)  # urgent work may be evicted
     capacity_by_worker = cell.guarantee_placements.capacity_by_worker
     racks = [
         [
@@ -137,9 +183,9 @@
         plan = placement_and_costs and plan_for_placement(
             cell, placement_and_costs[0], shape, now_s, exempt_urgent=False
         )
-        if plan:
+        if plan and is_allowed(plan):
             plans.append(plan)
-    return min(plans, key=lambda plan: (plan.lost_accelerator_s, len(plan.victims)), default=None)
+    return min(plans, key=lambda plan: plan.rank, default=None)
 
 
 def _empty_worker_member_limit(
@@ -154,7 +200,7 @@
 
 
 def _candidate_placements(
-    cell: Cell, shape: GangShape, rule: PlacementRule, now_s: float
+    cell: Cell, shape: GangShape, rule: PlacementRule, now_s: float, victim_cost: VictimCost
 ) -> Iterable[WorkerMasks]:
     """Yield the cheapest placements in racks of recently started borrowed jobs and across racks."""
     racks: dict[RackId, None] = {}
@@ -163,7 +209,7 @@
             if cell.reclaimable.is_open(worker):
                 racks[cell.reclaimable.rack_by_worker[worker]] = None
     member_limit = partial(rule.member_limit, cell.reclaimable, shape=shape)
-    cost = partial(_block_cost, cell, now_s, True)  # urgent work is exempt
+    cost = partial(_block_cost, cell, now_s, True, victim_cost)  # urgent work is exempt
     for rack in islice(racks, MAX_RACKS_TRIED):
         worker_masks = open_masks(cell.reclaimable, rack)
         candidate_groups: list[list[WorkerMask]] = [worker_masks]
@@ -185,14 +231,19 @@
 
 
 def _block_cost(
-    cell: Cell, now_s: float, exempt_urgent: bool, worker: TargetId, block: int
+    cell: Cell,
+    now_s: float,
+    exempt_urgent: bool,
+    victim_cost: VictimCost,
+    worker: TargetId,
+    block: int,
 ) -> float:
-    """Return the accelerator seconds lost by freeing a block; infinite if that is not allowed."""
+    """Return the cost of the evictions that free a block; infinite if that is not allowed."""
     cost = 0.0
     for job_id, job_mask in cell.masks_by_worker.get(worker, {}).items():
         if job_mask & block:
             may_evict = _may_evict(cell, job_id, exempt_urgent)
-            cost += lost_accelerator_s(cell, job_id, now_s) if may_evict else inf
+            cost += victim_cost(cell, job_id, now_s) if may_evict else inf
     return cost
 
 
@@ -220,7 +271,7 @@
             for other_id in jobs_on_worker
             if other_id not in victims and cell.is_evictable(other_id)
         ),
-        key=lambda job_id: lost_accelerator_s(cell, job_id, now_s),
+        key=lambda job_id: eviction_cost(cell, job_id, now_s),
     )
     for job_id in [*(other_id for other_id in jobs_on_worker if other_id in victims), *other_jobs]:
         if job_id not in victims:
