Limit what a client can take of the HTTP servers

Cause: cheroot gives a connection to a thread, which waits for the client, and reads lines of chunks and trailers without a limit; a process without free descriptors stops accepting or ends. Change: both servers read requests in the thread of the selector, incrementally and with limits, and a thread of the pool gets only complete requests; unread answers are sent by the selector's thread. Time, kept bytes and connections are limited, the oldest waiting connections are closed first. A refusal (400, 408, 413, 431, 501, 503) is sent before a handler runs.

--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -4,8 +4,15 @@
 from http import HTTPStatus
 
 import cherrypy
-
-from chicorycrank.entry.http_common import LoopBridge, send_problem
+from cherrypy._cpwsgi_server import CPWSGIServer
+
+from chicorycrank.adapters.http_message import MessageLimits
+from chicorycrank.adapters.limited_server import (
+    LimitedConnection,
+    LimitedServerMixin,
+    ServerLimits,
+)
+from chicorycrank.entry.http_common import LoopBridge, encode_problem, send_problem
 from chicorycrank.entry.http_jobs import JobResource
 from chicorycrank.entry.http_operations import OperationsResource
 from chicorycrank.entry.http_requests import RequestResource
@@ -14,7 +21,6 @@
 from chicorycrank.model.requests import Outcome
 
 MAX_BODY_BYTES = 4_000_000
-MAX_HEADER_BYTES = 16_384
 # Threads that stay free for health checks, status calls and refusals.
 RESERVED_THREADS = 8
 # One status call per this many threads may wait for a job's next change.
@@ -22,9 +28,19 @@
 # A burst of callers overflows a shorter queue (CherryPy's default is 5), and some of them get a
 # reset connection instead of an outcome.
 SOCKET_QUEUE_SIZE = 512
-# A call that arrives while its idle connection is being closed gets no answer. The timeout is
-# longer than the 60 s for which callers and proxies commonly keep idle connections.
-IDLE_CONNECTION_TIMEOUT_S = 75
+LIMITS = ServerLimits(message=MessageLimits(body_bytes=MAX_BODY_BYTES))
+
+
+class ApiServer(LimitedServerMixin, CPWSGIServer):  # type: ignore[misc]
+    """Server of CherryPy with limits for clients."""
+
+    limits = LIMITS
+    ConnectionClass = LimitedConnection
+
+    @staticmethod
+    def encode_refusal(status: HTTPStatus, detail: str) -> tuple[str, bytes]:
+        """Return the media type and the problem document of a refusal."""
+        return "application/problem+json", encode_problem(status, Outcome.NOT_RUN, detail)
 
 
 class HttpApi:
@@ -115,11 +131,12 @@
             "environment": "production",
             "server.socket_host": host,
             "server.socket_port": port,
-            "server.socket_timeout": IDLE_CONNECTION_TIMEOUT_S,
+            "server.socket_timeout": int(LIMITS.idle_timeout_s),
+            "server.instance": f"{__name__}.ApiServer",
             "server.socket_queue_size": SOCKET_QUEUE_SIZE,
             "server.thread_pool": threads,
             "server.max_request_body_size": MAX_BODY_BYTES,
-            "server.max_request_header_size": MAX_HEADER_BYTES,
+            "server.max_request_header_size": LIMITS.message.head_bytes,
             "log.screen": False,
             "error_page.default": _describe_error,
         }
--- a/src/chicorycrank/entry/http_common.py
+++ b/src/chicorycrank/entry/http_common.py
@@ -42,12 +42,21 @@
     """Return a JSON body and set the status and content type of the response."""
     cherrypy.response.status = status.value
     cherrypy.response.headers["Content-Type"] = "application/json"
-    return json.dumps(value).encode() + b"\n"
+    return _encode_json(value)
 
 
-def send_problem(status: HTTPStatus, outcome: Outcome, detail: str, **members: object) -> bytes:
+def encode_problem(status: HTTPStatus, outcome: Outcome, detail: str, **members: object) -> bytes:
     """Return a problem document (RFC 9457) with the outcome."""
     document = {"title": status.phrase, "status": status.value, "detail": detail}
-    body = send_json(document | {"outcome": outcome.value} | members, status)
+    return _encode_json(document | {"outcome": outcome.value} | members)
+
+
+def _encode_json(value: object) -> bytes:
+    return json.dumps(value).encode() + b"\n"
+
+
+def send_problem(status: HTTPStatus, outcome: Outcome, detail: str, **members: object) -> bytes:
+    """Return a problem document and set the status and content type of the response."""
+    cherrypy.response.status = status.value
     cherrypy.response.headers["Content-Type"] = "application/problem+json"
-    return body
+    return encode_problem(status, outcome, detail, **members)
--- a/src/chicorycrank/entry/metrics.py
+++ b/src/chicorycrank/entry/metrics.py
@@ -9,6 +9,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from chicorycrank.adapters.http_counters import CLOSED_CONNECTIONS, REFUSED_REQUESTS
 from chicorycrank.entry.process import Entry
 from chicorycrank.entry.state import missing_by_guarantee
 from chicorycrank.ports.store import Store
@@ -41,6 +42,8 @@
     """Return metrics in the Prometheus text format."""
     registry = CollectorRegistry(auto_describe=False)
     registry.register(snapshot)
+    registry.register(REFUSED_REQUESTS)
+    registry.register(CLOSED_CONNECTIONS)
     return generate_latest(registry)
 
 
--- a/src/chicorycrank/platform/server.py
+++ b/src/chicorycrank/platform/server.py
@@ -7,14 +7,20 @@
 from http import HTTPStatus
 from typing import Any
 
+import msgspec
 from cheroot import wsgi
 
-# A process that was suspended for longer than this closes idle connections when it resumes, also
-# those on which calls have arrived meanwhile.
-IDLE_TIMEOUT_S = 75
+from chicorycrank.adapters.http_message import MessageLimits
+from chicorycrank.adapters.limited_server import (
+    LimitedConnection,
+    LimitedServerMixin,
+    ServerLimits,
+)
+
 MAX_IDLE_CONNECTIONS = 200
 ACCEPT_QUEUE_SIZE = 256
 MAX_BODY_BYTES = 4 * 1024 * 1024
+LIMITS = ServerLimits(message=MessageLimits(body_bytes=MAX_BODY_BYTES))
 
 logger = logging.getLogger("absl")
 
@@ -42,6 +48,18 @@
 Handler = Callable[[Request], Response]
 
 
+class _WsgiServer(LimitedServerMixin, wsgi.Server):
+    """Server of cheroot with limits for clients."""
+
+    limits = LIMITS
+    ConnectionClass = LimitedConnection
+
+    @staticmethod
+    def encode_refusal(_status: HTTPStatus, detail: str) -> tuple[str, bytes]:
+        """Return the media type and the body of a refusal."""
+        return "application/json", msgspec.json.encode({"error": detail})
+
+
 class Server:
     """HTTP server that passes the calls at an address to a handler.
 
@@ -56,12 +74,12 @@
         self._active_calls = 0
         self._lock = threading.Lock()
         self.is_closing = False
-        self._server = wsgi.Server(
+        self._server = _WsgiServer(
             (host, int(port)),
             self._handle_wsgi,
             numthreads=threads,
             request_queue_size=ACCEPT_QUEUE_SIZE,
-            timeout=IDLE_TIMEOUT_S,
+            timeout=int(LIMITS.idle_timeout_s),
         )
         self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         self._server.max_request_body_size = MAX_BODY_BYTES
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -250,3 +250,45 @@
     finally:
         for connection in connections:
             connection.close()
+
+
+def make_large_head(path: str, header_bytes: int) -> bytes:
+    lines = [f"X-{number}: ".ljust(126, "x") for number in range(header_bytes // 128)]
+    return client_crowd.make_head(path, "Connection: close", "Content-Length: 0", *lines)
+
+
+def make_chunks(path: str, body: bytes, chunk_bytes: int) -> bytes:
+    pieces = [client_crowd.make_head(path, "Connection: close", "Transfer-Encoding: chunked")]
+    for start in range(0, len(body), chunk_bytes):
+        chunk = body[start : start + chunk_bytes]
+        pieces.append(b"%x;name=value\r\n%b\r\n" % (len(chunk), chunk))
+    return b"".join([*pieces, b"0\r\nFirst: a\r\nSecond: b\r\n\r\n"])
+
+
+@pytest.mark.parametrize(
+    "make_request",
+    [
+        lambda path: make_large_head(path, 16_384 - 128),
+        lambda path: make_chunks(path, b"x" * 262_144, 16),
+        lambda path: make_chunks(path, b"x" * 20_000, 1),
+    ],
+    ids=["largest head", "largest body in chunks", "chunks of one byte"],
+)
+def test_a_request_within_the_limits_is_served(
+    server: ServerProcess, make_request: Callable[[str], bytes]
+) -> None:
+    """Guards against limits that well-behaved clients meet.
+
+    The statuses are those of the handlers, which have read the request.
+    """
+    connection = client_crowd.connect(server.port)
+    try:
+        connection.settimeout(ANSWER_TIMEOUT_S)
+        connection.sendall(make_request(server.paths.body))
+        response = http.client.HTTPResponse(connection)
+        response.begin()
+        assert response.status in (404, 422, 503)
+        assert response.read()
+        assert response.getheader("Server"), "the answer is a refusal"
+    finally:
+        connection.close()
