Set the fault of a late start once the agent is registered

Cause: test_a_late_start_for_an_earlier_incarnation_is_fenced failed in 1 of 26 repeats: the fault was set before the registration, whose status call then gets no answer and no start is made. Change: the test waits for the registration first; what it checks is unchanged.

--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -256,6 +256,8 @@
 
 def test_a_late_start_for_an_earlier_incarnation_is_fenced(deployment: Deployment) -> None:
     """Guards against a start for an earlier incarnation that a later one carries out."""
+    # With the fault, the status call of a registration gets no answer.
+    deployment.wait(lambda: deployment.agent.dump()["registered"] is True)
     deployment.executor.fault = "late"
     task = deployment.submit()
     deployment.wait(lambda: bool(deployment.executor.late_orders))
