Learn which workloads slow each other down and place them apart

Tasks that share a worker may slow each other down, and nothing noticed it: the rate of such a run was put down to its worker. The leader now compares the rate of each run with the speed of its worker and the factor of its step, together with the workloads beside it, and places confident pairs apart where another placement is as good in all other respects. The pairs are a part of performance/summary, of at most 256 pairs. avoidInterference: false in the settings of a node switches this off. Speeds are learned from rates without the effect of found pairs.

--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from chicorycrank.batch.interference_records import show_metrics
 from chicorycrank.batch.metrics import IS_LEADER
 from chicorycrank.batch.replica import Replica
 from chicorycrank.batch.role import LeaderRole, RoleLostError
@@ -9,6 +10,7 @@
 from chicorycrank.batch.threads import keep_running, make_event
 from chicorycrank.batch.view import SharedView
 from chicorycrank.model.ids import EntryId
+from chicorycrank.policy.interference import FoundPair
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import MISSING, StoreUnavailableError, TransactionalStore
 
@@ -42,6 +44,7 @@
         self._dependencies = dependencies
         self._stop = make_event()
         self.is_leading = False
+        self._term: Term | None = None
 
     def start(self) -> None:
         """Run elections in a background thread."""
@@ -53,6 +56,11 @@
         with self._view.lock:
             self._view.lock.notify_all()
 
+    def found_interference(self) -> tuple[FoundPair, ...]:
+        """Return the pairs of workloads that this entry keeps apart while it leads."""
+        term = self._term
+        return () if term is None else term.found_interference()
+
     def _run_elections(self) -> None:
         self._replica.is_loaded.wait()
         while not self._stop.is_set():
@@ -86,6 +94,7 @@
             self._dependencies,
             self._stop,
         )
+        self._term = term
         try:
             term.serve()
         except RoleLostError as error:
@@ -93,6 +102,8 @@
         finally:
             self.is_leading = False
             IS_LEADER.set(0)
+            self._term = None
+            show_metrics(())
         if self._stop.is_set():
             self._release_role(role)
 
--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -56,6 +56,14 @@
 WORKERS_BY_SPEED = Gauge(
     "chicorycrank_workers_by_speed", "Workers of known speed, relative to the median", ["speed"]
 )
+INTERFERENCE_PAIRS = Gauge(
+    "chicorycrank_interference_pairs", "Pairs of workloads that the leader keeps apart"
+)
+INTERFERENCE_SLOW_DOWN = Gauge(
+    "chicorycrank_interference_slow_down",
+    "Factor by which a neighbour on the same worker slows a workload down",
+    ["workload", "neighbour"],
+)
 RUNS_STALLED = Counter("chicorycrank_runs_stalled", "Runs that an agent has found without progress")
 RATES_REPORTED = Counter("chicorycrank_rates_reported", "Rates of runs that an agent has reported")
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
--- a/src/chicorycrank/batch/planner_state.py
+++ b/src/chicorycrank/batch/planner_state.py
@@ -29,6 +29,7 @@
 from chicorycrank.model.ids import Incarnation, JobId, QueueId, TargetId, TaskId, TeamId
 from chicorycrank.policy.cell import Cell
 from chicorycrank.policy.decide import MAX_DECISIONS
+from chicorycrank.policy.interference import Interference
 
 # Cores are counted in millicores in this cell. Where the work of jobs is compared, an accelerator
 # counts as much as eight cores.
@@ -44,6 +45,7 @@
 
     :param now_s: monotonic time in seconds at the start of the term
     :ivar view_age_s: time in seconds since the view of the jobs was last confirmed by the store
+    :ivar avoids_interference: whether workloads that slow each other down are kept apart
     :ivar jobs_with_ends: jobs of which a run has ended since the last plan
     :ivar jobs_with_other_limits: jobs whose queue may allow fewer attempts than when their units
         last ended
@@ -67,6 +69,8 @@
         self.crashes = CrashTracker()
         self.failing_jobs = FailingJobs()
         self.performance = PerformanceRecords()
+        self.interference = Interference()
+        self.avoids_interference = True
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         # Jobs of which a run has ended since the last plan.
         self.jobs_with_ends: set[JobId] = set()
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from chicorycrank.batch.interference_records import workload_of
 from chicorycrank.batch.orders import MAX_ORDER_BYTES
 from chicorycrank.batch.speed_preference import choose_workers, update_speeds
 from chicorycrank.batch.units import NO_WORKER, UnitRef, unit_count
@@ -121,6 +122,7 @@
             pinned=step.long_running and step.max_unavailable > 0,
             can_wait=not step.long_running and waited_s < WAITABLE_SLACK_SHARE * slack_s,
             preferred=preferred,
+            workload=workload_of(job, ref.step),
         )
 
     def units_within_quota(self, planner: PlannerState) -> UnitsOfJobs:
--- a/src/chicorycrank/batch/rate_records.py
+++ b/src/chicorycrank/batch/rate_records.py
@@ -1,5 +1,6 @@
 """Recording of the rates that agents report, in the groups in which they can be compared."""
 
+from chicorycrank.batch.interference_records import relative_rate, update_interference
 from chicorycrank.batch.planner_state import PlannerState
 from chicorycrank.batch.speed_estimates import SPREAD_GANG_VARIANCE, STEP_VARIANCE
 from chicorycrank.batch.units import Member
@@ -23,7 +24,8 @@
 
 
 def update_speeds(state: PlannerState) -> None:
-    """Update the speeds of the workers, at most once a second."""
+    """Update the speeds of the workers, at most once a second, and the disturbing workloads."""
+    update_interference(state)
     if not state.performance.is_update_due(state.now_s):
         return
     for worker, known in state.workers.by_id.items():
@@ -44,7 +46,8 @@
     if unit.run != number or place.incarnation != report.incarnation:
         return
     group, variance = _group(state, member, unit, step, report.rack)
-    state.performance.record(group, worker, percent / 100, state.now_s, group_variance=variance)
+    rate = relative_rate(state, worker, member, report, percent / 100, (group, variance))
+    state.performance.record(group, worker, rate, state.now_s, group_variance=variance)
 
 
 def _group(
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -38,6 +38,7 @@
 from chicorycrank.batch.withdrawals import withdraw
 from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
 from chicorycrank.model.ids import JobId, TargetId
+from chicorycrank.policy.interference import FoundPair
 from chicorycrank.ports.advice import AdviceService
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.machines import MachineList
@@ -70,6 +71,7 @@
     :param worker_lost_timeout_s: time in seconds from the expiry of a worker's presence until its
         executor's lease has expired
     :param ended_job_retention_s: time for which the state of an ended job is kept, in seconds
+    :param avoids_interference: whether workloads that slow each other down are kept apart
     """
 
     advice: AdviceService
@@ -77,6 +79,7 @@
     checkpoint_s: float
     worker_lost_timeout_s: float
     ended_job_retention_s: float
+    avoids_interference: bool = True
 
 
 class Term:
@@ -114,6 +117,7 @@
             dependencies.machines, dependencies.worker_lost_timeout_s
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
+        self._planner.avoids_interference = dependencies.avoids_interference
         self._urgent_wait_log = UrgentWaitLog()
         self._performance_summary = PerformanceSummaryStore()
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
@@ -137,6 +141,10 @@
             self._report_replica.stop()
             self._advice_cache.stop()
 
+    def found_interference(self) -> tuple[FoundPair, ...]:
+        """Return the pairs of workloads that are kept apart; any thread may call it."""
+        return self._planner.interference.found
+
     def _raise_if_ended(self) -> None:
         if self._ended.is_set():
             raise RoleLostError("the lease of the leader role has expired")
@@ -173,7 +181,7 @@
         performance = self._read_until_answered(lambda: self._store.read(PERFORMANCE_KEY))
         self._set_time()
         self._performance_summary.load(
-            performance.value if performance else None, planner.performance, planner.now_s
+            performance.value if performance else None, planner, planner.now_s
         )
         with self._view.lock:
             self._view.pop_changed_keys()
@@ -232,7 +240,7 @@
             self._urgent_wait_log.update(self._planner)
         with self._timed_phase("write"):
             planner, deletes = self._planner, self._find_former_orders()
-            summary = self._performance_summary.due_values(planner.performance, planner.now_s)
+            summary = self._performance_summary.due_values(planner, planner.now_s)
             deletes += self._remove_expired_jobs()
             self._writer.write_changes(planner, deletes, summary)
             self._performance_summary.record_written(summary)
--- a/src/chicorycrank/model/ids.py
+++ b/src/chicorycrank/model/ids.py
@@ -29,3 +29,4 @@
 TaskId = NewType("TaskId", str)
 StepKey = NewType("StepKey", str)
 MachineId = NewType("MachineId", str)
+Workload = NewType("Workload", str)  # what the tasks of a step run
--- a/src/chicorycrank/platform/settings.py
+++ b/src/chicorycrank/platform/settings.py
@@ -47,6 +47,7 @@
     :param executor: address of the executor on this machine
     :param advice: address of the advice service; if it is empty, that of the store is used
     :param machines: address of the list of machines; if it is empty, that of the store is used
+    :param avoids_interference: whether workloads that slow each other down are kept apart
     :param metrics_port: port of the metrics, the first internal port; 0 if there is none
     """
 
@@ -63,6 +64,7 @@
     machines: str = ""
     heartbeat_s: float = 1.5
     metrics_port: int = 0
+    avoids_interference: bool = True
     bounds: Bounds = Bounds()
 
 
@@ -126,6 +128,7 @@
         machines=read_string("cloud.address"),
         heartbeat_s=_read_number(document, "heartbeatMs", 1500, findings) / 1000,
         metrics_port=ports[0] if isinstance(ports, list) and ports else 0,
+        avoids_interference=_read_flag(document, "avoidInterference", True, findings),
         bounds=_decode_bounds(document.get("bounds"), findings),
     )
     if findings:
@@ -143,6 +146,14 @@
     return Bounds(**values)
 
 
+def _read_flag(document: dict[str, Any], field: str, default: bool, findings: list[str]) -> bool:
+    value = document.get(field, default)
+    if not isinstance(value, bool):
+        findings.append(f"{field}: expected true or false, found {value!r}")
+        return default
+    return value
+
+
 def _read_number(
     document: dict[str, Any], field: str, default: float, findings: list[str]
 ) -> float:
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -8,7 +8,7 @@
 from msgspec import structs
 
 from chicorycrank.model.config import Guarantee, Team
-from chicorycrank.model.ids import GuaranteeId, JobId, TargetId, TeamId
+from chicorycrank.model.ids import GuaranteeId, JobId, TargetId, TeamId, Workload
 from chicorycrank.model.jobs import GangShape, WorkKind
 from chicorycrank.policy.cell_records import QueuedJob, Reservation, RunningJob, WorkerState
 from chicorycrank.policy.estimates import RunTimeEstimates
@@ -61,6 +61,8 @@
         self.speed_classes: Sequence[SpeedClass] = ()
         self.speed_by_worker: Mapping[TargetId, float] = {}
         self.slow_workers: frozenset[TargetId] = frozenset()
+        # By workload, those that it slows down or is slowed down by.
+        self.disturbing_workloads: Mapping[Workload, frozenset[Workload]] = {}
 
     def set_config(
         self, teams: dict[TeamId, Team], guarantees: dict[GuaranteeId, Guarantee]
--- a/src/chicorycrank/policy/cell_records.py
+++ b/src/chicorycrank/policy/cell_records.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 from math import inf
 
-from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId, ZoneId
+from chicorycrank.model.ids import JobId, RackId, TargetId, TeamId, Workload, ZoneId
 from chicorycrank.model.jobs import GangShape, MemberPlacement, WorkKind
 from chicorycrank.policy.placement import ANY_WORKER, PlacementRule
 from chicorycrank.policy.pool import WorkerMasks
 
+NO_WORKLOAD = Workload("")  # of jobs that are not told apart
 DEFAULT_EVICTION_LOSS_S = 30.0  # covers the checkpoint, the grace period and the next start
 
 
@@ -42,6 +43,7 @@
     :param can_wait: the job ends in time even if it starts later, so it may not use headroom
     :param preferred: sets of workers to try in order before all allowed workers; for an urgent job
         the last set contains the others, and work there is evicted before other workers are used
+    :param workload: what the job runs; jobs of one workload behave alike
     """
 
     job_id: JobId
@@ -59,6 +61,7 @@
     pinned: bool = False
     can_wait: bool = False
     preferred: tuple[frozenset[TargetId], ...] = ()
+    workload: Workload = NO_WORKLOAD
 
     @property
     def is_exempt_from_urgent(self) -> bool:
--- /dev/null
+++ b/src/chicorycrank/policy/interference.py
@@ -0,0 +1,243 @@
+"""Workloads that slow each other down on one worker, learned from the rates of their runs.
+
+Load that it answers: tasks that share a worker's memory bandwidth, caches or links and take up to
+twice as long beside each other, while other workers have room for one of them.
+"""
+
+import logging
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from chicorycrank.model.ids import Workload
+from chicorycrank.policy.slow_down_estimates import (
+    PairEstimate,
+    RunObservation,
+    estimate_pairs,
+)
+
+# Pairs that are kept; those with the least evidence are dropped first.
+MAX_PAIRS = 256
+MAX_WORKLOADS = 32
+# Observations of a workload are kept by their neighbourhood, so that many runs without a neighbour
+# do not push out the few runs beside it.
+MAX_NEIGHBOURHOODS = 16
+MAX_OBSERVATIONS = 16  # in each neighbourhood
+# Of a run, only the neighbours with the largest amounts count.
+MAX_NEIGHBOURS_OF_RUN = 4
+# A neighbour that uses this share of its worker counts in full, a smaller one in proportion. It is
+# one accelerator of eight.
+FULL_SHARE = 0.125
+DECAY_S = 180.0
+MAX_AGE_S = 3 * DECAY_S
+UPDATE_INTERVAL_S = 5.0
+TAKEOVER_WEIGHT = 0.7
+MAX_LOG_RATE = 3.0
+# A pair is found if its slow-down is at least this factor, and more than this number of standard
+# deviations above it. Many pairs are judged again and again, so a smaller number finds pairs in
+# noise.
+MIN_SLOW_DOWN = 1.1
+FOUND_DEVIATIONS = 2.5
+MIN_WORKERS = 3
+# A found pair is given up when its slow-down is no longer above none by one standard deviation.
+GONE_DEVIATIONS = 1.0
+GONE_SLOW_DOWN = 1.05
+
+Pair = tuple[Workload, Workload]  # a workload and the neighbour that slows it down
+
+logger = logging.getLogger("absl")
+
+
+@dataclass(slots=True, kw_only=True)
+class _WorkloadRecord:
+    """Observations of the runs of a workload by their neighbourhoods, the latest last."""
+
+    by_neighbourhood: dict[frozenset[Workload], deque[RunObservation]] = field(default_factory=dict)
+    observed_at_s: float = float("-inf")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FoundPair:
+    """Pair of workloads that are kept apart, for operators."""
+
+    workload: Workload
+    neighbour: Workload
+    slow_down: float
+    evidence: float
+    workers: int
+
+
+class Interference:
+    """Slow-down of each workload by each neighbour workload; times are monotonic, in seconds.
+
+    :ivar found: the confident pairs; replaced as a whole, so that other threads may read it
+    :ivar disturbing: workloads that a workload slows down or is slowed down by
+    """
+
+    def __init__(self) -> None:
+        self.found: tuple[FoundPair, ...] = ()
+        self.disturbing: Mapping[Workload, frozenset[Workload]] = {}
+        self._record_by_workload: dict[Workload, _WorkloadRecord] = {}
+        self._estimates: dict[Pair, PairEstimate] = {}
+        self._restored: dict[Pair, PairEstimate] = {}
+        self._restored_at_s = float("-inf")
+        self._found_pairs: set[Pair] = set()
+        self._updated_at_s = float("-inf")
+
+    def observe(self, workload: Workload, observation: RunObservation) -> None:
+        """Record the rate of a run; the estimates follow with the next :meth:`update`."""
+        amounts = observation.amounts
+        main = sorted(amounts, key=lambda name: (-amounts[name], name))[:MAX_NEIGHBOURS_OF_RUN]
+        limited = RunObservation(
+            worker=observation.worker,
+            group=observation.group,
+            group_variance=observation.group_variance,
+            log_rate=min(MAX_LOG_RATE, max(-MAX_LOG_RATE, observation.log_rate)),
+            amounts={neighbour: amounts[neighbour] for neighbour in main},
+            at_s=observation.at_s,
+        )
+        record = self._record_by_workload.setdefault(workload, _WorkloadRecord())
+        record.observed_at_s = observation.at_s
+        neighbourhood = frozenset(main)
+        observations = record.by_neighbourhood.pop(neighbourhood, deque(maxlen=MAX_OBSERVATIONS))
+        observations.append(limited)
+        record.by_neighbourhood[neighbourhood] = observations  # the latest is the last one
+        if len(record.by_neighbourhood) > MAX_NEIGHBOURHOODS:
+            del record.by_neighbourhood[next(iter(record.by_neighbourhood))]
+        if len(self._record_by_workload) > MAX_WORKLOADS:
+            records = self._record_by_workload
+            del records[min(records, key=lambda name: (records[name].observed_at_s, name))]
+
+    def log_slow_down(self, workload: Workload, amounts: Mapping[Workload, float]) -> float:
+        """Return the logarithm of the slow-down that found pairs lead to expect for a run."""
+        return sum(
+            amount * self._estimates[workload, neighbour].log_slow_down
+            for neighbour, amount in amounts.items()
+            if (workload, neighbour) in self._found_pairs
+        )
+
+    def update(self, now_s: float) -> bool:
+        """Update the estimates at most every five seconds; return whether they were updated."""
+        if now_s - self._updated_at_s < UPDATE_INTERVAL_S:
+            return False
+        self._updated_at_s = now_s
+        self._discard_old(now_s)
+        restored_weight = math.exp((self._restored_at_s - now_s) / DECAY_S)
+        estimates: dict[Pair, PairEstimate] = {}
+        for workload in self._record_by_workload.keys() | {pair[0] for pair in self._restored}:
+            record = self._record_by_workload.get(workload, _WorkloadRecord())
+            weighted = [
+                (observation, math.exp((observation.at_s - now_s) / DECAY_S))
+                for observations in record.by_neighbourhood.values()
+                for observation in observations
+            ]
+            priors = {
+                neighbour: _decayed(estimate, restored_weight)
+                for (name, neighbour), estimate in self._restored.items()
+                if name == workload
+            }
+            for neighbour, estimate in estimate_pairs(weighted, priors).items():
+                estimates[workload, neighbour] = estimate
+        kept = sorted(estimates, key=lambda pair: (-estimates[pair].evidence, pair))[:MAX_PAIRS]
+        self._estimates = {pair: estimates[pair] for pair in kept}
+        self._publish()
+        return True
+
+    def estimates(self) -> Mapping[Pair, PairEstimate]:
+        """Return all pairs, those with the most evidence first."""
+        return self._estimates
+
+    def is_found(self, pair: Pair) -> bool:
+        """Return whether a pair is kept apart."""
+        return pair in self._found_pairs
+
+    def restore(
+        self, estimates: Mapping[Pair, PairEstimate], found: Iterable[Pair], now_s: float
+    ) -> None:
+        """Go on with the estimates of an earlier leader, with less trust in them.
+
+        :param found: the pairs that the earlier leader kept apart
+        """
+        self._restored = dict(list(estimates.items())[:MAX_PAIRS])
+        self._restored = {
+            pair: _decayed(estimate, TAKEOVER_WEIGHT) for pair, estimate in self._restored.items()
+        }
+        self._restored_at_s = now_s
+        self._found_pairs = set(found) & self._restored.keys()
+        self._updated_at_s = float("-inf")
+        self.update(now_s)
+
+    def _discard_old(self, now_s: float) -> None:
+        for workload, record in list(self._record_by_workload.items()):
+            for neighbourhood, observations in list(record.by_neighbourhood.items()):
+                while observations and now_s - observations[0].at_s > MAX_AGE_S:
+                    observations.popleft()
+                if not observations:
+                    del record.by_neighbourhood[neighbourhood]
+            if not record.by_neighbourhood:
+                del self._record_by_workload[workload]
+        if now_s - self._restored_at_s > MAX_AGE_S:
+            self._restored = {}
+
+    def _publish(self) -> None:
+        """Derive the found pairs from the estimates, and log what has changed."""
+        former = self._found_pairs
+        self._found_pairs = {
+            pair
+            for pair, estimate in self._estimates.items()
+            if _is_confident(estimate, is_found=pair in former)
+        }
+        for pair in sorted(former ^ self._found_pairs):
+            estimate = self._estimates.get(pair, PairEstimate())
+            logger.info(
+                "event=%s workload=%s neighbour=%s slow_down=%.2f evidence=%.0f workers=%d",
+                "interference_found" if pair in self._found_pairs else "interference_gone",
+                *pair,
+                math.exp(estimate.log_slow_down),
+                estimate.evidence,
+                estimate.workers,
+            )
+        disturbing: dict[Workload, set[Workload]] = {}
+        for workload, neighbour in self._found_pairs:
+            disturbing.setdefault(workload, set()).add(neighbour)
+            disturbing.setdefault(neighbour, set()).add(workload)
+        self.disturbing = {name: frozenset(others) for name, others in disturbing.items()}
+        self.found = tuple(
+            FoundPair(
+                workload=pair[0],
+                neighbour=pair[1],
+                slow_down=round(math.exp(estimate.log_slow_down), 2),
+                evidence=round(estimate.evidence),
+                workers=estimate.workers,
+            )
+            for pair, estimate in self._estimates.items()
+            if pair in self._found_pairs
+        )
+
+
+def neighbour_amount(share: float) -> float:
+    """Return how much a neighbour counts that uses a share of its worker, 0 to 1."""
+    return min(1.0, share / FULL_SHARE)
+
+
+def _decayed(estimate: PairEstimate, weight: float) -> PairEstimate:
+    """Return an estimate with a part of its evidence; its mean moves towards the prior."""
+    decayed = PairEstimate(evidence=weight * estimate.evidence, workers=estimate.workers)
+    if not estimate.evidence:
+        return decayed
+    shrinkage = weight * (decayed.deviation / estimate.deviation) ** 2
+    return PairEstimate(
+        log_slow_down=estimate.log_slow_down * shrinkage,
+        evidence=decayed.evidence,
+        workers=estimate.workers,
+    )
+
+
+def _is_confident(estimate: PairEstimate, *, is_found: bool) -> bool:
+    slow_down, deviation = estimate.log_slow_down, estimate.deviation
+    if is_found:
+        return slow_down - GONE_DEVIATIONS * deviation > math.log(GONE_SLOW_DOWN)
+    return estimate.workers >= MIN_WORKERS and slow_down - FOUND_DEVIATIONS * deviation >= math.log(
+        MIN_SLOW_DOWN
+    )
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -56,6 +56,7 @@
         checkpoint_s=bounds.checkpoint_interval_s,
         worker_lost_timeout_s=lost_after_s(bounds.max_lease_s),
         ended_job_retention_s=bounds.status_retention_s,
+        avoids_interference=settings.avoids_interference,
     )
     # A replacement machine may have the name of the replaced one, but never its address.
     entry = EntryId(f"{settings.name}@{settings.host}")
@@ -97,6 +98,7 @@
             "confirmed_s_ago": replica_age_s,
             "leader": view.leader.entry if view.leader else None,
             "is_leader": leader.is_leading,
+            "interference": leader.found_interference(),
             "cancelled": sorted(view.cancelled),
             "states": dict(view.state_by_id),
         }
