--- a/src/chicorycrank/policy/interference.py
+++ b/src/chicorycrank/policy/interference.py
@@ -10,20 +10,21 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from chicorycrank.model.ids import Workload
+from chicorycrank.model.ids import TargetId, Workload
 from chicorycrank.policy.slow_down_estimates import (
     PairEstimate,
     RunObservation,
-    estimate_pairs,
+    fit_workload,
+    speed_errors_of,
 )
 
 # Pairs that are kept; those with the least evidence are dropped first.
 MAX_PAIRS = 256
-MAX_WORKLOADS = 32
+MAX_WORKLOADS = 16
 # Observations of a workload are kept by their neighbourhood, so that many runs without a neighbour
 # do not push out the few runs beside it.
 MAX_NEIGHBOURHOODS = 16
-MAX_OBSERVATIONS = 16  # in each neighbourhood
+MAX_OBSERVATIONS = 32  # in each neighbourhood
 # Of a run, only the neighbours with the largest amounts count.
 MAX_NEIGHBOURS_OF_RUN = 4
 # A neighbour that uses this share of its worker counts in full, a smaller one in proportion. It is
@@ -82,6 +83,7 @@
         self._estimates: dict[Pair, PairEstimate] = {}
         self._restored: dict[Pair, PairEstimate] = {}
         self._restored_at_s = float("-inf")
+        self._speed_errors: dict[TargetId, float] = {}
         self._found_pairs: set[Pair] = set()
         self._updated_at_s = float("-inf")
 
@@ -123,22 +125,7 @@
             return False
         self._updated_at_s = now_s
         self._discard_old(now_s)
-        restored_weight = math.exp((self._restored_at_s - now_s) / DECAY_S)
-        estimates: dict[Pair, PairEstimate] = {}
-        for workload in self._record_by_workload.keys() | {pair[0] for pair in self._restored}:
-            record = self._record_by_workload.get(workload, _WorkloadRecord())
-            weighted = [
-                (observation, math.exp((observation.at_s - now_s) / DECAY_S))
-                for observations in record.by_neighbourhood.values()
-                for observation in observations
-            ]
-            priors = {
-                neighbour: _decayed(estimate, restored_weight)
-                for (name, neighbour), estimate in self._restored.items()
-                if name == workload
-            }
-            for neighbour, estimate in estimate_pairs(weighted, priors).items():
-                estimates[workload, neighbour] = estimate
+        estimates = self._sweep(now_s)
         kept = sorted(estimates, key=lambda pair: (-estimates[pair].evidence, pair))[:MAX_PAIRS]
         self._estimates = {pair: estimates[pair] for pair in kept}
         self._publish()
@@ -168,6 +155,36 @@
         self._updated_at_s = float("-inf")
         self.update(now_s)
 
+    def _sweep(self, now_s: float) -> dict[Pair, PairEstimate]:
+        """Estimate the pairs from the errors of the speeds, then these errors from the pairs.
+
+        They depend on each other; each update goes on from the result of the former one.
+        """
+        restored_weight = math.exp((self._restored_at_s - now_s) / DECAY_S)
+        estimates: dict[Pair, PairEstimate] = {}
+        all_weighted: list[tuple[RunObservation, float]] = []
+        residuals: list[float] = []
+        for workload in sorted(
+            self._record_by_workload.keys() | {name for name, _ in self._restored}
+        ):
+            record = self._record_by_workload.get(workload, _WorkloadRecord())
+            weighted = [
+                (observation, math.exp((observation.at_s - now_s) / DECAY_S))
+                for observations in record.by_neighbourhood.values()
+                for observation in observations
+            ]
+            priors = {
+                neighbour: _decayed(estimate, restored_weight)
+                for (name, neighbour), estimate in self._restored.items()
+                if name == workload
+            }
+            fit = fit_workload(weighted, priors, self._speed_errors)
+            estimates |= {(workload, name): estimate for name, estimate in fit.pairs.items()}
+            all_weighted += weighted
+            residuals += fit.residuals
+        self._speed_errors = speed_errors_of(all_weighted, residuals)
+        return estimates
+
     def _discard_old(self, now_s: float) -> None:
         for workload, record in list(self._record_by_workload.items()):
             for neighbourhood, observations in list(record.by_neighbourhood.items()):
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -260,3 +260,19 @@
     with pytest.raises(SettingsError) as caught:
         decode_settings({**SETTINGS, **change})
     assert field in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"), [({}, True), ({"avoidInterference": False}, False)]
+)
+def test_keeping_workloads_apart_can_be_switched_off(
+    change: dict[str, object], expected: bool
+) -> None:
+    """Guards against a setting that is not read, or that older settings files lack."""
+    assert decode_settings({**SETTINGS, **change}).avoids_interference is expected
+
+
+def test_a_switch_has_to_be_a_truth_value() -> None:
+    """Guards against the text "false", which would count as true."""
+    with pytest.raises(SettingsError, match="avoidInterference"):
+        decode_settings({**SETTINGS, "avoidInterference": "false"})
