Keep observations by the groups in which runs are compared

Kept by neighbourhood alone, the runs without a neighbour that belonged to the groups of the runs beside it were dropped first, so that most comparisons were between steps, whose declared run times differ by up to two. Observations are now kept and dropped by groups, one for each run beside the same neighbours. New tests: slow workers that alone run both workloads, pairs that are always together, pairs on two workers, speeds learned beside a pair, and compactness of placements.

--- a/src/chicorycrank/batch/interference_records.py
+++ b/src/chicorycrank/batch/interference_records.py
@@ -61,6 +61,7 @@
             workload,
             RunObservation(
                 worker=worker,
+                run=f"{ref.key}.{member.place_index}/{state.run_number(member)}",
                 group=group[0],
                 group_variance=group[1],
                 log_rate=math.log(rate / state.performance.speed_of(worker)),
--- a/src/chicorycrank/policy/interference.py
+++ b/src/chicorycrank/policy/interference.py
@@ -6,11 +6,11 @@
 
 import logging
 import math
-from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 
 from chicorycrank.model.ids import TargetId, Workload
+from chicorycrank.policy.observation_window import ObservationWindow
 from chicorycrank.policy.slow_down_estimates import (
     PairEstimate,
     RunObservation,
@@ -21,10 +21,6 @@
 # Pairs that are kept; those with the least evidence are dropped first.
 MAX_PAIRS = 256
 MAX_WORKLOADS = 16
-# Observations of a workload are kept by their neighbourhood, so that many runs without a neighbour
-# do not push out the few runs beside it.
-MAX_NEIGHBOURHOODS = 16
-MAX_OBSERVATIONS = 32  # in each neighbourhood
 # Of a run, only the neighbours with the largest amounts count.
 MAX_NEIGHBOURS_OF_RUN = 4
 # A neighbour that uses this share of its worker counts in full, a smaller one in proportion. It is
@@ -50,14 +46,6 @@
 logger = logging.getLogger("absl")
 
 
-@dataclass(slots=True, kw_only=True)
-class _WorkloadRecord:
-    """Observations of the runs of a workload by their neighbourhoods, the latest last."""
-
-    by_neighbourhood: dict[frozenset[Workload], deque[RunObservation]] = field(default_factory=dict)
-    observed_at_s: float = float("-inf")
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FoundPair:
     """Pair of workloads that are kept apart, for operators."""
@@ -79,7 +67,7 @@
     def __init__(self) -> None:
         self.found: tuple[FoundPair, ...] = ()
         self.disturbing: Mapping[Workload, frozenset[Workload]] = {}
-        self._record_by_workload: dict[Workload, _WorkloadRecord] = {}
+        self._window_by_workload: dict[Workload, ObservationWindow] = {}
         self._estimates: dict[Pair, PairEstimate] = {}
         self._restored: dict[Pair, PairEstimate] = {}
         self._restored_at_s = float("-inf")
@@ -91,25 +79,15 @@
         """Record the rate of a run; the estimates follow with the next :meth:`update`."""
         amounts = observation.amounts
         main = sorted(amounts, key=lambda name: (-amounts[name], name))[:MAX_NEIGHBOURS_OF_RUN]
-        limited = RunObservation(
-            worker=observation.worker,
-            group=observation.group,
-            group_variance=observation.group_variance,
+        limited = replace(
+            observation,
             log_rate=min(MAX_LOG_RATE, max(-MAX_LOG_RATE, observation.log_rate)),
             amounts={neighbour: amounts[neighbour] for neighbour in main},
-            at_s=observation.at_s,
         )
-        record = self._record_by_workload.setdefault(workload, _WorkloadRecord())
-        record.observed_at_s = observation.at_s
-        neighbourhood = frozenset(main)
-        observations = record.by_neighbourhood.pop(neighbourhood, deque(maxlen=MAX_OBSERVATIONS))
-        observations.append(limited)
-        record.by_neighbourhood[neighbourhood] = observations  # the latest is the last one
-        if len(record.by_neighbourhood) > MAX_NEIGHBOURHOODS:
-            del record.by_neighbourhood[next(iter(record.by_neighbourhood))]
-        if len(self._record_by_workload) > MAX_WORKLOADS:
-            records = self._record_by_workload
-            del records[min(records, key=lambda name: (records[name].observed_at_s, name))]
+        self._window_by_workload.setdefault(workload, ObservationWindow()).add(limited)
+        if len(self._window_by_workload) > MAX_WORKLOADS:
+            windows = self._window_by_workload
+            del windows[min(windows, key=lambda name: (windows[name].observed_at_s, name))]
 
     def log_slow_down(self, workload: Workload, amounts: Mapping[Workload, float]) -> float:
         """Return the logarithm of the slow-down that found pairs lead to expect for a run."""
@@ -165,13 +143,11 @@
         all_weighted: list[tuple[RunObservation, float]] = []
         residuals: list[float] = []
         for workload in sorted(
-            self._record_by_workload.keys() | {name for name, _ in self._restored}
+            self._window_by_workload.keys() | {name for name, _ in self._restored}
         ):
-            record = self._record_by_workload.get(workload, _WorkloadRecord())
             weighted = [
                 (observation, math.exp((observation.at_s - now_s) / DECAY_S))
-                for observations in record.by_neighbourhood.values()
-                for observation in observations
+                for observation in self._window_by_workload.get(workload, ())
             ]
             priors = {
                 neighbour: _decayed(estimate, restored_weight)
@@ -186,14 +162,9 @@
         return estimates
 
     def _discard_old(self, now_s: float) -> None:
-        for workload, record in list(self._record_by_workload.items()):
-            for neighbourhood, observations in list(record.by_neighbourhood.items()):
-                while observations and now_s - observations[0].at_s > MAX_AGE_S:
-                    observations.popleft()
-                if not observations:
-                    del record.by_neighbourhood[neighbourhood]
-            if not record.by_neighbourhood:
-                del self._record_by_workload[workload]
+        for workload, window in list(self._window_by_workload.items()):
+            if window.discard_before(now_s - MAX_AGE_S):
+                del self._window_by_workload[workload]
         if now_s - self._restored_at_s > MAX_AGE_S:
             self._restored = {}
 
--- a/src/chicorycrank/policy/slow_down_estimates.py
+++ b/src/chicorycrank/policy/slow_down_estimates.py
@@ -37,6 +37,7 @@
 class RunObservation:
     """Rate of a run, and what ran beside it.
 
+    :param run: name of the run
     :param group: runs of one step, which have the same declared run time
     :param group_variance: variance of the logarithm of the rates that this group may have
     :param log_rate: logarithm of the rate, relative to the speed of the worker
@@ -45,6 +46,7 @@
     """
 
     worker: TargetId
+    run: str
     group: str
     group_variance: float
     log_rate: float
--- a/tests/batch/interference_world.py
+++ b/tests/batch/interference_world.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Any
 
 import msgspec
 from tests.batch.fakes import make_job, make_queue, make_report
@@ -16,6 +18,7 @@
 
 A, B, C = Workload("a"), Workload("b"), Workload("c")
 MUTUAL = {(A, B): 1.5, (B, A): 1.5}
+NOTHING: Mapping[Any, Any] = MappingProxyType({})
 BATCH = make_queue(priority=2, name="batch")
 ROUND_S = 4.0
 LABEL_SHARE = 0.5
@@ -108,18 +111,22 @@
         planner.plan()
 
     def run_round(
-        self, images: Sequence[str], choices: Mapping[TargetId, Sequence[str]] | None = None
+        self,
+        images: Sequence[str],
+        choices: Mapping[TargetId, Sequence[tuple[str, ...]]] = NOTHING,
+        factors: Mapping[str, float] = NOTHING,
     ) -> None:
         """Run one job of each image to its end, on workers that the job's label selects at random.
 
         A job has up to two tasks on each of its workers, so that it shares some of them.
 
-        :param choices: images of which each worker may run one; any of all images if None
+        :param choices: of some workers, the sets of images of which they run one
+        :param factors: of some images, the actual run time relative to the declared one
         """
         self.rounds += 1
         labels = {
-            worker: (self.choose.choice(choices[worker]),)
-            if choices is not None and worker in choices
+            worker: self.choose.choice(choices[worker])
+            if worker in choices
             else tuple(image for image in images if self.choose.random() < LABEL_SHARE)
             for worker in self.time_by_worker
         }
@@ -127,10 +134,14 @@
             self.planner.apply_report(worker, make_report(f"i-{worker}:1", labels=labels[worker]))
         for number, image in enumerate(images):
             count = 2 * sum(image in names for names in labels.values())
+            if not count:
+                continue
             step = msgspec.structs.replace(
                 TASK, count=count, image=image, label=image, max_per_worker=2
             )
-            self.submit(step, f"{self.rounds:08d}{number:08d}", self.choose.uniform(0.5, 2.0))
+            factor = self.choose.uniform(0.5, 2.0)
+            name = f"{self.rounds:08d}{number:08d}"
+            self.submit(step, name, factors.get(image, factor))
         for _ in range(PLANS_PER_ROUND):
             self.pass_time(0.05)
         self.pass_time(ROUND_S)
--- a/tests/batch/test_interference.py
+++ b/tests/batch/test_interference.py
@@ -1,8 +1,9 @@
 """Workloads that slow each other down, as the leader learns them from the rates of runs."""
 
 import logging
+import math
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import msgspec
 import pytest
@@ -32,6 +33,8 @@
 SLOW = WORKERS[::3]
 TIMES = {worker: 1.8 if worker in SLOW else 0.9 for worker in WORKERS}
 IMAGES = ["a", "b", "c"]
+ALONE = [("a",), ("b",), ("c",)]
+TOGETHER = [("a", "b")]
 SEEDS = range(4)
 
 
@@ -40,6 +43,29 @@
     return World(slow_downs=dict(slow_downs), **arguments)  # type: ignore[arg-type]
 
 
+def observe(
+    interference: Interference,
+    workload: str,
+    neighbours: Sequence[str],
+    *,
+    worker: TargetId = WORKERS[0],
+    log_rate: float = 0.0,
+    at_s: float = 1.0,
+) -> None:
+    interference.observe(
+        Workload(workload),
+        RunObservation(
+            worker=worker,
+            run=worker,
+            group=f"{workload}-{at_s}",
+            group_variance=0.16,
+            log_rate=log_rate,
+            amounts={Workload(neighbour): 1.0 for neighbour in neighbours},
+            at_s=at_s,
+        ),
+    )
+
+
 def found_pairs(world: World) -> set[Pair]:
     return {(pair.workload, pair.neighbour) for pair in world.planner.interference.found}
 
@@ -81,23 +107,75 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_slow_workers_are_not_taken_for_interference(seed: int) -> None:
     """Guards against a pair that looks slow, as only slow workers run both of them."""
-    world = make_world(seed, {})
-    alone = {worker: IMAGES for worker in WORKERS if worker not in SLOW}
+    world = make_world(seed, {}, time_by_worker={**TIMES, **dict.fromkeys(SLOW, 2.7)})
+    choices = {worker: TOGETHER if worker in SLOW else ALONE for worker in WORKERS}
     for _ in range(20):
-        world.run_round(IMAGES, alone)
+        world.run_round(IMAGES, choices)
         assert found_pairs(world) == set()
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_pair_that_is_always_together_is_not_found(seed: int) -> None:
+    """Guards against a workload declared too short that is put down to its only neighbour."""
+    world = make_world(seed, {})
+    for _ in range(15):
+        world.run_round(["a", "b"], dict.fromkeys(WORKERS, (("a", "b"),)), {"a": 2.0, "b": 2.0})
+        assert found_pairs(world) == set()
+
+
+@pytest.mark.parametrize(("count", "is_found"), [(2, False), (4, True)])
+def test_a_pair_has_to_be_seen_on_several_workers(count: int, is_found: bool) -> None:
+    """Guards against a fault of one worker that counts as interference."""
+    interference = Interference()
+    for number in range(20):
+        for index, worker in enumerate(WORKERS):
+            is_shared = index < count and number % 2 == 0
+            observe(
+                interference,
+                "a",
+                ["b"] if is_shared else [],
+                worker=worker,
+                log_rate=-0.5 if is_shared else 0.0,
+                at_s=float(number),
+            )
+    interference.update(20.0)
+    assert bool(interference.found) is is_found
+
+
+def test_a_speed_that_was_learned_beside_the_pair_hides_only_a_part_of_it() -> None:
+    """Guards against pairs that are not found, as their workers count as slow because of them.
+
+    The runs of another workload there show that the speed is too low by a factor of 1.25.
+    """
+    interference = Interference()
+    for number in range(20):
+        for worker in WORKERS:
+            is_shared = worker in SLOW
+            error = math.log(1.25) if is_shared else 0.0
+            observe(
+                interference,
+                "a",
+                ["b"] if is_shared else [],
+                worker=worker,
+                log_rate=error - math.log(1.6) * is_shared,
+                at_s=5.0 * number,
+            )
+            observe(interference, "c", [], worker=worker, log_rate=error, at_s=5.0 * number)
+        interference.update(5.0 * number)
+    (found,) = interference.found
+    assert found.slow_down > 1.4
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_worker_is_not_taken_for_slow_because_of_a_found_pair(seed: int) -> None:
     """Guards against gangs that avoid the workers on which the disturbing work happens to run."""
     shared = WORKERS[1]
-    alone = {worker: IMAGES for worker in WORKERS if worker not in (shared, *WORKERS[4:9])}
+    alone = {worker: ALONE for worker in WORKERS if worker not in (shared, *WORKERS[4:9])}
     with_pair, without_pair = make_world(seed), make_world(seed, {})
     for world in (with_pair, without_pair):
         run_rounds(world, 15)
         for _ in range(6):
-            world.run_round(["a", "b"], alone | {shared: ["a"]})
+            world.run_round(["a", "b"], alone | {shared: TOGETHER})
     speeds = [world.planner.performance.speed_of(shared) for world in (with_pair, without_pair)]
     assert speeds[0] == pytest.approx(speeds[1], rel=0.25)
 
@@ -152,30 +230,16 @@
 # Bounds, and what is observed.
 
 
-def observe(interference: Interference, workload: str, neighbour: str, at_s: float = 1.0) -> None:
-    interference.observe(
-        Workload(workload),
-        RunObservation(
-            worker=WORKERS[0],
-            group="g",
-            group_variance=0.16,
-            log_rate=0.0,
-            amounts={Workload(neighbour): 1.0},
-            at_s=at_s,
-        ),
-    )
-
-
 def test_pairs_are_bounded_and_those_with_the_least_evidence_are_dropped() -> None:
     """Guards against memory and a stored record that grow with the names of images."""
     interference = Interference()
     for round_number in range(3):
         for number in range(40):
             for other in range(40):
-                observe(interference, f"w{number}", f"n{other}", float(round_number))
+                observe(interference, f"w{number}", [f"n{other}"], at_s=float(round_number))
     interference.update(10.0)
     assert len(interference.estimates()) <= MAX_PAIRS
-    assert len(interference._record_by_workload) <= MAX_PAIRS
+    assert len(interference._window_by_workload) <= MAX_PAIRS
     strong = {
         (Workload(f"x{number}"), Workload("y")): PairEstimate(
             log_slow_down=0.1, evidence=float(number + 1), workers=3
@@ -194,17 +258,8 @@
     """Guards against one wrong report that keeps workloads apart."""
     interference = Interference()
     for worker in WORKERS[:4]:
-        interference.observe(
-            A,
-            RunObservation(
-                worker=worker,
-                group=f"g-{worker}",
-                group_variance=0.16,
-                log_rate=rate if worker == WORKERS[0] else 0.0,
-                amounts={B: 1.0},
-                at_s=1.0,
-            ),
-        )
+        log_rate = rate if worker == WORKERS[0] else 0.0
+        observe(interference, "a", ["b"], worker=worker, log_rate=log_rate)
     interference.update(10.0)
     assert interference.found == ()
 
--- a/tests/batch/test_interference_placement.py
+++ b/tests/batch/test_interference_placement.py
@@ -1,7 +1,7 @@
 """Placement of units apart from workloads that slow them down, where there is room."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 import pytest
@@ -14,6 +14,7 @@
 from chicorycrank.model.batch import Queue, Step
 from chicorycrank.model.ids import RackId, TargetId
 from chicorycrank.policy.interference import Pair
+from chicorycrank.policy.separation import find_separate_placement
 from chicorycrank.policy.slow_down_estimates import PairEstimate
 
 WORKERS = [TargetId(f"w{number}") for number in range(4)]
@@ -147,6 +148,57 @@
     assert not any(row[2] for rows in tasks_by_worker(planner).values() for row in rows)
 
 
+CELL_CASES = {
+    # By worker: rack, speed, free accelerators of 8, and what runs there.
+    "other-worker": ({"w0": ("r1", 1.0, 2, "a"), "w1": ("r1", 1.0, 2, "c")}, "w1"),
+    "slower": ({"w0": ("r1", 1.0, 2, "a"), "w1": ("r1", 0.5, 2, "c")}, "w0"),
+    "more-workers": (
+        {"w0": ("r1", 1.0, 2, "a"), "w1": ("r1", 1.0, 1, "c"), "w2": ("r1", 1.0, 1, "c")},
+        "w0",
+    ),
+    "other-rack": (
+        {
+            "w0": ("r1", 1.0, 1, "a"),
+            "w1": ("r1", 1.0, 1, "c"),
+            "w2": ("r2", 1.0, 1, "c"),
+            "w3": ("r2", 1.0, 1, "c"),
+        },
+        "w2 w3",
+    ),
+    "more-racks": (
+        {
+            "w0": ("r1", 1.0, 1, "a"),
+            "w1": ("r1", 1.0, 1, "c"),
+            "w2": ("r2", 1.0, 1, "c"),
+            "w3": ("r3", 1.0, 1, "c"),
+        },
+        "w0 w1",
+    ),
+}
+
+
+@pytest.mark.parametrize(("workers", "expected"), CELL_CASES.values(), ids=[*CELL_CASES])
+def test_a_placement_apart_is_as_good_in_all_other_respects(
+    workers: Mapping[str, tuple[str, float, int, str]], expected: str
+) -> None:
+    """Guards against gangs that are slower or less compact for the sake of separation."""
+    planner = make_planner([TargetId(worker) for worker in workers])
+    find(planner)
+    for worker, (rack, _, free, image) in workers.items():
+        report = make_report(f"i-{worker}:1", rack=RackId(rack), labels=(worker,))
+        planner.apply_report(TargetId(worker), report)
+        start(planner, worker[-1], step(image, accelerators=8 - free, label=worker))
+    cell = planner.cell
+    # Speeds that no class tells apart, as in the last attempt to place an urgent gang.
+    cell.speed_by_worker = {TargetId(worker): row[1] for worker, row in workers.items()}
+    gang = make_job([step("b", count=2, gang=True)], name="b" * 16, queue=GANGS)
+    planner.add_job(gang, None)
+    (ref,) = planner.waiting_units_of(gang.job_id)
+    job = planner.job_builder.make_queued_job(planner, ref)
+    placement = find_separate_placement(cell, job)
+    assert " ".join(sorted({worker for worker, _ in placement or ()})) == expected
+
+
 def decisions_of(seed: int, *, pairs: Sequence[Pair], uses_pairs: bool) -> list[object]:
     """Return where the units of a random course of jobs start."""
     world = World(time_by_worker=dict.fromkeys(WORKERS, 1.0), choose=random.Random(seed))
