Let two tests of interference fail if their rule is missing

Without the value of a workload, or without the least number of workers, all tests still passed. A pair that is always together now runs one task of each on a worker, and the slow-down on two workers is large enough to be found by its size alone. Found by changing the code.

--- a/tests/batch/interference_world.py
+++ b/tests/batch/interference_world.py
@@ -115,13 +115,15 @@
         images: Sequence[str],
         choices: Mapping[TargetId, Sequence[tuple[str, ...]]] = NOTHING,
         factors: Mapping[str, float] = NOTHING,
+        per_worker: int = 2,
     ) -> None:
         """Run one job of each image to its end, on workers that the job's label selects at random.
 
-        A job has up to two tasks on each of its workers, so that it shares some of them.
+        A job shares some of its workers.
 
         :param choices: of some workers, the sets of images of which they run one
         :param factors: of some images, the actual run time relative to the declared one
+        :param per_worker: tasks of a job on each of its workers
         """
         self.rounds += 1
         labels = {
@@ -133,11 +135,11 @@
         for worker in self.time_by_worker:
             self.planner.apply_report(worker, make_report(f"i-{worker}:1", labels=labels[worker]))
         for number, image in enumerate(images):
-            count = 2 * sum(image in names for names in labels.values())
+            count = per_worker * sum(image in names for names in labels.values())
             if not count:
                 continue
             step = msgspec.structs.replace(
-                TASK, count=count, image=image, label=image, max_per_worker=2
+                TASK, count=count, image=image, label=image, max_per_worker=per_worker
             )
             factor = self.choose.uniform(0.5, 2.0)
             name = f"{self.rounds:08d}{number:08d}"
--- a/tests/batch/test_interference.py
+++ b/tests/batch/test_interference.py
@@ -119,7 +119,8 @@
     """Guards against a workload declared too short that is put down to its only neighbour."""
     world = make_world(seed, {})
     for _ in range(15):
-        world.run_round(["a", "b"], dict.fromkeys(WORKERS, (("a", "b"),)), {"a": 2.0, "b": 2.0})
+        choices = dict.fromkeys(WORKERS, (("a", "b"),))
+        world.run_round(["a", "b"], choices, {"a": 2.0, "b": 2.0}, per_worker=1)
         assert found_pairs(world) == set()
 
 
@@ -135,7 +136,7 @@
                 "a",
                 ["b"] if is_shared else [],
                 worker=worker,
-                log_rate=-0.5 if is_shared else 0.0,
+                log_rate=-0.8 if is_shared else 0.0,
                 at_s=float(number),
             )
     interference.update(20.0)
