--- a/src/chicorycrank/model/batch.py
+++ b/src/chicorycrank/model/batch.py
@@ -32,7 +32,7 @@
     :param max_per_worker: maximum number of tasks of the step on one worker; 0 for no limit
     :param checkpointing: the tasks save checkpoints and can resume from them
     :param speculative: stored with the job but not used
-    :param image: stored with the job but not used
+    :param image: what the tasks run; tasks of one image slow others down alike
     :param long_running: the tasks run until the job is cancelled
     :param target_latency_s: upper bound of the tail latency in seconds if the tasks serve users,
         otherwise 0
