--- a/tests/batch/leader_harness.py
+++ b/tests/batch/leader_harness.py
@@ -60,6 +60,7 @@
     """A leader, another entry and a worker over one store."""
 
     def __init__(self) -> None:
+        self.avoids_interference = True
         self.clock = ManualClock()
         self.store = MemoryStore()
         values = {
@@ -84,6 +85,7 @@
             checkpoint_s=1.0,
             worker_lost_timeout_s=LOST_AFTER_S,
             ended_job_retention_s=RETENTION_S,
+            avoids_interference=self.avoids_interference,
         )
         self.term = Term(
             self.store,
--- a/tests/batch/test_interference_summary.py
+++ b/tests/batch/test_interference_summary.py
@@ -99,8 +99,9 @@
     harness.store.apply(Write(values={PERFORMANCE_KEY: encode(PerformanceSummary(pairs=KNOWN))}))
     harness.take_over()
     assert len(harness.term.found_interference()) == 1
-    planner = harness.term._planner
-    planner.avoids_interference = False
+    harness.avoids_interference = False
+    harness.take_over()
+    assert harness.term.found_interference() == ()
     learn(harness, steps=8)
     assert (
         decode(summary_writes(harness)[-1].values[PERFORMANCE_KEY], PerformanceSummary).pairs == {}
