--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -43,6 +43,7 @@
 )
 IS_LEADER = Gauge("chicorycrank_is_leader", "1 while this entry has the leader role")
 CONFIG_VERSION = Gauge("chicorycrank_config_version", "Version of the configuration in force")
+EVACUATED_ZONES = Gauge("chicorycrank_evacuated_zones", "Zones that the operator has evacuated")
 EXECUTORS_ENDED = Counter(
     "chicorycrank_executors_ended", "Ends of incarnations of an agent's executor", ["how"]
 )
@@ -66,6 +67,17 @@
 )
 RUNS_STALLED = Counter("chicorycrank_runs_stalled", "Runs that an agent has found without progress")
 RATES_REPORTED = Counter("chicorycrank_rates_reported", "Rates of runs that an agent has reported")
+ADMISSIONS = Counter(
+    "chicorycrank_admissions", "Decisions on new jobs while a load summary is in force", ["verdict"]
+)
+LOAD_SUMMARIES = Counter(
+    "chicorycrank_load_summaries", "Load summaries published or removed by this leader", ["change"]
+)
+LOAD_WAIT = Gauge(
+    "chicorycrank_load_wait_seconds",
+    "Work that waits, by the time that the whole fleet needs for it",
+    ["priority"],
+)
 LOG_LINES_DROPPED = Gauge("chicorycrank_log_lines_dropped", "Log lines dropped so far")
 
 
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from chicorycrank.batch.advice import AdviceCache
+from chicorycrank.batch.cold_workers import ColdBounds
+from chicorycrank.batch.evacuations import Evacuations
 from chicorycrank.batch.keys import (
     PERFORMANCE_KEY,
     PRESENCE_PREFIX,
@@ -24,6 +26,8 @@
     state_key,
 )
 from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
+from chicorycrank.batch.load_summary import LoadPublisher
+from chicorycrank.batch.load_view import LoadView
 from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
 from chicorycrank.batch.performance_summary import PerformanceSummaryStore
 from chicorycrank.batch.phase_timer import timed_phase
@@ -72,6 +76,8 @@
         executor's lease has expired
     :param ended_job_retention_s: time for which the state of an ended job is kept, in seconds
     :param avoids_interference: whether workloads that slow each other down are kept apart
+    :param cold_bounds: limits of cold workers; None for no limit
+    :param load_view: this entry's view of the load summary; None if none is to be published
     """
 
     advice: AdviceService
@@ -80,6 +86,8 @@
     worker_lost_timeout_s: float
     ended_job_retention_s: float
     avoids_interference: bool = True
+    cold_bounds: ColdBounds | None = None
+    load_view: LoadView | None = None
 
 
 class Term:
@@ -120,7 +128,10 @@
         self._planner.avoids_interference = dependencies.avoids_interference
         self._urgent_wait_log = UrgentWaitLog()
         self._performance_summary = PerformanceSummaryStore()
+        self._evacuations = Evacuations(dependencies.cold_bounds, replica.refresh)
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
+        load_view = dependencies.load_view
+        self._load_publisher = LoadPublisher(load_view, self._writer.write) if load_view else None
 
     def serve(self) -> None:
         """Plan until the role is lost or the process stops.
@@ -232,10 +243,12 @@
                 self._apply_changes()
             for item in reports:
                 self._apply_report_item(item)
+            self._evacuations.learn(self._planner, self._view)
             self._reassign_lost_work()
             withdraw(self._planner, self._write_conditionally)
             self._advice_cache.update(self._planner)
         with self._timed_phase("plan"):
+            self._evacuations.limit_runs(self._planner)
             self._planner.plan()
             self._urgent_wait_log.update(self._planner)
         with self._timed_phase("write"):
@@ -244,6 +257,8 @@
             deletes += self._remove_expired_jobs()
             self._writer.write_changes(planner, deletes, summary)
             self._performance_summary.record_written(summary)
+            if self._load_publisher is not None:
+                self._load_publisher.update(planner)
 
     def _timed_phase(self, name: str) -> AbstractContextManager[None]:
         return timed_phase(self._clock, name, len(self._planner.active_jobs))
@@ -260,9 +275,10 @@
         return is_written
 
     def _apply_changes(self) -> None:
-        """Apply new jobs, cancellations and the configuration."""
+        """Apply new jobs, cancellations, evacuations and the configuration."""
         self._view.pop_changed_keys()
         self._apply_config()
+        self._evacuations.apply(self._planner, self._view.evacuated_zones)
         add_jobs(self._planner, self._view, self._stored_progress)
         cancel_jobs(self._planner, self._view.cancelled)
 
