--- a/src/chicorycrank/platform/settings.py
+++ b/src/chicorycrank/platform/settings.py
@@ -54,6 +54,7 @@
     :param executor: address of the executor on this machine
     :param advice: address of the advice service; if it is empty, that of the store is used
     :param machines: address of the list of machines; if it is empty, that of the store is used
+    :param avoids_interference: whether workloads that slow each other down are kept apart
     :param metrics_port: port of the metrics, the first internal port; 0 if there is none
     :param admission_control: whether entries refuse jobs that cannot end in time
     """
@@ -71,6 +72,7 @@
     machines: str = ""
     heartbeat_s: float = 1.5
     metrics_port: int = 0
+    avoids_interference: bool = True
     admission_control: bool = True
     bounds: Bounds = Bounds()
 
@@ -138,6 +140,7 @@
         machines=read_string("cloud.address"),
         heartbeat_s=_read_number(document, "heartbeatMs", 1500, findings) / 1000,
         metrics_port=ports[0] if isinstance(ports, list) and ports else 0,
+        avoids_interference=_read_flag(document, "avoidInterference", True, findings),
         admission_control=_read_flag(document, "admissionControl", True, findings),
         bounds=_decode_bounds(document.get("bounds"), findings),
     )
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -67,6 +67,7 @@
         checkpoint_s=bounds.checkpoint_interval_s,
         worker_lost_timeout_s=lost_after_s(bounds.max_lease_s),
         ended_job_retention_s=bounds.status_retention_s,
+        avoids_interference=settings.avoids_interference,
         cold_bounds=cold_bounds(bounds),
         load_view=load_view if settings.admission_control else None,
     )
@@ -118,6 +119,7 @@
             "confirmed_s_ago": replica_age_s,
             "leader": view.leader.entry if view.leader else None,
             "is_leader": leader.is_leading,
+            "interference": leader.found_interference(),
             "load": received.summary if received else None,
             "cancelled": sorted(view.cancelled),
             "evacuated_zones": sorted(view.evacuated_zones),
