Move the conclusions from records of crashes into a module of their own

Change: CrashConclusions has the ledger, the records and what follows from them; CrashTracker has their changes and the test runs. Measured: the tests of crashes pass.

--- a/src/chicorycrank/batch/crash_tracker.py
+++ b/src/chicorycrank/batch/crash_tracker.py
@@ -13,28 +13,24 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Collection, Iterator
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from chicorycrank.batch.crash_conclusions import CrashConclusions
 from chicorycrank.batch.crash_records import (
     START_WINDOW_MS,
     CrashedRun,
-    is_proven,
     max_crashes_of_a_task,
     select_suspects,
     select_uncertain,
-    task_name,
     waits_for_proof,
     workers_with_starts,
 )
-from chicorycrank.batch.crash_verdict import MAX_CRASHES, describe_evidence, find_guilty_member
 from chicorycrank.batch.metrics import EXECUTOR_CRASHES
 from chicorycrank.batch.units import UnitRef, parse_unit_key
 from chicorycrank.model.batch import BatchState, Crash, Progress, TaskEnd, Unit
 from chicorycrank.model.ids import Incarnation, JobId, TargetId
-from chicorycrank.policy.crashes import OUTAGE_WINDOW_MS, CrashLedger
 
 if TYPE_CHECKING:
     from chicorycrank.batch.planner_state import PlannerState
@@ -49,30 +45,25 @@
 logger = logging.getLogger("absl")
 
 
-class CrashTracker:
+class CrashTracker(CrashConclusions):
     """Crashes of executors under the units of a planner.
 
-    :ivar ledger: explanations of the crashes
     :ivar tests_by_unit: run numbers of the units that run as a test
     """
 
     def __init__(self) -> None:
-        self.ledger = CrashLedger()
+        super().__init__()
         self.tests_by_unit: dict[JobId, int] = {}
-        self._units_by_job: dict[JobId, dict[str, Unit]] = {}  # units with records of crashes
         self._crashed_runs: dict[Incarnation, list[CrashedRun]] = {}
-        # Conclusions on jobs, which each plan asks for once per waiting unit.
-        self._guilty_by_job: dict[tuple[JobId, bool], tuple[str, Collection[Crash]] | None] = {}
-        self._attributed_by_job: dict[JobId, list[Crash]] = {}
 
     # Records.
 
     def restore(self, job_id: JobId, progress: Progress) -> None:
         """Restore the crashes in the record of a job after a takeover."""
-        self._discard_conclusions()
+        self.discard_conclusions()
         for key, unit in progress.units.items():
             for crash in unit.crashes:
-                self._units_by_job.setdefault(job_id, {})[key] = unit
+                self.units_by_job.setdefault(job_id, {})[key] = unit
                 self.ledger.record(
                     crash.incarnation,
                     crash.worker,
@@ -99,7 +90,7 @@
 
     def record_crashes(self, planner: PlannerState, worker: TargetId) -> None:
         """Record the crashes of a worker's executor whose runs were added."""
-        self._discard_conclusions()
+        self.discard_conclusions()
         crashed_runs, self._crashed_runs = self._crashed_runs, {}
         for incarnation, runs in crashed_runs.items():
             self._clear_outlived(planner, runs)
@@ -158,9 +149,9 @@
         """Remove the crash of an incarnation that has answered since."""
         if not self.ledger.discard(incarnation):
             return
-        self._discard_conclusions()
+        self.discard_conclusions()
         logger.info("event=crash_refuted incarnation=%s", incarnation)
-        for job_id, units in list(self._units_by_job.items()):
+        for job_id, units in list(self.units_by_job.items()):
             for key, unit in list(units.items()):
                 ref = parse_unit_key(job_id, key)
                 for crash in [c for c in unit.crashes if c.incarnation == incarnation]:
@@ -230,8 +221,8 @@
 
     def forget_job(self, job_id: JobId) -> None:
         """Forget a job whose record is removed."""
-        self._discard_conclusions()
-        for unit in self._units_by_job.pop(job_id, {}).values():
+        self.discard_conclusions()
+        for unit in self.units_by_job.pop(job_id, {}).values():
             for crash in unit.crashes:
                 self.ledger.clear(crash.incarnation, job_id)
 
@@ -240,10 +231,10 @@
 
         Their units keep the crashes, which their starts may have caused too.
         """
-        self._discard_conclusions()
+        self.discard_conclusions()
         for incarnation, other in self.ledger.blame(job_id):
             planner.changes.jobs.add(other)
-            for unit in self._units_by_job.get(other, {}).values():
+            for unit in self.units_by_job.get(other, {}).values():
                 unit.crashes = [
                     msgspec.structs.replace(crash, is_explained=True)
                     if crash.incarnation == incarnation
@@ -265,19 +256,19 @@
                 )
         others = [known for known in unit.crashes if known.incarnation != crash.incarnation]
         unit.crashes = [*others, crash]
-        self._discard_conclusions()
-        self._units_by_job.setdefault(ref.job_id, {})[ref.key] = unit
+        self.discard_conclusions()
+        self.units_by_job.setdefault(ref.job_id, {})[ref.key] = unit
         planner.changes.jobs.add(ref.job_id)
 
     def _remove_crash(self, planner: PlannerState, ref: UnitRef, unit: Unit, crash: Crash) -> None:
         unit.crashes = [other for other in unit.crashes if other != crash]
-        self._discard_conclusions()
+        self.discard_conclusions()
         planner.changes.jobs.add(ref.job_id)
-        units = self._units_by_job.get(ref.job_id, {})
+        units = self.units_by_job.get(ref.job_id, {})
         if not unit.crashes:
             units.pop(ref.key, None)
             if not units:
-                self._units_by_job.pop(ref.job_id, None)
+                self.units_by_job.pop(ref.job_id, None)
         if not any(
             other.incarnation == crash.incarnation
             for other_unit in units.values()
@@ -292,28 +283,28 @@
         started = tuple(other for other in crash.started if other != member)
         kept = msgspec.structs.replace(crash, members=others, started=started)
         unit.crashes = [kept if known == crash else known for known in unit.crashes]
-        self._discard_conclusions()
+        self.discard_conclusions()
         planner.changes.jobs.add(ref.job_id)
 
     # Test runs.
 
     def needs_test(self, planner: PlannerState, ref: UnitRef, unit: Unit | None) -> bool:
         """Return whether the next run of a unit has to be a test."""
-        if ref.job_id not in self._units_by_job:
+        if ref.job_id not in self.units_by_job:
             return False
         crashes = [] if unit is None else unit.crashes
         crashes = [crash for crash in crashes if not (crash.is_outage or crash.is_explained)]
         return (
             len(crashes) > 1
             or any(crash.age_ms < START_WINDOW_MS for crash in crashes)
-            or bool(self._attributed_crashes(planner, ref.job_id))
+            or bool(self.attributed_crashes(planner, ref.job_id))
         )
 
     def probation_ms(self, ref: UnitRef, unit: Unit) -> int:
         """Return how long a run has to last until its unit is cleared; 0 for no unit in doubt."""
         if not unit.crashes and ref.name not in self.tests_by_unit:
             return 0
-        units = [unit] if unit.crashes else self._units_by_job.get(ref.job_id, {}).values()
+        units = [unit] if unit.crashes else self.units_by_job.get(ref.job_id, {}).values()
         ages_ms = [crash.age_ms for other in units for crash in other.crashes]
         return max(ages_ms, default=0) + CLEARANCE_MARGIN_MS
 
@@ -341,15 +332,15 @@
         A job that awaits its verdict starts nothing, and one that probably crashes its executors
         starts one unit at a time.
         """
-        if ref.job_id not in self._units_by_job:
+        if ref.job_id not in self.units_by_job:
             return False
-        if self._guilty_task(planner, ref.job_id) is not None:
+        if self.guilty_task(planner, ref.job_id) is not None:
             return True
-        accused = self._guilty_task(planner, ref.job_id, needs_proof=False)
+        accused = self.guilty_task(planner, ref.job_id, needs_proof=False)
         if accused is not None and waits_for_proof(planner, accused[1]):
             return True
         is_job_in_test = any(name.startswith(f"{ref.job_id}.") for name in self.tests_by_unit)
-        return is_job_in_test and bool(self._attributed_crashes(planner, ref.job_id))
+        return is_job_in_test and bool(self.attributed_crashes(planner, ref.job_id))
 
     def select_workers(
         self, planner: PlannerState, ref: UnitRef, unit: Unit | None, workers: frozenset[TargetId]
@@ -358,7 +349,7 @@
 
         :param workers: suitable workers
         """
-        if ref.job_id not in self._units_by_job:
+        if ref.job_id not in self.units_by_job:
             return workers
         unit = unit or Unit()
         step = planner.step_of(ref)
@@ -374,88 +365,10 @@
             preferred.insert(0, candidates - busy)
         return next((chosen for chosen in preferred if len(chosen) >= needed), candidates)
 
-    # Verdict.
-
-    def find_culprits(self, planner: PlannerState) -> Iterator[tuple[JobId, str]]:
-        """Yield the active jobs that are given up, each with the reason for its callers."""
-        self.ledger.forget(planner.now_ms)
-        self._discard_conclusions()
-        for job_id in list(self._units_by_job):
-            if job_id not in planner.active_jobs:
-                continue
-            guilty = self._guilty_task(planner, job_id)
-            if guilty is None:
-                continue
-            name, crashes = guilty
-            newest_ms = max(crash.at_ms for crash in crashes)
-            # Crashes of other workers may still be reported, which would make it an outage.
-            age_ms = abs(planner.now_ms - newest_ms)  # clocks of leaders differ
-            if age_ms >= OUTAGE_WINDOW_MS or len(crashes) >= MAX_CRASHES:
-                workers = ",".join(crash.worker for crash in crashes)
-                logger.warning(
-                    "event=job_given_up job=%s task=%s crashes=%s",
-                    job_id,
-                    name,
-                    ",".join(
-                        describe_evidence(
-                            crash,
-                            is_attributed=self._is_attributed(planner, crash, job_id),
-                            is_proven=is_proven(planner, crash),
-                        )
-                        for crash in crashes
-                    ),
-                )
-                yield job_id, f"task {name} crashed {len(crashes)} executors: {workers}"
-
     def explain_restored(self, planner: PlannerState) -> None:
         """Clear the jobs whose crashes are explained by jobs that an earlier leader gave up."""
-        for job_id in list(self._units_by_job):
+        for job_id in list(self.units_by_job):
             is_failed = planner.progress_by_id[job_id].state is BatchState.FAILED
-            accused = self._guilty_task(planner, job_id, needs_proof=False)
+            accused = self.guilty_task(planner, job_id, needs_proof=False)
             if is_failed and accused is not None:
                 self.clear_others(planner, job_id)
-
-    def _discard_conclusions(self) -> None:
-        self._guilty_by_job.clear()
-        self._attributed_by_job.clear()
-
-    def _guilty_task(
-        self, planner: PlannerState, job_id: JobId, *, needs_proof: bool = True
-    ) -> tuple[str, Collection[Crash]] | None:
-        key = job_id, needs_proof
-        if key not in self._guilty_by_job:
-            self._guilty_by_job[key] = self._find_guilty_task(planner, job_id, needs_proof)
-        return self._guilty_by_job[key]
-
-    def _find_guilty_task(
-        self, planner: PlannerState, job_id: JobId, needs_proof: bool
-    ) -> tuple[str, Collection[Crash]] | None:
-        """Return a task that is to be given up and the crashes that speak against it.
-
-        :param needs_proof: only crashes that are proven are attributed to the job
-        """
-
-        def is_attributed(crash: Crash) -> bool:
-            return self._is_attributed(planner, crash, job_id) and (
-                not needs_proof or is_proven(planner, crash)
-            )
-
-        for key, unit in self._units_by_job.get(job_id, {}).items():
-            guilty = find_guilty_member(unit, is_attributed)
-            if guilty is not None:
-                member, crashes = guilty
-                return task_name(parse_unit_key(job_id, key), member), crashes
-        return None
-
-    def _attributed_crashes(self, planner: PlannerState, job_id: JobId) -> list[Crash]:
-        if job_id not in self._attributed_by_job:
-            self._attributed_by_job[job_id] = [
-                crash
-                for unit in self._units_by_job.get(job_id, {}).values()
-                for crash in unit.crashes
-                if self._is_attributed(planner, crash, job_id)
-            ]
-        return self._attributed_by_job[job_id]
-
-    def _is_attributed(self, planner: PlannerState, crash: Crash, job_id: JobId) -> bool:
-        return self.ledger.is_attributed(crash.incarnation, job_id, len(planner.workers.by_id))
