Pack small batch tasks on few workers and racks; log classes and reservations

Cause: single-accelerator tasks that end at random were spread over the fleet and kept whole workers and racks from becoming free for gangs.

--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -41,6 +41,12 @@
 PLAN_SECONDS = Histogram(
     "chicorycrank_plan_seconds", "Time of a phase of a plan", ["phase"], buckets=CALL_BUCKETS_S
 )
+SLOW_WORKERS = Gauge(
+    "chicorycrank_slow_workers", "Workers that urgent jobs use last, as they are slower"
+)
+STANDING_RESERVATIONS = Gauge(
+    "chicorycrank_standing_reservations", "Late urgent units that hold reserved accelerators"
+)
 IS_LEADER = Gauge("chicorycrank_is_leader", "1 while this entry has the leader role")
 CONFIG_VERSION = Gauge("chicorycrank_config_version", "Version of the configuration in force")
 EXECUTORS_ENDED = Counter(
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -92,10 +92,11 @@
         waited_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
         shape = self._gang_shape(planner, step)
         run_time_s = LONG_RUNNING_RUN_TIME_S if step.long_running else step.run_time_s
+        kind = _job_kind(queue, step)
         preferred, rule = choose_workers(
             planner,
             ref,
-            _job_kind(queue, step),
+            kind,
             self._placement_rule(planner, ref, step, queue, waited_s),
             partial(self.can_hold, planner, ref),
         )
@@ -121,6 +122,7 @@
             pinned=step.long_running and step.max_unavailable > 0,
             can_wait=not step.long_running and waited_s < WAITABLE_SLACK_SHARE * slack_s,
             preferred=preferred,
+            packs=kind is JobKind.BATCH and step.accelerators == 1 and not step.long_running,
         )
 
     def units_within_quota(self, planner: PlannerState) -> UnitsOfJobs:
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -25,6 +25,7 @@
 from chicorycrank.batch.known_jobs import add_jobs, cancel_jobs
 from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
 from chicorycrank.batch.phase_timer import timed_phase
+from chicorycrank.batch.placement_log import PlacementLog
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.batch.record_writer import COMMIT_RETRY_S, RecordWriter
@@ -113,6 +114,7 @@
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
         self._urgent_wait_log = UrgentWaitLog()
+        self._placement_log = PlacementLog()
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
 
     def serve(self) -> None:
@@ -223,6 +225,7 @@
         with self._timed_phase("plan"):
             self._planner.plan()
             self._urgent_wait_log.update(self._planner)
+            self._placement_log.update(self._planner)
         with self._timed_phase("write"):
             self._writer.write_changes(
                 self._planner, [*self._find_former_orders(), *self._remove_expired_jobs()]
--- a/src/chicorycrank/policy/cell.py
+++ b/src/chicorycrank/policy/cell.py
@@ -45,6 +45,8 @@
         self.reclaimable = Pool()
         self.guarantee_placements = GuaranteePlacements()
         self.reservations_by_id: dict[JobId, Reservation] = {}
+        # Those of the reservations that late urgent jobs keep until they start.
+        self.standing_by_id: dict[JobId, Reservation] = {}
         self.waiting_for_evictions: set[JobId] = set()  # jobs for which others were evicted
         self.borrowed: dict[JobId, None] = {}  # in start order
         self.demoted: dict[JobId, None] = {}  # guaranteed jobs that no instance covers any more
--- a/src/chicorycrank/policy/cell_records.py
+++ b/src/chicorycrank/policy/cell_records.py
@@ -42,6 +42,7 @@
     :param can_wait: the job ends in time even if it starts later, so it may not use headroom
     :param preferred: sets of workers to try in order before all allowed workers; for an urgent job
         the last set contains the others, and work there is evicted before other workers are used
+    :param packs: the job has one member and goes to workers and racks that are already in use
     """
 
     job_id: JobId
@@ -59,6 +60,7 @@
     pinned: bool = False
     can_wait: bool = False
     preferred: tuple[frozenset[TargetId], ...] = ()
+    packs: bool = False
 
     @property
     def is_late_urgent(self) -> bool:
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -89,6 +89,7 @@
         # earlier reservations then stay.
         if not reservations and self.has_reached_decision_limit():
             reservations = list(self.cell.reservations_by_id.values())
+        self.cell.standing_by_id = {reservation.job_id: reservation for reservation in standing}
         self.cell.reservations_by_id = {
             reservation.job_id: reservation for reservation in [*reservations, *standing]
         }
--- a/src/chicorycrank/policy/headroom.py
+++ b/src/chicorycrank/policy/headroom.py
@@ -1,12 +1,10 @@
 """Headroom: empty workers kept for future urgent jobs while other work can still wait."""
 
-from functools import partial
-
 from chicorycrank.model.ids import TargetId
 from chicorycrank.model.jobs import GangShape
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.placement import find_preferred_placement
 from chicorycrank.policy.pool import WorkerMasks, members_that_fit
+from chicorycrank.policy.preferred_placement import find_preferred_placement
 from chicorycrank.policy.withheld_capacity import WithheldCapacity
 
 
@@ -35,13 +33,10 @@
 
         If headroom was used, the caller calls ``withhold`` again after the start of the job.
         """
-        search = partial(
-            find_preferred_placement, self._cell.free, job.shape, job.rule, job.preferred
-        )
         if not self._withheld or job.can_wait:
-            return search()
+            return find_preferred_placement(self._cell.free, job)
         self.release()
-        worker_masks = search()
+        worker_masks = find_preferred_placement(self._cell.free, job)
         if worker_masks is None:
             self.withhold()
         return worker_masks
--- a/src/chicorycrank/policy/placement.py
+++ b/src/chicorycrank/policy/placement.py
@@ -80,23 +80,6 @@
     return worker_masks
 
 
-def find_preferred_placement(
-    pool: Pool,
-    shape: GangShape,
-    rule: PlacementRule,
-    preferred: Sequence[frozenset[TargetId]],
-) -> WorkerMasks | None:
-    """Return the best fit of a gang in the first set of workers that has one, or None.
-
-    :param preferred: sets of workers to try before all that the rule allows
-    """
-    for workers in preferred:
-        worker_masks = find_placement(pool, shape, rule.restricted_to(workers))
-        if worker_masks is not None:
-            return worker_masks
-    return find_placement(pool, shape, rule)
-
-
 def fit_placement(
     candidates: Sequence[WorkerMask],
     shape: GangShape,
--- a/src/chicorycrank/policy/urgent_decisions.py
+++ b/src/chicorycrank/policy/urgent_decisions.py
@@ -11,8 +11,8 @@
 from chicorycrank.policy.decision_pass import MAX_RESERVATIONS_TRIED, DecisionPass
 from chicorycrank.policy.decisions import EvictionCause
 from chicorycrank.policy.eviction import EvictionPlan, plan_for_urgent
-from chicorycrank.policy.placement import find_preferred_placement
 from chicorycrank.policy.pool import WorkerMasks
+from chicorycrank.policy.preferred_placement import find_preferred_placement
 
 
 class UrgentDecisions(DecisionPass):
@@ -104,7 +104,7 @@
                     values = (worker, mask, job_shape.cores, job_shape.memory_gb)
                     free.release(*values)
                     added.append(values)
-        worker_masks = find_preferred_placement(free, job.shape, job.rule, job.preferred)
+        worker_masks = find_preferred_placement(free, job)
         for values in added:
             free.allocate(*values)
         return worker_masks
