--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -31,6 +31,7 @@
 from chicorycrank.batch.lost_workers import LostWorkerDetector, reassign_work
 from chicorycrank.batch.performance_summary import PerformanceSummaryStore
 from chicorycrank.batch.phase_timer import timed_phase
+from chicorycrank.batch.placement_log import PlacementLog
 from chicorycrank.batch.planner import Planner
 from chicorycrank.batch.queued_jobs import QueuedJobBuilder
 from chicorycrank.batch.record_writer import COMMIT_RETRY_S, RecordWriter
@@ -129,6 +130,7 @@
         self._urgent_wait_log = UrgentWaitLog()
         self._performance_summary = PerformanceSummaryStore()
         self._evacuations = Evacuations(dependencies.cold_bounds, replica.refresh)
+        self._placement_log = PlacementLog()
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
         load_view = dependencies.load_view
         self._load_publisher = LoadPublisher(load_view, self._writer.write) if load_view else None
@@ -251,6 +253,7 @@
             self._evacuations.limit_runs(self._planner)
             self._planner.plan()
             self._urgent_wait_log.update(self._planner)
+            self._placement_log.update(self._planner)
         with self._timed_phase("write"):
             planner, deletes = self._planner, self._find_former_orders()
             summary = self._performance_summary.due_values(planner, planner.now_s)
--- a/src/chicorycrank/policy/cell_records.py
+++ b/src/chicorycrank/policy/cell_records.py
@@ -44,6 +44,7 @@
     :param preferred: sets of workers to try in order before all allowed workers; for an urgent job
         the last set contains the others, and work there is evicted before other workers are used
     :param workload: what the job runs; jobs of one workload behave alike
+    :param packs: the job has one member and goes to workers and racks that are already in use
     """
 
     job_id: JobId
@@ -62,6 +63,7 @@
     can_wait: bool = False
     preferred: tuple[frozenset[TargetId], ...] = ()
     workload: Workload = NO_WORKLOAD
+    packs: bool = False
 
     @property
     def is_late_urgent(self) -> bool:
--- a/src/chicorycrank/policy/separation.py
+++ b/src/chicorycrank/policy/separation.py
@@ -8,8 +8,9 @@
 
 from chicorycrank.model.ids import TargetId
 from chicorycrank.policy.cell import Cell, QueuedJob
-from chicorycrank.policy.placement import PlacementRule, find_placement, find_preferred_placement
+from chicorycrank.policy.placement import PlacementRule
 from chicorycrank.policy.pool import Pool, WorkerMasks
+from chicorycrank.policy.preferred_placement import find_preferred_placement, placement_search
 
 # An empty worker is taken for this reason only while more than this share of the workers is empty,
 # as gangs need whole workers.
@@ -23,10 +24,11 @@
     """
     disturbed = disturbed_workers(cell, job)
     if not disturbed:
-        return find_preferred_placement(cell.free, job.shape, job.rule, job.preferred)
+        return find_preferred_placement(cell.free, job)
     rules = [*map(job.rule.restricted_to, job.preferred), job.rule]
+    search = placement_search(job)
     for rule in rules:
-        worker_masks = find_placement(cell.free, job.shape, rule)
+        worker_masks = search(cell.free, job.shape, rule)
         if worker_masks is not None:
             return _place_apart(cell, job, rule, worker_masks, disturbed) or worker_masks
     return None
@@ -56,7 +58,7 @@
     if disturbed.isdisjoint(_workers(worker_masks)):
         return None
     undisturbed = frozenset(cell.workers_by_id) - disturbed
-    apart = find_placement(cell.free, job.shape, rule.restricted_to(undisturbed))
+    apart = placement_search(job)(cell.free, job.shape, rule.restricted_to(undisturbed))
     if apart is None:
         return None
     workers, workers_apart = _workers(worker_masks), _workers(apart)
