Judge units on draining workers by measured speeds

Cause: the declared run time decided whether a unit would end before its draining executor exits. Gangs with a slow member were left to be lost, and a unit that overran its declared time was never stopped, so its unsaved work went with the worker.

Change: batch/drains.py estimates the end of a unit from the reported rates and the speeds of its workers, of a gang from the slowest member. A unit that saves checkpoints is stopped in time for one; a unit without checkpoints that would lose much and may still end tries until the notice is over. The notice is tracked as a point in time, so a report that is written again does not prolong it.

Measured: tests/batch/test_drains.py, test_planner.py, test_stalls.py, test_planned_stop.py and test_attempts.py pass (145 tests); no existing test changed.

--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping
 
+from chicorycrank.batch.drains import stop_units
 from chicorycrank.batch.job_turns import postponed_units
 from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.planner_state import (
@@ -125,6 +126,7 @@
         for job_id in self.active_jobs:
             self.units_by_id[job_id].discard_done()
         update_speeds(self)
+        stop_units(self, self.drains.workers())
         self.order_sizes.begin_plan()
         self.workers.testing = self.crashes.testing_workers(self)
         self.workers.full = self.order_sizes.full_workers()
@@ -239,10 +241,10 @@
         self.jobs_with_other_limits.clear()
 
     def _stop_affected_units(self, worker: TargetId, report: WorkerReport) -> None:
-        """Stop units that are stalled on this worker or would not end before its executor exits."""
+        """Stop units that are stalled on this worker, or that may not stay as it drains."""
         for task, member in list(self.members_by_worker.get(worker, {}).items()):
             step, unit = self.step_of(member.ref), self.unit_of(member.ref)
-            reason = stop_reason(step, unit, task, report, self.now_ms)
+            reason = stop_reason(step, task, report)
             # A run that is stopped already may make no progress while it stops.
             is_stall = reason == NO_PROGRESS and unit.state is UnitState.ASSIGNED
             if reason:
@@ -250,3 +252,5 @@
             # A gang may be held up by any of its workers.
             if is_stall and len({place.worker for place in unit.places}) == 1:
                 self.workers.quarantine.record_stall(worker, member.ref.job_id, reason)
+        self.drains.record(worker, report, self.now_s)
+        stop_units(self, (worker,))
--- a/src/chicorycrank/batch/planner_state.py
+++ b/src/chicorycrank/batch/planner_state.py
@@ -1,8 +1,10 @@
 """State of the leader's planner: jobs, their progress, workers and the runs on them."""
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
+from math import ceil
 
 from chicorycrank.batch.crash_tracker import CrashTracker
+from chicorycrank.batch.drains import Drains
 from chicorycrank.batch.failing_jobs import FailingJobs
 from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.order_sizes import OrderSizes
@@ -67,6 +69,7 @@
         self.crashes = CrashTracker()
         self.failing_jobs = FailingJobs()
         self.performance = PerformanceRecords()
+        self.drains = Drains()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         # Jobs of which a run has ended since the last plan.
         self.jobs_with_ends: set[JobId] = set()
@@ -91,11 +94,14 @@
         self.jobs_with_other_limits.update(self.active_jobs)
 
     def next_due_ms(self) -> int | None:
-        """Return the Unix time in milliseconds of the next occurrence of a job."""
+        """Return the Unix time in milliseconds of the next occurrence, or stop at a drain."""
         due_times_ms = (
             next_due_ms(self.jobs_by_id[job_id], self.now_ms) for job_id in self.active_jobs
         )
-        return min((due_ms for due_ms in due_times_ms if due_ms is not None), default=None)
+        check_s = self.drains.next_check_in_s(self.now_s)
+        check_ms = None if check_s is None else self.now_ms + ceil(check_s * 1000)
+        times_ms = (*due_times_ms, check_ms)
+        return min((time_ms for time_ms in times_ms if time_ms is not None), default=None)
 
     def run_number(self, member: Member) -> int:
         """Return the number of the current run of a member's unit."""
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -10,6 +10,7 @@
 
 from chicorycrank.batch.advice import AdviceCache
 from chicorycrank.batch.cold_workers import ColdBounds
+from chicorycrank.batch.drains import STOP_S
 from chicorycrank.batch.evacuations import Evacuations
 from chicorycrank.batch.keys import (
     PERFORMANCE_KEY,
@@ -75,6 +76,7 @@
         executor's lease has expired
     :param ended_job_retention_s: time for which the state of an ended job is kept, in seconds
     :param cold_bounds: limits of cold workers; None for no limit
+    :param stop_s: time in seconds that an executor takes to save a checkpoint at a stop
     :param load_view: this entry's view of the load summary; None if none is to be published
     """
 
@@ -84,6 +86,7 @@
     worker_lost_timeout_s: float
     ended_job_retention_s: float
     cold_bounds: ColdBounds | None = None
+    stop_s: float = STOP_S
     load_view: LoadView | None = None
 
 
@@ -122,6 +125,7 @@
             dependencies.machines, dependencies.worker_lost_timeout_s
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
+        self._planner.drains.stop_s = dependencies.stop_s
         self._urgent_wait_log = UrgentWaitLog()
         self._performance_summary = PerformanceSummaryStore()
         self._evacuations = Evacuations(dependencies.cold_bounds, replica.refresh)
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -68,6 +68,7 @@
         worker_lost_timeout_s=lost_after_s(bounds.max_lease_s),
         ended_job_retention_s=bounds.status_retention_s,
         cold_bounds=cold_bounds(bounds),
+        stop_s=bounds.stop_s,
         load_view=load_view if settings.admission_control else None,
     )
     # A replacement machine may have the name of the replaced one, but never its address.
