Limit flapping workers, and prefer steady ones for gangs

Cause: executors that go down and up by turns got gangs each time that they were up, and each gang lost all its unsaved work, on its other workers too.

Change: batch/interruptions.py counts crashes, replacements and losses of contact by worker. After two within 30 s a worker gets only single tasks that are short or save checkpoints, until it has been up for 3, 6 or 12 s. Urgent jobs within their quota may use it, but try the others first, and so may units that the others cannot hold. A new leader rebuilds the state from the reports and the crash records. batch/steady_preference.py lets gangs try workers first that were not interrupted lately, among those that are alike otherwise.

--- a/src/chicorycrank/batch/metrics.py
+++ b/src/chicorycrank/batch/metrics.py
@@ -44,6 +44,10 @@
 IS_LEADER = Gauge("chicorycrank_is_leader", "1 while this entry has the leader role")
 CONFIG_VERSION = Gauge("chicorycrank_config_version", "Version of the configuration in force")
 EVACUATED_ZONES = Gauge("chicorycrank_evacuated_zones", "Zones that the operator has evacuated")
+WORKERS_FLAPPING = Gauge(
+    "chicorycrank_workers_flapping",
+    "Workers that get only work that loses little, as their executors were down repeatedly",
+)
 EXECUTORS_ENDED = Counter(
     "chicorycrank_executors_ended", "Ends of incarnations of an agent's executor", ["how"]
 )
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -54,6 +54,7 @@
         self.progress_by_id[job.job_id] = progress = progress or Progress()
         self.units_by_id[job.job_id] = JobUnits(job, progress)
         self.crashes.restore(job.job_id, progress)
+        self.interruptions.restore(progress)
         for key, unit in progress.units.items():
             if unit.places:
                 self.restore_allocation(parse_unit_key(job.job_id, key), unit)
@@ -80,6 +81,7 @@
         """Apply a worker's report and record the task ends that it contains."""
         replaced = self.workers.replaced_incarnation(worker, report)
         record_rates(self, worker, report)
+        self.interruptions.record(worker, report, self.now_s, self.now_ms)
         self.workers.apply_report(worker, report)
         for end in report.ends:
             self._record_end(worker, end)
@@ -127,6 +129,7 @@
             self.units_by_id[job_id].discard_done()
         update_speeds(self)
         stop_units(self, self.drains.workers())
+        self.interruptions.update_metrics(self.now_s)
         self.order_sizes.begin_plan()
         self.workers.testing = self.crashes.testing_workers(self)
         self.workers.full = self.order_sizes.full_workers()
--- a/src/chicorycrank/batch/planner_state.py
+++ b/src/chicorycrank/batch/planner_state.py
@@ -6,6 +6,7 @@
 from chicorycrank.batch.crash_tracker import CrashTracker
 from chicorycrank.batch.drains import Drains
 from chicorycrank.batch.failing_jobs import FailingJobs
+from chicorycrank.batch.interruptions import Interruptions
 from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.order_sizes import OrderSizes
 from chicorycrank.batch.orders import ChangedRecords, make_assignment
@@ -70,6 +71,7 @@
         self.failing_jobs = FailingJobs()
         self.performance = PerformanceRecords()
         self.drains = Drains()
+        self.interruptions = Interruptions()
         self.members_by_worker: dict[TargetId, dict[TaskId, Member]] = {}
         # Jobs of which a run has ended since the last plan.
         self.jobs_with_ends: set[JobId] = set()
--- a/src/chicorycrank/batch/queued_jobs.py
+++ b/src/chicorycrank/batch/queued_jobs.py
@@ -10,6 +10,7 @@
 
 from chicorycrank.batch.orders import MAX_ORDER_BYTES
 from chicorycrank.batch.speed_preference import choose_workers, update_speeds
+from chicorycrank.batch.steady_preference import avoid_unsteady
 from chicorycrank.batch.units import NO_WORKER, UnitRef, unit_count
 from chicorycrank.batch.workers import ClosedCause
 from chicorycrank.model.batch import Queue, Step, Submission, WorkerReport
@@ -97,13 +98,10 @@
         waited_s = max(0.0, (planner.now_ms - job.submitted_at_ms) / 1000)
         shape = self._gang_shape(planner, step)
         run_time_s = LONG_RUNNING_RUN_TIME_S if step.long_running else step.run_time_s
-        preferred, rule = choose_workers(
-            planner,
-            ref,
-            _job_kind(queue, step),
-            self._placement_rule(planner, ref, step, queue, waited_s),
-            partial(self.can_hold, planner, ref),
-        )
+        kind, can_hold = _job_kind(queue, step), partial(self.can_hold, planner, ref)
+        rule = self._placement_rule(planner, ref, step, queue, waited_s)
+        choice = choose_workers(planner, ref, kind, rule, can_hold)
+        preferred, rule = avoid_unsteady(planner, ref, kind, choice, can_hold)
         slack_s = (queue.slack - 1.0) * run_time_s + queue.target_latency_s
         is_in_time = waited_s <= slack_s
         return QueuedJob(
--- a/src/chicorycrank/batch/urgent_waits.py
+++ b/src/chicorycrank/batch/urgent_waits.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from itertools import chain, islice
 
+from chicorycrank.batch.interruptions import loses_little
 from chicorycrank.batch.planner_state import PlannerState
 from chicorycrank.batch.queued_jobs import URGENT_PRIORITY
 from chicorycrank.batch.units import UnitRef, due_at_ms
@@ -123,7 +124,7 @@
     logger.warning(
         "event=unit_waiting job=%s unit=%s waited_s=%.1f runs=%d members=%d accelerators=%d"
         " cores=%d cause=%s suitable=%d closed=%s free_accelerators=%d free_cores=%d"
-        " members_that_fit=%d within_quota=%s",
+        " members_that_fit=%d within_quota=%s restricted=%s",
         ref.job_id,
         ref.key,
         _waited_ms(planner, ref) / 1000,
@@ -138,9 +139,18 @@
         room.cores,
         room.members,
         job.job_id in planner.cell.jobs_within_quota,
+        _restricted(planner, ref),
     )
 
 
+def _restricted(planner: PlannerState, ref: UnitRef) -> str:
+    """Return the number of workers that get only units that lose less than this one, by cause."""
+    if loses_little(planner.step_of(ref)):
+        return ""
+    flapping = planner.interruptions.restricted(planner.now_s)
+    return f"flapping:{len(flapping)}" if flapping else ""
+
+
 def _wait_cause(planner: PlannerState, ref: UnitRef, job: QueuedJob, room: Room) -> WaitCause:
     if planner.failing_jobs.is_set_aside(ref.job_id, planner.now_s):
         return WaitCause.SET_ASIDE
