--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping
 
+from chicorycrank.batch.drains import stop_units
 from chicorycrank.batch.job_turns import postponed_units
 from chicorycrank.batch.job_units import JobUnits
 from chicorycrank.batch.planner_state import (
@@ -53,6 +54,7 @@
         self.progress_by_id[job.job_id] = progress = progress or Progress()
         self.units_by_id[job.job_id] = JobUnits(job, progress)
         self.crashes.restore(job.job_id, progress)
+        self.interruptions.restore(progress)
         for key, unit in progress.units.items():
             if unit.places:
                 self.restore_allocation(parse_unit_key(job.job_id, key), unit)
@@ -79,6 +81,7 @@
         """Apply a worker's report and record the task ends that it contains."""
         replaced = self.workers.replaced_incarnation(worker, report)
         record_rates(self, worker, report)
+        self.interruptions.record(worker, report, self.now_s, self.now_ms)
         self.workers.apply_report(worker, report)
         for end in report.ends:
             self._record_end(worker, end)
@@ -125,6 +128,8 @@
         for job_id in self.active_jobs:
             self.units_by_id[job_id].discard_done()
         update_speeds(self)
+        stop_units(self, self.drains.workers())
+        self.interruptions.update_metrics(self.now_s)
         self.order_sizes.begin_plan()
         self.workers.testing = self.crashes.testing_workers(self)
         self.workers.full = self.order_sizes.full_workers()
@@ -241,10 +246,10 @@
         self.jobs_with_other_limits.clear()
 
     def _stop_affected_units(self, worker: TargetId, report: WorkerReport) -> None:
-        """Stop units that are stalled on this worker or would not end before its executor exits."""
+        """Stop units that are stalled on this worker, or that may not stay as it drains."""
         for task, member in list(self.members_by_worker.get(worker, {}).items()):
             step, unit = self.step_of(member.ref), self.unit_of(member.ref)
-            reason = stop_reason(step, unit, task, report, self.now_ms)
+            reason = stop_reason(step, task, report)
             # A run that is stopped already may make no progress while it stops.
             is_stall = reason == NO_PROGRESS and unit.state is UnitState.ASSIGNED
             if reason:
@@ -252,3 +257,5 @@
             # A gang may be held up by any of its workers.
             if is_stall and len({place.worker for place in unit.places}) == 1:
                 self.workers.quarantine.record_stall(worker, member.ref.job_id, reason)
+        self.drains.record(worker, report, self.now_s)
+        stop_units(self, (worker,))
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -10,6 +10,7 @@
 
 from chicorycrank.batch.advice import AdviceCache
 from chicorycrank.batch.cold_workers import ColdBounds
+from chicorycrank.batch.drains import STOP_S
 from chicorycrank.batch.evacuations import Evacuations
 from chicorycrank.batch.keys import (
     PERFORMANCE_KEY,
@@ -78,6 +79,7 @@
     :param ended_job_retention_s: time for which the state of an ended job is kept, in seconds
     :param avoids_interference: whether workloads that slow each other down are kept apart
     :param cold_bounds: limits of cold workers; None for no limit
+    :param stop_s: time in seconds that an executor takes to save a checkpoint at a stop
     :param load_view: this entry's view of the load summary; None if none is to be published
     """
 
@@ -88,6 +90,7 @@
     ended_job_retention_s: float
     avoids_interference: bool = True
     cold_bounds: ColdBounds | None = None
+    stop_s: float = STOP_S
     load_view: LoadView | None = None
 
 
@@ -127,6 +130,7 @@
         )
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
         self._planner.avoids_interference = dependencies.avoids_interference
+        self._planner.drains.stop_s = dependencies.stop_s
         self._urgent_wait_log = UrgentWaitLog()
         self._performance_summary = PerformanceSummaryStore()
         self._evacuations = Evacuations(dependencies.cold_bounds, replica.refresh)
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -69,6 +69,7 @@
         ended_job_retention_s=bounds.status_retention_s,
         avoids_interference=settings.avoids_interference,
         cold_bounds=cold_bounds(bounds),
+        stop_s=bounds.stop_s,
         load_view=load_view if settings.admission_control else None,
     )
     # A replacement machine may have the name of the replaced one, but never its address.
