Evict work for the speed of workers only to meet an objective

Cause: urgent gangs evicted work on fast workers also where they meet their objective on free slower ones. Change: classes on which the job is in time come before evictions.

--- a/src/chicorycrank/policy/worker_preference.py
+++ b/src/chicorycrank/policy/worker_preference.py
@@ -110,7 +110,8 @@
 def prefer_workers(classes: Sequence[SpeedClass], kind: JobKind, timing: Timing) -> Preference:
     """Return the preference of a job; there is none if all workers are of one class.
 
-    Urgent jobs try the fastest workers first. Gangs try workers of one class, the fastest first,
+    Urgent jobs try the fastest workers first; they evict work for their speed only if they would
+    miss their objective on slower ones. Gangs try workers of one class, the fastest first,
     then several classes together. Tasks of batch jobs try the slowest workers first, which leaves
     the fast ones to gangs. Slow workers are left out if the job would earn nothing there but
     something on faster ones. A gang that is not urgent also leaves them out for a part of its
@@ -122,7 +123,7 @@
         return Preference(preferred=tuple(item.workers for item in classes[:0:-1]))
     if kind is JobKind.URGENT:
         return Preference(
-            preferred=_unions(fast_classes(classes)),
+            preferred=_unions(_worth_evictions(classes, timing)),
             excluded=_excluded(classes, timing, VALUE_END_FACTOR),
         )
     waiting = _excluded(classes, timing, 1.0) if timing.may_wait(classes[0].speed) else ()
@@ -132,6 +133,16 @@
     )
 
 
+def _worth_evictions(classes: Sequence[SpeedClass], timing: Timing) -> Sequence[SpeedClass]:
+    """Return the classes that an urgent job tries, also by evictions, before the slower ones.
+
+    Evictions discard work, so free workers on which the job meets its objective come first, and
+    all free ones if it meets its objective nowhere.
+    """
+    count = sum(timing.meets(item.speed) for item in classes)
+    return classes[: max(count, len(fast_classes(classes)))] if count else classes
+
+
 def _unions(classes: Sequence[SpeedClass]) -> tuple[frozenset[TargetId], ...]:
     """Return the union of the first class, of the first two classes, and so on."""
     return tuple(accumulate((item.workers for item in classes), frozenset.union))
