Count only lists of the present absence of an executor old enough

Cause: the lists that lack an executor were counted over a return of its agent that began and ended between two plans, and also while the executor was too young to be listed.

Change: the count belongs to one loss of the presence, and a list counts only if the executor had run for 15 s when it was read.

Result: three new cases in tests/batch/test_lost_workers.py fail on the code before and pass now.

--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -47,8 +47,9 @@
         self._polled_at = float("-inf")
         self._listed_at = float("-inf")
         self._running_executors: frozenset[str] = frozenset()
-        # Lists in a row that were read after the loss of the presence and lack the executor.
-        self._lists_without: dict[TargetId, int] = {}
+        # Time of the loss of the presence, and lists in a row that were read after it and lack the
+        # executor.
+        self._lists_without: dict[TargetId, tuple[float, int]] = {}
 
     def find_lost(
         self, workers: WorkerRegistry, busy: set[TargetId], now_ms: int = 0
@@ -65,9 +66,9 @@
             if worker_id in busy and worker.presence_expired_at is not None
         }
         self._lists_without = {
-            worker_id: count
-            for worker_id, count in self._lists_without.items()
-            if worker_id in absent
+            worker_id: (expired_at, count)
+            for worker_id, (expired_at, count) in self._lists_without.items()
+            if worker_id in absent and expired_at == absent[worker_id].presence_expired_at
         }
         needs_list = any(
             self._is_overdue(worker, now_s) or _is_established(worker, now_ms)
@@ -76,11 +77,11 @@
         if needs_list and now_s - self._polled_at >= MACHINE_POLL_INTERVAL_S:
             self._polled_at = now_s
             if self._poll_machines(now_s):
-                self._count_lists(absent)
+                self._count_lists(absent, now_ms)
         lost_workers = []
         for worker_id, worker in absent.items():
             absent_s = now_s - (worker.presence_expired_at or now_s)
-            if self._is_lost(worker_id, worker, absent_s, now_ms):
+            if self._is_lost(worker_id, worker, absent_s):
                 logger.warning(
                     "event=worker_lost target=%s absent_s=%.1f listed=%s list_age_s=%.1f"
                     " polled_s_ago=%.1f executors_listed=%d",
@@ -94,13 +95,11 @@
                 lost_workers.append(worker_id)
         return lost_workers
 
-    def _is_lost(self, worker_id: TargetId, worker: Worker, absent_s: float, now_ms: int) -> bool:
+    def _is_lost(self, worker_id: TargetId, worker: Worker, absent_s: float) -> bool:
         if absent_s >= SUSPENSION_LIMIT_S:
             return True
-        if _is_established(worker, now_ms):
-            is_removed = self._lists_without.get(worker_id, 0) >= LISTS_WITHOUT_REMOVED_MACHINE
-        else:
-            is_removed = False
+        _, lists_without = self._lists_without.get(worker_id, (0.0, 0))
+        is_removed = lists_without >= LISTS_WITHOUT_REMOVED_MACHINE
         # A list from before the worker was overdue says nothing about the time since.
         overdue_at = self._overdue_at(worker)
         is_down = not self._is_listed(worker) and self._listed_at >= overdue_at
@@ -113,11 +112,13 @@
         executor = worker.report.executor
         return not executor or executor in self._running_executors
 
-    def _count_lists(self, absent: Mapping[TargetId, Worker]) -> None:
+    def _count_lists(self, absent: Mapping[TargetId, Worker], now_ms: int) -> None:
         for worker_id, worker in absent.items():
-            is_listed = self._is_listed(worker)
-            count = 0 if is_listed else self._lists_without.get(worker_id, 0) + 1
-            self._lists_without[worker_id] = count
+            expired_at = worker.presence_expired_at
+            if expired_at is None or not _is_established(worker, now_ms):
+                continue
+            _, count = self._lists_without.get(worker_id, (expired_at, 0))
+            self._lists_without[worker_id] = expired_at, 0 if self._is_listed(worker) else count + 1
 
     def _overdue_at(self, worker: Worker) -> float:
         """Return the time at which the executor's lease has expired, unless it is extended."""
--- a/tests/batch/test_lost_workers.py
+++ b/tests/batch/test_lost_workers.py
@@ -15,7 +15,7 @@
 from chicorycrank.model.ids import TargetId, TaskId
 from chicorycrank.policy.cell import Cell
 from chicorycrank.ports.machines import MachinesUnavailableError
-from chicorycrank.ports.transactions import Item, Write
+from chicorycrank.ports.transactions import Item, Revision, Write
 
 WORKER_LOST_TIMEOUT_S = 20.0
 WORKER = TargetId("w")
@@ -117,6 +117,43 @@
     assert detector.find_lost(workers, {WORKER}, 60_000) == [WORKER]
 
 
+@pytest.mark.parametrize("is_resumption", [False, True])
+def test_lists_of_an_earlier_absence_do_not_count_if_the_agent_was_back_between_two_plans(
+    is_resumption: bool,
+) -> None:
+    """Guards against a second run beside an agent whose short return no plan has seen."""
+    workers = WorkerRegistry(Cell(), 1000.0, lambda: None)
+    report = make_report("i-1:1")
+    report.started_at_ms = 1
+    workers.apply_report(WORKER, report)
+    detector = LostWorkerDetector(FakeMachineList(frozenset()), WORKER_LOST_TIMEOUT_S)
+    assert detector.find_lost(workers, {WORKER}, 60_000) == []
+    workers.now_s += MACHINE_POLL_INTERVAL_S
+    if is_resumption:
+        workers.set_resumption(WORKER, Revision(7))
+    else:
+        workers.set_present(WORKER, True)
+        workers.set_present(WORKER, False)
+    assert detector.find_lost(workers, {WORKER}, 60_000) == []
+    workers.now_s += MACHINE_POLL_INTERVAL_S
+    assert detector.find_lost(workers, {WORKER}, 60_000) == [WORKER]
+
+
+def test_lists_that_may_not_name_a_young_executor_yet_do_not_count() -> None:
+    """Guards against a second run beside an executor that another worker's loss had listed."""
+    workers = WorkerRegistry(Cell(), 1000.0, lambda: None)
+    for number, (worker, started_at_ms) in enumerate([(WORKER, 47_000), (OTHER, 1)], start=1):
+        report = make_report(f"i-{number}:1")
+        report.started_at_ms = started_at_ms
+        workers.apply_report(worker, report)
+    detector = LostWorkerDetector(FakeMachineList(frozenset()), WORKER_LOST_TIMEOUT_S)
+    found = []
+    for now_ms in (58_000, 60_000, 62_000, 64_000):
+        found.append(WORKER in detector.find_lost(workers, {WORKER, OTHER}, now_ms))
+        workers.now_s += MACHINE_POLL_INTERVAL_S
+    assert found == [False, False, False, True]
+
+
 @pytest.mark.parametrize("executor", ["i-2", ""])
 def test_a_list_from_before_the_loss_proves_nothing(executor: str) -> None:
     """Guards against a second run beside a machine that an old list does not name yet."""
