Make no standing reservation behind long-running tasks

Cause: the reservation of a late urgent gang on workers with long-running tasks never ended. With one such task on each of four workers, two late gangs kept the other 28 accelerators idle: of 30 short tasks none started in 10,000 s (trial on the policy alone).

Change: a reservation stands only if its accelerators are expected to be free within 300 s, far above the run times of batch jobs in seconds.

--- a/src/chicorycrank/policy/urgent_decisions.py
+++ b/src/chicorycrank/policy/urgent_decisions.py
@@ -14,6 +14,10 @@
 from chicorycrank.policy.placement import find_preferred_placement
 from chicorycrank.policy.pool import WorkerMasks
 
+# Batch jobs run for seconds. What keeps accelerators for longer than this are long-running tasks,
+# which may never end, so a standing reservation would keep the free accelerators idle for nothing.
+MAX_STANDING_WAIT_S = 300.0
+
 
 class UrgentDecisions(DecisionPass):
     """Pass with the rules for urgent jobs."""
@@ -74,12 +78,14 @@
     def _reserve_urgent(self, job: QueuedJob) -> None:
         """Reserve the accelerators that will become free first, which keeps other jobs off them.
 
-        The reservation of a late job stands until the job starts.
+        The reservation of a late job stands until the job starts, unless a long-running task is on
+        its accelerators.
         """
         if job.is_late_urgent:
             if self.standing.has_room:
                 reservation = reserve(self.cell, job, self.now_s, self.taken_masks())
-                if reservation is not None:
+                wait_s = reservation.expected_start_s - self.now_s if reservation else inf
+                if reservation is not None and wait_s <= MAX_STANDING_WAIT_S:
                     self.standing.withhold(reservation, job.shape)
             return
         self.urgent_reservations_tried += 1
