Leave endless work of evacuated zones out of the capacity

Cause: what long-running tasks hold was subtracted from the capacity of the open workers, also if the tasks run on in an evacuated zone, whose workers are not part of it. Entries refused jobs for capacity that was free, or refused none if the difference was not positive.

--- a/src/chicorycrank/batch/load_summary.py
+++ b/src/chicorycrank/batch/load_summary.py
@@ -164,7 +164,10 @@
 
 
 def _capacities(planner: PlannerState) -> list[float]:
-    """Return the capacity of the open workers by resource, without what runs without end there."""
+    """Return the capacity of the open workers by resource, without what runs without end.
+
+    What runs without end in an evacuated zone stays there and takes nothing from the others.
+    """
     totals = [0.0] * len(Resource)
     for worker_id, worker in planner.cell.workers_by_id.items():
         if planner.workers.closed_cause(worker_id) in OPEN_CAUSES:
@@ -180,8 +183,10 @@
             for number, unit in _placed_units(planner, job_id):
                 step = job.steps[number]
                 if step.long_running:
+                    workers = [p.worker for p in unit.places if p.worker in planner.workers.by_id]
+                    tasks = len(workers) - sum(map(planner.workers.is_evacuated, workers))
                     for resource in Resource:
-                        totals[resource] -= len(unit.places) * need_of(step, resource)
+                        totals[resource] -= tasks * need_of(step, resource)
     return totals
 
 
--- a/tests/batch/test_load_summary.py
+++ b/tests/batch/test_load_summary.py
@@ -23,7 +23,7 @@
 from chicorycrank.batch.term import Term, TermDependencies
 from chicorycrank.batch.threads import make_event
 from chicorycrank.model.batch import BatchTeam, EndKind, Step, Submission
-from chicorycrank.model.ids import JobId, TargetId, TeamId
+from chicorycrank.model.ids import JobId, TargetId, TeamId, ZoneId
 from chicorycrank.model.load import LoadSummary, Resource, TeamLoad
 from chicorycrank.ports.transactions import Item, Lease, Revision
 
@@ -131,6 +131,17 @@
     assert summarize(planner).capacity == 5
 
 
+def test_endless_work_in_an_evacuated_zone_takes_no_capacity_from_the_others() -> None:
+    """Guards against refusals for the capacity of tasks that run on in an evacuated zone."""
+    planner = make_planner()
+    planner.apply_report(TargetId("w0"), msgspec.structs.replace(make_report("i-w0:1"), zone="a"))
+    submit(planner, make_job([Step(count=3, accelerators=1, long_running=True)], name="d" * 16))
+    assert set(planner.members_by_worker) == {"w0"}
+    assert summarize(planner).capacity == 21
+    planner.workers.evacuated_zones = frozenset({ZoneId("a")})
+    assert summarize(planner).capacity == 16
+
+
 def test_work_that_is_not_due_does_not_count() -> None:
     """Guards against refusals for occurrences of a job in the future."""
     planner = make_planner()
