Pause between reads of the evacuation key that come too late

Cause: if the bound evacuateMs is so short that an answer of the store is too old once it has arrived, an agent with an accepted run read the key without any pause. Each read is paid for.

--- a/src/chicorycrank/batch/run_driver.py
+++ b/src/chicorycrank/batch/run_driver.py
@@ -160,13 +160,16 @@
         )
 
     def _check_start(self, run: Run, context: CallContext) -> bool:
-        """Make the checks that are due; return false if the store did not respond."""
+        """Make the checks that are due; return false if the store has to be asked again."""
         if self._evacuation_checks.is_due(context.zone):
             return self._check_evacuation(run, context.zone)
         return self._check_cancellation(run)
 
     def _check_evacuation(self, run: Run, zone: ZoneId) -> bool:
-        """Reject a run if its zone is evacuated; return false if the store did not respond."""
+        """Reject a run if its zone is evacuated; return false if the store has to be asked again.
+
+        The store did not respond, or so late that its answer does not allow a start any more.
+        """
         try:
             is_evacuated = self._evacuation_checks.is_evacuated(zone)
         except StoreUnavailableError as error:
@@ -175,7 +178,7 @@
         if is_evacuated:
             log_rejection(run, zone)
             self._reject(run, ZONE_EVACUATED)
-        return True
+        return is_evacuated or not self._evacuation_checks.is_due(zone)
 
     def _check_cancellation(self, run: Run) -> bool:
         """Stop a run if its job is cancelled; return false if the store did not respond."""
--- a/tests/batch/test_evacuated_starts.py
+++ b/tests/batch/test_evacuated_starts.py
@@ -26,6 +26,7 @@
 )
 from chicorycrank.batch.keys import order_key
 from chicorycrank.batch.report_store import MAX_JOBS_PER_REPORT, ReportStore, ZoneEvacuatedError
+from chicorycrank.batch.run_driver import RETRY_DELAY_S
 from chicorycrank.batch.units import job_of
 from chicorycrank.model.batch import EndKind, WorkerReport
 from chicorycrank.model.ids import JobId, ZoneId
@@ -174,6 +175,19 @@
     assert 1 <= world.zone_checks <= 4
 
 
+def test_a_store_slower_than_the_bound_is_not_asked_without_pause(world: ZoneWorld) -> None:
+    """Guards against a busy loop of reads, each of which is too old once it is answered."""
+    end_hang = hang(world)
+    time.sleep(MAX_CHECK_AGE_S)
+    world.agent._evacuation_checks._max_age_s = 0.0
+    end_hang()
+    time.sleep(1.0)
+    assert world.starts_of_next_run() == 0
+    assert 1 <= world.zone_checks <= 1.0 / RETRY_DELAY_S + 2
+    world.agent._evacuation_checks._max_age_s = MAX_CHECK_AGE_S
+    wait_until(lambda: world.starts_of_next_run() == 1)
+
+
 @pytest.mark.parametrize(
     ("evacuated", "heartbeat_zone", "starts"),
     [
