Ignore an evacuation key without the name of a zone

Cause: the bare prefix op/evacuate/ as a key evacuated the zone with the empty name, so the leader gave no work to workers that belong to no zone, while their agents rejected nothing.

Change: the view ignores this key.

Result: the new test fails on the code before.

--- a/src/chicorycrank/batch/view.py
+++ b/src/chicorycrank/batch/view.py
@@ -118,7 +118,8 @@
         return key == self._config_key or self._is_evacuation(key)
 
     def _is_evacuation(self, key: str) -> bool:
-        return bool(self._evacuation_prefix) and key.startswith(self._evacuation_prefix)
+        prefix = self._evacuation_prefix
+        return bool(prefix) and key.startswith(prefix) and key != prefix
 
     def _apply_item(self, item: Item) -> None:
         key, value = item.key, item.value
--- a/tests/batch/test_evacuations.py
+++ b/tests/batch/test_evacuations.py
@@ -222,6 +222,16 @@
     assert calls == [1000.0, 1001.0, 1002.5]
 
 
+def test_a_key_without_the_name_of_a_zone_closes_no_worker() -> None:
+    """Guards against workers of no zone that are closed, as no zone has an empty name."""
+    zones = Zones()
+    zones.report(WORKER, ZoneId(""))
+    zones.hear_reports()
+    zones.evacuate(ZoneId(""))
+    zones.submit_and_plan()
+    assert zones.assigned(WORKER) == {TASK: False}
+
+
 @pytest.mark.parametrize("is_heard", [True, False])
 def test_a_new_leader_knows_the_evacuations_before_it_plans(is_heard: bool) -> None:
     """Guards against starts by a leader that has read only jobs and configuration."""
