Bound the searches for standing reservations in a pass

Change: at most 8 late jobs search in a pass. Those that hold a reservation come first, so none of them is lost by this.

--- a/src/chicorycrank/policy/decision_pass.py
+++ b/src/chicorycrank/policy/decision_pass.py
@@ -33,6 +33,7 @@
         # Reclaimable accelerators claimed for jobs that wait for evictions.
         self.claimed_reclaimable = WithheldCapacity(cell.reclaimable)
         self.standing = StandingReservations(cell)
+        self.standing_reservations_tried = 0
         self.urgent_reservations: list[Reservation] = []
         self.urgent_reservations_tried = 0
         self.waiting_for_evictions: set[JobId] = set()
--- a/src/chicorycrank/policy/urgent_decisions.py
+++ b/src/chicorycrank/policy/urgent_decisions.py
@@ -17,6 +17,8 @@
 # Batch jobs run for seconds. What keeps accelerators for longer than this are long-running tasks,
 # which may never end, so a standing reservation would keep the free accelerators idle for nothing.
 MAX_STANDING_WAIT_S = 300.0
+# Bounds the time of a pass if many late jobs fit nowhere. Jobs that hold a reservation come first.
+MAX_STANDING_TRIED = 8
 
 
 class UrgentDecisions(DecisionPass):
@@ -82,7 +84,8 @@
         its accelerators.
         """
         if job.is_late_urgent:
-            if self.standing.has_room:
+            self.standing_reservations_tried += 1
+            if self.standing.has_room and self.standing_reservations_tried <= MAX_STANDING_TRIED:
                 reservation = reserve(self.cell, job, self.now_s, self.taken_masks())
                 wait_s = reservation.expected_start_s - self.now_s if reservation else inf
                 if reservation is not None and wait_s <= MAX_STANDING_WAIT_S:
--- a/tests/policy/test_eviction_cost.py
+++ b/tests/policy/test_eviction_cost.py
@@ -9,6 +9,7 @@
 
 from chicorycrank.model.ids import JobId, TargetId
 from chicorycrank.model.jobs import MemberPlacement, WorkKind
+from chicorycrank.policy import urgent_decisions
 from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob
 from chicorycrank.policy.decide import decide
 from chicorycrank.policy.decisions import Evict, Start
@@ -217,6 +218,23 @@
         assert [decision.job_id for decision in started] == ["batch"]
 
 
+def test_the_searches_for_standing_reservations_are_bounded(
+    cell: Cell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a plan whose time grows with the number of late gangs that fit nowhere."""
+    tried: list[JobId] = []
+
+    def reserve_nothing(_: Cell, job: QueuedJob, *args: object) -> None:
+        tried.append(job.job_id)
+
+    monkeypatch.setattr(urgent_decisions, "reserve", reserve_nothing)
+    for worker in ("w0", "w1", "w2", "w3"):
+        run_on(cell, make_job(f"on-{worker}", "blue", 1, 8), worker, age_s=10.0)
+    late = replace(make_job("", "red", 1, 8, urgent=True), max_lost_s=0.0)
+    decide(cell, [replace(late, job_id=JobId(f"late-{number}")) for number in range(50)], NOW_S)
+    assert len(tried) == len(set(tried)) == urgent_decisions.MAX_STANDING_TRIED
+
+
 def test_a_job_within_its_quota_may_use_what_a_late_job_has_reserved(cell: Cell) -> None:
     """Guards against a guarantee that waits behind a reservation of another team."""
     for worker in ("w1", "w2", "w3"):
