--- a/src/chicorycrank/policy/urgent_decisions.py
+++ b/src/chicorycrank/policy/urgent_decisions.py
@@ -14,6 +14,12 @@
 from chicorycrank.policy.pool import WorkerMasks
 from chicorycrank.policy.preferred_placement import find_preferred_placement
 
+# Batch jobs run for seconds. What keeps accelerators for longer than this are long-running tasks,
+# which may never end, so a standing reservation would keep the free accelerators idle for nothing.
+MAX_STANDING_WAIT_S = 300.0
+# Bounds the time of a pass if many late jobs fit nowhere. Jobs that hold a reservation come first.
+MAX_STANDING_TRIED = 8
+
 
 class UrgentDecisions(DecisionPass):
     """Pass with the rules for urgent jobs."""
@@ -74,12 +80,15 @@
     def _reserve_urgent(self, job: QueuedJob) -> None:
         """Reserve the accelerators that will become free first, which keeps other jobs off them.
 
-        The reservation of a late job stands until the job starts.
+        The reservation of a late job stands until the job starts, unless a long-running task is on
+        its accelerators.
         """
         if job.is_late_urgent:
-            if self.standing.has_room:
+            self.standing_reservations_tried += 1
+            if self.standing.has_room and self.standing_reservations_tried <= MAX_STANDING_TRIED:
                 reservation = reserve(self.cell, job, self.now_s, self.taken_masks())
-                if reservation is not None:
+                wait_s = reservation.expected_start_s - self.now_s if reservation else inf
+                if reservation is not None and wait_s <= MAX_STANDING_WAIT_S:
                     self.standing.withhold(reservation, job.shape)
             return
         self.urgent_reservations_tried += 1
