Answer where a batch job would go now, without submitting it

Cause: operators could see why a submitted unit waits, but not where a job would go before they submit it. Change: the state port of an entry takes POST /where with a queue, a team and a job document. The leader's planner decides on the job with the waiting units in one pass, undoes it and answers with workers, evictions and the reason against each other worker, bounded to 50 in full and counts for all. An entry that does not lead names the leader. waiting_units, wait_cause and find_room become public, so two tests call waiting_units by its new name. Result: tests/batch/test_where.py passes, with each reason and a comparison of the planner's state before and after, as do test_urgent_waits, test_speed_placement, test_wide_steps, test_planner, platform_adapter, test_client_limits and interleavings.

--- a/src/chicorycrank/batch/leader.py
+++ b/src/chicorycrank/batch/leader.py
@@ -9,8 +9,10 @@
 from chicorycrank.batch.term import Term, TermDependencies
 from chicorycrank.batch.threads import keep_running, make_event
 from chicorycrank.batch.view import SharedView
+from chicorycrank.model.batch import Submission
 from chicorycrank.model.ids import EntryId
 from chicorycrank.policy.interference import FoundPair
+from chicorycrank.policy.where import PlacementAnswer
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import MISSING, StoreUnavailableError, TransactionalStore
 
@@ -61,6 +63,14 @@
         term = self._term
         return () if term is None else term.found_interference()
 
+    def explain_placement(self, job: Submission) -> tuple[PlacementAnswer, ...] | None:
+        """Return where a job would go now; None if this entry does not lead.
+
+        :raises NotAnsweredError: the planner gave no answer in time
+        """
+        term = self._term
+        return None if term is None else term.where_calls.ask(job)
+
     def _run_elections(self) -> None:
         self._replica.is_loaded.wait()
         while not self._stop.is_set():
--- a/src/chicorycrank/batch/planner.py
+++ b/src/chicorycrank/batch/planner.py
@@ -132,7 +132,7 @@
         self.cell.headroom = self.job_builder.headroom_workers(self)
         self.cell.jobs_within_quota = self.job_builder.units_within_quota(self)
         # A unit that a pass stops waits again only after its runs have ended, in a later plan.
-        waiting = dict.fromkeys(self._waiting_units())
+        waiting = dict.fromkeys(self.waiting_units())
         started_on: set[TargetId] = set()
         started_jobs: set[JobId] = set()
         steady_jobs, self.jobs_with_ends = self.jobs_with_ends, set()
@@ -191,7 +191,8 @@
         unit = self.progress_by_id[ref.job_id].units.get(ref.key)
         return not (self.crashes.needs_test(self, ref, unit) and workers & started_on)
 
-    def _waiting_units(self) -> Iterator[UnitRef]:
+    def waiting_units(self) -> Iterator[UnitRef]:
+        """Yield the units on which a plan decides."""
         for job_id in self.active_jobs:
             if not self.failing_jobs.is_set_aside(job_id, self.now_s):
                 for ref in self.waiting_units_of(job_id):
--- a/src/chicorycrank/batch/term.py
+++ b/src/chicorycrank/batch/term.py
@@ -39,6 +39,7 @@
 from chicorycrank.batch.threads import Event, keep_running, make_event
 from chicorycrank.batch.urgent_waits import UrgentWaitLog
 from chicorycrank.batch.view import SharedView
+from chicorycrank.batch.where_calls import WhereCalls
 from chicorycrank.batch.withdrawals import withdraw
 from chicorycrank.model.batch import FINAL_BATCH_STATES, Progress, WorkerReport
 from chicorycrank.model.ids import JobId, TargetId
@@ -95,6 +96,7 @@
 
     :param replica: keeps ``view`` up to date
     :param stop: set when the process stops
+    :ivar where_calls: calls of other threads that ask where a job would go
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         self._planner = Planner(QueuedJobBuilder(dependencies.checkpoint_s), clock.monotonic())
         self._planner.avoids_interference = dependencies.avoids_interference
         self._urgent_wait_log = UrgentWaitLog()
+        self.where_calls = WhereCalls(view.lock, clock)
         self._performance_summary = PerformanceSummaryStore()
         self._evacuations = Evacuations(dependencies.cold_bounds, replica.refresh)
         self._writer = RecordWriter(role, view, replica, clock, self._raise_if_ended, stop)
@@ -146,6 +149,7 @@
             self._load_planner()
             while not self._stop.is_set():
                 self._plan_once()
+                self.where_calls.answer(self._planner)
                 self._wait_for_changes()
         finally:
             self._ended.set()
--- a/src/chicorycrank/batch/urgent_waits.py
+++ b/src/chicorycrank/batch/urgent_waits.py
@@ -31,6 +31,7 @@
 class WaitCause(Enum):
     """What keeps a unit from starting."""
 
+    STARTS_NOW = "starts-now"  # only in the answer to where a job would go
     SET_ASIDE = "set-aside"
     HELD = "held"  # a test run of its job, or the verdict on it, comes first
     NO_SUITABLE_WORKER = "no-suitable-worker"
@@ -115,8 +116,8 @@
 
 def _log_wait(planner: PlannerState, ref: UnitRef) -> None:
     job = planner.job_builder.make_queued_job(planner, ref)
-    room = _find_room(planner, job)
-    cause = _wait_cause(planner, ref, job, room)
+    room = find_room(planner, job)
+    cause = wait_cause(planner, ref, job, room)
     if not job.urgent and cause is not WaitCause.EVACUATED:
         return
     unit = planner.progress_by_id[ref.job_id].units.get(ref.key)
@@ -141,7 +142,8 @@
     )
 
 
-def _wait_cause(planner: PlannerState, ref: UnitRef, job: QueuedJob, room: Room) -> WaitCause:
+def wait_cause(planner: PlannerState, ref: UnitRef, job: QueuedJob, room: Room) -> WaitCause:
+    """Return what keeps a unit from starting."""
     if planner.failing_jobs.is_set_aside(ref.job_id, planner.now_s):
         return WaitCause.SET_ASIDE
     if planner.crashes.is_held(planner, ref):
@@ -161,7 +163,8 @@
     return WaitCause.NO_ROOM if room.members < job.shape.members else WaitCause.NOT_CHOSEN
 
 
-def _find_room(planner: PlannerState, job: QueuedJob) -> Room:
+def find_room(planner: PlannerState, job: QueuedJob) -> Room:
+    """Return the room for a unit on its suitable workers."""
     pool = planner.cell.free
     workers = planner.cell.workers_by_id if job.rule.workers is None else job.rule.workers
     closed: Counter[str] = Counter()
--- a/src/chicorycrank/programs/batch_entry.py
+++ b/src/chicorycrank/programs/batch_entry.py
@@ -25,6 +25,7 @@
 from chicorycrank.platform.server import Server
 from chicorycrank.platform.settings import NodeSettings
 from chicorycrank.platform.store import PlatformStore
+from chicorycrank.platform.where_handler import answer_where
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.transactions import Item
 from chicorycrank.programs.process import Process
@@ -99,7 +100,10 @@
     leader.start()
     for server in servers:
         server.start()
-    process.serve_metrics(lambda: _dump(view, load_view, leader, replica_age_s()))
+    process.serve_metrics(
+        lambda: _dump(view, load_view, leader, replica_age_s()),
+        lambda request: answer_where(request, view, leader.explain_placement),
+    )
     process.wait_for_stop(lambda new_settings: _apply_store_address(store, new_settings))
     is_stopping = True
     leader.stop()
--- a/src/chicorycrank/programs/process.py
+++ b/src/chicorycrank/programs/process.py
@@ -26,7 +26,9 @@
 EXIT_INVALID_SETTINGS = 2
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
-METRICS_THREADS = 1
+WHERE_PATH = "/where"
+# A call that waits for the planner does not delay the metrics.
+METRICS_THREADS = 2
 
 logger = logging.getLogger("absl")
 
@@ -56,10 +58,15 @@
             signal.signal(signal_number, lambda signal_number, _: self._signals.put(signal_number))
         logger.info("event=process_started role=%s node=%s", role, self.settings.name)
 
-    def serve_metrics(self, dump: Callable[[], object]) -> None:
+    def serve_metrics(
+        self,
+        dump: Callable[[], object],
+        where: Callable[[Request], Response] | None = None,
+    ) -> None:
         """Serve metrics and the state on ``settings.metrics_port``; do nothing if it is 0.
 
         :param dump: returns the state, which is encoded as JSON
+        :param where: answers where a job would go; None if the program does not know
         """
         if not self.settings.metrics_port:
             return
@@ -69,6 +76,8 @@
                 return Response(HTTPStatus.OK, render(), {"Content-Type": "text/plain"})
             if request.path == STATE_PATH:
                 return Response(HTTPStatus.OK, msgspec.json.encode(dump()))
+            if request.path == WHERE_PATH and where is not None:
+                return where(request)
             return Response(HTTPStatus.NOT_FOUND)
 
         address = f"{self.settings.host}:{self.settings.metrics_port}"
--- a/tests/batch/test_speed_placement.py
+++ b/tests/batch/test_speed_placement.py
@@ -217,7 +217,7 @@
             if stop or rng.random() < 0.1:
                 end_task(planner, task, EndKind.STOPPED if stop else EndKind.DONE, run=run)
         found.append(tasks_by_worker(planner))
-        jobs = planner.job_builder.make_queue(planner, planner._waiting_units()).values()
+        jobs = planner.job_builder.make_queue(planner, planner.waiting_units()).values()
         if speeds is not SPEEDS:
             assert all(job.preferred == () for job in jobs)
     return found
--- a/tests/batch/test_wide_steps.py
+++ b/tests/batch/test_wide_steps.py
@@ -55,7 +55,7 @@
 
 
 def queued_names(planner: Planner) -> set[str]:
-    waiting = dict.fromkeys(planner._waiting_units())
+    waiting = dict.fromkeys(planner.waiting_units())
     return {job.job_id for job in planner.job_builder.make_queue(planner, waiting).values()}
 
 
