Answer where a job or a request would go now on the product's interface

Cause: explain says why a submitted job waits, but nothing said where one would go before it is submitted. Change: job where and request where take what job submit and request send take. The entry asks the leader of the cell that would get the job, which decides on its live cell, undoes the pass and restores reservations, jobs that wait for evictions and usage. A request is answered from the load of the executors of the entry that is asked. The batch call now refuses unknown teams. The completion test expects the new command.

--- a/src/chicorycrank/batch/where.py
+++ b/src/chicorycrank/batch/where.py
@@ -4,7 +4,6 @@
 is applied or kept.
 """
 
-import logging
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -30,6 +29,7 @@
     make_answer,
     reject_open_worker,
     reserved_masks,
+    restored,
 )
 
 # Ids of jobs have 16 hexadecimal digits, so no job has this one.
@@ -37,8 +37,6 @@
 # Bounds the size of an answer; steps that may run first are rarely more.
 MAX_STEPS_EXPLAINED = 4
 
-logger = logging.getLogger("absl")
-
 
 def explain_placement(planner: Planner, submission: Submission) -> tuple[PlacementAnswer, ...]:
     """Return where one unit of each step that may run first would go now.
@@ -47,7 +45,7 @@
     """
     job = structs.replace(submission, job_id=EXPLAINED_JOB, submitted_at_ms=planner.now_ms)
     waiting = dict.fromkeys(planner.waiting_units())
-    with _added(planner, job):
+    with restored(planner.cell), _added(planner, job):
         refs = [
             *islice(planner.units_by_id[job.job_id].waiting(planner.now_ms, 1), MAX_STEPS_EXPLAINED)
         ]
@@ -59,9 +57,7 @@
 
 @contextmanager
 def _added(planner: Planner, job: Submission) -> Iterator[None]:
-    """Add a job to the planner, and restore what deciding on it changes."""
-    cell = planner.cell
-    before = cell.reservations_by_id, cell.waiting_for_evictions, cell.jobs_within_quota
+    """Add a job to the planner for a while."""
     progress = Progress()
     planner.jobs_by_id[job.job_id] = job
     planner.progress_by_id[job.job_id] = progress
@@ -76,7 +72,6 @@
         planner.job_builder.discard_job(job.job_id)
         # They have an entry for each label, which a caller of this may choose freely.
         planner.job_builder.clear_worker_caches()
-        cell.reservations_by_id, cell.waiting_for_evictions, cell.jobs_within_quota = before
 
 
 def _explain_unit(
--- a/src/chicorycrank/cli/job_commands.py
+++ b/src/chicorycrank/cli/job_commands.py
@@ -99,6 +99,37 @@
         return self.print_records(reply, [reply.document])
 
 
+class JobWhere(EntryCommand):
+    """Command that shows where a job would go now."""
+
+    name = "job where"
+    description = "Show where a job would go now and why, without submitting it."
+    help = help_text(
+        "job where render.jsonc",
+        "job where --team claims --name scan --members 2 --accelerators 8 --run-time-s 3600",
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("file", "File that describes the job.", optional=True)
+    ]
+    options: ClassVar[list[Option]] = [*entry_options(), *job_options()]
+
+    def run_with_client(self, client: Client) -> int:
+        """Print one row per value of the answer."""
+        source = JobSource(self)
+        spec = source.read_spec()
+        if isinstance(spec, list):
+            for line in spec:
+                self.line_error(line)
+            return EXIT_USAGE
+        reply = client.call("POST", "/v1/jobs/where", msgspec.json.encode(spec), is_repeatable=True)
+        findings = reply.document.get("findings")
+        if reply.exit_code == EXIT_FINDINGS and findings and not self.option("json"):
+            for line in source.locate_findings(findings):
+                self.line_error(line)
+            return EXIT_FINDINGS
+        return print_facts(self, reply)
+
+
 class JobStatus(JobCommand):
     """Command that shows a job."""
 
@@ -250,9 +281,14 @@
         """Print one row per value of the explanation."""
         path = f"{job_path(self.argument('job'))}/explain"
         reply = client.call("GET", path, is_repeatable=True)
-        if self.option("json") or reply.exit_code:
-            return self.print_rows(reply, (), [reply.document])
-        return self.print_rows(reply, ("fact", "value"), list(_explanation_rows(reply.document)))
+        return print_facts(self, reply)
+
+
+def print_facts(command: EntryCommand, reply: Reply) -> int:
+    """Print one row per value of an explanation, and return the exit code."""
+    if command.option("json") or reply.exit_code:
+        return command.print_rows(reply, (), [reply.document])
+    return command.print_rows(reply, ("fact", "value"), list(_explanation_rows(reply.document)))
 
 
 def _record_row(record: dict[str, Any]) -> dict[str, Any]:
@@ -281,6 +317,7 @@
 
 JOB_COMMANDS: tuple[type[Command], ...] = (
     JobSubmit,
+    JobWhere,
     JobStatus,
     JobWatch,
     JobList,
--- a/src/chicorycrank/cli/request_commands.py
+++ b/src/chicorycrank/cli/request_commands.py
@@ -12,6 +12,7 @@
 
 from chicorycrank.cli.base import EXIT_USAGE, EntryCommand, entry_options, help_text
 from chicorycrank.cli.client import KEY_HEADER, READ_TIMEOUT_S, Client, Reply
+from chicorycrank.cli.job_commands import print_facts
 
 REPLY_MARGIN_S = 10.0  # time beyond the request's deadline in which the reply may arrive
 OUTCOME_COLUMNS = ("outcome", "key", "target", "answer", "detail")
@@ -96,6 +97,24 @@
         return None if problems else document
 
 
+class RequestWhere(RequestSend):
+    """Command that shows where a request would run now."""
+
+    name = "request where"
+    description = "Show which executor a request would get now and why, without sending it."
+    help = help_text("request where --team claims --service scan")
+
+    def run_with_client(self, client: Client) -> int:
+        """Print one row per value of the answer."""
+        document = self._read_request()
+        if document is None:
+            return EXIT_USAGE
+        data = json.dumps(document).encode()
+        return print_facts(
+            self, client.call("POST", "/v1/requests/where", data, is_repeatable=True)
+        )
+
+
 class RequestStatus(RequestCommand):
     """Command that shows the recorded outcome of a request."""
 
@@ -111,4 +130,4 @@
         return self.print_outcome(client.call("GET", path, is_repeatable=True))
 
 
-REQUEST_COMMANDS: tuple[type[Command], ...] = (RequestSend, RequestStatus)
+REQUEST_COMMANDS: tuple[type[Command], ...] = (RequestSend, RequestWhere, RequestStatus)
--- a/src/chicorycrank/entry/cell_jobs.py
+++ b/src/chicorycrank/entry/cell_jobs.py
@@ -1,6 +1,6 @@
 """Job operations of a cell's leader: submission, cancellation, queries and explanations."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -11,16 +11,19 @@
 from chicorycrank.entry.submissions import confirm_written, submit
 from chicorycrank.entry.transitions import Transitions
 from chicorycrank.model.config import Config
-from chicorycrank.model.ids import Epoch, Generation, JobId, TeamId
+from chicorycrank.model.ids import Epoch, Generation, JobId, TargetId, TeamId
 from chicorycrank.model.jobs import FINAL_STATES, JobRecord, JobSpec, JobState
 from chicorycrank.model.messages import AnyMessage, JobFindings, JobList, ListJobs, Refused
 from chicorycrank.policy.cell import QueuedJob, WorkerState
+from chicorycrank.policy.where import PlacementAnswer, explain_job
 from chicorycrank.ports.clock import Clock
 
 MAX_WAIT_S = 30.0
 # A record has about 600 bytes without its payload, and a frame holds at most 2 MiB.
 MAX_LISTED_JOBS = 1000
 MAX_LISTED_PAYLOAD_BYTES = 500_000
+# Ids of submitted jobs begin with their cell and a dash, so no job has this one.
+EXPLAINED_JOB = JobId("where")
 
 
 @dataclass(kw_only=True)
@@ -39,13 +42,9 @@
     ) -> AnyMessage | JobRecord:
         """Accept a job unless it can never run on the given workers."""
         if job_id not in self.records.records_by_id:
-            findings = check_spec(spec, workers, self.config)
-            if findings:
-                return JobFindings(findings)
-            if self._is_queue_full(spec.team):
-                return Refused(
-                    "queue_full", f"team {spec.team} has reached its limit of queued jobs", 5.0
-                )
+            refusal = self._refusal(spec, workers)
+            if refusal is not None:
+                return refusal
         return await submit(self.records, self.clock, self.epoch, job_id, spec)
 
     async def cancel(
@@ -122,6 +121,29 @@
         cell = self.occupancy.cell
         return document | explain_queued(record, cell, queue, now_s, delay_s)
 
+    def where(
+        self,
+        spec: JobSpec,
+        workers: Iterable[WorkerState],
+        reported: set[JobId],
+        closed_cause: Callable[[TargetId], str],
+    ) -> PlacementAnswer | JobFindings | Refused:
+        """Return where a job would go now, or the refusal that a submission would get."""
+        refusal = self._refusal(spec, workers)
+        if refusal is not None:
+            return refusal
+        now = self.clock.now()
+        record = JobRecord(
+            job_id=EXPLAINED_JOB,
+            spec=spec,
+            state=JobState.QUEUED,
+            generation=Generation(0),
+            epoch=self.epoch,
+            submitted_at=now,
+        )
+        queue, cell = self.list_startable(reported), self.occupancy.cell
+        return explain_job(cell, make_queued_job(record), queue, now.timestamp(), closed_cause)
+
     def count_queued(self) -> int:
         """Return the number of queued jobs."""
         records = self.records.records_by_id.values()
@@ -138,6 +160,17 @@
         ]
         return (self.clock.now() - min(waiting)).total_seconds() if waiting else 0.0
 
+    def _refusal(
+        self, spec: JobSpec, workers: Iterable[WorkerState]
+    ) -> JobFindings | Refused | None:
+        findings = check_spec(spec, workers, self.config)
+        if findings:
+            return JobFindings(findings)
+        if self._is_queue_full(spec.team):
+            text = f"team {spec.team} has reached its limit of queued jobs"
+            return Refused("queue_full", text, 5.0)
+        return None
+
     def _is_queue_full(self, team: TeamId) -> bool:
         team_config = self.config.teams.get(team)
         if team_config is None:
--- a/src/chicorycrank/entry/cell_occupancy.py
+++ b/src/chicorycrank/entry/cell_occupancy.py
@@ -48,6 +48,21 @@
             is_ready = self._is_ready_by_worker.get(worker, False)
             self.cell.set_available(worker, is_ready and not is_quarantined)
 
+    def closed_cause(self, worker: TargetId, target: Target | None) -> str:
+        """Return why a worker gets no new work; empty if it is open.
+
+        :param target: the worker if its agent is connected
+        """
+        if target is None:
+            return "absent"
+        if not target.worker_load.reachable:
+            return "unreachable"
+        if target.worker_load.draining:
+            return "draining"
+        if worker in self._quarantined:
+            return "quarantine"
+        return "" if self.cell.workers_by_id[worker].available else "closed"
+
     def mark_unavailable(self, worker: TargetId) -> None:
         """Exclude a worker from new work until it reports again."""
         self._is_ready_by_worker[worker] = False
--- a/src/chicorycrank/entry/forwarding.py
+++ b/src/chicorycrank/entry/forwarding.py
@@ -93,6 +93,14 @@
             return None if reply.answer.outcome is Outcome.NOT_RUN else reply.answer
         return None
 
+    def region_for(self, request: Request, local_s: float | None) -> RegionId:
+        """Return the region that would run a request now.
+
+        :param local_s: expected time in this region; ``None`` without a usable executor
+        """
+        peer = self._choose_peer(request, local_s, request.deadline_s)
+        return self._region if peer is None else peer.info.region
+
     async def serve(
         self, message: ForwardRequest, run: Callable[[], Awaitable[Answer]]
     ) -> AnyMessage:
--- a/src/chicorycrank/entry/http_api.py
+++ b/src/chicorycrank/entry/http_api.py
@@ -77,10 +77,14 @@
         match (cherrypy.request.method, *path):
             case ("POST", "requests"):
                 return self._requests.post()
+            case ("POST", "requests", "where"):
+                return self._requests.where()
             case ("GET", "requests", identity):
                 return self._requests.get(identity)
             case ("POST", "jobs"):
                 return self._jobs.post()
+            case ("POST", "jobs", "where"):
+                return self._jobs.where()
             case ("GET", "jobs", identity):
                 return self._jobs.get(JobId(identity), query)
             case ("GET", "jobs"):
--- a/src/chicorycrank/entry/http_jobs.py
+++ b/src/chicorycrank/entry/http_jobs.py
@@ -67,6 +67,15 @@
         coroutine = self._router.submit(spec, key)
         return _send_reply(self._bridge.call(coroutine, timeout_s=JOB_CALL_TIMEOUT_S))
 
+    def where(self) -> bytes:
+        """Return where a job would go now, without submitting it."""
+        spec = read_spec(cherrypy.request.body.read(), self._router.config)
+        if not isinstance(spec, JobSpec):
+            return _send_findings(spec)
+        return _send_reply(
+            self._bridge.call(self._router.where(spec), timeout_s=JOB_CALL_TIMEOUT_S)
+        )
+
     def get(self, job_id: JobId, query: dict[str, str]) -> bytes:
         """Return a job record; wait for a change if the query names a generation."""
         try:
--- a/src/chicorycrank/entry/http_requests.py
+++ b/src/chicorycrank/entry/http_requests.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 import cherrypy
+import msgspec
 
 from chicorycrank.entry.at_most_once import KEY_REUSED_DETAIL
 from chicorycrank.entry.http_common import (
@@ -18,7 +19,7 @@
 from chicorycrank.entry.request_check import Rejection, check_request
 from chicorycrank.entry.requests import RequestFrontend
 from chicorycrank.model.ids import RequestKey
-from chicorycrank.model.requests import Answer, Outcome
+from chicorycrank.model.requests import Answer, Outcome, Request
 from chicorycrank.ports.store import StoreError
 
 BUSY_RETRY_AFTER_S = "1"
@@ -47,6 +48,22 @@
         finally:
             self._call_slots.release()
 
+    def where(self) -> bytes:
+        """Return where a request would run now, without running it."""
+        config = self._frontend.config
+        data = cherrypy.request.body.read(config.limits.max_body_bytes + 1)
+        check = check_request(data, None, config)
+        if check.is_error():
+            return _send_rejection(check.error)
+        return send_json(self._bridge.call(self._find_place(check.ok)))
+
+    async def _find_place(self, request: Request) -> dict[str, object]:
+        """Return the answer; it is made in the thread of the event loop, as its state is."""
+        region, answer = self._frontend.where(request)
+        document: dict[str, object] = {"region": region}
+        document.update(msgspec.to_builtins(answer))
+        return document
+
     def get(self, key: str) -> bytes:
         """Return the stored outcome of a non-repeatable request."""
         try:
--- a/src/chicorycrank/entry/job_router.py
+++ b/src/chicorycrank/entry/job_router.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from chicorycrank.entry.cell_binding import CellBinding
 from chicorycrank.entry.directory import Directory
 from chicorycrank.entry.election import VACANT
@@ -22,6 +24,7 @@
     CancelJob,
     CellLoad,
     ExplainJob,
+    JobFindings,
     JobList,
     JobReply,
     ListJobs,
@@ -30,6 +33,7 @@
     ReleaseQuarantine,
     SubmitJob,
     Text,
+    WhereJob,
 )
 from chicorycrank.policy.cell_choice import choose_cell
 from chicorycrank.ports.clock import Clock
@@ -125,6 +129,14 @@
         job_id = make_job_id(cell, spec.team, key or uuid.uuid4().hex)
         return await self.send_to_leader(cell, SubmitJob(job_id, spec))
 
+    async def where(self, spec: JobSpec) -> AnyMessage:
+        """Return where a job would go now, from the leader of the cell that would get it."""
+        if spec.region is not None:
+            cell = CellId(spec.region)
+        else:
+            cell = choose_cell(spec, self._cell_loads(), self.config.guarantees) or self._cell
+        return await self.send_to_leader(cell, WhereJob(spec))
+
     async def send_to_all_leaders(self, message: AnyMessage) -> CellReplies:
         """Send a message to the leaders of all known cells and return their replies."""
         cells = sorted({self._cell, *self.leader_by_cell})
@@ -217,6 +229,12 @@
             case ExplainJob():
                 document = self._scheduler.explain(message.job_id)
                 return Text(json.dumps(document)) if document else Refused("no_such_job")
+            case WhereJob():
+                answer = self._scheduler.where(message.spec)
+                if isinstance(answer, JobFindings | Refused):
+                    return answer
+                document = {"cell": self._cell} | msgspec.to_builtins(answer)
+                return Text(json.dumps(document))
             case ListJobs():
                 job_list = self._scheduler.jobs.list_matching(message)
                 return JobList(tuple(map(copy, job_list.records)), job_list.omitted)
--- a/src/chicorycrank/entry/request_admission.py
+++ b/src/chicorycrank/entry/request_admission.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 from chicorycrank.entry.directory import Directory, Target
+from chicorycrank.entry.request_where import explain_request
 from chicorycrank.model.config import Config, Team
 from chicorycrank.model.ids import ServiceId, TargetId, TeamId
 from chicorycrank.model.messages import ServiceLoad
@@ -22,6 +23,7 @@
     choose_target,
     record_outcome,
 )
+from chicorycrank.policy.where import PlacementAnswer
 from chicorycrank.ports.clock import Clock
 
 QUEUE_POLL_INTERVAL = timedelta(milliseconds=20)
@@ -193,6 +195,36 @@
             wait += run / 2
         return wait + run
 
+    def where(self, request: Request) -> PlacementAnswer:
+        """Return which executor a request would get now; no slot is allocated."""
+        candidates = self._candidates(request.service)
+        index = choose_target(
+            self._views(candidates),
+            urgent=request.request_class is RequestClass.URGENT,
+            repeatable=request.repeatable,
+        )
+        known, now = [*self._directory.executors()], self._clock.monotonic()
+        reasons = [self._closed_reason(target, request.service, now) for target in known]
+        return explain_request(
+            request.service,
+            [*zip(known, self._views(known), reasons, strict=True)],
+            None if index is None else candidates[index],
+            is_queued=self._has_queued_ahead(request.request_class),
+        )
+
+    def _closed_reason(self, target: Target, service: ServiceId, now: float) -> str:
+        """Return why a connected executor is no candidate for a service; empty if it is one."""
+        if not target.link.is_open:
+            return "absent"
+        if target.executor_load.draining:
+            return "draining"
+        if not target.executor_load.reachable:
+            return "unreachable"
+        if ANY_SERVICE not in _services(target) and service not in _services(target):
+            return "service"
+        full_until = self._full_until_by_target.get(target.target_id, 0.0)
+        return "full" if full_until > now else ""
+
     def _weight(self, team: TeamId) -> float:
         return self._config().teams.get(team, Team()).weight
 
@@ -206,11 +238,7 @@
         return [
             target
             for target in self._directory.executors()
-            if target.link.is_open
-            and not target.executor_load.draining
-            and target.executor_load.reachable
-            and (ANY_SERVICE in _services(target) or service in _services(target))
-            and self._full_until_by_target.get(target.target_id, 0.0) <= now
+            if not self._closed_reason(target, service, now)
         ]
 
     def _views(self, targets: list[Target]) -> list[TargetView]:
--- a/src/chicorycrank/entry/requests.py
+++ b/src/chicorycrank/entry/requests.py
@@ -24,6 +24,7 @@
     ServiceLoad,
 )
 from chicorycrank.model.requests import Answer, Outcome, Request, RequestClass
+from chicorycrank.policy.where import PlacementAnswer
 from chicorycrank.ports.clock import Clock
 
 # Each request credits its team with this part of a retry, so that retries add at most 10% load.
@@ -132,6 +133,11 @@
         self.count_by_outcome_and_class[answer.outcome, request.request_class] += 1
         return answer
 
+    def where(self, request: Request) -> tuple[RegionId, PlacementAnswer]:
+        """Return the region that would run a request now, and what this region would do with it."""
+        local_s = self._admission.expected_local_time_s(request)
+        return self._forwarder.region_for(request, local_s), self._admission.where(request)
+
     async def status(self, key: RequestKey) -> Answer | None:
         """Return the stored outcome of a non-repeatable request; ``None`` if the key is unknown.
 
--- a/src/chicorycrank/entry/scheduler.py
+++ b/src/chicorycrank/entry/scheduler.py
@@ -7,6 +7,8 @@
 from datetime import timedelta
 from typing import Any
 
+from msgspec import structs
+
 from chicorycrank.entry.cell_jobs import CellJobs
 from chicorycrank.entry.cell_load import make_cell_load
 from chicorycrank.entry.cell_occupancy import CellOccupancy, make_worker_state
@@ -35,6 +37,7 @@
     GangEnded,
     GangOutcome,
     GangStarted,
+    JobFindings,
     Ok,
     Refused,
 )
@@ -42,6 +45,7 @@
 from chicorycrank.policy.decide import decide
 from chicorycrank.policy.decisions import Start
 from chicorycrank.policy.quarantine import Quarantine
+from chicorycrank.policy.where import PlacementAnswer
 from chicorycrank.ports.clock import Clock
 from chicorycrank.ports.store import StoreError
 
@@ -214,6 +218,19 @@
             return document | {"cause": "leader_changed"}
         return document
 
+    def where(self, spec: JobSpec) -> PlacementAnswer | JobFindings | Refused:
+        """Return where a job would go now; nothing is stored or started."""
+        is_ready, targets = self._is_report_wait_over(), self._directory.targets_by_id
+        answer = self.jobs.where(
+            spec,
+            self._known_worker_states.values() if is_ready else (),
+            self._reported_jobs(),
+            lambda worker: self._occupancy.closed_cause(worker, targets.get(worker)),
+        )
+        if is_ready or not isinstance(answer, PlacementAnswer):
+            return answer
+        return structs.replace(answer, starts_now=False, cause="leader_changed")
+
     def cell_load(self) -> CellLoad | None:
         """Return the load of the cell while this entry leads it."""
         if not self.is_leader:
--- a/src/chicorycrank/model/job_messages.py
+++ b/src/chicorycrank/model/job_messages.py
@@ -46,6 +46,12 @@
     job_id: JobId
 
 
+class WhereJob(Message, frozen=True):
+    """Query for where a job would go now; answered by Text, JobFindings or Refused."""
+
+    spec: JobSpec
+
+
 class JobReply(Message, frozen=True):
     """Reply with a job record."""
 
--- a/src/chicorycrank/model/messages.py
+++ b/src/chicorycrank/model/messages.py
@@ -32,6 +32,7 @@
     QueryJob,
     ReleaseQuarantine,
     SubmitJob,
+    WhereJob,
 )
 from chicorycrank.model.message import Message, Ok, Refused, Text
 from chicorycrank.model.operation_messages import (
@@ -111,6 +112,7 @@
     | JobList
     | JobFindings
     | ReleaseQuarantine
+    | WhereJob
     | QueryState
     | Text
     | ListTargets
@@ -175,5 +177,6 @@
     "TaskStatus",
     "Text",
     "Welcome",
+    "WhereJob",
     "WorkerReport",
 ]
--- a/src/chicorycrank/platform/where_handler.py
+++ b/src/chicorycrank/platform/where_handler.py
@@ -45,6 +45,9 @@
         )
         if queue is None:
             return _response({"error": f"no queue {call.queue}"}, HTTPStatus.NOT_FOUND)
+        teams = {team.team for team in config.teams} if config else set()
+        if call.team not in teams and (call.team or not queue.anonymous):
+            return _response({"error": f"no team {call.team}"}, HTTPStatus.NOT_FOUND)
         job = decode_job(
             bytes(call.job), job_id=JobId(""), queue=queue, team=TeamId(call.team), now_ms=0
         )
--- a/src/chicorycrank/policy/explain.py
+++ b/src/chicorycrank/policy/explain.py
@@ -11,7 +11,7 @@
 from chicorycrank.policy.backfill import expected_end_s
 from chicorycrank.policy.cell import Cell, QueuedJob
 from chicorycrank.policy.decide import decide
-from chicorycrank.policy.decisions import Start
+from chicorycrank.policy.decisions import Decision, Start
 from chicorycrank.policy.placement import find_placement
 
 
@@ -74,14 +74,20 @@
 
 
 def explain_wait(
-    cell: Cell, queue: Sequence[QueuedJob], job_id: JobId, now_s: float
+    cell: Cell,
+    queue: Sequence[QueuedJob],
+    job_id: JobId,
+    now_s: float,
+    decisions: Sequence[Decision] | None = None,
 ) -> Explanation:
     """Return why a queued job waits.
 
+    :param decisions: those of ``decide`` on the queue; made here if None
     :raises KeyError: the job is not in the queue
     """
     job = {queued.job_id: queued for queued in queue}[job_id]
-    decisions = decide(cell, queue, now_s)
+    if decisions is None:
+        decisions = decide(cell, queue, now_s)
     is_inside_guarantee = bool(cell.guarantee_placements.instances_with_room(job.team, job.shape))
     evicted = {
         decision.job_id
--- a/src/chicorycrank/policy/where.py
+++ b/src/chicorycrank/policy/where.py
@@ -1,15 +1,19 @@
 """Answer to where a job would go now, with the reason against each worker that it would not use."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
 from enum import Enum
 
 from msgspec import Struct
 
-from chicorycrank.model.ids import JobId, TargetId
+from chicorycrank.model.ids import JobId, TargetId, TeamId
 from chicorycrank.model.jobs import GangShape, MemberPlacement
 from chicorycrank.policy.admission import members_on_worker
 from chicorycrank.policy.cell import Cell, QueuedJob
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Evict, Start
+from chicorycrank.policy.explain import explain_wait
 from chicorycrank.policy.headroom import empty_workers
 from chicorycrank.policy.packing import blocks
 
@@ -23,6 +27,7 @@
 
     TOO_SMALL = "too-small"  # it would not hold a member if it were empty
     ACCELERATORS = "accelerators"  # fewer are free than a member needs
+    GUARANTEE = "guarantee"  # the accelerators run guaranteed work of other teams
     FRAGMENTED = "fragmented"  # enough accelerators are free, but not next to each other
     CORES = "cores"
     MEMORY = "memory"
@@ -109,6 +114,57 @@
     )
 
 
+@contextmanager
+def restored(cell: Cell) -> Iterator[None]:
+    """Restore what a decision pass keeps in a cell."""
+    before = cell.reservations_by_id, cell.waiting_for_evictions, cell.jobs_within_quota
+    teams = set(cell.usage_by_team)
+    try:
+        yield
+    finally:
+        cell.reservations_by_id, cell.waiting_for_evictions, cell.jobs_within_quota = before
+        # A pass leaves an entry without usage for each team of which it has tried a start.
+        for team in cell.usage_by_team.keys() - teams:
+            del cell.usage_by_team[team]
+
+
+def explain_job(
+    cell: Cell,
+    job: QueuedJob,
+    queue: Sequence[QueuedJob],
+    now_s: float,
+    closed_cause: Callable[[TargetId], str],
+) -> PlacementAnswer:
+    """Return where a job would go if it were queued now; the cell is as before afterwards.
+
+    :param queue: queued jobs that may start now
+    :param closed_cause: returns why a worker gets no new work; empty if it is open
+    """
+    all_jobs = [*queue, job]
+    with restored(cell):
+        decisions = decide(cell, all_jobs, now_s)
+        cause = explain_wait(cell, all_jobs, job.job_id, now_s, decisions).cause
+        reserved, headroom = reserved_masks(cell, job.job_id), headroom_for_others(cell, job)
+        rejected = [
+            RejectedWorker(worker=worker, reason=closed)
+            if (closed := closed_cause(worker))
+            else reject_open_worker(cell, job, worker, reserved, headroom)
+            for worker in sorted(cell.workers_by_id)
+        ]
+    starts = (item for item in decisions if isinstance(item, Start) and item.job_id == job.job_id)
+    return make_answer(
+        job.job_id,
+        cause=cause.value,
+        placement=next((start.placement for start in starts), None),
+        evictions=[
+            item.job_id
+            for item in decisions
+            if isinstance(item, Evict) and item.for_job == job.job_id
+        ],
+        rejected=rejected,
+    )
+
+
 def reserved_masks(cell: Cell, job_id: JobId) -> dict[TargetId, int]:
     """Return the accelerators that are reserved for other jobs, by worker."""
     masks: dict[TargetId, int] = {}
@@ -139,6 +195,10 @@
     :param headroom: workers that are kept empty for urgent jobs
     """
     reason, detail = _lack_of_room(cell, worker, job.shape)
+    if reason is WorkerReason.ACCELERATORS:
+        teams = _guaranteed_teams(cell, worker, job)
+        if teams:
+            reason, detail = WorkerReason.GUARANTEE, f"{detail}; work of {', '.join(sorted(teams))}"
     if reason is None:
         if worker in headroom:
             reason = WorkerReason.HEADROOM
@@ -154,6 +214,17 @@
     return RejectedWorker(worker=worker, reason=reason.value, detail=detail)
 
 
+def _guaranteed_teams(cell: Cell, worker: TargetId, job: QueuedJob) -> set[TeamId]:
+    """Return the other teams whose guaranteed work is all that keeps a job off a worker."""
+    mask, teams = cell.free.masks[worker], set()
+    for job_id, job_mask in cell.masks_by_worker.get(worker, {}).items():
+        team = cell.running_by_id[job_id].job.team
+        if job_id not in cell.borrowed and team != job.team:
+            mask |= job_mask
+            teams.add(team)
+    return teams if blocks(mask, job.shape.accelerators) else set()
+
+
 def _members(cell: Cell, job: QueuedJob, worker: TargetId, mask: int) -> int:
     """Return how many members of a job fit on some accelerators of a worker."""
     members = job.rule.member_limit(cell.free, worker, job.shape)
--- a/tests/batch/test_where.py
+++ b/tests/batch/test_where.py
@@ -343,6 +343,7 @@
         (DOCUMENT, False, "POST", HTTPStatus.MISDIRECTED_REQUEST, '"leader": "leader"'),
         (DOCUMENT, True, "GET", HTTPStatus.METHOD_NOT_ALLOWED, "{}"),
         (DOCUMENT | {"queue": "x"}, True, "POST", HTTPStatus.NOT_FOUND, "no queue x"),
+        (DOCUMENT | {"team": "x"}, True, "POST", HTTPStatus.NOT_FOUND, "no team x"),
         (DOCUMENT | {"job": {}}, True, "POST", HTTPStatus.BAD_REQUEST, "number of steps"),
         (DOCUMENT | {"jobs": 1}, True, "POST", HTTPStatus.BAD_REQUEST, "jobs"),
         (b"{", True, "POST", HTTPStatus.BAD_REQUEST, "error"),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -47,7 +47,7 @@
     ("words", "offered"),
     [
         (("chicorycrank", "rel"), ["release"]),
-        (("chicorycrank", "request", ""), ["send", "status"]),
+        (("chicorycrank", "request", ""), ["send", "status", "where"]),
         (("chicorycrank", "job", "submit", "--me"), ["--members", "--memory-gb"]),
         (("chicorycrank", "dump", "--e"), ["--entry"]),
         (("chicorycrank", "job", "submit", "fi"), []),
@@ -312,3 +312,33 @@
     assert len(first.calls) == 1
     assert len(second.calls) == calls_of_second_entry
     assert {key for _, key in second.calls} <= {key for _, key in first.calls}
+
+
+def test_where_prints_an_answer_and_submits_nothing(
+    start_stub_entry: Callable[..., StubEntry], tmp_path: Path
+) -> None:
+    """Guards against a call that submits the job or sends the request, and lost reasons."""
+    (tmp_path / "job.jsonc").write_text(JOB)
+    answer = {
+        "cell": "north",
+        "starts_now": False,
+        "cause": "no_room",
+        "rejected": [{"worker": "work-1", "reason": "cores", "detail": "1 free, 2 needed"}],
+        "rejected_by_reason": {"cores": 1},
+    }
+    entry = start_stub_entry(
+        **{
+            "POST /v1/jobs/where": (200, answer),
+            "POST /v1/requests/where": (200, {"region": "north", "starts_now": True}),
+        }
+    )
+    output = run_command(tmp_path, [entry.url], "job where job.jsonc")
+    for fact in ("cause", "no_room", "worker work-1, reason cores, detail 1 free, 2 needed"):
+        assert fact in output
+    assert output.endswith("exit code 0\n")
+    line = "request where --team claims --service order"
+    assert "region" in run_command(tmp_path, [entry.url], line)
+    printed = run_command(tmp_path, [entry.url], "job where job.jsonc --json")
+    assert json.dumps(answer) in printed
+    calls = ["POST /v1/jobs/where", "POST /v1/requests/where", "POST /v1/jobs/where"]
+    assert [call for call, _ in entry.calls] == calls
