--- a/src/chicorycrank/batch/evacuations.py
+++ b/src/chicorycrank/batch/evacuations.py
@@ -51,7 +51,7 @@
     def learn(self, planner: PlannerState, view: SharedView) -> None:
         """Read the watched keys if an agent has rejected runs for a zone that is not known here.
 
-        The watch has not brought the operator's key then, and may have heard nothing for a while.
+        The watch has not brought the operator's key then, and may have had no changes for a while.
         """
         rejections = _rejections(planner, self._known_revision)
         zones = rejections.keys() - planner.workers.evacuated_zones
--- a/src/chicorycrank/batch/lost_workers.py
+++ b/src/chicorycrank/batch/lost_workers.py
@@ -151,7 +151,7 @@
 
     The store decides: the presence must be missing, its agent must not have created another one
     since the leader saw it expire, and the report must be the one that the leader knows. So neither
-    a pause of the leader nor a watch that hears nothing makes a worker lost.
+    a pause of the leader nor a watch that receives nothing makes a worker lost.
     """
     state = planner.workers.by_id[worker]
     members = planner.members_by_worker[worker].keys()
--- a/src/chicorycrank/policy/decide.py
+++ b/src/chicorycrank/policy/decide.py
@@ -82,7 +82,7 @@
                 job.job_id for job in queue if not self._is_started_or_awaits_evictions(job)
             }
             self.cell.waiting_for_evictions |= previously_waiting & undecided
-        # Those of jobs that the pass has not come to stay, too.
+        # The standing reservations of jobs that the pass has not reached stay as well.
         standing = self.standing.reservations()
         reservations = [*self.urgent_reservations, *self.reservations]
         # A pass that reached the decision limit may have ended before it made any reservation. The
--- a/src/chicorycrank/policy/eviction.py
+++ b/src/chicorycrank/policy/eviction.py
@@ -60,7 +60,7 @@
 
 
 def eviction_cost(cell: Cell, job_id: JobId, now_s: float) -> float:
-    """Return what speaks against evicting a job; 0 if it is already stopping.
+    """Return the cost of evicting a job; 0 if it is already stopping.
 
     It is the lost work, up to twice that for a job near its expected end, as its accelerators
     become free soon without an eviction. A gang that was stopped for an urgent job costs
--- a/src/chicorycrank/policy/load_rates.py
+++ b/src/chicorycrank/policy/load_rates.py
@@ -17,7 +17,8 @@
 # Rates are means over this window. It covers two of the waves of 17 s in which the demand of the
 # users varies.
 RATE_WINDOW_S = 34.0
-# A window that begins with the first job is at least this long, so that one job is no rate.
+# A window that begins with the first job is at least this long, so that a single
+# job does not count as a high rate.
 MIN_RATE_WINDOW_S = 10.0
 # Work that waits is taken to want service within this time.
 WAITING_DEMAND_S = 10.0
