Decide where a job would go on a copy of the cell

Cause: a pass on the cell itself places guarantee instances earlier than the next pass of the leader. Change: the product decides on a copy, which shares the immutable running jobs, and an entry serves one such call at a time. Random tests compare cells and planners that are asked with ones that are not. Tests over HTTP cover the entry and the batch programs; the test Program keeps its metrics port.

--- a/src/chicorycrank/entry/http_jobs.py
+++ b/src/chicorycrank/entry/http_jobs.py
@@ -56,6 +56,7 @@
     def __init__(self, router: JobRouter, bridge: LoopBridge, *, max_waiting: int) -> None:
         self._router = router
         self._bridge = bridge
+        self._where_slot = threading.BoundedSemaphore(1)
         self._wait_slots = threading.BoundedSemaphore(max_waiting)
 
     def post(self) -> bytes:
@@ -68,7 +69,20 @@
         return _send_reply(self._bridge.call(coroutine, timeout_s=JOB_CALL_TIMEOUT_S))
 
     def where(self) -> bytes:
-        """Return where a job would go now, without submitting it."""
+        """Return where a job would go now, without submitting it.
+
+        One call at a time, as the leader of the cell does nothing else while it copies its state.
+        """
+        if not self._where_slot.acquire(blocking=False):
+            cherrypy.response.headers["Retry-After"] = "1"
+            detail = "another call asks where a job would go"
+            return send_problem(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, detail)
+        try:
+            return self._where()
+        finally:
+            self._where_slot.release()
+
+    def _where(self) -> bytes:
         spec = read_spec(cherrypy.request.body.read(), self._router.config)
         if not isinstance(spec, JobSpec):
             return _send_findings(spec)
--- a/src/chicorycrank/policy/where.py
+++ b/src/chicorycrank/policy/where.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
+from copy import deepcopy
 from enum import Enum
 
 from msgspec import Struct
@@ -116,7 +117,7 @@
 
 @contextmanager
 def restored(cell: Cell) -> Iterator[None]:
-    """Restore what a decision pass keeps in a cell."""
+    """Restore what a decision pass keeps in a cell without guarantees."""
     before = cell.reservations_by_id, cell.waiting_for_evictions, cell.jobs_within_quota
     teams = set(cell.usage_by_team)
     try:
@@ -129,28 +130,33 @@
 
 
 def explain_job(
-    cell: Cell,
+    live_cell: Cell,
     job: QueuedJob,
     queue: Sequence[QueuedJob],
     now_s: float,
     closed_cause: Callable[[TargetId], str],
 ) -> PlacementAnswer:
-    """Return where a job would go if it were queued now; the cell is as before afterwards.
+    """Return where a job would go if it were queued now.
+
+    The pass decides on a copy of the cell: it places guarantee instances, and placing them earlier
+    than the next pass of the leader changed later decisions in random trials.
 
     :param queue: queued jobs that may start now
     :param closed_cause: returns why a worker gets no new work; empty if it is open
     """
+    # Running jobs are immutable and most of the cell, so they are not copied.
+    memo: dict[int, object] = {id(item): item for item in live_cell.running_by_id.values()}
+    cell = deepcopy(live_cell, memo)
     all_jobs = [*queue, job]
-    with restored(cell):
-        decisions = decide(cell, all_jobs, now_s)
-        cause = explain_wait(cell, all_jobs, job.job_id, now_s, decisions).cause
-        reserved, headroom = reserved_masks(cell, job.job_id), headroom_for_others(cell, job)
-        rejected = [
-            RejectedWorker(worker=worker, reason=closed)
-            if (closed := closed_cause(worker))
-            else reject_open_worker(cell, job, worker, reserved, headroom)
-            for worker in sorted(cell.workers_by_id)
-        ]
+    decisions = decide(cell, all_jobs, now_s)
+    cause = explain_wait(cell, all_jobs, job.job_id, now_s, decisions).cause
+    reserved, headroom = reserved_masks(cell, job.job_id), headroom_for_others(cell, job)
+    rejected = [
+        RejectedWorker(worker=worker, reason=closed)
+        if (closed := closed_cause(worker))
+        else reject_open_worker(cell, job, worker, reserved, headroom)
+        for worker in sorted(cell.workers_by_id)
+    ]
     starts = (item for item in decisions if isinstance(item, Start) and item.job_id == job.job_id)
     return make_answer(
         job.job_id,
--- a/tests/batch/test_where.py
+++ b/tests/batch/test_where.py
@@ -1,6 +1,7 @@
 """Answer to where a job would go now, by the leader of the batch jobs."""
 
 import json
+import random
 import threading
 from collections.abc import Callable
 from http import HTTPStatus
@@ -246,6 +247,40 @@
     assert snapshot(planner) == snapshot(other)
 
 
+def random_job(source: random.Random, name: str) -> Submission:
+    is_gang = source.random() < 0.4
+    step = Step(
+        count=source.randint(1, 4),
+        accelerators=source.choice([0, 1, 2, 4, 8]),
+        cores=source.choice([0, 1000, 30_000]),
+        memory_mb=source.choice([0, 1000, 200_000]),
+        run_time_s=source.choice([1.0, 5.0, 50.0, 500.0]),
+        gang=is_gang,
+        same_rack=is_gang,
+        max_per_worker=0 if is_gang else source.choice([0, 1]),
+    )
+    priority = source.randint(0, 2)
+    return make_job([step], name=name, queue=make_queue(priority=priority, name=f"q{priority}"))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_answers_between_plans_change_no_plan(seed: int) -> None:
+    """Guards against an answer after which later plans differ, in states with evictions."""
+    source = random.Random(seed)
+    workers = [TargetId(f"w{number}") for number in range(source.randint(1, 8))]
+    quota = source.choice([0, 8, 24])
+    planner, other = (make_planner(workers, quota=quota, headroom=0.3) for _ in range(2))
+    for number in range(12):
+        job = random_job(source, f"{number:016x}")
+        for each in (planner, other):
+            each.set_time(each.now_s + 1.0, 1000 * (number + 1))
+            submit(each, job)
+        explain_placement(planner, random_job(source, "f" * 16))
+        assert snapshot(planner) == snapshot(other)
+        for by_id in ("running_by_id", "borrowed", "stopping"):
+            assert [*getattr(planner.cell, by_id)] == [*getattr(other.cell, by_id)]
+
+
 def test_an_error_leaves_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a job that stays in the planner after deciding on it has failed."""
     planner = make_planner()
--- a/tests/platform_adapter/test_programs.py
+++ b/tests/platform_adapter/test_programs.py
@@ -40,6 +40,7 @@
     ) -> None:
         self.port = free_port()
         closed_port, metrics_port = free_port(), free_port()
+        self.metrics_port = metrics_port
         path = folder / "settings.yaml"
         path.write_text(
             f'node: "node-1"\nip: "127.0.0.1"\ninternalPorts: [{metrics_port}, {metrics_port}]\n'
@@ -87,6 +88,17 @@
     assert "event=process_stopped" in output
 
 
+def test_only_the_entry_answers_where_a_job_would_go(program: Program) -> None:
+    """Guards against a call that the program does not pass on to its handler."""
+    assert program.call("GET", "/-/other") in (404, 503)
+    connection = http.client.HTTPConnection("127.0.0.1", program.metrics_port, timeout=5.0)
+    connection.request("POST", "/where", '{"queue": "q", "job": {}}')
+    response = connection.getresponse()
+    is_entry = "batch_entry" in str(program.process.args)
+    assert response.status == 404
+    assert response.read() == (b'{"error":"no queue q"}' if is_entry else b"{}")
+
+
 def test_a_burst_of_signals_does_not_keep_a_program_from_stopping(program: Program) -> None:
     """Guards against a deadlock in the signal handler.
 
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -1,6 +1,7 @@
 """Answers to where a job or a request would go now, on the product's own interface."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -17,9 +18,12 @@
 from chicorycrank.model.messages import JobFindings
 from chicorycrank.model.requests import Outcome
 from chicorycrank.model.targets import ExecutorLoad, WorkerLoad
-from chicorycrank.policy.cell import Cell, QueuedJob
+from chicorycrank.policy.cell import Cell, QueuedJob, RunningJob
+from chicorycrank.policy.decide import decide
+from chicorycrank.policy.decisions import Decision, Start
 from chicorycrank.policy.routing import Health
 from chicorycrank.policy.where import MAX_WORKERS_LISTED, PlacementAnswer, explain_job
+from chicorycrank_standin.fleet import Fleet
 
 WHOLE = make_job("wanted", "red", 1, 8)
 Change = Callable[[Cell], None]
@@ -136,6 +140,64 @@
     )
 
 
+def random_job(source: random.Random, name: str, now_s: float) -> QueuedJob:
+    return make_job(
+        name,
+        source.choice([*TEAMS]),
+        source.randint(1, 3),
+        source.choice([1, 2, 4, 8]),
+        adjacency=source.choice(["any", "rack", "worker"]),
+        run_time_s=source.choice([10.0, 1000.0, 1e5]),
+        urgent=source.random() < 0.3,
+        checkpointable=source.random() < 0.5,
+        submitted_s=now_s,
+    )
+
+
+def decide_and_apply(cell: Cell, queue: dict[JobId, QueuedJob], now_s: float) -> list[Decision]:
+    decisions = decide(cell, [*queue.values()], now_s)
+    for decision in decisions:
+        if isinstance(decision, Start):
+            job = queue[decision.job_id]
+            placement, kind = decision.placement, decision.kind
+            cell.start(RunningJob(job=job, placement=placement, kind=kind, started_s=now_s))
+        else:
+            cell.mark_stopping(decision.job_id)
+    return decisions
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_answers_between_decisions_change_none(seed: int) -> None:
+    """Guards against reservations and guarantee instances that an answer leaves behind."""
+    source = random.Random(seed)
+    racks = " ".join(source.choice("12") for _ in range(source.randint(2, 6)))
+    cell, other = Cell(), Cell()
+    for each in (cell, other):
+        each.set_config(TEAMS, {})
+        for worker in make_workers(racks, 8):
+            each.set_worker(worker)
+    size = source.choice([4, 8])
+    for each in (cell, other):
+        add_guarantee(each, "green", 2, 1, size, "any")
+    queue: dict[JobId, QueuedJob] = {}
+    for number in range(15):
+        now_s = NOW_S + 5.0 * number
+        job = random_job(source, f"j{number}", now_s)
+        queue[job.job_id] = job
+        decisions = decide_and_apply(cell, queue, now_s)
+        assert decide_and_apply(other, queue, now_s) == decisions
+        for decision in decisions:
+            if isinstance(decision, Start):
+                del queue[decision.job_id]
+        wanted = random_job(source, "wanted", now_s)
+        explain_job(cell, wanted, [*queue.values()], now_s, lambda _: "")
+        assert snapshot(cell) == snapshot(other)
+        for job_id in [*cell.running_by_id]:
+            if job_id in cell.stopping or source.random() < 0.2:
+                cell.finish(job_id)
+                other.finish(job_id)
+
+
 @pytest.mark.parametrize(
     "job",
     [
@@ -295,3 +357,39 @@
     result = run_async(cluster.clock.run(work()))
     assert result.outcome is Outcome.COMPLETED
     assert [worker.worker for worker in answer.workers] == [result.target]
+
+
+def test_an_entry_answers_over_http(small_fleet: Fleet) -> None:
+    """Guards against paths, messages between processes and documents that do not fit together."""
+    entry = "entry-north-0"
+    job = {
+        "team": "claims",
+        "name": "scan",
+        "shape": {"members": 1, "accelerators": 8, "adjacency": "worker"},
+        "run_time_s": 60.0,
+    }
+
+    def wait_until_ready(path: str, body: object) -> None:
+        small_fleet.wait(
+            lambda: small_fleet.call(entry, "POST", path, body)[1]["starts_now"], f"{path} waits"
+        )
+
+    # A new leader waits up to 3 s for the reports of its workers.
+    wait_until_ready("/v1/jobs/where", job)
+    status, answer = small_fleet.call(entry, "POST", "/v1/jobs/where", job)
+    assert (status, answer["cell"], answer["starts_now"]) == (200, "north", True)
+    assert answer["workers"][0]["members"] == 1
+    assert answer["rejected_by_reason"] == {"not-chosen": 1}
+    assert small_fleet.call(entry, "GET", "/v1/jobs")[1]["jobs"] == []
+    job["shape"] = {"members": 1, "accelerators": 800}
+    status, answer = small_fleet.call(entry, "POST", "/v1/jobs/where", job)
+    assert status == 422
+    assert answer["findings"]
+    request = {"team": "claims", "service": "scan"}
+    # On a busy machine, no executor was usable here in 2 of 9 runs, for a reason that is not known.
+    wait_until_ready("/v1/requests/where", request)
+    status, answer = small_fleet.call(entry, "POST", "/v1/requests/where", request)
+    assert (status, answer["region"], answer["starts_now"]) == (200, "north", True)
+    assert [worker["worker"] for worker in answer["workers"]] == ["exec-north-0"]
+    status, _ = small_fleet.call(entry, "POST", "/v1/requests/where", {"team": "claims"})
+    assert status == 422
