Review: cases 12 to 14

12: the count of pending jobs leaves out jobs that were assigned and have not begun. 13: entries keep the address of the advice service after a change of the settings. 14: lasting tasks with maxUnavailable are never moved for a guaranteed share.

--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -296,7 +296,8 @@
     """Store, executors, entries and agents of a small deployment."""
 
     def __init__(self, record, *, executors, entries=2, labels=lambda number: ["a", "r1"],
-                 routes=(("plain", 1),), config=None, recommendation=""):  # fmt: skip
+                 routes=(("plain", 1),), config=None, recommendation="",
+                 other_tenants=()):  # fmt: skip
         self.record = record
         self._folder_handle = tempfile.TemporaryDirectory(prefix="review-3-")
         folder = Path(self._folder_handle.name)
@@ -316,7 +317,8 @@
                 for name, priority in routes
             ],
             "services": [{"name": "work"}],
-            "tenants": [{"name": "red", "apiKeys": [KEY], "guaranteed": {"gpus": 8}}],
+            "tenants": [{"name": "red", "apiKeys": [KEY], "guaranteed": {"gpus": 8}},
+                        *other_tenants],
         }  # fmt: skip
         self.write_config()
         self.executors = [Executor(f"executor-{n}", record, labels(n)) for n in range(executors)]
@@ -368,9 +370,9 @@
                 return True
         return False
 
-    def call(self, entry, method, path, body=None, *, is_quiet=False):
+    def call(self, entry, method, path, body=None, *, key=KEY, is_quiet=False):
         """Call an entry as a client; return status and document, or (None, {}) without answer."""
-        headers = {"Host": "small.example", "Credential": KEY,
+        headers = {"Host": "small.example", "Credential": key,
                    "Deadline-Ms": str(int(CLIENT_DEADLINE_S * 1000))}  # fmt: skip
         data = None
         if body is not None:
