--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -110,6 +110,7 @@
         self.capacity = {"cpu": cpu, "memMb": 524_288, "gpus": gpus}
         self.hangs_until = float("-inf")  # time.monotonic() until which calls get no answer
         self.sheds_until = float("-inf")  # ... until which starts are refused with 503
+        self.fails_until = float("-inf")  # ... until which all that it starts fails
         self.tickets_needed = False
         self.starts = []  # (time.monotonic(), task, run)
         self.ends = []  # (time.monotonic(), task, run, how)
@@ -119,6 +120,7 @@
         self._started = time.monotonic()
         self._condition = threading.Condition()
         self._running = {}  # (task, run): [ends at, stops at or None]
+        self._failing = {}  # (task, run): time at which it fails
         self._finished = []
         self._last_number = 0
         self._closed_run = {}  # task: highest run that ended or was stopped
@@ -190,6 +192,8 @@
             return self._answer(409, reason="ticket")
         self._extend(body["deadlineMs"])
         self._running[task, run] = [time.monotonic() + json.loads(body["spec"])["seconds"], None]
+        if time.monotonic() < self.fails_until:
+            self._failing[task, run] = time.monotonic() + 0.2
         self.starts.append((time.monotonic(), task, run))
         self._record.write(f"{self.name}: starts {task} run {run}")
         return self._answer()
@@ -226,6 +230,8 @@
                 for key, (ends_at, stops_at) in list(self._running.items()):
                     if stops_at is not None and now >= stops_at:
                         self._end(key, "stopped")
+                    elif key in self._failing and now >= self._failing[key]:
+                        self._end(key, "failed")
                     elif now >= ends_at:
                         self._end(key, "done")
                     elif self._clock_ms() > self._deadline_ms:
