Review: a task that stands still closes its worker for all other work

One job whose tasks make no progress for a while keeps every executor closed. The stand-in executor lists the progress of its tasks.

--- a/review/14/play.py
+++ b/review/14/play.py
@@ -26,7 +26,7 @@
             lasting = {"count": EXECUTORS * GPUS, "cpu": 1000, "memMb": 64, "gpus": 1,
                        "estimatedMs": 60_000, "longRunning": True,
                        "maxUnavailable": MAX_UNAVAILABLE}  # fmt: skip
-            body = {"spec": '{"seconds": 3600}', "steps": [lasting]}
+            body = {"spec": '{"seconds": 3600, "lasts": true}', "steps": [lasting]}
             if platform.call(0, "POST", f"/plain/{job_id()}", body, key=OTHER_KEY)[0] != 200:
                 return 2
         time.sleep(6.0)
--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -100,7 +100,11 @@
 
 
 class Executor:
-    """Executor that runs each task for the seconds in its spec."""
+    """Executor that runs each task for the seconds in its spec.
+
+    A spec with ``lasts`` is that of a task that runs until it is stopped. With ``stands_s``, the
+    task takes that much longer, and makes no progress for this time after half of its work.
+    """
 
     def __init__(self, name, record, labels, *, service="work", cpu=128_000, gpus=8):
         self.name = name
@@ -120,6 +124,7 @@
         self._started = time.monotonic()
         self._condition = threading.Condition()
         self._running = {}  # (task, run): [ends at, stops at or None]
+        self._specs = {}  # (task, run): spec, time of the start
         self._failing = {}  # (task, run): time at which it fails
         self._finished = []
         self._last_number = 0
@@ -191,7 +196,10 @@
         if self.tickets_needed and not body.get("ticket"):
             return self._answer(409, reason="ticket")
         self._extend(body["deadlineMs"])
-        self._running[task, run] = [time.monotonic() + json.loads(body["spec"])["seconds"], None]
+        spec, now = json.loads(body["spec"]), time.monotonic()
+        self._specs[task, run] = spec, now
+        ends_at = now + spec["seconds"] + spec.get("stands_s", 0.0)
+        self._running[task, run] = [float("inf") if spec.get("lasts") else ends_at, None]
         if time.monotonic() < self.fails_until:
             self._failing[task, run] = time.monotonic() + 0.2
         self.starts.append((time.monotonic(), task, run))
@@ -211,9 +219,19 @@
             self._extend(body["deadlineMs"])
         self._finished = [row for row in self._finished if row[0] > body.get("lastSeen", 0)]
         self._condition.wait_for(lambda: self._finished, body.get("waitMs", 0) / 1000)
-        running = [[task, run, "", 50, 0] for task, run in self._running]
+        running = [[task, run, "", self._percent((task, run)), 0] for task, run in self._running]
         return self._answer(running=running, finished=self._finished[:500])
 
+    def _percent(self, key):
+        """Return the progress of a task; PROTOCOL.md: one that lasts is at work at 100."""
+        spec, started_at = self._specs[key]
+        if spec.get("lasts"):
+            return 100
+        elapsed_s = time.monotonic() - started_at
+        stands_s = spec.get("stands_s", 0.0)  # in the middle of the work
+        elapsed_s = min(elapsed_s, max(spec["seconds"] / 2, elapsed_s - stands_s))
+        return min(99, int(100 * elapsed_s / spec["seconds"]))
+
     def _end(self, key, how):
         del self._running[key]
         self._closed_run[key[0]] = max(key[1], self._closed_run.get(key[0], 0))
