--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -73,6 +73,7 @@
         self._record = record
         # Returns the delay in seconds of a write with these keys, or None for an usual write.
         self.late_write_s = lambda keys: None
+        self.writes = self.late_writes = 0
 
     def routes(self):
         routes = super().routes()
@@ -81,8 +82,10 @@
         def handle(request):
             keys = [row["key"] for row in request.json().get("setKeys", [])]
             delay_s = self.late_write_s(keys)
+            self.writes += 1
             if delay_s is None:
                 return commit(request)
+            self.late_writes += 1
             self._record.write(f"store: write of {keys} gets no answer, done in {delay_s} s")
 
             def carry_out():
